--- /dev/null
+++ b/bin/fleet.sh
@@ -0,0 +1,112 @@
+# Functions that start and stop a small fleet on loopback; sourced by scripts in bin/.
+# Every process started is stopped by its id when the script ends.
+
+build=${build:-build}
+run_folder=${run_folder:-$(mktemp -d)}
+store_address=127.0.0.1:7300
+declare -A process_ids
+
+# start NAME COMMAND...: runs a command in the background, logging to NAME.log.
+start() {
+    local name=$1
+    shift
+    "$@" >>"$run_folder/$name.log" 2>&1 &
+    process_ids[$name]=$!
+}
+
+# stop NAME [SIGNAL]: signals a process and waits for its end.
+stop() {
+    local id=${process_ids[$1]:-}
+    [ -n "$id" ] || return 0
+    kill "-${2:-TERM}" "$id" 2>/dev/null || true
+    wait "$id" 2>/dev/null || true
+    unset "process_ids[$1]"
+}
+
+stop_all() {
+    local name
+    for name in "${!process_ids[@]}"; do
+        kill -CONT "${process_ids[$name]}" 2>/dev/null || true
+        kill -TERM "${process_ids[$name]}" 2>/dev/null || true
+    done
+    wait 2>/dev/null || true
+}
+
+ctl() {
+    "$build/pimentoctl" --store="http://$store_address" "$@" >>"$run_folder/ctl.log" 2>&1
+}
+
+# wait_for URL: waits until a page answers 200.
+wait_for() {
+    local try
+    for try in $(seq 200); do
+        if curl -sf --noproxy '*' -o /dev/null "$1"; then
+            return 0
+        fi
+        sleep 0.05
+    done
+    echo "no answer from $1; logs are in $run_folder" >&2
+    return 1
+}
+
+# field FILE NAME: prints a field of a flat JSON object.
+field() {
+    sed -n "s/.*\"$2\": *\"\{0,1\}\([^\",}]*\).*/\1/p" "$1" | head -n 1
+}
+
+start_store() {
+    start store "$build/platform-standin" --address="$store_address"
+    wait_for "http://$store_address/v1/stats"
+}
+
+# start_entry NUMBER ZONE: an entry host on ports 7310+N, 7330+N and 7350+N.
+start_entry() {
+    local number=$1 zone=$2 name=entry-$1
+    cat >"$run_folder/$name.ini" <<INI
+[host]
+name = $name
+zone = $zone
+[caller]
+address = 127.0.0.1:$((7310 + number))
+[operator]
+address = 127.0.0.1:$((7330 + number))
+[sibling]
+address = 127.0.0.1:$((7350 + number))
+[platform]
+url = http://$store_address
+INI
+    curl -sf --noproxy '*' -o /dev/null -X PUT "http://$store_address/v1/hosts/$name" \
+        -d "{\"name\":\"$name\",\"kind\":\"entry\",\"zone\":\"$zone\",\"sibling\":\"127.0.0.1:$((7350 + number))\"}"
+    start "$name" "$build/pimentostaged" --config="$run_folder/$name.ini"
+}
+
+wait_entry() {
+    wait_for "http://127.0.0.1:$((7330 + $1))/readyz"
+}
+
+# start_backend FILE [FLAG...]: a back end as an example's backend object describes it.
+start_backend() {
+    local file=$1 name
+    shift
+    name=$(basename "$file" .json)
+    start "$name" "$build/backend-standin" --name="$name" --address="$(field "$file" address)" \
+        --zone="$(field "$file" zone)" --slots="$(field "$file" slots)" "$@"
+}
+
+# grant_keys EXAMPLE: makes a key for each team of an example and grants it.
+grant_keys() {
+    local contract team
+    mkdir -p "$run_folder/keys"
+    for contract in examples/"$1"/contract/*.json; do
+        team=$(basename "$contract" .json)
+        od -An -N24 -tx1 /dev/urandom | tr -d ' \n' >"$run_folder/keys/$team"
+        echo >>"$run_folder/keys/$team"
+        ctl key grant "$team" "$team-1" <"$run_folder/keys/$team"
+    done
+}
+
+# note_event NAME ARGUMENT: notes an event with the machine's boot clock, in nanoseconds.
+note_event() {
+    awk -v event="$1 $2" '{ printf "%.0f %s\n", $1 * 1e9, event }' /proc/uptime \
+        >>"$run_folder/events"
+}
--- /dev/null
+++ b/include/pimentostage/backend/BackendStats.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "pimentostage/base/Time.h"
+
+#include <atomic>
+#include <cstdint>
+
+namespace pimentostage {
+
+/// What this host has observed of one back end. Written by traffic threads, read by all.
+class BackendStats
+{
+public:
+    /// Counts a request sent. @return the number in flight from this host, this one included.
+    std::uint32_t begin() { return inFlight_.fetch_add(1, std::memory_order_relaxed) + 1; }
+    /// Counts a request as no longer in flight.
+    void end() { inFlight_.fetch_sub(1, std::memory_order_relaxed); }
+    /// Counts a request only if fewer than @p limit are in flight.
+    bool tryBegin(std::uint32_t limit);
+
+    /// Records an answer that took @p latency.
+    void onAnswer(Duration latency, TimePoint now);
+    /// Records a failure that speaks against the back end.
+    void onFailure(TimePoint now);
+    /// Records a load report. @param inFlight requests it runs for all hosts.
+    void onLoadReport(std::uint32_t inFlight, TimePoint now);
+
+    [[nodiscard]] std::uint32_t inFlight() const
+    {
+        return inFlight_.load(std::memory_order_relaxed);
+    }
+    /// @return the moving average of the latency; zero before the first answer.
+    [[nodiscard]] Duration latency() const
+    {
+        return Duration(latency_.load(std::memory_order_relaxed));
+    }
+    /// @return failures since the last answer.
+    [[nodiscard]] std::uint32_t failuresInRow() const
+    {
+        return failuresInRow_.load(std::memory_order_relaxed);
+    }
+    /// @return the moment up to which the back end is ejected.
+    [[nodiscard]] TimePoint ejectedUntil() const
+    {
+        return TimePoint(Duration(ejectedUntil_.load(std::memory_order_relaxed)));
+    }
+    [[nodiscard]] bool isEjected(TimePoint now) const { return now < ejectedUntil(); }
+
+    /// @return the cost of one more request here: expected wait in seconds.
+    [[nodiscard]] double cost(TimePoint now) const;
+
+private:
+    [[nodiscard]] double reportedLoad(TimePoint now) const;
+
+    std::atomic<std::uint32_t> inFlight_ { 0 };
+    std::atomic<Duration::rep> latency_ { 0 };
+    std::atomic<std::uint32_t> failuresInRow_ { 0 };
+    std::atomic<Duration::rep> ejectedUntil_ { 0 };
+    std::atomic<std::uint32_t> reported_ { 0 };
+    std::atomic<Duration::rep> reportedAt_ { 0 };
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "pimentostage/base/Attempt.h"
+#include "pimentostage/base/Time.h"
+
+#include <cstdint>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace pimentostage {
+
+class ShareBudget;
+
+/// Number of an attempt within one request, counted from 0.
+using AttemptNumber = std::uint32_t;
+
+/// What a request allows.
+struct ExecutionPolicy
+{
+    bool idempotent_ = false;
+    TimePoint deadline_;
+    std::optional<Duration> hedgeAfter_; ///< no hedging if empty
+    std::uint32_t mostAttempts_ = 3;
+};
+
+/// Why a request was given up.
+enum class GiveUpReason { DeadlinePassed, NoBackend, AttemptsFailed, AnswerBroken };
+
+template <>
+struct EnumTable<GiveUpReason>
+{
+    static constexpr std::array kRows {
+        EnumName<GiveUpReason> { GiveUpReason::DeadlinePassed, "deadline-passed" },
+        EnumName<GiveUpReason> { GiveUpReason::NoBackend, "no-backend" },
+        EnumName<GiveUpReason> { GiveUpReason::AttemptsFailed, "attempts-failed" },
+        EnumName<GiveUpReason> { GiveUpReason::AnswerBroken, "answer-broken" },
+    };
+};
+
+/// Send attempt `attempt_` to a back end that no earlier attempt used, if there is one.
+struct SendAttempt
+{
+    AttemptNumber attempt_ = 0;
+    bool isHedge_ = false;
+};
+
+/// Stop attempt `attempt_`; its answer is no longer wanted.
+struct CancelAttempt
+{
+    AttemptNumber attempt_ = 0;
+};
+
+/// Call onWake() at `at_`.
+struct WakeAt
+{
+    TimePoint at_;
+};
+
+/// Hand the answer of attempt `attempt_` to the caller. The request is finished.
+struct DeliverAnswer
+{
+    AttemptNumber attempt_ = 0;
+};
+
+/// Refuse the request. The request is finished.
+struct GiveUp
+{
+    GiveUpReason reason_ = GiveUpReason::NoBackend;
+    Outcome outcome_ = Outcome::NotRun;
+};
+
+using ExecutionAction = std::variant<SendAttempt, CancelAttempt, WakeAt, DeliverAnswer, GiveUp>;
+using ExecutionActions = std::vector<ExecutionAction>;
+
+/// Decides on attempts, retries and hedges of one request.
+///
+/// Holds no connection and no bytes; the caller performs the actions in order and reports what
+/// became of them.
+class RequestExecution
+{
+public:
+    /// @param retries,hedges budgets shared by all requests of a service; they outlive this.
+    RequestExecution(const ExecutionPolicy &policy, ShareBudget &retries, ShareBudget &hedges);
+
+    ExecutionActions start(TimePoint now);
+
+    /// Reports that no back end could take attempt @p attempt.
+    ExecutionActions onNoBackend(AttemptNumber attempt, TimePoint now);
+
+    /// Reports that @p attempt ended without a usable answer.
+    /// @param state what is known of the attempt.
+    ExecutionActions onFailed(AttemptNumber attempt, AttemptState state, AttemptFailure failure,
+                              TimePoint now);
+
+    /// Reports that a whole, checked answer to @p attempt arrived.
+    ExecutionActions onAnswered(AttemptNumber attempt, TimePoint now);
+
+    /// Reports that the time asked for by WakeAt has come.
+    ExecutionActions onWake(TimePoint now);
+
+    [[nodiscard]] bool isFinished() const { return finished_; }
+    [[nodiscard]] std::size_t attemptCount() const { return attempts_.size(); }
+
+private:
+    struct Tracked
+    {
+        bool running_ = true;
+        bool isHedge_ = false;
+        AttemptState state_ = AttemptState::NotSent;
+    };
+
+    ExecutionActions send(bool isHedge, TimePoint now);
+    ExecutionActions retryOrGiveUp(AttemptState state, AttemptFailure failure, TimePoint now);
+    ExecutionActions giveUp(GiveUpReason reason);
+    [[nodiscard]] bool mayRetry(AttemptState state) const;
+    [[nodiscard]] bool isRunning() const;
+    [[nodiscard]] Outcome outcome() const;
+
+    const ExecutionPolicy policy_;
+    ShareBudget &retries_;
+    ShareBudget &hedges_;
+    std::vector<Tracked> attempts_;
+    std::optional<TimePoint> hedgeAt_;
+    std::optional<TimePoint> retryAt_;
+    bool finished_ = false;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "pimentostage/backend/BackendStats.h"
+#include "pimentostage/base/Random.h"
+#include "pimentostage/platform/Configuration.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pimentostage {
+
+/// One back end as the routing of a service sees it.
+struct Candidate
+{
+    Backend backend_;
+    std::shared_ptr<BackendStats> stats_;
+    std::uint32_t limit_ = 0; ///< requests this host may have in flight there
+    bool takesNewWork_ = true; ///< neither leaving nor in a data centre that is out
+    TimePoint rampStart_ {}; ///< when its data centre came back
+    Duration ramp_ {}; ///< time over which it regains its share; zero if none
+
+    /// @return the share of its usual traffic that it may get at @p now, from 0 to 1.
+    [[nodiscard]] double share(TimePoint now) const;
+};
+
+/// Everything needed to choose a back end for requests of one service.
+struct ServiceRoutes
+{
+    Service service_;
+    std::vector<Candidate> candidates_;
+    std::unordered_map<std::string, std::size_t> indexByName_;
+    std::shared_ptr<const Placement> placement_;
+
+    /// @return the candidate called @p name, or nullptr.
+    [[nodiscard]] const Candidate *find(const BackendName &name) const;
+};
+
+/// Routes of all services; immutable once published.
+struct RoutingTable
+{
+    std::unordered_map<std::string, ServiceRoutes> services_;
+};
+
+/// What a RoutingTable is built from besides the configuration.
+struct FleetFacts
+{
+    std::set<std::string> leavingHosts_;
+    std::map<ZoneName, TimePoint> zoneReturnedAt_;
+    std::size_t entryHosts_ = 1; ///< entry hosts that share the back ends' connections
+};
+
+/// Builds routing tables and keeps the observations of back ends across them.
+class RoutingTableBuilder
+{
+public:
+    /// @return a table for @p configuration; stats of known back ends are carried over.
+    std::shared_ptr<const RoutingTable> build(const Configuration &configuration,
+                                              const FleetFacts &facts);
+
+private:
+    std::map<BackendName, std::shared_ptr<BackendStats>> stats_;
+};
+
+/// @return the shard of @p key among @p shardCount.
+ShardId shardOf(std::string_view key, std::size_t shardCount);
+
+/// @return the owner of @p key: of the key itself if it is hot, else of its shard.
+const ShardOwner &ownerOf(const Placement &placement, std::string_view key);
+
+/// A back end chosen for one attempt.
+struct BackendChoice
+{
+    const Candidate *candidate_ = nullptr; ///< nullptr if none can take the request
+    Epoch epoch_; ///< fencing epoch of the key's owner; zero for services that are not keyed
+};
+
+/// Chooses back ends for the attempts of one request.
+class BackendSelector
+{
+public:
+    /// @param tried back ends that earlier attempts used; avoided while others are left.
+    /// @return a candidate whose stats count the request already, or none.
+    static BackendChoice select(const ServiceRoutes &routes, std::string_view key,
+                                const std::vector<BackendName> &tried, Random &random,
+                                TimePoint now);
+
+private:
+    static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key);
+    static const Candidate *selectBalanced(const ServiceRoutes &routes,
+                                           const std::vector<BackendName> &tried, Random &random,
+                                           TimePoint now);
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/base/Attempt.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "pimentostage/base/EnumNames.h"
+
+namespace pimentostage {
+
+/// What is known of one attempt to run a request at a back end.
+enum class AttemptState { NotSent, PartlySent, Sent, Answered, DeclaredNotRun };
+
+template <>
+struct EnumTable<AttemptState>
+{
+    static constexpr std::array kRows {
+        EnumName<AttemptState> { AttemptState::NotSent, "not-sent" },
+        EnumName<AttemptState> { AttemptState::PartlySent, "partly-sent" },
+        EnumName<AttemptState> { AttemptState::Sent, "sent" },
+        EnumName<AttemptState> { AttemptState::Answered, "answered" },
+        EnumName<AttemptState> { AttemptState::DeclaredNotRun, "declared-not-run" },
+    };
+};
+
+/// What a refusal says about whether the request ran.
+enum class Outcome { NotRun, Unknown };
+
+template <>
+struct EnumTable<Outcome>
+{
+    static constexpr std::array kRows {
+        EnumName<Outcome> { Outcome::NotRun, "not-run" },
+        EnumName<Outcome> { Outcome::Unknown, "unknown" },
+    };
+};
+
+/// @return NotRun only if no byte was sent or the back end itself said that it did not run.
+constexpr Outcome outcomeOf(AttemptState state)
+{
+    const bool didNotRun = state == AttemptState::NotSent || state == AttemptState::DeclaredNotRun;
+    return didNotRun ? Outcome::NotRun : Outcome::Unknown;
+}
+
+/// @return Unknown if either is Unknown.
+constexpr Outcome combined(Outcome first, Outcome second)
+{
+    return first == Outcome::Unknown ? first : second;
+}
+
+/// Why an attempt ended without a usable answer.
+enum class AttemptFailure { ConnectFailed, Broken, TimedOut, Mismatched, Shed, StaleEpoch };
+
+template <>
+struct EnumTable<AttemptFailure>
+{
+    static constexpr std::array kRows {
+        EnumName<AttemptFailure> { AttemptFailure::ConnectFailed, "connect-failed" },
+        EnumName<AttemptFailure> { AttemptFailure::Broken, "broken" },
+        EnumName<AttemptFailure> { AttemptFailure::TimedOut, "timed-out" },
+        EnumName<AttemptFailure> { AttemptFailure::Mismatched, "mismatched" },
+        EnumName<AttemptFailure> { AttemptFailure::Shed, "shed" },
+        EnumName<AttemptFailure> { AttemptFailure::StaleEpoch, "stale-epoch" },
+    };
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/base/Ids.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <utility>
+
+namespace pimentostage {
+
+/// A name that cannot be mistaken for a name of another kind.
+template <typename Tag>
+class Name
+{
+public:
+    Name() = default;
+    explicit Name(std::string value)
+        : value_(std::move(value))
+    { }
+
+    /// @return the text of the name.
+    [[nodiscard]] const std::string &str() const { return value_; }
+    /// @return whether no name was given.
+    [[nodiscard]] bool isEmpty() const { return value_.empty(); }
+
+    auto operator<=>(const Name &) const = default;
+
+private:
+    std::string value_;
+};
+
+template <typename Tag>
+std::ostream &operator<<(std::ostream &out, const Name<Tag> &name)
+{
+    return out << name.str();
+}
+
+using HostName = Name<struct HostTag>;
+using ZoneName = Name<struct ZoneTag>;
+using TeamName = Name<struct TeamTag>;
+using ServiceName = Name<struct ServiceTag>;
+using RouteName = Name<struct RouteTag>;
+using BackendName = Name<struct BackendTag>;
+using RoleName = Name<struct RoleTag>;
+using RequestId = Name<struct RequestIdTag>;
+
+/// An unsigned counter that only rises and cannot be mistaken for one of another kind.
+template <typename Tag>
+struct Sequence
+{
+    std::uint64_t value_ = 0;
+
+    auto operator<=>(const Sequence &) const = default;
+    /// @return the number that follows this one.
+    [[nodiscard]] Sequence next() const { return Sequence { value_ + 1 }; }
+};
+
+template <typename Tag>
+std::ostream &operator<<(std::ostream &out, const Sequence<Tag> &sequence)
+{
+    return out << sequence.value_;
+}
+
+/// Fencing epoch of a role or of a shard.
+using Epoch = Sequence<struct EpochTag>;
+/// Version of an object in the platform's store.
+using Version = Sequence<struct VersionTag>;
+/// Number of a start of a host's process; a restarted process has a higher one.
+using Incarnation = Sequence<struct IncarnationTag>;
+/// Index of a shard of a keyed service.
+using ShardId = Sequence<struct ShardTag>;
+
+/// One process of an entry host.
+struct Member
+{
+    HostName host_;
+    Incarnation incarnation_;
+
+    auto operator<=>(const Member &) const = default;
+};
+
+/// A TCP address by IP number.
+struct Address
+{
+    std::string ip_;
+    std::uint16_t port_ = 0;
+
+    auto operator<=>(const Address &) const = default;
+    /// @return "ip:port".
+    [[nodiscard]] std::string str() const { return ip_ + ':' + std::to_string(port_); }
+};
+
+} // namespace pimentostage
+
+template <typename Tag>
+struct std::hash<pimentostage::Name<Tag>>
+{
+    std::size_t operator()(const pimentostage::Name<Tag> &name) const noexcept
+    {
+        return std::hash<std::string> {}(name.str());
+    }
+};
--- /dev/null
+++ b/include/pimentostage/caller/TrafficView.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "pimentostage/backend/RoutingTable.h"
+#include "pimentostage/platform/Configuration.h"
+#include "pimentostage/sibling/TokenPurse.h"
+
+#include <map>
+#include <memory>
+
+namespace pimentostage {
+
+/// Whether this host may serve requests that need a team's key.
+enum class Readiness { Starting, Ready, Stale, Stopping };
+
+template <>
+struct EnumTable<Readiness>
+{
+    static constexpr std::array kRows {
+        EnumName<Readiness> { Readiness::Starting, "starting" },
+        EnumName<Readiness> { Readiness::Ready, "ready" },
+        EnumName<Readiness> { Readiness::Stale, "stale" },
+        EnumName<Readiness> { Readiness::Stopping, "stopping" },
+    };
+};
+
+/// Everything that traffic threads read; immutable, replaced as a whole by the control thread.
+struct TrafficView
+{
+    std::shared_ptr<const Configuration> configuration_;
+    std::shared_ptr<const RoutingTable> routing_;
+    std::map<TeamName, std::shared_ptr<TokenPurse>> purses_;
+    Readiness readiness_ = Readiness::Starting;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/operator/Settings.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "pimentostage/base/Error.h"
+#include "pimentostage/base/Ids.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/base/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pimentostage {
+
+/// Settings of one pimentostaged process.
+struct Settings
+{
+    std::string hostName_;
+    std::string zone_;
+
+    Address callerAddress_;
+    std::int64_t callerThreads_ = 2;
+    std::int64_t callerMostRequestBytes_ = std::int64_t { 1 } << 20;
+    Duration callerHeaderTimeout_ = std::chrono::seconds(30);
+    Duration callerBodyTimeout_ = std::chrono::seconds(30);
+    Duration callerKeepAlive_ = std::chrono::seconds(120);
+    Duration callerDrainNotice_ = std::chrono::milliseconds(500);
+    Duration callerDrainLimit_ = std::chrono::seconds(30);
+
+    Address operatorAddress_;
+    Address siblingAddress_;
+
+    std::string platformUrl_;
+    Duration platformTimeout_ = std::chrono::seconds(1);
+    double platformCallsPerSecond_ = 60;
+
+    std::int64_t backendThreads_ = 2;
+    Duration backendIdleAge_ = std::chrono::seconds(15);
+    double backendRetryShare_ = 0.1;
+    double backendHedgeShare_ = 0.05;
+    bool backendHedging_ = true;
+
+    Severity logLevel_ = Severity::Info;
+    std::int64_t logCapacity_ = 16'384;
+};
+
+/// A fault found in a settings file.
+struct SettingsFault
+{
+    std::string file_;
+    std::string section_;
+    std::string key_;
+    std::string value_;
+    std::string allowed_; ///< what the value may be, or what is wrong
+
+    /// @return one line for a person.
+    [[nodiscard]] std::string describe() const;
+};
+
+/// What reading a settings file gave.
+struct SettingsResult
+{
+    Settings settings_; ///< usable only if there are no faults
+    std::vector<SettingsFault> faults_;
+};
+
+/// Reads and checks INI text. All faults are found, not only the first.
+/// @param file name of the file, for the faults.
+SettingsResult parseSettings(const std::string &text, const std::string &file);
+
+/// Reads and checks an INI file.
+SettingsResult readSettings(const std::string &file);
+
+/// @return a Markdown table of every setting with unit, default, range and meaning.
+std::string settingsReference();
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/platform/Configuration.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "pimentostage/platform/Objects.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace pimentostage {
+
+/// All objects in force, immutable once published.
+struct Configuration
+{
+    std::map<ServiceName, Service> services_;
+    std::map<TeamName, Contract> contracts_;
+    std::unordered_map<std::string, TeamKey> keysByHash_;
+    std::map<ZoneName, Zone> zones_;
+    std::map<BackendName, Backend> backends_;
+    std::map<ServiceName, std::shared_ptr<const Placement>> placements_;
+    std::map<RoleName, RoleRecord> roles_;
+    Version revision_; ///< the highest object version applied
+
+    /// @return whether data centre @p zone takes new work; an unknown one does.
+    [[nodiscard]] bool isZoneIn(const ZoneName &zone) const;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "pimentostage/base/Error.h"
+#include "pimentostage/platform/Objects.h"
+
+#include <string>
+#include <vector>
+
+namespace pimentostage {
+
+/// Largest value the store takes, in bytes.
+inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
+
+/// Field in which any object may carry the id of the change that wrote it.
+inline constexpr const char *kChangeIdField = "change_id";
+
+/// Each parse function reads the JSON value of one object.
+/// @return the object, or an Error of step ParseObject that lists every fault.
+leaf::result<Service> parseService(const std::string &name, const std::string &value);
+leaf::result<Contract> parseContract(const std::string &name, const std::string &value);
+leaf::result<TeamKey> parseTeamKey(const std::string &name, const std::string &value);
+leaf::result<Zone> parseZone(const std::string &name, const std::string &value);
+leaf::result<Backend> parseBackend(const std::string &name, const std::string &value);
+leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value);
+leaf::result<Placement> parsePlacement(const std::string &name, const std::string &value);
+leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
+
+/// Checks @p value as an object of @p ref without keeping it.
+/// @return nothing, or the Error that the matching parse function gives.
+leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value);
+
+/// Each format function writes the JSON value that the matching parse function reads.
+std::string formatService(const Service &service);
+std::string formatContract(const Contract &contract);
+std::string formatTeamKey(const TeamKey &key);
+std::string formatZone(const Zone &zone);
+std::string formatBackend(const Backend &backend);
+std::string formatRoleRecord(const RoleRecord &record);
+std::string formatPlacement(const Placement &placement);
+std::string formatHostList(const std::vector<ListedHost> &hosts);
+
+/// @param text "ip:port".
+/// @return the address, or nothing if @p text is not an IP number and a port.
+std::optional<Address> parseAddress(const std::string &text);
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/platform/Objects.h
@@ -0,0 +1,238 @@
+#pragma once
+
+#include "pimentostage/base/EnumNames.h"
+#include "pimentostage/base/Ids.h"
+#include "pimentostage/base/Time.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pimentostage {
+
+/// Kinds of objects in the platform's store.
+enum class ObjectKind { Service, Contract, TeamKey, Zone, Backend, Role, Placement };
+
+template <>
+struct EnumTable<ObjectKind>
+{
+    static constexpr std::array kRows {
+        EnumName<ObjectKind> { ObjectKind::Service, "service" },
+        EnumName<ObjectKind> { ObjectKind::Contract, "contract" },
+        EnumName<ObjectKind> { ObjectKind::TeamKey, "key" },
+        EnumName<ObjectKind> { ObjectKind::Zone, "zone" },
+        EnumName<ObjectKind> { ObjectKind::Backend, "backend" },
+        EnumName<ObjectKind> { ObjectKind::Role, "role" },
+        EnumName<ObjectKind> { ObjectKind::Placement, "placement" },
+    };
+};
+
+/// Names one object of the store.
+struct ObjectRef
+{
+    ObjectKind kind_;
+    std::string name_;
+
+    auto operator<=>(const ObjectRef &) const = default;
+    /// @return "kind/name".
+    [[nodiscard]] std::string str() const { return std::string(toString(kind_)) + '/' + name_; }
+};
+
+/// One version of an object as the store keeps it.
+struct StoredObject
+{
+    ObjectRef ref_;
+    Version version_;
+    bool deleted_ = false;
+    std::string value_; ///< JSON text; empty if deleted
+
+    auto operator<=>(const StoredObject &) const = default;
+};
+
+/// Who may call a route.
+enum class Access { Open, Team };
+
+template <>
+struct EnumTable<Access>
+{
+    static constexpr std::array kRows {
+        EnumName<Access> { Access::Open, "open" },
+        EnumName<Access> { Access::Team, "team" },
+    };
+};
+
+/// Whether the back ends of a service check the epoch of a request against their grant.
+enum class Fencing { Checked, Unchecked };
+
+template <>
+struct EnumTable<Fencing>
+{
+    static constexpr std::array kRows {
+        EnumName<Fencing> { Fencing::Checked, "checked" },
+        EnumName<Fencing> { Fencing::Unchecked, "unchecked" },
+    };
+};
+
+/// How a back end is chosen for a service that is not keyed.
+enum class Balancing { PowerOfTwo, LeastLoaded, RoundRobin };
+
+template <>
+struct EnumTable<Balancing>
+{
+    static constexpr std::array kRows {
+        EnumName<Balancing> { Balancing::PowerOfTwo, "power-of-two" },
+        EnumName<Balancing> { Balancing::LeastLoaded, "least-loaded" },
+        EnumName<Balancing> { Balancing::RoundRobin, "round-robin" },
+    };
+};
+
+/// Whether a data centre takes new work.
+enum class ZoneState { In, Out };
+
+template <>
+struct EnumTable<ZoneState>
+{
+    static constexpr std::array kRows {
+        EnumName<ZoneState> { ZoneState::In, "in" },
+        EnumName<ZoneState> { ZoneState::Out, "out" },
+    };
+};
+
+/// One route of a service: the requests whose path starts with a prefix.
+struct Route
+{
+    RouteName name_;
+    std::string method_; ///< HTTP method in upper case
+    std::string prefix_; ///< path below the service, starting with '/'
+    Access access_ = Access::Team;
+    bool idempotent_ = false;
+    std::string kind_; ///< request kind named by contracts
+    double weight_ = 1; ///< tokens that one request costs its team
+    Duration timeout_ {};
+};
+
+/// A service that callers reach under "/<name>/".
+struct Service
+{
+    ServiceName name_;
+    bool keyed_ = false;
+    std::uint32_t keySegment_ = 0; ///< index of the path segment that holds the key
+    std::uint32_t shardCount_ = 0;
+    Fencing fencing_ = Fencing::Checked;
+    Balancing balancing_ = Balancing::PowerOfTwo;
+    std::vector<Route> routes_;
+};
+
+/// What one team may request across all hosts.
+struct Contract
+{
+    TeamName team_;
+    double rate_ = 0; ///< tokens per second
+    double burst_ = 0; ///< tokens
+    double share_ = 1; ///< weight when capacity is short
+    std::uint32_t connections_ = 0; ///< open connections per entry host
+    std::vector<std::string> kinds_; ///< request kinds allowed; empty allows all
+};
+
+/// A key with which a team identifies itself. Only the hash is kept.
+struct TeamKey
+{
+    std::string name_;
+    TeamName team_;
+    std::string sha256_; ///< lower-case hexadecimal
+};
+
+/// The operators' decision on a data centre.
+struct Zone
+{
+    ZoneName name_;
+    ZoneState state_ = ZoneState::In;
+    Duration ramp_ {}; ///< time over which a returning data centre regains its share
+};
+
+/// A backend server as the operators registered it.
+struct Backend
+{
+    BackendName name_;
+    ServiceName service_;
+    ZoneName zone_;
+    Address address_;
+    std::uint32_t slots_ = 0; ///< requests it runs at once
+    std::uint32_t connections_ = 0; ///< connections it accepts from all hosts
+};
+
+/// Who holds a role, as recorded in the store.
+struct RoleRecord
+{
+    RoleName role_;
+    Epoch epoch_;
+    Member holder_;
+    std::vector<Member> members_; ///< the members whose promises count
+    std::string nonce_; ///< recognises the writer's own change after a lost answer
+    bool released_ = false; ///< the holder gave the role up and acts no more
+};
+
+/// Who owns one shard or one hot key.
+struct ShardOwner
+{
+    BackendName backend_; ///< empty while nobody owns it
+    Epoch epoch_;
+
+    auto operator<=>(const ShardOwner &) const = default;
+};
+
+/// A key that lives apart from its shard.
+struct HotKey
+{
+    std::string key_;
+    ShardOwner owner_;
+};
+
+/// The placement of a keyed service.
+struct Placement
+{
+    ServiceName service_;
+    Epoch epoch_; ///< the highest epoch in use
+    Epoch roleEpoch_; ///< epoch of the coordinator that wrote it
+    std::string nonce_;
+    std::vector<ShardOwner> shards_;
+    std::vector<HotKey> hotKeys_; ///< sorted by key
+};
+
+/// Whether the platform lists a host as live.
+enum class HostState { Live, Leaving };
+
+template <>
+struct EnumTable<HostState>
+{
+    static constexpr std::array kRows {
+        EnumName<HostState> { HostState::Live, "live" },
+        EnumName<HostState> { HostState::Leaving, "leaving" },
+    };
+};
+
+/// What runs on a host of the platform's list.
+enum class HostKind { Entry, Backend };
+
+template <>
+struct EnumTable<HostKind>
+{
+    static constexpr std::array kRows {
+        EnumName<HostKind> { HostKind::Entry, "entry" },
+        EnumName<HostKind> { HostKind::Backend, "backend" },
+    };
+};
+
+/// One row of the platform's host list; it lags behind what is true.
+struct ListedHost
+{
+    std::string name_;
+    HostKind kind_ = HostKind::Entry;
+    HostState state_ = HostState::Live;
+    ZoneName zone_;
+    Address siblingAddress_; ///< of an entry host: where its siblings reach it
+
+    auto operator<=>(const ListedHost &) const = default;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "pimentostage/base/EnumNames.h"
+#include "pimentostage/sibling/Allowance.h"
+
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <vector>
+
+namespace pimentostage {
+
+/// What became of an attempt to spend tokens.
+enum class SpendResult { Spent, Refused, Waiting };
+
+template <>
+struct EnumTable<SpendResult>
+{
+    static constexpr std::array kRows {
+        EnumName<SpendResult> { SpendResult::Spent, "spent" },
+        EnumName<SpendResult> { SpendResult::Refused, "refused" },
+        EnumName<SpendResult> { SpendResult::Waiting, "waiting" },
+    };
+};
+
+/// One host's part of an account: the share it holds and the tokens it was lent.
+///
+/// Used by traffic threads to spend and by the control thread to renew.
+class TokenPurse
+{
+public:
+    /// Called once with Spent or Refused for a spender that had to wait.
+    using Waiter = std::function<void(SpendResult)>;
+
+    explicit TokenPurse(AccountName account);
+
+    /// Spends @p tokens, or waits for the holder's answer if the purse is short.
+    /// @param waiter kept and called later only if the result is Waiting.
+    SpendResult spend(double tokens, TimePoint now, Waiter waiter);
+
+    /// @return the request to send to the holder now.
+    AllowanceRequest request(TimePoint now);
+
+    /// Takes a loan that answers a request sent at @p sentAt and serves the waiting spenders.
+    void applyLoan(const AllowanceLoan &loan, TimePoint sentAt, TimePoint now);
+
+    /// Refuses spenders that have waited longer than kMostWait.
+    void expireWaiters(TimePoint now);
+
+    /// @return whether spenders wait for tokens.
+    [[nodiscard]] bool hasWaiters() const;
+    /// @return when a spender last came.
+    [[nodiscard]] TimePoint usedAt() const;
+    [[nodiscard]] const AccountName &account() const { return account_; }
+
+    /// Longest time that a spender waits for the holder.
+    static constexpr Duration kMostWait = std::chrono::milliseconds(60);
+    /// Most spenders that wait at once.
+    static constexpr std::size_t kMostWaiters = 1024;
+
+private:
+    struct Waiting
+    {
+        double tokens_ = 0;
+        TimePoint since_;
+        Waiter waiter_;
+    };
+    struct Decided
+    {
+        Waiter waiter_;
+        SpendResult result_ = SpendResult::Refused;
+    };
+
+    void refill(TimePoint now);
+    bool take(double tokens);
+    void countDemand(double tokens, TimePoint now);
+    [[nodiscard]] double demandAt(TimePoint now) const;
+    std::vector<Decided> serveWaiters(TimePoint now);
+
+    const AccountName account_;
+    mutable std::mutex mutex_;
+    LoanNumber lastLoan_;
+    double rate_ = 0;
+    double burst_ = 0;
+    double level_ = 0;
+    TimePoint validUntil_ {};
+    TimePoint refilledAt_ {};
+    double topUp_ = 0;
+    TimePoint topUpUntil_ {};
+    TimePoint emptyUntil_ {};
+    double demand_ = 0;
+    TimePoint demandAt_ {};
+    TimePoint usedAt_ {};
+    std::deque<Waiting> waiting_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/BackendClient.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "pimentostage/backend/RequestExecution.h"
+#include "pimentostage/backend/RoutingTable.h"
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/base/Ids.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/base/Snapshot.h"
+#include "src/base/HttpLoop.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pimentostage {
+
+/// A request that is to run at a back end of one service.
+struct ForwardRequest
+{
+    RequestId id_;
+    ServiceName service_;
+    RouteName route_;
+    TeamName team_; ///< empty on open routes
+    std::string key_; ///< empty for services that are not keyed
+    std::string method_;
+    std::string path_;
+    std::string contentType_;
+    std::string accept_;
+    std::string body_;
+    bool idempotent_ = false;
+    TimePoint deadline_;
+};
+
+/// A back end's whole answer, or why there is none.
+using ForwardResult = std::variant<HttpAnswer, GiveUp>;
+using ForwardDone = std::function<void(ForwardResult)>;
+
+/// Settings of a BackendClient.
+struct BackendClientOptions
+{
+    std::size_t threads_ = 2;
+    long connectionsPerBackend_ = 13; ///< of all threads together
+    Duration mostIdleAge_ = std::chrono::seconds(15);
+    double retryShare_ = 0.1;
+    double hedgeShare_ = 0.05;
+    bool hedging_ = true;
+};
+
+/// Runs requests at back ends on traffic threads of its own.
+class BackendClient
+{
+public:
+    BackendClient(const BackendClientOptions &options,
+                  const SnapshotPublisher<RoutingTable> &routing, LogSink &log, Counters &counters);
+    ~BackendClient();
+
+    /// Runs @p request. @param done called once, on one of this client's threads.
+    void forward(ForwardRequest request, ForwardDone done);
+
+private:
+    class Worker;
+
+    std::vector<std::unique_ptr<Worker>> workers_;
+    std::atomic<std::size_t> next_ { 0 };
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/BackendProtocol.cpp
@@ -0,0 +1,99 @@
+#include "src/backend/BackendProtocol.h"
+
+#include "pimentostage/base/Hash.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kConflict = 409;
+constexpr int kServiceUnavailable = 503;
+
+std::optional<std::uint32_t> parseLoad(const std::string &text)
+{
+    std::uint32_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc() || end != text.data() + text.size())
+        return std::nullopt;
+    return value;
+}
+
+AttemptFailure failureOf(const Error &error)
+{
+    if (error.step_ == Step::Connect)
+        return AttemptFailure::ConnectFailed;
+    if (error.code_ == ErrorCode::Timeout)
+        return AttemptFailure::TimedOut;
+    if (error.code_ == ErrorCode::Mismatch)
+        return AttemptFailure::Mismatched;
+    return AttemptFailure::Broken;
+}
+
+} // namespace
+
+std::string shardUnit(ShardId shard)
+{
+    return "s" + std::to_string(shard.value_);
+}
+
+std::string hotKeyUnit(std::string_view key)
+{
+    return "k" + std::to_string(hash64(key));
+}
+
+std::string fenceUnit(const Placement &placement, std::string_view key)
+{
+    const bool isHot = std::any_of(placement.hotKeys_.begin(), placement.hotKeys_.end(),
+                                   [&](const HotKey &hotKey) { return hotKey.key_ == key; });
+    return isHot ? hotKeyUnit(key) : shardUnit(shardOf(key, placement.shards_.size()));
+}
+
+HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
+                          const BackendChoice &choice, const ServiceRoutes &routes, TimePoint now)
+{
+    HttpRequest http;
+    http.method_ = request.method_;
+    http.url_ = "http://" + choice.candidate_->backend_.address_.str() + request.path_;
+    http.body_ = request.body_;
+    http.timeout_ = request.deadline_ - now;
+    http.expectedId_ = request.id_.str() + '.' + std::to_string(attempt);
+    http.headers_.push_back({ kRequestIdHeader, http.expectedId_ });
+    http.headers_.push_back({ kDeadlineHeader, std::to_string(toMilliseconds(http.timeout_)) });
+    if (!request.team_.isEmpty())
+        http.headers_.push_back({ kTeamHeader, request.team_.str() });
+    if (routes.placement_ && !request.key_.empty()) {
+        http.headers_.push_back({ kFenceHeader, fenceUnit(*routes.placement_, request.key_) + ' '
+                                                    + std::to_string(choice.epoch_.value_) });
+    }
+    if (!request.contentType_.empty())
+        http.headers_.push_back({ "Content-Type", request.contentType_ });
+    if (!request.accept_.empty())
+        http.headers_.push_back({ "Accept", request.accept_ });
+    return http;
+}
+
+AttemptVerdict judge(const HttpResult &result)
+{
+    AttemptVerdict verdict;
+    verdict.state_ = result.state_;
+    if (!result.answer_) {
+        verdict.failure_ = failureOf(*result.error_);
+        return verdict;
+    }
+    verdict.load_ = parseLoad(result.answer_->header(kLoadHeader));
+    const bool didNotRun = result.answer_->header(kOutcomeHeader) == toString(Outcome::NotRun);
+    if (!didNotRun)
+        return verdict;
+    if (result.answer_->status_ == kConflict)
+        verdict.failure_ = AttemptFailure::StaleEpoch;
+    else if (result.answer_->status_ == kServiceUnavailable)
+        verdict.failure_ = AttemptFailure::Shed;
+    if (verdict.failure_)
+        verdict.state_ = AttemptState::DeclaredNotRun;
+    return verdict;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/BackendProtocol.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "pimentostage/backend/RequestExecution.h"
+#include "pimentostage/backend/RoutingTable.h"
+#include "src/backend/BackendClient.h"
+#include "src/base/HttpLoop.h"
+
+#include <optional>
+#include <string>
+
+namespace pimentostage {
+
+/// Headers of the protocol between entry hosts and backend servers.
+inline constexpr const char *kDeadlineHeader = "Pimento-Deadline-Ms";
+inline constexpr const char *kTeamHeader = "Pimento-Team";
+inline constexpr const char *kFenceHeader = "Pimento-Fence";
+inline constexpr const char *kOutcomeHeader = "Pimento-Outcome";
+inline constexpr const char *kLoadHeader = "Pimento-Load";
+
+/// What the end of a transfer says about an attempt.
+struct AttemptVerdict
+{
+    AttemptState state_ = AttemptState::NotSent;
+    std::optional<AttemptFailure> failure_; ///< empty if the answer may go to the caller
+    std::optional<std::uint32_t> load_; ///< requests that the back end says it runs
+};
+
+/// @return the HTTP request for one attempt. The team's key is no part of it.
+HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
+                          const BackendChoice &choice, const ServiceRoutes &routes, TimePoint now);
+
+/// @return what @p result says about its attempt.
+AttemptVerdict judge(const HttpResult &result);
+
+/// @return the fence that names a key's shard, or the key itself if it is hot.
+std::string fenceUnit(const Placement &placement, std::string_view key);
+
+/// @return the fence unit of shard @p shard.
+std::string shardUnit(ShardId shard);
+
+/// @return the fence unit of the hot key @p key.
+std::string hotKeyUnit(std::string_view key);
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/BackendStats.cpp
@@ -0,0 +1,82 @@
+#include "pimentostage/backend/BackendStats.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+// Weight of a new latency sample in the moving average.
+constexpr double kLatencyWeight = 0.2;
+constexpr std::uint32_t kFailuresBeforeEjection = 3;
+constexpr Duration kFirstEjection = std::chrono::milliseconds(250);
+constexpr std::uint32_t kMostEjectionDoublings = 5;
+// A load report loses its weight over this time.
+constexpr Duration kReportLife = std::chrono::seconds(1);
+// Assumed latency before the first answer.
+constexpr double kUnknownLatency = 0.001;
+
+} // namespace
+
+bool BackendStats::tryBegin(std::uint32_t limit)
+{
+    std::uint32_t current = inFlight_.load(std::memory_order_relaxed);
+    do {
+        if (current >= limit)
+            return false;
+    } while (!inFlight_.compare_exchange_weak(current, current + 1, std::memory_order_relaxed));
+    return true;
+}
+
+void BackendStats::onAnswer(Duration latency, TimePoint now)
+{
+    failuresInRow_.store(0, std::memory_order_relaxed);
+    if (isEjected(now))
+        ejectedUntil_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    const auto sample = static_cast<double>(latency.count());
+    Duration::rep current = latency_.load(std::memory_order_relaxed);
+    Duration::rep next = 0;
+    do {
+        const auto average = static_cast<double>(current);
+        next = current == 0
+                   ? latency.count()
+                   : static_cast<Duration::rep>(average + kLatencyWeight * (sample - average));
+    } while (!latency_.compare_exchange_weak(current, next, std::memory_order_relaxed));
+}
+
+void BackendStats::onFailure(TimePoint now)
+{
+    const std::uint32_t failures = failuresInRow_.fetch_add(1, std::memory_order_relaxed) + 1;
+    if (failures < kFailuresBeforeEjection)
+        return;
+    const std::uint32_t doublings
+        = std::min(failures - kFailuresBeforeEjection, kMostEjectionDoublings);
+    const TimePoint until = now + kFirstEjection * (1U << doublings);
+    ejectedUntil_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+void BackendStats::onLoadReport(std::uint32_t inFlight, TimePoint now)
+{
+    reported_.store(inFlight, std::memory_order_relaxed);
+    reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+double BackendStats::reportedLoad(TimePoint now) const
+{
+    const TimePoint at { Duration(reportedAt_.load(std::memory_order_relaxed)) };
+    const Duration age = now - at;
+    if (age >= kReportLife)
+        return 0;
+    const double weight = 1 - toSeconds(age) / toSeconds(kReportLife);
+    return weight * reported_.load(std::memory_order_relaxed);
+}
+
+double BackendStats::cost(TimePoint now) const
+{
+    const Duration::rep nanoseconds = latency_.load(std::memory_order_relaxed);
+    const double latency = nanoseconds == 0 ? kUnknownLatency : toSeconds(Duration(nanoseconds));
+    const double load = std::max(static_cast<double>(inFlight()), reportedLoad(now));
+    return latency * (load + 1);
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/BalancingStrategy.cpp
@@ -0,0 +1,74 @@
+#include "pimentostage/backend/BalancingStrategy.h"
+
+#include "pimentostage/backend/RoutingTable.h"
+
+#include <array>
+#include <atomic>
+
+namespace pimentostage {
+
+namespace {
+
+using Candidates = std::vector<const Candidate *>;
+
+class PowerOfTwo : public BalancingStrategy
+{
+public:
+    std::size_t pick(const Candidates &candidates, Random &random, TimePoint now) const override
+    {
+        if (candidates.size() == 1)
+            return 0;
+        const std::size_t first = random.below(candidates.size());
+        std::size_t second = random.below(candidates.size() - 1);
+        if (second >= first)
+            ++second;
+        const double firstCost = candidates[first]->stats_->cost(now);
+        const double secondCost = candidates[second]->stats_->cost(now);
+        return firstCost <= secondCost ? first : second;
+    }
+};
+
+class LeastLoaded : public BalancingStrategy
+{
+public:
+    std::size_t pick(const Candidates &candidates, Random &random, TimePoint) const override
+    {
+        // Starts at a random place so that ties do not all fall on the first back end.
+        const std::size_t start = random.below(candidates.size());
+        std::size_t best = start;
+        for (std::size_t step = 1; step < candidates.size(); ++step) {
+            const std::size_t index = (start + step) % candidates.size();
+            if (candidates[index]->stats_->inFlight() < candidates[best]->stats_->inFlight())
+                best = index;
+        }
+        return best;
+    }
+};
+
+class RoundRobin : public BalancingStrategy
+{
+public:
+    std::size_t pick(const Candidates &candidates, Random &, TimePoint) const override
+    {
+        return next_.fetch_add(1, std::memory_order_relaxed) % candidates.size();
+    }
+
+private:
+    mutable std::atomic<std::size_t> next_ { 0 };
+};
+
+} // namespace
+
+const BalancingStrategy &strategyFor(Balancing balancing)
+{
+    static const PowerOfTwo powerOfTwo;
+    static const LeastLoaded leastLoaded;
+    static const RoundRobin roundRobin;
+    // One row for each Balancing, in its order.
+    static const std::array<const BalancingStrategy *, kEnumCount<Balancing>> strategies {
+        &powerOfTwo, &leastLoaded, &roundRobin
+    };
+    return *strategies.at(static_cast<std::size_t>(balancing));
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/RequestExecution.cpp
@@ -0,0 +1,165 @@
+#include "pimentostage/backend/RequestExecution.h"
+
+#include "pimentostage/backend/ShareBudget.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+// A stale epoch means that the placement is changing; a later try reads the new one.
+constexpr Duration kStaleEpochDelay = std::chrono::milliseconds(20);
+
+GiveUpReason reasonFor(AttemptFailure failure)
+{
+    switch (failure) {
+    case AttemptFailure::TimedOut:
+        return GiveUpReason::DeadlinePassed;
+    case AttemptFailure::Broken:
+    case AttemptFailure::Mismatched:
+        return GiveUpReason::AnswerBroken;
+    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::Shed:
+    case AttemptFailure::StaleEpoch:
+        break;
+    }
+    return GiveUpReason::AttemptsFailed;
+}
+
+} // namespace
+
+RequestExecution::RequestExecution(const ExecutionPolicy &policy, ShareBudget &retries,
+                                   ShareBudget &hedges)
+    : policy_(policy)
+    , retries_(retries)
+    , hedges_(hedges)
+{ }
+
+ExecutionActions RequestExecution::start(TimePoint now)
+{
+    retries_.earn();
+    hedges_.earn();
+    if (now >= policy_.deadline_)
+        return giveUp(GiveUpReason::DeadlinePassed);
+    ExecutionActions actions = send(false, now);
+    if (policy_.idempotent_ && policy_.hedgeAfter_) {
+        hedgeAt_ = now + *policy_.hedgeAfter_;
+        actions.emplace_back(WakeAt { *hedgeAt_ });
+    }
+    return actions;
+}
+
+ExecutionActions RequestExecution::send(bool isHedge, TimePoint now)
+{
+    if (now >= policy_.deadline_)
+        return giveUp(GiveUpReason::DeadlinePassed);
+    const auto attempt = static_cast<AttemptNumber>(attempts_.size());
+    attempts_.push_back(Tracked { true, isHedge, AttemptState::NotSent });
+    return { SendAttempt { attempt, isHedge } };
+}
+
+ExecutionActions RequestExecution::onNoBackend(AttemptNumber attempt, TimePoint now)
+{
+    Tracked &tracked = attempts_.at(attempt);
+    tracked.running_ = false;
+    tracked.state_ = AttemptState::NotSent;
+    if (finished_ || isRunning())
+        return {};
+    const bool canWait = now + kStaleEpochDelay < policy_.deadline_;
+    if (!canWait)
+        return giveUp(GiveUpReason::NoBackend);
+    // No attempt was spent: the placement or a slot may become free before the deadline.
+    attempts_.pop_back();
+    retryAt_ = now + kStaleEpochDelay;
+    return { WakeAt { *retryAt_ } };
+}
+
+ExecutionActions RequestExecution::onFailed(AttemptNumber attempt, AttemptState state,
+                                            AttemptFailure failure, TimePoint now)
+{
+    Tracked &tracked = attempts_.at(attempt);
+    tracked.running_ = false;
+    tracked.state_ = state;
+    if (finished_ || isRunning())
+        return {};
+    return retryOrGiveUp(state, failure, now);
+}
+
+ExecutionActions RequestExecution::retryOrGiveUp(AttemptState state, AttemptFailure failure,
+                                                 TimePoint now)
+{
+    if (now >= policy_.deadline_)
+        return giveUp(GiveUpReason::DeadlinePassed);
+    if (!mayRetry(state))
+        return giveUp(reasonFor(failure));
+    if (failure == AttemptFailure::StaleEpoch) {
+        retryAt_ = now + kStaleEpochDelay;
+        return { WakeAt { *retryAt_ } };
+    }
+    const bool isSpent = attempts_.size() >= policy_.mostAttempts_;
+    if (isSpent || !retries_.take())
+        return giveUp(reasonFor(failure));
+    return send(false, now);
+}
+
+ExecutionActions RequestExecution::onAnswered(AttemptNumber attempt, TimePoint)
+{
+    Tracked &tracked = attempts_.at(attempt);
+    tracked.running_ = false;
+    tracked.state_ = AttemptState::Answered;
+    if (finished_)
+        return {};
+    finished_ = true;
+    ExecutionActions actions;
+    for (AttemptNumber other = 0; other < attempts_.size(); ++other) {
+        if (attempts_[other].running_)
+            actions.emplace_back(CancelAttempt { other });
+    }
+    actions.emplace_back(DeliverAnswer { attempt });
+    return actions;
+}
+
+ExecutionActions RequestExecution::onWake(TimePoint now)
+{
+    if (finished_)
+        return {};
+    if (retryAt_ && now >= *retryAt_) {
+        retryAt_.reset();
+        return isRunning() ? ExecutionActions {} : send(false, now);
+    }
+    const bool isHedgeDue = hedgeAt_ && now >= *hedgeAt_;
+    if (!isHedgeDue)
+        return {};
+    hedgeAt_.reset();
+    const bool mayHedge = isRunning() && attempts_.size() < policy_.mostAttempts_
+                          && now < policy_.deadline_ && hedges_.take();
+    return mayHedge ? send(true, now) : ExecutionActions {};
+}
+
+ExecutionActions RequestExecution::giveUp(GiveUpReason reason)
+{
+    finished_ = true;
+    return { GiveUp { reason, outcome() } };
+}
+
+bool RequestExecution::mayRetry(AttemptState state) const
+{
+    return policy_.idempotent_ || outcomeOf(state) == Outcome::NotRun;
+}
+
+bool RequestExecution::isRunning() const
+{
+    return std::any_of(attempts_.begin(), attempts_.end(),
+                       [](const Tracked &tracked) { return tracked.running_; });
+}
+
+Outcome RequestExecution::outcome() const
+{
+    Outcome outcome = Outcome::NotRun;
+    for (const Tracked &tracked : attempts_)
+        outcome = combined(outcome, outcomeOf(tracked.state_));
+    return outcome;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/RoutingTable.cpp
@@ -0,0 +1,150 @@
+#include "pimentostage/backend/RoutingTable.h"
+
+#include "pimentostage/backend/BalancingStrategy.h"
+#include "pimentostage/base/Hash.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+// At most this share of a service's back ends is passed over because of ejection.
+constexpr double kMostEjectedShare = 0.5;
+// Share of its traffic that a back end gets as soon as its data centre is back.
+constexpr double kLeastRampShare = 0.1;
+
+bool contains(const std::vector<BackendName> &names, const BackendName &name)
+{
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::uint32_t hostLimit(const Backend &backend, std::size_t entryHosts)
+{
+    const auto hosts = static_cast<std::uint32_t>(std::max<std::size_t>(1, entryHosts));
+    return std::max(1U, backend.connections_ / hosts);
+}
+
+} // namespace
+
+double Candidate::share(TimePoint now) const
+{
+    if (ramp_ <= Duration::zero() || now >= rampStart_ + ramp_)
+        return 1;
+    const double passed = toSeconds(now - rampStart_) / toSeconds(ramp_);
+    return std::max(kLeastRampShare, passed);
+}
+
+const Candidate *ServiceRoutes::find(const BackendName &name) const
+{
+    const auto found = indexByName_.find(name.str());
+    return found == indexByName_.end() ? nullptr : &candidates_[found->second];
+}
+
+std::shared_ptr<const RoutingTable> RoutingTableBuilder::build(const Configuration &configuration,
+                                                               const FleetFacts &facts)
+{
+    auto table = std::make_shared<RoutingTable>();
+    for (const auto &[name, service] : configuration.services_) {
+        ServiceRoutes &routes = table->services_[name.str()];
+        routes.service_ = service;
+        const auto placement = configuration.placements_.find(name);
+        if (placement != configuration.placements_.end())
+            routes.placement_ = placement->second;
+    }
+    for (const auto &[name, backend] : configuration.backends_) {
+        const auto routes = table->services_.find(backend.service_.str());
+        if (routes == table->services_.end())
+            continue;
+        Candidate candidate;
+        candidate.backend_ = backend;
+        std::shared_ptr<BackendStats> &stats = stats_[name];
+        if (!stats)
+            stats = std::make_shared<BackendStats>();
+        candidate.stats_ = stats;
+        candidate.limit_ = hostLimit(backend, facts.entryHosts_);
+        candidate.takesNewWork_
+            = configuration.isZoneIn(backend.zone_) && !facts.leavingHosts_.contains(name.str());
+        const auto returned = facts.zoneReturnedAt_.find(backend.zone_);
+        if (returned != facts.zoneReturnedAt_.end()) {
+            candidate.rampStart_ = returned->second;
+            candidate.ramp_ = configuration.zones_.at(backend.zone_).ramp_;
+        }
+        routes->second.indexByName_[name.str()] = routes->second.candidates_.size();
+        routes->second.candidates_.push_back(std::move(candidate));
+    }
+    std::erase_if(
+        stats_, [&](const auto &entry) { return !configuration.backends_.contains(entry.first); });
+    return table;
+}
+
+ShardId shardOf(std::string_view key, std::size_t shardCount)
+{
+    return ShardId { hash64(key) % shardCount };
+}
+
+const ShardOwner &ownerOf(const Placement &placement, std::string_view key)
+{
+    const auto hot = std::lower_bound(
+        placement.hotKeys_.begin(), placement.hotKeys_.end(), key,
+        [](const HotKey &hotKey, std::string_view wanted) { return hotKey.key_ < wanted; });
+    if (hot != placement.hotKeys_.end() && hot->key_ == key)
+        return hot->owner_;
+    return placement.shards_[shardOf(key, placement.shards_.size()).value_];
+}
+
+BackendChoice BackendSelector::select(const ServiceRoutes &routes, std::string_view key,
+                                      const std::vector<BackendName> &tried, Random &random,
+                                      TimePoint now)
+{
+    if (routes.service_.keyed_)
+        return selectOwner(routes, key);
+    return BackendChoice { selectBalanced(routes, tried, random, now), Epoch {} };
+}
+
+BackendChoice BackendSelector::selectOwner(const ServiceRoutes &routes, std::string_view key)
+{
+    if (!routes.placement_)
+        return {};
+    const ShardOwner &owner = ownerOf(*routes.placement_, key);
+    const Candidate *candidate = routes.find(owner.backend_);
+    if (!candidate || !candidate->stats_->tryBegin(candidate->limit_))
+        return {};
+    return BackendChoice { candidate, owner.epoch_ };
+}
+
+const Candidate *BackendSelector::selectBalanced(const ServiceRoutes &routes,
+                                                 const std::vector<BackendName> &tried,
+                                                 Random &random, TimePoint now)
+{
+    std::vector<const Candidate *> usable;
+    std::vector<const Candidate *> ejected;
+    std::vector<const Candidate *> ramping;
+    for (const Candidate &candidate : routes.candidates_) {
+        const bool isFull = candidate.stats_->inFlight() >= candidate.limit_;
+        if (!candidate.takesNewWork_ || isFull || contains(tried, candidate.backend_.name_))
+            continue;
+        if (candidate.stats_->isEjected(now))
+            ejected.push_back(&candidate);
+        else if (random.unit() >= candidate.share(now))
+            ramping.push_back(&candidate);
+        else
+            usable.push_back(&candidate);
+    }
+    const auto total = static_cast<double>(usable.size() + ejected.size());
+    const bool isTooManyEjected = static_cast<double>(ejected.size()) > kMostEjectedShare * total;
+    if (isTooManyEjected)
+        usable.insert(usable.end(), ejected.begin(), ejected.end());
+    if (usable.empty())
+        usable = ramping;
+    const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
+    while (!usable.empty()) {
+        const std::size_t index = strategy.pick(usable, random, now);
+        if (usable[index]->stats_->tryBegin(usable[index]->limit_))
+            return usable[index];
+        usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
+    }
+    return nullptr;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/base/HttpServer.cpp
@@ -0,0 +1,193 @@
+#include "src/base/HttpServer.h"
+
+#include <pistache/endpoint.h>
+
+namespace pimentostage {
+
+namespace {
+
+namespace http = Pistache::Http;
+
+constexpr int kInternalError = 500;
+constexpr int kListenBacklog = 1024;
+
+/// A header with any name; Pistache writes only headers of typed classes.
+class TextHeader : public http::Header::Header
+{
+public:
+    TextHeader(std::string name, std::string value)
+        : name_(std::move(name))
+        , value_(std::move(value))
+    { }
+
+    const char *name() const override { return name_.c_str(); }
+    void write(std::ostream &out) const override { out << value_; }
+    std::uint64_t hash() const override { return std::hash<std::string> {}(name_); }
+
+private:
+    const std::string name_;
+    const std::string value_;
+};
+
+void setHeader(http::ResponseWriter &writer, const std::string &name, const std::string &value)
+{
+    writer.headers().remove(name);
+    writer.headers().add(std::make_shared<TextHeader>(name, value));
+}
+
+// Pistache closes a connection unless the request names keep-alive, which is HTTP/1.0's rule.
+void keepAliveByDefault(const http::Request &request, http::ResponseWriter &writer)
+{
+    const bool isDefault = request.version() == http::Version::Http11
+                           && !request.headers().has<http::Header::Connection>();
+    if (isDefault)
+        setHeader(writer, "Connection", "Keep-Alive");
+}
+
+} // namespace
+
+std::string ServerRequest::method() const
+{
+    return http::methodString(request_.method());
+}
+
+const std::string &ServerRequest::path() const
+{
+    return request_.resource();
+}
+
+std::string ServerRequest::query() const
+{
+    return request_.query().as_str();
+}
+
+std::string ServerRequest::parameter(const std::string &name) const
+{
+    return request_.query().get(name).value_or("");
+}
+
+std::optional<std::string> ServerRequest::header(const std::string &name) const
+{
+    const auto raw = request_.headers().tryGetRaw(name);
+    if (!raw)
+        return std::nullopt;
+    return raw->value();
+}
+
+const std::string &ServerRequest::body() const
+{
+    return request_.body();
+}
+
+HttpResponder::HttpResponder(http::ResponseWriter writer)
+    : writer_(std::make_unique<http::ResponseWriter>(std::move(writer)))
+{ }
+
+HttpResponder::~HttpResponder()
+{
+    if (!sent_)
+        send(ServerAnswer { kInternalError, "", {}, "" });
+}
+
+void HttpResponder::send(const ServerAnswer &answer)
+{
+    if (sent_)
+        return;
+    sent_ = true;
+    if (!answer.contentType_.empty())
+        setHeader(*writer_, "Content-Type", answer.contentType_);
+    for (const HttpHeader &header : answer.headers_)
+        setHeader(*writer_, header.name_, header.value_);
+    try {
+        writer_->send(static_cast<http::Code>(answer.status_), answer.body_);
+    } catch (const std::exception &) {
+        // The peer has gone; nobody is left to read the answer.
+    }
+}
+
+namespace {
+
+class ServerHandler : public http::Handler
+{
+public:
+    HTTP_PROTOTYPE(ServerHandler)
+
+    explicit ServerHandler(std::shared_ptr<HttpServer::HandlerFactory> factory)
+        : factory_(std::move(factory))
+        , handler_((*factory_)())
+    { }
+
+    // Pistache copies the prototype once for each of its threads.
+    ServerHandler(const ServerHandler &other)
+        : http::Handler(other)
+        , factory_(other.factory_)
+        , handler_((*factory_)())
+    { }
+
+    void onRequest(const http::Request &request, http::ResponseWriter writer) override
+    {
+        keepAliveByDefault(request, writer);
+        handler_(ServerRequest(request), std::make_shared<HttpResponder>(std::move(writer)));
+    }
+
+private:
+    std::shared_ptr<HttpServer::HandlerFactory> factory_;
+    HttpServer::Handler handler_;
+};
+
+} // namespace
+
+class HttpServer::Impl
+{
+public:
+    std::unique_ptr<http::Endpoint> endpoint_;
+};
+
+HttpServer::HttpServer()
+    : impl_(std::make_unique<Impl>())
+{ }
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+leaf::result<void> HttpServer::start(const HttpServerOptions &options, HandlerFactory factory)
+{
+    try {
+        const Pistache::Address address(options.address_.ip_,
+                                        Pistache::Port(options.address_.port_));
+        impl_->endpoint_ = std::make_unique<http::Endpoint>(address);
+        http::Endpoint::Options endpointOptions = http::Endpoint::options();
+        endpointOptions.threads(options.threads_)
+            .threadsName(options.threadName_)
+            .backlog(kListenBacklog)
+            .maxRequestSize(options.mostRequestBytes_)
+            .maxResponseSize(options.mostAnswerBytes_)
+            .headerTimeout(options.headerTimeout_)
+            .bodyTimeout(options.bodyTimeout_)
+            .keepaliveTimeout(options.keepAliveTimeout_);
+        endpointOptions.flags(
+            Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr)
+            | Pistache::Tcp::Options::NoDelay | Pistache::Tcp::Options::CloseOnExec);
+        impl_->endpoint_->init(endpointOptions);
+        impl_->endpoint_->setHandler(
+            std::make_shared<ServerHandler>(std::make_shared<HandlerFactory>(std::move(factory))));
+        impl_->endpoint_->serveThreaded();
+    } catch (const std::exception &failure) {
+        impl_->endpoint_.reset();
+        return fail(Error { Step::Listen, Peer { PeerKind::Caller, options.address_.str() },
+                            ErrorCode::Unavailable, failure.what() });
+    }
+    return {};
+}
+
+void HttpServer::stop()
+{
+    if (!impl_->endpoint_)
+        return;
+    impl_->endpoint_->shutdown();
+    impl_->endpoint_.reset();
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/base/Log.cpp
@@ -0,0 +1,206 @@
+#include "pimentostage/base/Log.h"
+
+#include <condition_variable>
+#include <cstdio>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+#include <sys/time.h>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+std::string quoted(std::string_view text)
+{
+    return nlohmann::json(text).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+// The wall clock stamps log lines for people; no decision reads it.
+std::string wallTime()
+{
+    timeval now {};
+    gettimeofday(&now, nullptr);
+    tm parts {};
+    gmtime_r(&now.tv_sec, &parts);
+    char text[48];
+    const std::size_t used = strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text + used, sizeof text - used, ".%06ldZ", static_cast<long>(now.tv_usec));
+    return text;
+}
+
+} // namespace
+
+LogLine::LogLine(Severity severity, std::string_view event)
+    : severity_(severity)
+    , text_("{\"time\":\"" + wallTime() + "\",\"severity\":\"" + std::string(toString(severity))
+            + "\",\"event\":" + quoted(event))
+{ }
+
+void LogLine::addName(std::string_view field)
+{
+    text_ += ',';
+    text_ += quoted(field);
+    text_ += ':';
+}
+
+LogLine &LogLine::add(std::string_view field, std::string_view value)
+{
+    addName(field);
+    text_ += quoted(value);
+    return *this;
+}
+
+LogLine &LogLine::add(std::string_view field, const char *value)
+{
+    return add(field, std::string_view(value));
+}
+
+LogLine &LogLine::add(std::string_view field, std::int64_t value)
+{
+    addName(field);
+    text_ += std::to_string(value);
+    return *this;
+}
+
+LogLine &LogLine::add(std::string_view field, std::uint64_t value)
+{
+    addName(field);
+    text_ += std::to_string(value);
+    return *this;
+}
+
+LogLine &LogLine::add(std::string_view field, double value)
+{
+    addName(field);
+    text_ += nlohmann::json(value).dump();
+    return *this;
+}
+
+LogLine &LogLine::add(std::string_view field, bool value)
+{
+    addName(field);
+    text_ += value ? "true" : "false";
+    return *this;
+}
+
+LogLine &LogLine::add(std::string_view field, int value)
+{
+    return add(field, static_cast<std::int64_t>(value));
+}
+
+class AsyncLog::Writer
+{
+public:
+    Writer(std::size_t capacity, Severity least)
+        : capacity_(capacity)
+        , least_(least)
+        , logger_(log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("pimentostage")))
+    {
+        const bool toStandardError = true;
+        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError));
+        appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
+        logger_.addAppender(appender);
+        logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
+        thread_ = std::thread([this] { run(); });
+    }
+
+    ~Writer()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            stopping_ = true;
+        }
+        wakeup_.notify_one();
+        thread_.join();
+        logger_.removeAllAppenders();
+    }
+
+    Writer(const Writer &) = delete;
+    Writer &operator=(const Writer &) = delete;
+
+    void write(const LogLine &line)
+    {
+        if (line.severity() < least_)
+            return;
+        {
+            const std::lock_guard lock(mutex_);
+            if (lines_.size() >= capacity_) {
+                ++dropped_;
+                return;
+            }
+            lines_.push_back(Entry { line.severity(), line.finished() });
+        }
+        wakeup_.notify_one();
+    }
+
+    std::uint64_t dropped() const
+    {
+        const std::lock_guard lock(mutex_);
+        return dropped_;
+    }
+
+private:
+    struct Entry
+    {
+        Severity severity_;
+        std::string text_;
+    };
+
+    void run()
+    {
+        std::unique_lock lock(mutex_);
+        while (!stopping_ || !lines_.empty()) {
+            wakeup_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+            const std::deque<Entry> batch = std::exchange(lines_, {});
+            lock.unlock();
+            for (const Entry &entry : batch)
+                logger_.log(levelOf(entry.severity_), entry.text_);
+            lock.lock();
+        }
+    }
+
+    static log4cplus::LogLevel levelOf(Severity severity)
+    {
+        static constexpr log4cplus::LogLevel kLevels[]
+            = { log4cplus::DEBUG_LOG_LEVEL, log4cplus::INFO_LOG_LEVEL, log4cplus::WARN_LOG_LEVEL,
+                log4cplus::ERROR_LOG_LEVEL };
+        return kLevels[static_cast<std::size_t>(severity)];
+    }
+
+    const std::size_t capacity_;
+    const Severity least_;
+    log4cplus::Initializer initializer_;
+    log4cplus::Logger logger_;
+    mutable std::mutex mutex_;
+    std::condition_variable wakeup_;
+    std::deque<Entry> lines_;
+    std::uint64_t dropped_ = 0;
+    bool stopping_ = false;
+    std::thread thread_;
+};
+
+AsyncLog::AsyncLog(std::size_t capacity, Severity least)
+    : writer_(std::make_unique<Writer>(capacity, least))
+{ }
+
+AsyncLog::~AsyncLog() = default;
+
+void AsyncLog::write(const LogLine &line)
+{
+    writer_->write(line);
+}
+
+std::uint64_t AsyncLog::dropped() const
+{
+    return writer_->dropped();
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/caller/CallerCodec.cpp
@@ -0,0 +1,131 @@
+#include "src/caller/CallerCodec.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+
+#include <nlohmann/json.hpp>
+#include <strings.h>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr std::string_view kBearer = "Bearer ";
+constexpr std::size_t kLongestRequestId = 128;
+constexpr std::size_t kLongestTeamKey = 512;
+constexpr std::int64_t kLongestBudgetMs = 600'000;
+constexpr const char *kProblemType = "application/problem+json";
+
+// Headers that concern one connection or the hop to a back end only.
+constexpr std::string_view kHopHeaders[] = {
+    "connection",          "keep-alive",      "transfer-encoding",
+    "content-length",      "content-type",    "pimento-request-id",
+    "pimento-load",        "pimento-outcome", "pimento-fence",
+    "pimento-incarnation", "server",
+};
+
+bool isHopHeader(const std::string &name)
+{
+    return std::any_of(std::begin(kHopHeaders), std::end(kHopHeaders), [&](std::string_view hop) {
+        return hop.size() == name.size() && strncasecmp(hop.data(), name.data(), name.size()) == 0;
+    });
+}
+
+bool isRequestId(const std::string &text)
+{
+    static constexpr std::string_view kAllowed
+        = "0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz-_.:";
+    return !text.empty() && text.size() <= kLongestRequestId
+           && text.find_first_not_of(kAllowed) == std::string::npos;
+}
+
+Refusal malformed(std::string detail)
+{
+    return Refusal { RefusalReason::MalformedRequest, Outcome::NotRun, std::nullopt,
+                     std::move(detail) };
+}
+
+std::optional<std::int64_t> parseMilliseconds(const std::string &text)
+{
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    const bool isWhole = error == std::errc() && end == text.data() + text.size();
+    if (!isWhole || value < 0 || value > kLongestBudgetMs)
+        return std::nullopt;
+    return value;
+}
+
+} // namespace
+
+std::variant<CallerRequest, Refusal> decodeCallerRequest(const ServerRequest &request,
+                                                         const RequestId &fallbackId)
+{
+    CallerRequest decoded;
+    decoded.id_ = fallbackId;
+    decoded.method_ = request.method();
+    decoded.path_ = request.path();
+    decoded.query_ = request.query();
+    decoded.body_ = request.body();
+    decoded.contentType_ = request.header("Content-Type").value_or("");
+    decoded.accept_ = request.header("Accept").value_or("");
+    if (const auto id = request.header(kCallerRequestIdHeader)) {
+        if (!isRequestId(*id))
+            return malformed("X-Request-Id must be 1 to 128 letters, digits or any of -_.:");
+        decoded.id_ = RequestId(*id);
+    }
+    if (const auto authorization = request.header("Authorization")) {
+        const bool isBearer = authorization->rfind(kBearer, 0) == 0
+                              && authorization->size() <= kBearer.size() + kLongestTeamKey;
+        if (!isBearer)
+            return malformed("Authorization must be \"Bearer\" and a team key");
+        decoded.teamKey_ = authorization->substr(kBearer.size());
+    }
+    if (const auto deadline = request.header(kCallerDeadlineHeader)) {
+        const auto milliseconds = parseMilliseconds(*deadline);
+        if (!milliseconds)
+            return malformed("Pimento-Deadline-Ms must be a whole number from 0 to 600000");
+        decoded.budget_ = std::chrono::milliseconds(*milliseconds);
+    }
+    return decoded;
+}
+
+ServerAnswer encodeRefusal(const Refusal &refusal, const RequestId &id)
+{
+    ServerAnswer answer;
+    answer.status_ = httpStatusOf(refusal.reason_);
+    answer.contentType_ = kProblemType;
+    answer.headers_.push_back({ kCallerRequestIdHeader, id.str() });
+    answer.headers_.push_back({ "Pimento-Outcome", std::string(toString(refusal.outcome_)) });
+    if (refusal.retryAfter_) {
+        const auto seconds = std::chrono::ceil<std::chrono::seconds>(*refusal.retryAfter_);
+        answer.headers_.push_back({ "Retry-After", std::to_string(seconds.count()) });
+    }
+    nlohmann::json body {
+        { "type", "urn:pimentostage:refusal:" + std::string(toString(refusal.reason_)) },
+        { "title", titleOf(refusal.reason_) },
+        { "status", answer.status_ },
+        { "outcome", toString(refusal.outcome_) },
+        { "request_id", id.str() },
+    };
+    if (!refusal.detail_.empty())
+        body["detail"] = refusal.detail_;
+    answer.body_ = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return answer;
+}
+
+ServerAnswer encodeAnswer(HttpAnswer answer, const RequestId &id)
+{
+    ServerAnswer encoded;
+    encoded.status_ = answer.status_;
+    encoded.contentType_ = answer.header("Content-Type");
+    encoded.body_ = std::move(answer.body_);
+    for (HttpHeader &header : answer.headers_) {
+        if (!isHopHeader(header.name_))
+            encoded.headers_.push_back(std::move(header));
+    }
+    encoded.headers_.push_back({ kCallerRequestIdHeader, id.str() });
+    return encoded;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/caller/CallerService.cpp
@@ -0,0 +1,150 @@
+#include "src/caller/CallerService.h"
+
+namespace pimentostage {
+
+namespace {
+
+constexpr Duration kRetryAfterOverRate = std::chrono::seconds(1);
+
+// Takes all of the request but its id, which a refusal still needs.
+ForwardRequest forwardRequest(CallerRequest &request, const RoutedRequest &routed)
+{
+    ForwardRequest forward;
+    forward.id_ = request.id_;
+    forward.service_ = routed.routes_->service_.name_;
+    forward.route_ = routed.route_->name_;
+    if (routed.contract_)
+        forward.team_ = routed.contract_->team_;
+    forward.key_ = routed.key_;
+    forward.method_ = std::move(request.method_);
+    forward.path_ = routed.backendPath_;
+    forward.contentType_ = std::move(request.contentType_);
+    forward.accept_ = std::move(request.accept_);
+    forward.body_ = std::move(request.body_);
+    forward.idempotent_ = routed.route_->idempotent_;
+    forward.deadline_ = routed.deadline_;
+    return forward;
+}
+
+} // namespace
+
+/// A request between its arrival and its answer.
+struct CallerService::Pending
+{
+    CallerRequest request_;
+    RoutedRequest routed_;
+    std::shared_ptr<const TrafficView> view_; ///< keeps what routed_ points to
+    TimePoint arrivedAt_;
+    CallerDone done_;
+};
+
+CallerService::CallerService(const SnapshotPublisher<TrafficView> &views, BackendClient &backends,
+                             ControlPort &control, LogSink &log, Counters &counters)
+    : views_(views)
+    , backends_(backends)
+    , control_(control)
+    , log_(log)
+    , requests_(counters.counter("pimento_caller_requests_total", "Requests taken from callers."))
+    , answered_(counters.counter("pimento_caller_answered_total",
+                                 "Requests answered with a back end's answer."))
+    , latency_(counters.histogram("pimento_caller_latency_seconds",
+                                  "Time from a request's arrival to its answer or refusal."))
+{
+    for (const auto &row : EnumTable<RefusalReason>::kRows) {
+        refused_.at(static_cast<std::size_t>(row.value_))
+            = &counters.counter("pimento_caller_refused_total", "Requests refused, by reason.",
+                                { Label { "reason", std::string(row.name_) } });
+    }
+}
+
+CallerService::Entrance::Entrance(CallerService &service)
+    : service_(service)
+    , view_(service.views_)
+{ }
+
+void CallerService::Entrance::handle(CallerRequest request, CallerDone done)
+{
+    const TimePoint now = BootClock::now();
+    service_.inFlight_.fetch_add(1, std::memory_order_acq_rel);
+    service_.requests_.add();
+    auto pending = std::make_shared<Pending>();
+    pending->request_ = std::move(request);
+    pending->view_ = view_.get();
+    pending->arrivedAt_ = now;
+    pending->done_ = std::move(done);
+    RouteDecision decision = RequestRouter::route(*pending->view_, pending->request_, now);
+    // The key has served its purpose; nothing behind this line may see it.
+    pending->request_.teamKey_.reset();
+    if (const auto *refusal = std::get_if<Refusal>(&decision)) {
+        service_.refuse(pending, *refusal);
+        return;
+    }
+    pending->routed_ = std::move(std::get<RoutedRequest>(decision));
+    service_.admit(pending);
+}
+
+void CallerService::admit(const std::shared_ptr<Pending> &pending)
+{
+    const Contract *contract = pending->routed_.contract_;
+    if (!contract) {
+        forward(pending);
+        return;
+    }
+    const auto found = pending->view_->purses_.find(contract->team_);
+    if (found == pending->view_->purses_.end()) {
+        refuse(pending, Refusal { RefusalReason::NoContract, Outcome::NotRun, {}, {} });
+        return;
+    }
+    const auto decided = [this, pending](SpendResult result) {
+        if (result == SpendResult::Spent) {
+            forward(pending);
+            return;
+        }
+        refuse(pending,
+               Refusal { RefusalReason::OverRate, Outcome::NotRun, kRetryAfterOverRate, {} });
+    };
+    TokenPurse &purse = *found->second;
+    const SpendResult result
+        = purse.spend(pending->routed_.route_->weight_, BootClock::now(), decided);
+    if (result == SpendResult::Waiting)
+        control_.tokensWanted(purse.account());
+    else
+        decided(result);
+}
+
+void CallerService::forward(const std::shared_ptr<Pending> &pending)
+{
+    backends_.forward(forwardRequest(pending->request_, pending->routed_),
+                      [this, pending](ForwardResult result) {
+                          if (const auto *giveUp = std::get_if<GiveUp>(&result)) {
+                              refuse(pending, refusalFor(*giveUp));
+                              return;
+                          }
+                          answered_.add();
+                          finish(pending, std::move(std::get<HttpAnswer>(result)));
+                      });
+}
+
+void CallerService::refuse(const std::shared_ptr<Pending> &pending, const Refusal &refusal)
+{
+    refused_.at(static_cast<std::size_t>(refusal.reason_))->add();
+    LogLine line(Severity::Info, "refuse");
+    line.add("request", pending->request_.id_.str())
+        .add("reason", toString(refusal.reason_))
+        .add("outcome", toString(refusal.outcome_));
+    if (pending->routed_.routes_)
+        line.add("service", pending->routed_.routes_->service_.name_.str());
+    if (pending->routed_.contract_)
+        line.add("team", pending->routed_.contract_->team_.str());
+    log_.write(line);
+    finish(pending, refusal);
+}
+
+void CallerService::finish(const std::shared_ptr<Pending> &pending, CallerAnswer answer)
+{
+    latency_.record(toSeconds(BootClock::now() - pending->arrivedAt_));
+    pending->done_(std::move(answer));
+    inFlight_.fetch_sub(1, std::memory_order_acq_rel);
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/caller/CallerService.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/base/Snapshot.h"
+#include "pimentostage/caller/RequestRouter.h"
+#include "pimentostage/caller/TrafficView.h"
+#include "pimentostage/sibling/TokenPurse.h"
+#include "src/backend/BackendClient.h"
+
+#include <array>
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <variant>
+
+namespace pimentostage {
+
+/// Tells the control thread what traffic needs of it. Called on traffic threads.
+class ControlPort
+{
+public:
+    virtual ~ControlPort() = default;
+    /// Spenders of @p account wait for tokens.
+    virtual void tokensWanted(const AccountName &account) = 0;
+};
+
+/// What a caller gets: a back end's answer or a refusal.
+using CallerAnswer = std::variant<HttpAnswer, Refusal>;
+using CallerDone = std::function<void(CallerAnswer)>;
+
+/// Takes requests of callers through routing, admission and forwarding, free of any front end.
+class CallerService
+{
+public:
+    CallerService(const SnapshotPublisher<TrafficView> &views, BackendClient &backends,
+                  ControlPort &control, LogSink &log, Counters &counters);
+
+    /// One traffic thread's way in.
+    class Entrance
+    {
+    public:
+        explicit Entrance(CallerService &service);
+        /// Handles @p request. @param done called once, on any thread.
+        void handle(CallerRequest request, CallerDone done);
+
+    private:
+        CallerService &service_;
+        SnapshotReader<TrafficView> view_;
+    };
+
+    /// @return requests taken and not yet answered.
+    [[nodiscard]] std::size_t inFlight() const { return inFlight_.load(std::memory_order_acquire); }
+
+private:
+    struct Pending;
+
+    void admit(const std::shared_ptr<Pending> &pending);
+    void forward(const std::shared_ptr<Pending> &pending);
+    void refuse(const std::shared_ptr<Pending> &pending, const Refusal &refusal);
+    void finish(const std::shared_ptr<Pending> &pending, CallerAnswer answer);
+
+    const SnapshotPublisher<TrafficView> &views_;
+    BackendClient &backends_;
+    ControlPort &control_;
+    LogSink &log_;
+    std::atomic<std::size_t> inFlight_ { 0 };
+    Counter &requests_;
+    Counter &answered_;
+    std::array<Counter *, kEnumCount<RefusalReason>> refused_ {};
+    DurationHistogram &latency_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/caller/Refusal.cpp
@@ -0,0 +1,73 @@
+#include "pimentostage/caller/Refusal.h"
+
+#include <array>
+
+namespace pimentostage {
+
+namespace {
+
+struct RefusalRow
+{
+    int status_;
+    std::string_view title_;
+};
+
+// One row for each RefusalReason, in its order.
+constexpr std::array<RefusalRow, kEnumCount<RefusalReason>> kRows { {
+    { 400, "The request is malformed." },
+    { 404, "There is no such service." },
+    { 404, "The service has no such route." },
+    { 405, "The route does not take this method." },
+    { 401, "The route needs a team key." },
+    { 401, "The team key is unknown or was withdrawn." },
+    { 403, "The team has no contract." },
+    { 403, "The team's contract does not cover this kind of request." },
+    { 400, "The path holds no key." },
+    { 429, "The team is over its contract's rate." },
+    { 503, "The service is overloaded." },
+    { 504, "The request's deadline has passed." },
+    { 503, "No back end can take the request." },
+    { 502, "The back end failed." },
+    { 502, "The back end's answer was not usable." },
+    { 503, "This host's configuration may be out of date." },
+    { 503, "This host is stopping." },
+} };
+
+const RefusalRow &rowOf(RefusalReason reason)
+{
+    return kRows.at(static_cast<std::size_t>(reason));
+}
+
+constexpr Duration kRetryAfterOverload = std::chrono::seconds(1);
+
+// One row for each GiveUpReason, in its order.
+constexpr std::array<RefusalReason, kEnumCount<GiveUpReason>> kRefusalOf {
+    RefusalReason::DeadlinePassed,
+    RefusalReason::NoBackend,
+    RefusalReason::BackendFailed,
+    RefusalReason::AnswerBroken,
+};
+
+} // namespace
+
+int httpStatusOf(RefusalReason reason)
+{
+    return rowOf(reason).status_;
+}
+
+std::string_view titleOf(RefusalReason reason)
+{
+    return rowOf(reason).title_;
+}
+
+Refusal refusalFor(const GiveUp &giveUp)
+{
+    Refusal refusal;
+    refusal.reason_ = kRefusalOf.at(static_cast<std::size_t>(giveUp.reason_));
+    refusal.outcome_ = giveUp.outcome_;
+    if (refusal.reason_ == RefusalReason::NoBackend)
+        refusal.retryAfter_ = kRetryAfterOverload;
+    return refusal;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/ControlLoop.cpp
@@ -0,0 +1,91 @@
+#include "src/daemon/ControlLoop.h"
+
+#include <future>
+#include <memory>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <pthread.h>
+
+namespace pimentostage {
+
+namespace {
+
+/// A timer that arms itself again after each run.
+class Repeater : public std::enable_shared_from_this<Repeater>
+{
+public:
+    Repeater(boost::asio::io_context &context, Duration period, std::function<void()> task)
+        : timer_(context)
+        , period_(period)
+        , task_(std::move(task))
+    { }
+
+    void arm()
+    {
+        timer_.expires_after(period_);
+        timer_.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+            if (error)
+                return;
+            self->task_();
+            self->arm();
+        });
+    }
+
+private:
+    boost::asio::steady_timer timer_;
+    const Duration period_;
+    const std::function<void()> task_;
+};
+
+} // namespace
+
+ControlLoop::ControlLoop()
+    : work_(boost::asio::make_work_guard(context_))
+    , thread_([this] { context_.run(); })
+{
+    pthread_setname_np(thread_.native_handle(), "control");
+}
+
+ControlLoop::~ControlLoop()
+{
+    stop();
+}
+
+void ControlLoop::post(std::function<void()> task)
+{
+    boost::asio::post(context_, std::move(task));
+}
+
+void ControlLoop::every(Duration period, std::function<void()> task)
+{
+    std::make_shared<Repeater>(context_, period, std::move(task))->arm();
+}
+
+void ControlLoop::after(Duration delay, std::function<void()> task)
+{
+    auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
+    timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &error) {
+        if (!error)
+            task();
+    });
+}
+
+void ControlLoop::run(const std::function<void()> &task)
+{
+    std::promise<void> done;
+    post([&] {
+        task();
+        done.set_value();
+    });
+    done.get_future().wait();
+}
+
+void ControlLoop::stop()
+{
+    context_.stop();
+    if (thread_.joinable())
+        thread_.join();
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/PurseBook.cpp
@@ -0,0 +1,33 @@
+#include "src/daemon/PurseBook.h"
+
+namespace pimentostage {
+
+AccountName PurseBook::accountOf(const TeamName &team)
+{
+    return AccountName("team/" + team.str());
+}
+
+void PurseBook::update(const Configuration &configuration)
+{
+    std::erase_if(purses_, [&](const auto &entry) {
+        const bool isWithdrawn = !configuration.contracts_.contains(entry.first);
+        if (isWithdrawn)
+            byAccount_.erase(accountOf(entry.first));
+        return isWithdrawn;
+    });
+    for (const auto &[team, contract] : configuration.contracts_) {
+        std::shared_ptr<TokenPurse> &purse = purses_[team];
+        if (purse)
+            continue;
+        purse = std::make_shared<TokenPurse>(accountOf(team));
+        byAccount_[purse->account()] = purse.get();
+    }
+}
+
+TokenPurse *PurseBook::find(const AccountName &account) const
+{
+    const auto found = byAccount_.find(account);
+    return found == byAccount_.end() ? nullptr : found->second;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/operator/OperatorServer.cpp
@@ -0,0 +1,77 @@
+#include "src/operator/OperatorServer.h"
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kNotFound = 404;
+constexpr int kUnavailable = 503;
+constexpr const char *kText = "text/plain; charset=utf-8";
+constexpr const char *kJson = "application/json";
+
+} // namespace
+
+const OperatorServer::Page OperatorServer::kPages[] = {
+    { "/metrics", &OperatorServer::metrics },  { "/healthz", &OperatorServer::health },
+    { "/readyz", &OperatorServer::readiness }, { "/status", &OperatorServer::status },
+    { "/owner", &OperatorServer::owner },
+};
+
+OperatorServer::OperatorServer(HostStatus &status, Counters &counters)
+    : status_(status)
+    , counters_(counters)
+{ }
+
+leaf::result<void> OperatorServer::start(const Address &address)
+{
+    HttpServerOptions options;
+    options.address_ = address;
+    options.threads_ = 1;
+    options.threadName_ = "operator";
+    return server_.start(options, [this] {
+        return
+            [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                responder->send(answer(request));
+            };
+    });
+}
+
+ServerAnswer OperatorServer::answer(const ServerRequest &request)
+{
+    for (const Page &page : kPages) {
+        if (request.path() == page.path_)
+            return (this->*page.answer_)(request);
+    }
+    return ServerAnswer { kNotFound, kText, {}, "no such page\n" };
+}
+
+ServerAnswer OperatorServer::metrics(const ServerRequest &)
+{
+    return ServerAnswer { 200, "text/plain; version=0.0.4", {}, counters_.exposition() };
+}
+
+ServerAnswer OperatorServer::health(const ServerRequest &)
+{
+    return ServerAnswer { 200, kText, {}, "ok\n" };
+}
+
+ServerAnswer OperatorServer::readiness(const ServerRequest &)
+{
+    if (status_.isReady())
+        return ServerAnswer { 200, kText, {}, "ready\n" };
+    return ServerAnswer { kUnavailable, kText, {}, "not ready\n" };
+}
+
+ServerAnswer OperatorServer::status(const ServerRequest &)
+{
+    return ServerAnswer { 200, kJson, {}, status_.statusJson() };
+}
+
+ServerAnswer OperatorServer::owner(const ServerRequest &request)
+{
+    const std::string json
+        = status_.ownerJson(request.parameter("service"), request.parameter("key"));
+    return ServerAnswer { json.empty() ? kNotFound : 200, kJson, {}, json };
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/operator/OperatorServer.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "pimentostage/base/Counters.h"
+#include "src/base/HttpServer.h"
+
+#include <functional>
+#include <string>
+
+namespace pimentostage {
+
+/// What the operators' pages need to know of the host.
+class HostStatus
+{
+public:
+    virtual ~HostStatus() = default;
+    /// @return whether the balancer should send callers here.
+    [[nodiscard]] virtual bool isReady() const = 0;
+    /// @return a JSON object about the host.
+    [[nodiscard]] virtual std::string statusJson() = 0;
+    /// @return a JSON object about the owner of @p key of @p service.
+    [[nodiscard]] virtual std::string ownerJson(const std::string &service, const std::string &key)
+        = 0;
+};
+
+/// The operators' HTTP pages: /metrics, /healthz, /readyz, /status, /owner.
+class OperatorServer
+{
+public:
+    OperatorServer(HostStatus &status, Counters &counters);
+
+    /// @return nothing, or an Error of step Listen.
+    leaf::result<void> start(const Address &address);
+    void stop() { server_.stop(); }
+
+private:
+    ServerAnswer answer(const ServerRequest &request);
+    ServerAnswer metrics(const ServerRequest &request);
+    ServerAnswer health(const ServerRequest &request);
+    ServerAnswer readiness(const ServerRequest &request);
+    ServerAnswer status(const ServerRequest &request);
+    ServerAnswer owner(const ServerRequest &request);
+
+    struct Page
+    {
+        const char *path_;
+        ServerAnswer (OperatorServer::*answer_)(const ServerRequest &);
+    };
+    static const Page kPages[];
+
+    HostStatus &status_;
+    Counters &counters_;
+    HttpServer server_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/platform/ConfigState.cpp
@@ -0,0 +1,196 @@
+#include "pimentostage/platform/ConfigState.h"
+
+#include "pimentostage/base/Hash.h"
+#include "pimentostage/platform/ObjectCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace pimentostage {
+
+namespace {
+
+std::uint64_t digestOf(const StoredObject &object)
+{
+    return hash64(object.ref_.str(), object.version_.value_);
+}
+
+template <auto kParse, auto kMember>
+void addByName(const StoredObject &object, Configuration &configuration)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(parsed, kParse(object.ref_.name_, object.value_));
+            using Map = std::remove_reference_t<decltype(configuration.*kMember)>;
+            using Key = typename Map::key_type;
+            (configuration.*kMember).emplace(Key(object.ref_.name_), std::move(parsed));
+            return {};
+        },
+        [] {});
+}
+
+void addTeamKey(const StoredObject &object, Configuration &configuration)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(key, parseTeamKey(object.ref_.name_, object.value_));
+            const std::string hash = key.sha256_;
+            configuration.keysByHash_.emplace(hash, std::move(key));
+            return {};
+        },
+        [] {});
+}
+
+void addPlacement(const StoredObject &object, Configuration &configuration)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
+            const ServiceName service = placement.service_;
+            configuration.placements_[service]
+                = std::make_shared<const Placement>(std::move(placement));
+            return {};
+        },
+        [] {});
+}
+
+using AddObject = void (*)(const StoredObject &, Configuration &);
+
+// One row for each ObjectKind, in its order.
+constexpr std::array<AddObject, kEnumCount<ObjectKind>> kAddObject {
+    &addByName<&parseService, &Configuration::services_>,
+    &addByName<&parseContract, &Configuration::contracts_>,
+    &addTeamKey,
+    &addByName<&parseZone, &Configuration::zones_>,
+    &addByName<&parseBackend, &Configuration::backends_>,
+    &addByName<&parseRoleRecord, &Configuration::roles_>,
+    &addPlacement,
+};
+
+} // namespace
+
+ConfigState::ConfigState()
+    : configuration_(std::make_shared<Configuration>())
+{ }
+
+ApplyResult ConfigState::apply(const StoredObject &object, std::string *error)
+{
+    const Version known = versionOf(object.ref_);
+    if (object.version_ == known)
+        return ApplyResult::Unchanged;
+    if (object.version_ < known)
+        return ApplyResult::Older;
+    if (!object.deleted_) {
+        const std::string fault = valueOr(
+            [&]() -> leaf::result<std::string> {
+                BOOST_LEAF_CHECK(checkObject(object.ref_, object.value_));
+                return std::string();
+            },
+            [](const Error &reason) { return reason.describe(); });
+        if (!fault.empty()) {
+            if (error)
+                *error = fault;
+            return ApplyResult::Rejected;
+        }
+    }
+    accept(object);
+    return ApplyResult::Applied;
+}
+
+void ConfigState::accept(const StoredObject &object)
+{
+    const auto [entry, isNew] = objects_.try_emplace(object.ref_, object);
+    if (!isNew) {
+        digest_ ^= digestOf(entry->second);
+        entry->second = object;
+    }
+    digest_ ^= digestOf(object);
+    changed_ = true;
+}
+
+std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision)
+{
+    std::size_t changes = 0;
+    std::set<ObjectRef> listed;
+    for (const StoredObject &object : objects) {
+        listed.insert(object.ref_);
+        changes += apply(object) == ApplyResult::Applied ? 1 : 0;
+    }
+    std::vector<StoredObject> removed;
+    for (const auto &[ref, object] : objects_) {
+        const bool isGone = !object.deleted_ && object.version_ < revision && !listed.contains(ref);
+        if (isGone)
+            removed.push_back(StoredObject { ref, revision, true, {} });
+    }
+    for (const StoredObject &object : removed)
+        accept(object);
+    revision_ = std::max(revision_, revision);
+    return changes + removed.size();
+}
+
+void ConfigState::confirm(Version revision, TimePoint sentAt)
+{
+    revision_ = std::max(revision_, revision);
+    if (!confirmedAt_ || *confirmedAt_ < sentAt)
+        confirmedAt_ = sentAt;
+}
+
+void ConfigState::confirmThroughSibling(Version revision, Duration age, TimePoint now)
+{
+    if (revision < revision_)
+        return;
+    confirm(revision, now - kClockDrift.stretched(age));
+}
+
+std::optional<Duration> ConfigState::age(TimePoint now) const
+{
+    if (!confirmedAt_)
+        return std::nullopt;
+    return now - *confirmedAt_;
+}
+
+std::shared_ptr<const Configuration> ConfigState::configuration()
+{
+    if (changed_)
+        rebuild();
+    return configuration_;
+}
+
+void ConfigState::rebuild()
+{
+    auto next = std::make_shared<Configuration>();
+    for (const auto &[ref, object] : objects_) {
+        next->revision_ = std::max(next->revision_, object.version_);
+        if (!object.deleted_)
+            kAddObject.at(static_cast<std::size_t>(ref.kind_))(object, *next);
+    }
+    configuration_ = std::move(next);
+    changed_ = false;
+}
+
+Version ConfigState::versionOf(const ObjectRef &ref) const
+{
+    const StoredObject *object = find(ref);
+    return object ? object->version_ : Version {};
+}
+
+const StoredObject *ConfigState::find(const ObjectRef &ref) const
+{
+    const auto found = objects_.find(ref);
+    return found == objects_.end() ? nullptr : &found->second;
+}
+
+std::vector<StoredObject> ConfigState::changesSince(Version version) const
+{
+    std::vector<StoredObject> changes;
+    for (const auto &[ref, object] : objects_) {
+        if (object.version_ > version)
+            changes.push_back(object);
+    }
+    std::sort(changes.begin(), changes.end(),
+              [](const auto &a, const auto &b) { return a.version_ < b.version_; });
+    return changes;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/platform/ConfigWatcher.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "pimentostage/base/Log.h"
+#include "pimentostage/base/Random.h"
+#include "pimentostage/platform/Backoff.h"
+#include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/ObjectStore.h"
+
+#include <functional>
+
+namespace pimentostage {
+
+/// Runs a function on the control thread after a delay.
+using RunAfter = std::function<void(Duration, std::function<void()>)>;
+
+/// Keeps a ConfigState up to date with the store: one listing, then one watch after the other.
+///
+/// Lives on the control thread.
+class ConfigWatcher
+{
+public:
+    /// @param onChange called after objects changed or the state was confirmed.
+    ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Random random,
+                  LogSink &log, std::function<void()> onChange);
+
+    /// Starts with a listing; runs until the process ends.
+    void start();
+
+    /// Offers objects that came by another way than the watch.
+    /// @return how many of them changed the state.
+    std::size_t apply(const std::vector<StoredObject> &objects);
+
+    /// @return whether the last call to the store succeeded.
+    [[nodiscard]] bool isConnected() const { return connected_; }
+
+private:
+    void list();
+    void watch();
+    void onListing(const Reply<StoreListing> &reply, TimePoint sentAt);
+    void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
+    void fail(const Error &error, void (ConfigWatcher::*again)());
+
+    ObjectStore &store_;
+    ConfigState &state_;
+    const RunAfter runAfter_;
+    Random random_;
+    LogSink &log_;
+    const std::function<void()> onChange_;
+    Backoff backoff_;
+    bool connected_ = false;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/platform/ObjectCodec.cpp
@@ -0,0 +1,596 @@
+#include "pimentostage/platform/ObjectCodec.h"
+
+#include <charconv>
+#include <cmath>
+#include <functional>
+
+#include <arpa/inet.h>
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::uint32_t kMaxShards = 65'536;
+constexpr std::uint32_t kMaxSlots = 1'000'000;
+constexpr std::uint32_t kMaxKeySegment = 16;
+constexpr double kMaxRate = 1e9;
+constexpr double kMinTimeoutMs = 1;
+constexpr double kMaxTimeoutMs = 600'000;
+constexpr double kMaxRampMs = 3'600'000;
+constexpr std::size_t kSha256HexLength = 64;
+
+/// Reads fields of one JSON object and collects every fault.
+class ObjectReader
+{
+public:
+    ObjectReader(ObjectRef ref, const std::string &value)
+        : ref_(std::move(ref))
+        , json_(Json::parse(value, nullptr, false))
+    {
+        if (!json_.is_object()) {
+            addFault("value", "is not a JSON object");
+            json_ = Json::object();
+        }
+    }
+
+    ObjectReader(ObjectReader *parent, const Json &json, std::string path)
+        : ref_(parent->ref_)
+        , json_(json.is_object() ? json : Json::object())
+        , path_(std::move(path))
+        , parent_(parent)
+    {
+        if (!json.is_object())
+            addFault("", "is not a JSON object");
+    }
+
+    std::string text(const char *field, std::string fallback = {})
+    {
+        const Json *value = find(field);
+        if (!value)
+            return fallback;
+        if (!value->is_string()) {
+            addFault(field, "must be a string");
+            return fallback;
+        }
+        return value->get<std::string>();
+    }
+
+    std::string requiredText(const char *field)
+    {
+        std::string value = text(field);
+        if (value.empty())
+            addFault(field, "must be a non-empty string");
+        return value;
+    }
+
+    double number(const char *field, double fallback, double least, double most)
+    {
+        const Json *value = find(field);
+        if (!value)
+            return fallback;
+        const bool isValid = value->is_number() && std::isfinite(value->get<double>())
+                             && value->get<double>() >= least && value->get<double>() <= most;
+        if (!isValid) {
+            addFault(field,
+                     "must be a number from " + Json(least).dump() + " to " + Json(most).dump());
+            return fallback;
+        }
+        return value->get<double>();
+    }
+
+    std::uint32_t count(const char *field, std::uint32_t fallback, std::uint32_t least,
+                        std::uint32_t most)
+    {
+        return static_cast<std::uint32_t>(number(field, fallback, least, most));
+    }
+
+    std::uint64_t sequence(const char *field)
+    {
+        const Json *value = find(field);
+        if (!value || !value->is_number_unsigned()) {
+            addFault(field, "must be a whole number that is not negative");
+            return 0;
+        }
+        return value->get<std::uint64_t>();
+    }
+
+    Duration milliseconds(const char *field, double fallback, double least, double most)
+    {
+        const double kMillisecondsPerSecond = 1000;
+        return fromSeconds(number(field, fallback, least, most) / kMillisecondsPerSecond);
+    }
+
+    bool flag(const char *field, bool fallback)
+    {
+        const Json *value = find(field);
+        if (!value)
+            return fallback;
+        if (!value->is_boolean()) {
+            addFault(field, "must be true or false");
+            return fallback;
+        }
+        return value->get<bool>();
+    }
+
+    template <typename E>
+    E choice(const char *field, E fallback)
+    {
+        const Json *value = find(field);
+        if (!value)
+            return fallback;
+        const auto chosen
+            = value->is_string() ? fromString<E>(value->get<std::string>()) : std::nullopt;
+        if (!chosen) {
+            std::string allowed;
+            for (const auto &row : EnumTable<E>::kRows)
+                allowed += (allowed.empty() ? "" : ", ") + std::string(row.name_);
+            addFault(field, "must be one of " + allowed);
+        }
+        return chosen.value_or(fallback);
+    }
+
+    Address address(const char *field)
+    {
+        const auto parsed = parseAddress(text(field));
+        if (!parsed)
+            addFault(field, "must be ip:port with an IP number");
+        return parsed.value_or(Address {});
+    }
+
+    std::vector<std::string> texts(const char *field)
+    {
+        std::vector<std::string> values;
+        for (const Json &item : array(field)) {
+            if (item.is_string())
+                values.push_back(item.get<std::string>());
+            else
+                addFault(field, "must hold strings");
+        }
+        return values;
+    }
+
+    Json array(const char *field)
+    {
+        const Json *value = find(field);
+        if (!value)
+            return Json::array();
+        if (!value->is_array()) {
+            addFault(field, "must be an array");
+            return Json::array();
+        }
+        return *value;
+    }
+
+    ObjectReader child(const Json &json, const char *field, std::size_t index)
+    {
+        return { this, json, path_ + field + '[' + std::to_string(index) + "]." };
+    }
+
+    void addFault(const std::string &field, const std::string &what)
+    {
+        std::string &faults = root().faults_;
+        if (!faults.empty())
+            faults += "; ";
+        faults += path_ + field + ' ' + what;
+    }
+
+    /// Reports fields that no reader asked for.
+    void checkNoOtherFields()
+    {
+        for (const auto &item : json_.items()) {
+            if (std::find(seen_.begin(), seen_.end(), item.key()) == seen_.end())
+                addFault(item.key(), "is not a known field");
+        }
+    }
+
+    /// @return the error with all faults found, if there is any.
+    leaf::result<void> result() const
+    {
+        if (faults_.empty())
+            return {};
+        return fail(Error { Step::ParseObject, Peer { PeerKind::Platform, ref_.str() },
+                            ErrorCode::Malformed, faults_ });
+    }
+
+private:
+    const Json *find(const char *field)
+    {
+        seen_.emplace_back(field);
+        const auto found = json_.find(field);
+        return found == json_.end() ? nullptr : &*found;
+    }
+
+    ObjectReader &root() { return parent_ ? parent_->root() : *this; }
+
+    ObjectRef ref_;
+    Json json_;
+    std::string path_;
+    ObjectReader *parent_ = nullptr;
+    std::string faults_;
+    // Any object may carry the id of the change that wrote it.
+    std::vector<std::string> seen_ { kChangeIdField };
+};
+
+Route readRoute(ObjectReader reader)
+{
+    Route route;
+    route.name_ = RouteName(reader.requiredText("name"));
+    route.method_ = reader.text("method", "GET");
+    route.prefix_ = reader.text("prefix", "/");
+    if (route.prefix_.empty() || route.prefix_.front() != '/')
+        reader.addFault("prefix", "must start with /");
+    route.access_ = reader.choice("access", Access::Team);
+    route.idempotent_ = reader.flag("idempotent", false);
+    route.kind_ = reader.text("kind", route.name_.str());
+    const double kMinWeight = 0.001;
+    const double kMaxWeight = 1000;
+    route.weight_ = reader.number("weight", 1, kMinWeight, kMaxWeight);
+    const double kDefaultTimeoutMs = 2000;
+    route.timeout_
+        = reader.milliseconds("timeout_ms", kDefaultTimeoutMs, kMinTimeoutMs, kMaxTimeoutMs);
+    reader.checkNoOtherFields();
+    return route;
+}
+
+Json toJson(const Member &member)
+{
+    return { { "host", member.host_.str() }, { "incarnation", member.incarnation_.value_ } };
+}
+
+Member readMember(ObjectReader reader)
+{
+    Member member;
+    member.host_ = HostName(reader.requiredText("host"));
+    member.incarnation_ = Incarnation { reader.sequence("incarnation") };
+    reader.checkNoOtherFields();
+    return member;
+}
+
+/// Back ends by index, so that a placement of many shards names each only once.
+class BackendIndex
+{
+public:
+    std::size_t of(const BackendName &backend)
+    {
+        const auto found = std::find(names_.begin(), names_.end(), backend.str());
+        if (found != names_.end())
+            return static_cast<std::size_t>(found - names_.begin());
+        names_.push_back(backend.str());
+        return names_.size() - 1;
+    }
+
+    const std::vector<std::string> &names() const { return names_; }
+
+private:
+    std::vector<std::string> names_;
+};
+
+Json toJson(const ShardOwner &owner, BackendIndex &index)
+{
+    return Json::array({ index.of(owner.backend_), owner.epoch_.value_ });
+}
+
+ShardOwner readOwner(ObjectReader &reader, const Json &json, const std::vector<std::string> &names,
+                     std::uint64_t highestEpoch)
+{
+    const bool isPair = json.is_array() && json.size() == 2 && json[0].is_number_unsigned()
+                        && json[1].is_number_unsigned();
+    if (!isPair || json[0].get<std::size_t>() >= names.size()
+        || json[1].get<std::uint64_t>() > highestEpoch) {
+        reader.addFault("shards", "must hold pairs of a back end's index and an epoch in use");
+        return {};
+    }
+    return ShardOwner { BackendName(names[json[0].get<std::size_t>()]),
+                        Epoch { json[1].get<std::uint64_t>() } };
+}
+
+HotKey readHotKey(ObjectReader &reader, const Json &json, const std::vector<std::string> &names,
+                  std::uint64_t highestEpoch)
+{
+    if (!json.is_array() || json.size() != 2 || !json[0].is_string()) {
+        reader.addFault("hot_keys", "must hold pairs of a key and its owner");
+        return {};
+    }
+    return HotKey { json[0].get<std::string>(), readOwner(reader, json[1], names, highestEpoch) };
+}
+
+double milliseconds(Duration duration)
+{
+    return static_cast<double>(toMilliseconds(duration));
+}
+
+} // namespace
+
+std::optional<Address> parseAddress(const std::string &text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos)
+        return std::nullopt;
+    Address address { text.substr(0, colon), 0 };
+    in_addr parsed {};
+    if (inet_pton(AF_INET, address.ip_.c_str(), &parsed) != 1)
+        return std::nullopt;
+    const char *end = text.data() + text.size();
+    const auto [last, error] = std::from_chars(text.data() + colon + 1, end, address.port_);
+    if (error != std::errc() || last != end || address.port_ == 0)
+        return std::nullopt;
+    return address;
+}
+
+leaf::result<Service> parseService(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Service, name }, value);
+    Service service;
+    service.name_ = ServiceName(name);
+    service.keyed_ = reader.flag("keyed", false);
+    service.keySegment_ = reader.count("key_segment", 0, 0, kMaxKeySegment);
+    const std::uint32_t kDefaultShards = 256;
+    service.shardCount_ = reader.count("shards", kDefaultShards, 1, kMaxShards);
+    service.fencing_ = reader.choice("fencing", Fencing::Checked);
+    service.balancing_ = reader.choice("balancing", Balancing::PowerOfTwo);
+    std::size_t index = 0;
+    for (const Json &item : reader.array("routes"))
+        service.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
+    if (service.routes_.empty())
+        reader.addFault("routes", "must hold at least one route");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return service;
+}
+
+leaf::result<Contract> parseContract(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Contract, name }, value);
+    Contract contract;
+    contract.team_ = TeamName(name);
+    contract.rate_ = reader.number("rate_per_second", 0, 0, kMaxRate);
+    contract.burst_ = reader.number("burst", contract.rate_, 1, kMaxRate);
+    const double kMinShare = 0.001;
+    const double kMaxShare = 1000;
+    contract.share_ = reader.number("share", 1, kMinShare, kMaxShare);
+    const std::uint32_t kDefaultConnections = 1000;
+    contract.connections_ = reader.count("connections", kDefaultConnections, 1, kMaxSlots);
+    contract.kinds_ = reader.texts("kinds");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return contract;
+}
+
+leaf::result<TeamKey> parseTeamKey(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::TeamKey, name }, value);
+    TeamKey key;
+    key.name_ = name;
+    key.team_ = TeamName(reader.requiredText("team"));
+    key.sha256_ = reader.text("sha256");
+    const bool isHash = key.sha256_.size() == kSha256HexLength
+                        && key.sha256_.find_first_not_of("0123456789abcdef") == std::string::npos;
+    if (!isHash)
+        reader.addFault("sha256", "must be 64 lower-case hexadecimal digits");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return key;
+}
+
+leaf::result<Zone> parseZone(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Zone, name }, value);
+    Zone zone;
+    zone.name_ = ZoneName(name);
+    zone.state_ = reader.choice("state", ZoneState::In);
+    const double kDefaultRampMs = 5000;
+    zone.ramp_ = reader.milliseconds("ramp_ms", kDefaultRampMs, 0, kMaxRampMs);
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return zone;
+}
+
+leaf::result<Backend> parseBackend(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Backend, name }, value);
+    Backend backend;
+    backend.name_ = BackendName(name);
+    backend.service_ = ServiceName(reader.requiredText("service"));
+    backend.zone_ = ZoneName(reader.requiredText("zone"));
+    backend.address_ = reader.address("address");
+    const std::uint32_t kDefaultSlots = 6;
+    backend.slots_ = reader.count("slots", kDefaultSlots, 1, kMaxSlots);
+    const std::uint32_t kDefaultConnections = 110;
+    backend.connections_ = reader.count("connections", kDefaultConnections, 1, kMaxSlots);
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return backend;
+}
+
+leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Role, name }, value);
+    RoleRecord record;
+    record.role_ = RoleName(name);
+    record.epoch_ = Epoch { reader.sequence("epoch") };
+    record.holder_.host_ = HostName(reader.requiredText("holder"));
+    record.holder_.incarnation_ = Incarnation { reader.sequence("incarnation") };
+    std::size_t index = 0;
+    for (const Json &item : reader.array("members"))
+        record.members_.push_back(readMember(reader.child(item, "members", index++)));
+    record.nonce_ = reader.text("nonce");
+    record.released_ = reader.flag("released", false);
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return record;
+}
+
+leaf::result<Placement> parsePlacement(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Placement, name }, value);
+    Placement placement;
+    placement.service_ = ServiceName(name);
+    placement.epoch_ = Epoch { reader.sequence("epoch") };
+    placement.roleEpoch_ = Epoch { reader.sequence("role_epoch") };
+    placement.nonce_ = reader.text("nonce");
+    const std::vector<std::string> names = reader.texts("backends");
+    for (const Json &item : reader.array("shards"))
+        placement.shards_.push_back(readOwner(reader, item, names, placement.epoch_.value_));
+    if (placement.shards_.empty())
+        reader.addFault("shards", "must hold at least one shard");
+    for (const Json &item : reader.array("hot_keys"))
+        placement.hotKeys_.push_back(readHotKey(reader, item, names, placement.epoch_.value_));
+    if (!std::is_sorted(placement.hotKeys_.begin(), placement.hotKeys_.end(),
+                        [](const auto &a, const auto &b) { return a.key_ < b.key_; }))
+        reader.addFault("hot_keys", "must be sorted by key");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return placement;
+}
+
+leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Backend, "host list" }, value);
+    std::vector<ListedHost> hosts;
+    std::size_t index = 0;
+    for (const Json &item : reader.array("hosts")) {
+        ObjectReader row = reader.child(item, "hosts", index++);
+        ListedHost host;
+        host.name_ = row.requiredText("name");
+        host.kind_ = row.choice("kind", HostKind::Entry);
+        host.state_ = row.choice("state", HostState::Live);
+        host.zone_ = ZoneName(row.text("zone"));
+        if (host.kind_ == HostKind::Entry)
+            host.siblingAddress_ = row.address("sibling");
+        hosts.push_back(host);
+    }
+    BOOST_LEAF_CHECK(reader.result());
+    return hosts;
+}
+
+namespace {
+
+template <auto kParse>
+leaf::result<void> check(const std::string &name, const std::string &value)
+{
+    BOOST_LEAF_CHECK(kParse(name, value));
+    return {};
+}
+
+using CheckObject = leaf::result<void> (*)(const std::string &, const std::string &);
+
+// One row for each ObjectKind, in its order.
+constexpr std::array<CheckObject, kEnumCount<ObjectKind>> kCheckObject {
+    &check<&parseService>, &check<&parseContract>,   &check<&parseTeamKey>,   &check<&parseZone>,
+    &check<&parseBackend>, &check<&parseRoleRecord>, &check<&parsePlacement>,
+};
+
+} // namespace
+
+leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value)
+{
+    if (value.size() > kMaxObjectBytes)
+        return fail(Error { Step::ParseObject, Peer { PeerKind::Platform, ref.str() },
+                            ErrorCode::TooLarge, std::to_string(value.size()) + " bytes" });
+    return kCheckObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+}
+
+std::string formatService(const Service &service)
+{
+    Json routes = Json::array();
+    for (const Route &route : service.routes_) {
+        routes.push_back({ { "name", route.name_.str() },
+                           { "method", route.method_ },
+                           { "prefix", route.prefix_ },
+                           { "access", toString(route.access_) },
+                           { "idempotent", route.idempotent_ },
+                           { "kind", route.kind_ },
+                           { "weight", route.weight_ },
+                           { "timeout_ms", milliseconds(route.timeout_) } });
+    }
+    return Json({ { "keyed", service.keyed_ },
+                  { "key_segment", service.keySegment_ },
+                  { "shards", service.shardCount_ },
+                  { "fencing", toString(service.fencing_) },
+                  { "balancing", toString(service.balancing_) },
+                  { "routes", routes } })
+        .dump();
+}
+
+std::string formatContract(const Contract &contract)
+{
+    return Json({ { "rate_per_second", contract.rate_ },
+                  { "burst", contract.burst_ },
+                  { "share", contract.share_ },
+                  { "connections", contract.connections_ },
+                  { "kinds", contract.kinds_ } })
+        .dump();
+}
+
+std::string formatTeamKey(const TeamKey &key)
+{
+    return Json({ { "team", key.team_.str() }, { "sha256", key.sha256_ } }).dump();
+}
+
+std::string formatZone(const Zone &zone)
+{
+    return Json({ { "state", toString(zone.state_) }, { "ramp_ms", milliseconds(zone.ramp_) } })
+        .dump();
+}
+
+std::string formatBackend(const Backend &backend)
+{
+    return Json({ { "service", backend.service_.str() },
+                  { "zone", backend.zone_.str() },
+                  { "address", backend.address_.str() },
+                  { "slots", backend.slots_ },
+                  { "connections", backend.connections_ } })
+        .dump();
+}
+
+std::string formatRoleRecord(const RoleRecord &record)
+{
+    Json members = Json::array();
+    for (const Member &member : record.members_)
+        members.push_back(toJson(member));
+    return Json({ { "epoch", record.epoch_.value_ },
+                  { "holder", record.holder_.host_.str() },
+                  { "incarnation", record.holder_.incarnation_.value_ },
+                  { "members", members },
+                  { "nonce", record.nonce_ },
+                  { "released", record.released_ } })
+        .dump();
+}
+
+std::string formatPlacement(const Placement &placement)
+{
+    BackendIndex index;
+    Json shards = Json::array();
+    for (const ShardOwner &owner : placement.shards_)
+        shards.push_back(toJson(owner, index));
+    Json hotKeys = Json::array();
+    for (const HotKey &hotKey : placement.hotKeys_)
+        hotKeys.push_back(Json::array({ hotKey.key_, toJson(hotKey.owner_, index) }));
+    return Json({ { "epoch", placement.epoch_.value_ },
+                  { "role_epoch", placement.roleEpoch_.value_ },
+                  { "nonce", placement.nonce_ },
+                  { "backends", index.names() },
+                  { "shards", shards },
+                  { "hot_keys", hotKeys } })
+        .dump();
+}
+
+std::string formatHostList(const std::vector<ListedHost> &hosts)
+{
+    Json rows = Json::array();
+    for (const ListedHost &host : hosts) {
+        Json row { { "name", host.name_ },
+                   { "kind", toString(host.kind_) },
+                   { "state", toString(host.state_) },
+                   { "zone", host.zone_.str() } };
+        if (host.kind_ == HostKind::Entry)
+            row["sibling"] = host.siblingAddress_.str();
+        rows.push_back(row);
+    }
+    return Json({ { "hosts", rows } }).dump();
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/platform/StoreClient.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/platform/CallBudget.h"
+#include "pimentostage/platform/ObjectStore.h"
+#include "src/base/HttpLoop.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace pimentostage {
+
+/// Where and how to reach the platform's store.
+struct StoreClientOptions
+{
+    std::string baseUrl_;
+    Duration timeout_ = std::chrono::seconds(1);
+    double callsPerSecond_ = 60; ///< this host's part of what the store bears
+    double callBurst_ = 60;
+};
+
+/// ObjectStore over the store's HTTP protocol.
+class StoreClient : public ObjectStore
+{
+public:
+    /// Runs a function on the thread that takes the results.
+    using Executor = std::function<void(std::function<void()>)>;
+
+    StoreClient(const StoreClientOptions &options, Executor executor, Counters &counters);
+    ~StoreClient() override;
+
+    void list(Done<StoreListing> done) override;
+    void watch(Version since, Duration wait, Done<StoreListing> done) override;
+    void get(const ObjectRef &ref, Done<StoredObject> done) override;
+    void put(const ObjectRef &ref, const std::string &value, Version expected,
+             Done<WriteResult> done) override;
+    void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) override;
+    void hosts(Done<std::vector<ListedHost>> done) override;
+
+private:
+    struct Call
+    {
+        Step step_ = Step::ReadStore;
+        HttpRequest request_;
+    };
+
+    template <typename T>
+    void send(Call call, Reply<T> (*decode)(const Call &, const HttpAnswer &), Done<T> done);
+    template <typename T>
+    void answer(const Done<T> &done, Reply<T> reply);
+    [[nodiscard]] Call callFor(Step step, const char *method, const std::string &path) const;
+
+    const StoreClientOptions options_;
+    const Executor executor_;
+    CallBudget budget_;
+    Counter &reads_;
+    Counter &writes_;
+    Counter &failures_;
+    Counter &overBudget_;
+    HttpLoop loop_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/platform/StoreCodec.cpp
@@ -0,0 +1,96 @@
+#include "src/platform/StoreCodec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json toJson(const StoredObject &object)
+{
+    Json json { { "kind", toString(object.ref_.kind_) },
+                { "name", object.ref_.name_ },
+                { "version", object.version_.value_ } };
+    if (object.deleted_)
+        json["deleted"] = true;
+    else
+        json["value"] = object.value_;
+    return json;
+}
+
+std::optional<StoredObject> fromJson(const Json &json)
+{
+    const bool isObject = json.is_object() && json.value("kind", Json()).is_string()
+                          && json.value("name", Json()).is_string()
+                          && json.value("version", Json()).is_number_unsigned();
+    if (!isObject)
+        return std::nullopt;
+    const auto kind = fromString<ObjectKind>(json["kind"].get<std::string>());
+    if (!kind)
+        return std::nullopt;
+    StoredObject object;
+    object.ref_ = ObjectRef { *kind, json["name"].get<std::string>() };
+    object.version_ = Version { json["version"].get<std::uint64_t>() };
+    object.deleted_ = json.value("deleted", Json(false)) == Json(true);
+    if (object.deleted_)
+        return object;
+    const Json value = json.value("value", Json());
+    if (!value.is_string())
+        return std::nullopt;
+    object.value_ = value.get<std::string>();
+    return object;
+}
+
+} // namespace
+
+std::string formatListing(const StoreListing &listing)
+{
+    Json objects = Json::array();
+    for (const StoredObject &object : listing.objects_)
+        objects.push_back(toJson(object));
+    return Json({ { "revision", listing.revision_.value_ }, { "objects", objects } }).dump();
+}
+
+std::optional<StoreListing> parseListing(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    const bool isListing = json.is_object() && json.value("revision", Json()).is_number_unsigned()
+                           && json.value("objects", Json()).is_array();
+    if (!isListing)
+        return std::nullopt;
+    StoreListing listing;
+    listing.revision_ = Version { json["revision"].get<std::uint64_t>() };
+    for (const Json &item : json["objects"]) {
+        // Objects of kinds that this version does not know are none of its business.
+        if (auto object = fromJson(item))
+            listing.objects_.push_back(std::move(*object));
+    }
+    return listing;
+}
+
+std::string formatStoredObject(const StoredObject &object)
+{
+    return toJson(object).dump();
+}
+
+std::optional<StoredObject> parseStoredObject(const std::string &text)
+{
+    return fromJson(Json::parse(text, nullptr, false));
+}
+
+std::string formatWritten(Version version)
+{
+    return Json({ { "version", version.value_ } }).dump();
+}
+
+std::optional<Version> parseWritten(const std::string &text)
+{
+    const Json json = Json::parse(text, nullptr, false);
+    if (!json.is_object() || !json.value("version", Json()).is_number_unsigned())
+        return std::nullopt;
+    return Version { json["version"].get<std::uint64_t>() };
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/sibling/TokenPurse.cpp
@@ -0,0 +1,154 @@
+#include "pimentostage/sibling/TokenPurse.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace pimentostage {
+
+namespace {
+
+// Time constant of the moving average of the demand.
+constexpr double kDemandSeconds = 0.5;
+
+} // namespace
+
+TokenPurse::TokenPurse(AccountName account)
+    : account_(std::move(account))
+{ }
+
+SpendResult TokenPurse::spend(double tokens, TimePoint now, Waiter waiter)
+{
+    const std::lock_guard lock(mutex_);
+    usedAt_ = now;
+    countDemand(tokens, now);
+    refill(now);
+    if (waiting_.empty() && take(tokens))
+        return SpendResult::Spent;
+    if (now < emptyUntil_ || waiting_.size() >= kMostWaiters)
+        return SpendResult::Refused;
+    waiting_.push_back(Waiting { tokens, now, std::move(waiter) });
+    return SpendResult::Waiting;
+}
+
+AllowanceRequest TokenPurse::request(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    refill(now);
+    AllowanceRequest request;
+    request.account_ = account_;
+    request.lastLoan_ = lastLoan_;
+    request.demand_ = demandAt(now);
+    for (const Waiting &waiting : waiting_) {
+        request.wanted_ += waiting.tokens_;
+        const bool isLeast = request.leastUseful_ == 0 || waiting.tokens_ < request.leastUseful_;
+        if (isLeast)
+            request.leastUseful_ = waiting.tokens_;
+    }
+    if (now < validUntil_) {
+        request.heldRate_ = rate_;
+        request.heldBurst_ = burst_;
+        request.heldFor_ = validUntil_ - now;
+    }
+    return request;
+}
+
+void TokenPurse::applyLoan(const AllowanceLoan &loan, TimePoint sentAt, TimePoint now)
+{
+    std::vector<Decided> decided;
+    {
+        const std::lock_guard lock(mutex_);
+        if (loan.number_ <= lastLoan_)
+            return;
+        refill(now);
+        lastLoan_ = loan.number_;
+        rate_ = loan.rate_;
+        burst_ = loan.burst_;
+        level_ = std::min(level_, burst_);
+        validUntil_ = sentAt + loan.validity_;
+        topUp_ = loan.tokens_;
+        topUpUntil_ = sentAt + kTopUpValidity;
+        emptyUntil_ = now + loan.emptyFor_;
+        refill(now);
+        decided = serveWaiters(now);
+    }
+    for (const Decided &entry : decided)
+        entry.waiter_(entry.result_);
+}
+
+std::vector<TokenPurse::Decided> TokenPurse::serveWaiters(TimePoint now)
+{
+    std::vector<Decided> decided;
+    while (!waiting_.empty()) {
+        const bool isServed = take(waiting_.front().tokens_);
+        if (!isServed && now >= emptyUntil_)
+            break;
+        const SpendResult result = isServed ? SpendResult::Spent : SpendResult::Refused;
+        decided.push_back(Decided { std::move(waiting_.front().waiter_), result });
+        waiting_.pop_front();
+    }
+    return decided;
+}
+
+void TokenPurse::expireWaiters(TimePoint now)
+{
+    std::vector<Waiter> expired;
+    {
+        const std::lock_guard lock(mutex_);
+        while (!waiting_.empty() && waiting_.front().since_ + kMostWait <= now) {
+            expired.push_back(std::move(waiting_.front().waiter_));
+            waiting_.pop_front();
+        }
+    }
+    for (const Waiter &waiter : expired)
+        waiter(SpendResult::Refused);
+}
+
+bool TokenPurse::hasWaiters() const
+{
+    const std::lock_guard lock(mutex_);
+    return !waiting_.empty();
+}
+
+TimePoint TokenPurse::usedAt() const
+{
+    const std::lock_guard lock(mutex_);
+    return usedAt_;
+}
+
+void TokenPurse::refill(TimePoint now)
+{
+    if (now >= validUntil_) {
+        rate_ = 0;
+        burst_ = 0;
+        level_ = 0;
+    } else if (now > refilledAt_) {
+        level_ = std::min(burst_, level_ + rate_ * toSeconds(now - refilledAt_));
+    }
+    refilledAt_ = std::max(refilledAt_, now);
+    if (now >= topUpUntil_)
+        topUp_ = 0;
+}
+
+bool TokenPurse::take(double tokens)
+{
+    if (level_ + topUp_ < tokens)
+        return false;
+    const double fromTopUp = std::min(topUp_, tokens);
+    topUp_ -= fromTopUp;
+    level_ -= tokens - fromTopUp;
+    return true;
+}
+
+void TokenPurse::countDemand(double tokens, TimePoint now)
+{
+    demand_ = demandAt(now) + tokens / kDemandSeconds;
+    demandAt_ = std::max(demandAt_, now);
+}
+
+double TokenPurse::demandAt(TimePoint now) const
+{
+    const double passed = std::max(0.0, toSeconds(now - demandAt_));
+    return demand_ * std::exp(-passed / kDemandSeconds);
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/tests/ConfigStateTest.cpp
@@ -0,0 +1,97 @@
+#include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/ObjectCodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+StoredObject zone(const char *name, std::uint64_t version, ZoneState state)
+{
+    Zone zone;
+    zone.name_ = ZoneName(name);
+    zone.state_ = state;
+    return StoredObject {
+        { ObjectKind::Zone, name }, Version { version }, false, formatZone(zone)
+    };
+}
+
+StoredObject deleted(const char *name, std::uint64_t version)
+{
+    return StoredObject { { ObjectKind::Zone, name }, Version { version }, true, {} };
+}
+
+TEST(ConfigState, NeverGoesBackToAnOlderVersion)
+{
+    ConfigState state;
+    EXPECT_EQ(state.apply(zone("a", 5, ZoneState::Out)), ApplyResult::Applied);
+    EXPECT_EQ(state.apply(zone("a", 4, ZoneState::In)), ApplyResult::Older);
+    EXPECT_EQ(state.apply(zone("a", 5, ZoneState::In)), ApplyResult::Unchanged);
+    EXPECT_FALSE(state.configuration()->isZoneIn(ZoneName("a")));
+}
+
+TEST(ConfigState, DoesNotBringBackADeletedObject)
+{
+    ConfigState state;
+    state.apply(zone("a", 5, ZoneState::Out));
+    EXPECT_EQ(state.apply(deleted("a", 7)), ApplyResult::Applied);
+    EXPECT_EQ(state.apply(zone("a", 6, ZoneState::Out)), ApplyResult::Older);
+    EXPECT_TRUE(state.configuration()->zones_.empty());
+}
+
+TEST(ConfigState, KeepsWhatIsInForceIfANewVersionDoesNotParse)
+{
+    ConfigState state;
+    state.apply(zone("a", 5, ZoneState::Out));
+    StoredObject broken = zone("a", 6, ZoneState::In);
+    broken.value_ = "{\"state\":\"sideways\"}";
+    std::string error;
+    EXPECT_EQ(state.apply(broken, &error), ApplyResult::Rejected);
+    EXPECT_NE(error.find("zone/a"), std::string::npos);
+    EXPECT_FALSE(state.configuration()->isZoneIn(ZoneName("a")));
+}
+
+TEST(ConfigState, TreatsObjectsThatAListingLacksAsDeleted)
+{
+    ConfigState state;
+    state.apply(zone("a", 5, ZoneState::Out));
+    state.apply(zone("b", 9, ZoneState::Out));
+    state.applyListing({ zone("c", 6, ZoneState::Out) }, Version { 8 });
+    EXPECT_FALSE(state.configuration()->zones_.contains(ZoneName("a")));
+    EXPECT_TRUE(state.configuration()->zones_.contains(ZoneName("b"))) << "newer than the listing";
+    EXPECT_TRUE(state.configuration()->zones_.contains(ZoneName("c")));
+}
+
+TEST(ConfigState, CountsItsAgeFromWhenTheConfirmingRequestWasSent)
+{
+    ConfigState state;
+    EXPECT_FALSE(state.age(TimePoint(1h)).has_value());
+    state.confirm(Version { 3 }, TimePoint(1h));
+    state.confirm(Version { 3 }, TimePoint(1h) - 1s);
+    EXPECT_EQ(state.age(TimePoint(1h) + 2s), 2s);
+}
+
+// Versions in any order, twice or not at all: hosts that saw the newest of each agree.
+RC_GTEST_PROP(ConfigStateProperty, OrderOfArrivalDoesNotMatter, ())
+{
+    std::vector<StoredObject> objects;
+    for (std::uint64_t version = 1; version <= 12; ++version) {
+        const char *name = version % 3 == 0 ? "a" : version % 3 == 1 ? "b" : "c";
+        objects.push_back(*rc::gen::arbitrary<bool>() ? zone(name, version, ZoneState::Out)
+                                                      : deleted(name, version));
+    }
+    ConfigState ordered;
+    for (const StoredObject &object : objects)
+        ordered.apply(object);
+    ConfigState shuffled;
+    for (int i = 0; i < 40; ++i)
+        shuffled.apply(objects[*rc::gen::inRange<std::size_t>(0, objects.size())]);
+    for (std::size_t i = objects.size() - 3; i < objects.size(); ++i)
+        shuffled.apply(objects[i]);
+    RC_ASSERT(ordered.digest() == shuffled.digest());
+}
+
+} // namespace
--- /dev/null
+++ b/tests/RequestExecutionTest.cpp
@@ -0,0 +1,198 @@
+#include "pimentostage/backend/RequestExecution.h"
+#include "pimentostage/backend/ShareBudget.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+TimePoint at(Duration offset)
+{
+    return TimePoint(1h) + offset;
+}
+
+ExecutionPolicy policy(bool idempotent, std::optional<Duration> hedgeAfter = std::nullopt)
+{
+    ExecutionPolicy policy;
+    policy.idempotent_ = idempotent;
+    policy.deadline_ = at(1s);
+    policy.hedgeAfter_ = hedgeAfter;
+    return policy;
+}
+
+template <typename Action>
+const Action *find(const ExecutionActions &actions)
+{
+    for (const ExecutionAction &action : actions) {
+        if (const auto *found = std::get_if<Action>(&action))
+            return found;
+    }
+    return nullptr;
+}
+
+class RequestExecutionTest : public testing::Test
+{
+protected:
+    ShareBudget retries_ { 0.1, 10 };
+    ShareBudget hedges_ { 0.05, 10 };
+};
+
+TEST_F(RequestExecutionTest, DeliversTheAnswerOfTheFirstAttempt)
+{
+    RequestExecution execution(policy(false), retries_, hedges_);
+    ASSERT_TRUE(find<SendAttempt>(execution.start(at(0ms))));
+    EXPECT_TRUE(find<DeliverAnswer>(execution.onAnswered(0, at(5ms))));
+    EXPECT_TRUE(execution.isFinished());
+}
+
+TEST_F(RequestExecutionTest, DoesNotRepeatANonIdempotentRequestOnceAByteWasSent)
+{
+    for (const AttemptState state : { AttemptState::PartlySent, AttemptState::Sent }) {
+        RequestExecution execution(policy(false), retries_, hedges_);
+        execution.start(at(0ms));
+        const auto actions = execution.onFailed(0, state, AttemptFailure::Broken, at(5ms));
+        EXPECT_FALSE(find<SendAttempt>(actions));
+        ASSERT_TRUE(find<GiveUp>(actions));
+        EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::Unknown);
+    }
+}
+
+TEST_F(RequestExecutionTest, RepeatsANonIdempotentRequestThatSurelyDidNotRun)
+{
+    for (const AttemptState state : { AttemptState::NotSent, AttemptState::DeclaredNotRun }) {
+        RequestExecution execution(policy(false), retries_, hedges_);
+        execution.start(at(0ms));
+        const auto actions = execution.onFailed(0, state, AttemptFailure::Shed, at(5ms));
+        EXPECT_TRUE(find<SendAttempt>(actions));
+    }
+}
+
+TEST_F(RequestExecutionTest, SaysNotRunOnlyIfNoAttemptMayHaveRun)
+{
+    RequestExecution execution(policy(true), retries_, hedges_);
+    execution.start(at(0ms));
+    execution.onFailed(0, AttemptState::Sent, AttemptFailure::Broken, at(5ms));
+    execution.onFailed(1, AttemptState::NotSent, AttemptFailure::ConnectFailed, at(6ms));
+    const auto actions
+        = execution.onFailed(2, AttemptState::NotSent, AttemptFailure::ConnectFailed, at(7ms));
+    ASSERT_TRUE(find<GiveUp>(actions));
+    EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::Unknown);
+}
+
+TEST_F(RequestExecutionTest, HedgesAnIdempotentRequestAndCancelsTheLoser)
+{
+    RequestExecution execution(policy(true, 10ms), retries_, hedges_);
+    ASSERT_TRUE(find<WakeAt>(execution.start(at(0ms))));
+    const auto hedge = execution.onWake(at(10ms));
+    ASSERT_TRUE(find<SendAttempt>(hedge));
+    EXPECT_TRUE(find<SendAttempt>(hedge)->isHedge_);
+    const auto actions = execution.onAnswered(1, at(12ms));
+    ASSERT_TRUE(find<CancelAttempt>(actions));
+    EXPECT_EQ(find<CancelAttempt>(actions)->attempt_, 0U);
+}
+
+TEST_F(RequestExecutionTest, NeverHedgesANonIdempotentRequest)
+{
+    RequestExecution execution(policy(false, 10ms), retries_, hedges_);
+    EXPECT_FALSE(find<WakeAt>(execution.start(at(0ms))));
+    EXPECT_TRUE(execution.onWake(at(10ms)).empty());
+}
+
+TEST_F(RequestExecutionTest, HedgesNoMoreThanTheBudget)
+{
+    ShareBudget none(0, 0);
+    RequestExecution execution(policy(true, 10ms), retries_, none);
+    execution.start(at(0ms));
+    EXPECT_TRUE(execution.onWake(at(10ms)).empty());
+}
+
+TEST_F(RequestExecutionTest, SendsNothingPastTheDeadline)
+{
+    RequestExecution execution(policy(true), retries_, hedges_);
+    const auto actions = execution.start(at(1s));
+    EXPECT_FALSE(find<SendAttempt>(actions));
+    EXPECT_TRUE(find<GiveUp>(actions));
+}
+
+TEST_F(RequestExecutionTest, WaitsForAnOwnerUntilTheDeadline)
+{
+    RequestExecution execution(policy(false), retries_, hedges_);
+    execution.start(at(0ms));
+    const auto waiting = execution.onNoBackend(0, at(1ms));
+    ASSERT_TRUE(find<WakeAt>(waiting));
+    EXPECT_TRUE(find<SendAttempt>(execution.onWake(find<WakeAt>(waiting)->at_)));
+    const auto actions = execution.onNoBackend(0, at(999ms));
+    ASSERT_TRUE(find<GiveUp>(actions));
+    EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::NotRun);
+}
+
+// The oracle keeps what really happened at the back ends and compares what the caller is told.
+RC_GTEST_PROP(RequestExecutionProperty, RunsANonIdempotentRequestAtMostOnceAndNeverLies, ())
+{
+    ShareBudget retries(0.1, 10);
+    ShareBudget hedges(0.05, 10);
+    const bool idempotent = *rc::gen::arbitrary<bool>();
+    RequestExecution execution(policy(idempotent, 5ms), retries, hedges);
+    TimePoint now = at(0ms);
+    std::map<AttemptNumber, bool> running;
+    std::uint64_t mayHaveRun = 0;
+    bool finished = false;
+    std::optional<Outcome> told;
+    std::optional<TimePoint> wake;
+
+    const auto perform = [&](const ExecutionActions &actions) {
+        for (const ExecutionAction &action : actions) {
+            RC_ASSERT(!finished);
+            if (const auto *send = std::get_if<SendAttempt>(&action))
+                running[send->attempt_] = true;
+            if (const auto *wakeAt = std::get_if<WakeAt>(&action))
+                wake = wakeAt->at_;
+            if (const auto *giveUp = std::get_if<GiveUp>(&action)) {
+                finished = true;
+                told = giveUp->outcome_;
+            }
+            if (std::get_if<DeliverAnswer>(&action))
+                finished = true;
+        }
+    };
+    perform(execution.start(now));
+    for (int step = 0; step < 30 && !finished; ++step) {
+        now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
+        const auto attempt = std::find_if(running.begin(), running.end(),
+                                          [](const auto &entry) { return entry.second; });
+        const int what = *rc::gen::inRange(0, 6);
+        if (attempt == running.end() || what == 0) {
+            perform(execution.onWake(wake.value_or(now)));
+            continue;
+        }
+        const AttemptNumber number = attempt->first;
+        running.erase(attempt);
+        if (what == 1) {
+            perform(execution.onNoBackend(number, now));
+        } else if (what == 2) {
+            ++mayHaveRun;
+            perform(execution.onAnswered(number, now));
+        } else if (what == 3) {
+            ++mayHaveRun;
+            perform(execution.onFailed(number, AttemptState::Sent, AttemptFailure::Broken, now));
+        } else if (what == 4) {
+            perform(execution.onFailed(number, AttemptState::DeclaredNotRun, AttemptFailure::Shed,
+                                       now));
+        } else {
+            perform(execution.onFailed(number, AttemptState::NotSent, AttemptFailure::ConnectFailed,
+                                       now));
+        }
+    }
+    if (!idempotent)
+        RC_ASSERT(mayHaveRun <= 1U);
+    if (told == Outcome::NotRun)
+        RC_ASSERT(mayHaveRun == 0U);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/RequestRouterTest.cpp
@@ -0,0 +1,130 @@
+#include "pimentostage/caller/RequestRouter.h"
+#include "pimentostage/base/Hash.h"
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+const char *const kSecret = "caxias-secret-0123456789";
+
+Route route(const char *name, const char *method, const char *prefix, Access access)
+{
+    Route route;
+    route.name_ = RouteName(name);
+    route.method_ = method;
+    route.prefix_ = prefix;
+    route.access_ = access;
+    route.kind_ = name;
+    route.timeout_ = 2s;
+    return route;
+}
+
+std::shared_ptr<const TrafficView> makeView(Readiness readiness = Readiness::Ready)
+{
+    auto configuration = std::make_shared<Configuration>();
+    Service permits;
+    permits.name_ = ServiceName("permits");
+    permits.keyed_ = true;
+    permits.keySegment_ = 1;
+    permits.routes_ = { route("inspect", "GET", "/permits", Access::Team),
+                        route("hours", "GET", "/hours", Access::Open),
+                        route("stamp", "POST", "/permits/stamps", Access::Team) };
+    configuration->services_[permits.name_] = permits;
+    Contract contract;
+    contract.team_ = TeamName("caxias");
+    contract.kinds_ = { "inspect" };
+    configuration->contracts_[contract.team_] = contract;
+    configuration->keysByHash_[sha256Hex(kSecret)]
+        = TeamKey { "caxias-1", contract.team_, sha256Hex(kSecret) };
+    auto view = std::make_shared<TrafficView>();
+    RoutingTableBuilder builder;
+    view->routing_ = builder.build(*configuration, FleetFacts {});
+    view->configuration_ = configuration;
+    view->readiness_ = readiness;
+    return view;
+}
+
+CallerRequest request(const char *method, const char *path, const char *key = kSecret)
+{
+    CallerRequest request;
+    request.id_ = RequestId("r1");
+    request.method_ = method;
+    request.path_ = path;
+    if (key)
+        request.teamKey_ = key;
+    return request;
+}
+
+RefusalReason reasonOf(const TrafficView &view, const CallerRequest &request)
+{
+    return std::get<Refusal>(RequestRouter::route(view, request, TimePoint(1h))).reason_;
+}
+
+TEST(RequestRouter, FindsServiceRouteTeamAndKey)
+{
+    const auto view = makeView();
+    const auto decision
+        = RequestRouter::route(*view, request("GET", "/permits/permits/k7/photo"), TimePoint(1h));
+    const auto &routed = std::get<RoutedRequest>(decision);
+    EXPECT_EQ(routed.route_->name_, RouteName("inspect"));
+    EXPECT_EQ(routed.contract_->team_, TeamName("caxias"));
+    EXPECT_EQ(routed.key_, "k7");
+    EXPECT_EQ(routed.backendPath_, "/permits/k7/photo");
+    EXPECT_EQ(routed.deadline_, TimePoint(1h) + 2s);
+}
+
+TEST(RequestRouter, RefusesByTheFirstThingThatIsWrong)
+{
+    const auto view = makeView();
+    EXPECT_EQ(reasonOf(*view, request("GET", "/nothing/x")), RefusalReason::UnknownService);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/other")), RefusalReason::UnknownRoute);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/permitsx/k")), RefusalReason::UnknownRoute);
+    EXPECT_EQ(reasonOf(*view, request("DELETE", "/permits/permits/k")),
+              RefusalReason::MethodNotAllowed);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/permits/k", nullptr)),
+              RefusalReason::MissingTeamKey);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/permits/k", "wrong")),
+              RefusalReason::InvalidTeamKey);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/permits")), RefusalReason::MissingKey);
+}
+
+TEST(RequestRouter, RefusesAKindThatTheContractDoesNotCover)
+{
+    const auto view = makeView();
+    EXPECT_EQ(reasonOf(*view, request("POST", "/permits/permits/stamps/k")),
+              RefusalReason::KindNotInContract);
+}
+
+TEST(RequestRouter, ServesOnlyOpenRoutesWhileItsConfigurationMayBeStale)
+{
+    const auto view = makeView(Readiness::Stale);
+    EXPECT_EQ(reasonOf(*view, request("GET", "/permits/permits/k")),
+              RefusalReason::ConfigurationStale);
+    const auto open
+        = RequestRouter::route(*view, request("GET", "/permits/hours/k", nullptr), TimePoint(1h));
+    EXPECT_TRUE(std::holds_alternative<RoutedRequest>(open));
+}
+
+TEST(RequestRouter, TakesTheShorterOfTheCallersAndTheRoutesTime)
+{
+    const auto view = makeView();
+    CallerRequest hasty = request("GET", "/permits/permits/k");
+    hasty.budget_ = 100ms;
+    auto decision = RequestRouter::route(*view, hasty, TimePoint(1h));
+    EXPECT_EQ(std::get<RoutedRequest>(decision).deadline_, TimePoint(1h) + 100ms);
+    hasty.budget_ = 0ms;
+    EXPECT_EQ(reasonOf(*view, hasty), RefusalReason::DeadlinePassed);
+}
+
+TEST(Refusal, EveryReasonHasAStatusAndATitle)
+{
+    for (const auto &row : EnumTable<RefusalReason>::kRows) {
+        EXPECT_GE(httpStatusOf(row.value_), 400);
+        EXPECT_FALSE(titleOf(row.value_).empty());
+    }
+}
+
+} // namespace
--- /dev/null
+++ b/tools/BackendStandin.cpp
@@ -0,0 +1,330 @@
+#include "tools/BackendStandin.h"
+
+#include "src/backend/BackendProtocol.h"
+#include "src/backend/GrantCodec.h"
+
+#include <algorithm>
+#include <random>
+#include <sstream>
+
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+constexpr Duration kLateDelay = std::chrono::milliseconds(700);
+
+Incarnation newIncarnation()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return Incarnation { static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::microseconds>(now).count()) };
+}
+
+/// @return the id that all attempts of one request share.
+std::string requestOf(const std::string &attemptId)
+{
+    return attemptId.substr(0, attemptId.rfind('.'));
+}
+
+} // namespace
+
+/// One request and the way to answer it.
+struct BackendStandin::Work
+{
+    std::string method_;
+    std::string path_;
+    std::string body_;
+    std::string query_;
+    std::string id_;
+    std::string team_;
+    UnitName unit_;
+    Epoch epoch_;
+    bool hasTeamKey_ = false;
+    TimePoint deadline_ = TimePoint::max();
+    TimePoint beganAt_;
+    std::shared_ptr<HttpResponder> responder_;
+
+    void readFence(const std::string &fence)
+    {
+        std::istringstream in(fence);
+        std::string unit;
+        in >> unit >> epoch_.value_;
+        unit_ = UnitName(unit);
+    }
+};
+
+const BackendStandin::Row BackendStandin::kRows[] = {
+    { "POST", kGrantPath, &BackendStandin::grant },
+    { "GET", "/.pimento/load", &BackendStandin::load },
+    { "GET", "/.pimento/report", &BackendStandin::report },
+    { "POST", "/.pimento/faults", &BackendStandin::setFaults },
+};
+
+BackendStandin::BackendStandin(const BackendStandinOptions &options)
+    : options_(options)
+    , incarnation_(newIncarnation())
+    , coldSince_(BootClock::now())
+    , lease_(incarnation_)
+    , random_(std::random_device {}())
+{ }
+
+BackendStandin::~BackendStandin()
+{
+    stop();
+}
+
+leaf::result<void> BackendStandin::start(const Address &address)
+{
+    HttpServerOptions options;
+    options.address_ = address;
+    options.threads_ = 1;
+    options.threadName_ = "backend";
+    return server_.start(options, [this] {
+        return
+            [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                auto work = std::make_shared<Work>();
+                work->method_ = request.method();
+                work->path_ = request.path();
+                work->query_ = request.query();
+                work->body_ = request.body();
+                work->id_ = request.header(kRequestIdHeader).value_or("");
+                work->team_ = request.header(kTeamHeader).value_or("");
+                work->hasTeamKey_ = request.header("Authorization").has_value();
+                work->readFence(request.header(kFenceHeader).value_or(""));
+                if (const auto deadline = request.header(kDeadlineHeader)) {
+                    work->deadline_
+                        = BootClock::now()
+                          + std::chrono::milliseconds(std::strtoll(deadline->c_str(), nullptr, 10));
+                }
+                work->responder_ = responder;
+                loop_.post([this, work] { dispatch(work); });
+            };
+    });
+}
+
+void BackendStandin::stop()
+{
+    server_.stop();
+    loop_.stop();
+}
+
+void BackendStandin::dispatch(const std::shared_ptr<Work> &work)
+{
+    for (const Row &row : kRows) {
+        if (work->method_ == row.method_ && work->path_ == row.path_) {
+            (this->*row.handle_)(work);
+            return;
+        }
+    }
+    take(work);
+}
+
+bool BackendStandin::isCold(TimePoint now) const
+{
+    return now < coldSince_ + options_.coldTime_;
+}
+
+std::uint32_t BackendStandin::capacity(TimePoint now) const
+{
+    if (!isCold(now))
+        return options_.slots_;
+    const double warmth = toSeconds(now - coldSince_) / toSeconds(options_.coldTime_);
+    return 1 + static_cast<std::uint32_t>(warmth * (options_.slots_ - 1));
+}
+
+bool BackendStandin::isCovered(const Work &work, TimePoint now) const
+{
+    if (work.unit_.isEmpty() || !options_.checksFence_)
+        return true;
+    return lease_.covers(work.unit_, work.epoch_, now);
+}
+
+void BackendStandin::take(const std::shared_ptr<Work> &work)
+{
+    const TimePoint now = BootClock::now();
+    report_.teamKeysSeen_ += work->hasTeamKey_ ? 1 : 0;
+    if (!isCovered(*work, now)) {
+        ++report_.refusedFence_;
+        refuse(work, kConflict);
+        return;
+    }
+    if (running_ < capacity(now)) {
+        run(work);
+        return;
+    }
+    const std::uint32_t queue = isCold(now) ? 0 : options_.queue_;
+    if (waiting_.size() < queue) {
+        waiting_.push_back(work);
+        return;
+    }
+    ++report_.shed_;
+    report_.shedCold_ += isCold(now) ? 1 : 0;
+    refuse(work, kUnavailable);
+}
+
+void BackendStandin::run(const std::shared_ptr<Work> &work)
+{
+    ++running_;
+    report_.mostInFlight_ = std::max(report_.mostInFlight_, running_);
+    if (!work->unit_.isEmpty())
+        ++runningByUnit_[work->unit_];
+    work->beganAt_ = BootClock::now();
+    loop_.after(drawServiceTime(), [this, work] { finish(work); });
+}
+
+Duration BackendStandin::drawServiceTime()
+{
+    // A third of the time is fixed, the rest is exponential.
+    const double kFixedPart = 1.0 / 3;
+    std::exponential_distribution<double> tail(1);
+    const double drawn = kFixedPart + (1 - kFixedPart) * tail(random_.engine());
+    return fromSeconds(toSeconds(options_.serviceTime_) * drawn * faults_.slowFactor_);
+}
+
+void BackendStandin::finish(const std::shared_ptr<Work> &work)
+{
+    const TimePoint now = BootClock::now();
+    --running_;
+    if (!work->unit_.isEmpty() && --runningByUnit_[work->unit_] == 0)
+        runningByUnit_.erase(work->unit_);
+    // The lease is checked again in the same call as the act: the process may have been stopped.
+    if (!isCovered(*work, now) && now >= lease_.until()) {
+        ++report_.refusedFence_;
+        refuse(work, kConflict);
+    } else if (now >= work->deadline_) {
+        ++report_.pastDeadline_;
+        refuse(work, kGatewayTimeout);
+    } else {
+        countExecution(*work);
+        answer(work, kOk,
+               nlohmann::json({ { "backend", options_.name_ },
+                                { "zone", options_.zone_ },
+                                { "request", work->id_ },
+                                { "path", work->path_ + work->query_ },
+                                { "team", work->team_ },
+                                { "epoch", work->epoch_.value_ },
+                                { "began_ns", work->beganAt_.time_since_epoch().count() },
+                                { "ended_ns", now.time_since_epoch().count() },
+                                { "body_bytes", work->body_.size() } })
+                   .dump());
+    }
+    startNext();
+}
+
+void BackendStandin::startNext()
+{
+    const TimePoint now = BootClock::now();
+    while (!waiting_.empty() && running_ < capacity(now)) {
+        const std::shared_ptr<Work> next = waiting_.front();
+        waiting_.pop_front();
+        if (isCovered(*next, now))
+            run(next);
+        else
+            refuse(next, kConflict);
+    }
+}
+
+void BackendStandin::countExecution(const Work &work)
+{
+    ++report_.executed_;
+    if (work.method_ == "GET")
+        return;
+    if (!executedIds_.insert(requestOf(work.id_)).second)
+        ++report_.duplicates_;
+}
+
+void BackendStandin::refuse(const std::shared_ptr<Work> &work, int status)
+{
+    ServerAnswer answer;
+    answer.status_ = status;
+    answer.headers_.push_back({ kRequestIdHeader, work->id_ });
+    answer.headers_.push_back({ kOutcomeHeader, std::string(toString(Outcome::NotRun)) });
+    answer.headers_.push_back({ kLoadHeader, std::to_string(running_) });
+    work->responder_->send(answer);
+}
+
+void BackendStandin::answer(const std::shared_ptr<Work> &work, int status, std::string body)
+{
+    if (faults_.loseAnswers_ > 0) {
+        --faults_.loseAnswers_;
+        unanswered_.push_back(work);
+        return;
+    }
+    ServerAnswer answer { status, "application/json", {}, std::move(body) };
+    std::string id = work->id_;
+    if (faults_.crossAnswers_ > 0) {
+        --faults_.crossAnswers_;
+        id += "-crossed";
+    }
+    answer.headers_.push_back({ kRequestIdHeader, id });
+    answer.headers_.push_back({ kLoadHeader, std::to_string(running_) });
+    answer.headers_.push_back({ "Pimento-Incarnation", std::to_string(incarnation_.value_) });
+    if (faults_.lateAnswers_ > 0) {
+        --faults_.lateAnswers_;
+        loop_.after(kLateDelay, [work, answer] { work->responder_->send(answer); });
+        return;
+    }
+    work->responder_->send(answer);
+}
+
+void BackendStandin::grant(const std::shared_ptr<Work> &work)
+{
+    const auto grant = parseGrant(work->body_);
+    if (!grant) {
+        work->responder_->send(ServerAnswer { kBadRequest, "", {}, "" });
+        return;
+    }
+    GrantReply reply = lease_.apply(*grant, BootClock::now());
+    for (const auto &[unit, count] : runningByUnit_) {
+        if (!lease_.units().contains(unit))
+            reply.draining_.push_back(unit);
+    }
+    ServerAnswer answer { kOk, "application/json", {}, formatGrantReply(reply) };
+    answer.headers_.push_back({ kRequestIdHeader, work->id_ });
+    work->responder_->send(answer);
+}
+
+void BackendStandin::load(const std::shared_ptr<Work> &work)
+{
+    const nlohmann::json load { { "in_flight", running_ }, { "slots", options_.slots_ } };
+    work->responder_->send(ServerAnswer { kOk, "application/json", {}, load.dump() });
+}
+
+void BackendStandin::report(const std::shared_ptr<Work> &work)
+{
+    const nlohmann::json report { { "name", options_.name_ },
+                                  { "executed", report_.executed_ },
+                                  { "duplicates", report_.duplicates_ },
+                                  { "shed", report_.shed_ },
+                                  { "shed_cold", report_.shedCold_ },
+                                  { "refused_fence", report_.refusedFence_ },
+                                  { "team_keys_seen", report_.teamKeysSeen_ },
+                                  { "past_deadline", report_.pastDeadline_ },
+                                  { "most_in_flight", report_.mostInFlight_ } };
+    work->responder_->send(ServerAnswer { kOk, "application/json", {}, report.dump() });
+}
+
+void BackendStandin::setFaults(const std::shared_ptr<Work> &work)
+{
+    const auto json = nlohmann::json::parse(work->body_, nullptr, false);
+    if (!json.is_object()) {
+        work->responder_->send(ServerAnswer { kBadRequest, "", {}, "" });
+        return;
+    }
+    faults_.slowFactor_ = json.value("slow_factor", faults_.slowFactor_);
+    faults_.crossAnswers_ = json.value("cross_answers", faults_.crossAnswers_);
+    faults_.loseAnswers_ = json.value("lose_answers", faults_.loseAnswers_);
+    faults_.lateAnswers_ = json.value("late_answers", faults_.lateAnswers_);
+    if (json.value("cold", false))
+        coldSince_ = BootClock::now();
+    work->responder_->send(ServerAnswer { kOk, "application/json", {}, "{}" });
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/tools/PlatformStandin.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include "pimentostage/platform/ObjectStore.h"
+#include "src/base/HttpServer.h"
+#include "src/daemon/ControlLoop.h"
+
+#include <deque>
+#include <list>
+#include <map>
+#include <memory>
+
+namespace pimentostage {
+
+/// How the stand-in misbehaves on purpose.
+struct PlatformFaults
+{
+    bool down_ = false; ///< answers 503 to everything
+    bool hanging_ = false; ///< answers nothing
+    Duration delay_ {}; ///< added to every answer
+    std::int64_t loseAnswers_ = 0; ///< writes that take effect without an answer
+    Duration hostLag_ {}; ///< how late the host list shows a change
+};
+
+/// A small stand-in for the platform's object store and host list.
+///
+/// All state belongs to one thread, the ControlLoop's.
+class PlatformStandin
+{
+public:
+    PlatformStandin();
+    ~PlatformStandin();
+
+    /// @return nothing, or an Error of step Listen.
+    leaf::result<void> start(const Address &address);
+    void stop();
+
+private:
+    struct Exchange;
+    struct Watch
+    {
+        std::uint64_t id_ = 0;
+        Version since_;
+        std::shared_ptr<Exchange> exchange_;
+    };
+    struct Row
+    {
+        const char *method_;
+        const char *prefix_;
+        void (PlatformStandin::*handle_)(const std::shared_ptr<Exchange> &);
+    };
+    static const Row kRows[];
+
+    void dispatch(const std::shared_ptr<Exchange> &exchange);
+    void list(const std::shared_ptr<Exchange> &exchange);
+    void get(const std::shared_ptr<Exchange> &exchange);
+    void put(const std::shared_ptr<Exchange> &exchange);
+    void remove(const std::shared_ptr<Exchange> &exchange);
+    void write(const std::shared_ptr<Exchange> &exchange, StoredObject next);
+    void watch(const std::shared_ptr<Exchange> &exchange);
+    void endWatch(std::uint64_t id);
+    void hosts(const std::shared_ptr<Exchange> &exchange);
+    void putHost(const std::shared_ptr<Exchange> &exchange);
+    void removeHost(const std::shared_ptr<Exchange> &exchange);
+    void showHostsLater();
+    void setFaults(const std::shared_ptr<Exchange> &exchange);
+    void stats(const std::shared_ptr<Exchange> &exchange);
+    void answer(const std::shared_ptr<Exchange> &exchange, int status, std::string body);
+    [[nodiscard]] StoreListing changesSince(Version since) const;
+
+    std::map<ObjectRef, StoredObject> objects_;
+    Version revision_;
+    std::list<Watch> watches_;
+    std::uint64_t lastWatch_ = 0;
+    std::map<std::string, ListedHost> hosts_;
+    std::map<std::string, ListedHost> shownHosts_;
+    PlatformFaults faults_;
+    std::uint64_t reads_ = 0;
+    std::uint64_t writes_ = 0;
+    std::vector<std::shared_ptr<Exchange>> unanswered_; ///< held so that nothing is sent
+    HttpServer server_;
+    ControlLoop loop_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/tools/ProgramMain.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "pimentostage/base/Error.h"
+#include "pimentostage/platform/ObjectCodec.h"
+#include "src/base/Version.h"
+
+#include <algorithm>
+#include <csignal>
+#include <iostream>
+#include <string>
+#include <vector>
+
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <absl/strings/match.h>
+#include <pthread.h>
+
+namespace pimentostage {
+
+/// Parses the command line; flags may be spelt with dashes or underscores.
+/// @return the arguments that are no flags, without the program's name.
+inline std::vector<std::string> parseCommandLine(int argc, char **argv)
+{
+    static std::vector<std::string> texts;
+    std::vector<char *> arguments;
+    for (int i = 0; i < argc; ++i) {
+        std::string text = argv[i];
+        const std::size_t end = std::min(text.find('='), text.size());
+        const bool isFlag = text.rfind("--", 0) == 0;
+        if (isFlag && end > 2)
+            std::replace(text.begin() + 2, text.begin() + static_cast<std::ptrdiff_t>(end), '-',
+                         '_');
+        texts.push_back(text);
+    }
+    arguments.reserve(texts.size());
+    for (std::string &text : texts)
+        arguments.push_back(text.data());
+    const std::vector<char *> rest
+        = absl::ParseCommandLine(static_cast<int>(arguments.size()), arguments.data());
+    return { rest.begin() + 1, rest.end() };
+}
+
+/// Sets --help and --version of a program.
+/// @param usage what the program does and how to call it.
+inline void configureProgram(const std::string &name, const std::string &usage)
+{
+    absl::SetProgramUsageMessage(usage);
+    absl::FlagsUsageConfig config;
+    config.contains_helpshort_flags
+        = [name](absl::string_view file) { return absl::StrContains(file, name); };
+    config.contains_help_flags = config.contains_helpshort_flags;
+    config.version_string = [name] { return name + ' ' + kVersion + '\n'; };
+    absl::SetFlagsUsageConfig(config);
+}
+
+/// Blocks the signals that stop a program in this thread and in all threads it starts.
+/// @return the signals, for sigwait.
+inline sigset_t blockStopSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// Runs @p start and prints its error, if any.
+/// @return whether it succeeded.
+template <typename Start>
+bool startOrReport(Start start)
+{
+    return valueOr(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(start());
+            return true;
+        },
+        [](const Error &error) {
+            std::cerr << error.describe() << '\n';
+            return false;
+        });
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/tools/backend-standin.cpp
@@ -0,0 +1,45 @@
+#include "tools/BackendStandin.h"
+#include "tools/ProgramMain.h"
+
+#include <absl/flags/flag.h>
+
+ABSL_FLAG(std::string, address, "127.0.0.1:7400", "ip:port to listen on");
+ABSL_FLAG(std::string, name, "worker", "name of the back end");
+ABSL_FLAG(std::string, zone, "", "data centre it stands in");
+ABSL_FLAG(uint32_t, slots, 6, "requests it runs at once");
+ABSL_FLAG(uint32_t, queue, 12, "requests that wait for a slot when it is warm");
+ABSL_FLAG(double, service_ms, 2, "mean time that a request takes, in milliseconds");
+ABSL_FLAG(double, cold_ms, 0, "time from its start until all slots bear load, in milliseconds");
+ABSL_FLAG(bool, check_fence, true, "whether it checks grants and epochs");
+
+int main(int argc, char **argv)
+{
+    pimentostage::configureProgram(
+        "backend-standin", "A stand-in for a backend server, for tests and the demo.\n"
+                           "Usage: backend-standin --address=ip:port --name=NAME [--slots=N] ...");
+    pimentostage::parseCommandLine(argc, argv);
+    const auto address = pimentostage::parseAddress(absl::GetFlag(FLAGS_address));
+    if (!address) {
+        std::cerr << "backend-standin: --address must be ip:port with an IP number\n";
+        return 2;
+    }
+    const double kMillisecondsPerSecond = 1000;
+    pimentostage::BackendStandinOptions options;
+    options.name_ = absl::GetFlag(FLAGS_name);
+    options.zone_ = absl::GetFlag(FLAGS_zone);
+    options.slots_ = absl::GetFlag(FLAGS_slots);
+    options.queue_ = absl::GetFlag(FLAGS_queue);
+    options.serviceTime_
+        = pimentostage::fromSeconds(absl::GetFlag(FLAGS_service_ms) / kMillisecondsPerSecond);
+    options.coldTime_
+        = pimentostage::fromSeconds(absl::GetFlag(FLAGS_cold_ms) / kMillisecondsPerSecond);
+    options.checksFence_ = absl::GetFlag(FLAGS_check_fence);
+    const sigset_t signals = pimentostage::blockStopSignals();
+    pimentostage::BackendStandin standin(options);
+    if (!pimentostage::startOrReport([&] { return standin.start(*address); }))
+        return 1;
+    int received = 0;
+    sigwait(&signals, &received);
+    standin.stop();
+    return 0;
+}
--- /dev/null
+++ b/tools/pimentostaged.cpp
@@ -0,0 +1,65 @@
+#include "pimentostage/base/Log.h"
+#include "pimentostage/operator/Settings.h"
+#include "src/daemon/Node.h"
+#include "tools/ProgramMain.h"
+
+#include <csignal>
+#include <iostream>
+
+#include <absl/flags/flag.h>
+
+ABSL_FLAG(std::string, config, "", "INI file with this host's settings; required");
+ABSL_FLAG(bool, check_config, false, "check the settings, print every fault and exit");
+ABSL_FLAG(bool, print_settings, false, "print a table of every setting and exit");
+
+namespace {
+
+using pimentostage::SettingsFault;
+using pimentostage::SettingsResult;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+int serve(const pimentostage::Settings &settings)
+{
+    const sigset_t signals = pimentostage::blockStopSignals();
+    pimentostage::AsyncLog log(static_cast<std::size_t>(settings.logCapacity_), settings.logLevel_);
+    pimentostage::Node node(settings, log);
+    if (!pimentostage::startOrReport([&] { return node.start(); }))
+        return kExitFailed;
+    int received = 0;
+    sigwait(&signals, &received);
+    node.stop();
+    return kExitOk;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    pimentostage::configureProgram(
+        "pimentostaged", "The daemon of an entry host: takes callers' requests to back ends.\n"
+                         "Usage: pimentostaged --config=FILE [--check_config]\n"
+                         "SIGTERM and SIGINT stop it gracefully.");
+    pimentostage::parseCommandLine(argc, argv);
+    if (absl::GetFlag(FLAGS_print_settings)) {
+        std::cout << pimentostage::settingsReference();
+        return kExitOk;
+    }
+    const std::string file = absl::GetFlag(FLAGS_config);
+    if (file.empty()) {
+        std::cerr << "pimentostaged: --config=FILE is required; see --help\n";
+        return kExitUsage;
+    }
+    const SettingsResult result = pimentostage::readSettings(file);
+    for (const SettingsFault &fault : result.faults_)
+        std::cerr << fault.describe() << '\n';
+    if (!result.faults_.empty())
+        return kExitFailed;
+    if (absl::GetFlag(FLAGS_check_config)) {
+        std::cout << file << ": ok\n";
+        return kExitOk;
+    }
+    return serve(result.settings_);
+}
