Roles: authority by the store or by promises, succession, and coordination of shards

Cause: keyed services had no coordinator; what several hosts must agree on had no authority rule. Change: Membership (constant probes for each host), HolderAuthority, PromiseLedger, Succession and RoleKeeper decide who holds a role; PlacementPlanner and ShardCoordinator decide who owns a shard or hot key; ServerLease is the server's side. All take the time as an argument and see no encoding.

--- a/include/pimentostage/backend/Grant.h
+++ b/include/pimentostage/backend/Grant.h
@@ -11,6 +11,11 @@
 
 namespace pimentostage {
 
+/// Length of a server's lease, counted from a stamp of the server itself.
+inline constexpr Duration kServerLease = std::chrono::milliseconds(1600);
+/// How often a coordinator renews the lease of each server.
+inline constexpr Duration kGrantPeriod = std::chrono::milliseconds(100);
+
 /// Name of what is owned as one: a shard or a hot key.
 using UnitName = Name<struct UnitTag>;
 
@@ -61,6 +66,7 @@
     GrantResult result_ = GrantResult::Accepted;
     ServerStamp stamp_; ///< the server's clock now
     Epoch roleEpoch_; ///< the highest it has seen
+    std::uint64_t sequence_ = 0; ///< of the newest grant taken under roleEpoch_
     std::uint64_t unitsDigest_ = 0; ///< of the units it now holds
     std::vector<UnitName> draining_; ///< withdrawn units whose requests still run
 };
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -161,6 +161,16 @@
     std::uint32_t connections_ = 0; ///< connections it accepts from all hosts
 };
 
+/// A holder's time in office: while it is not known to be over, the holder may still act.
+struct RoleTerm
+{
+    Epoch epoch_;
+    Member holder_;
+    std::vector<Member> members_; ///< the members whose promises count
+
+    auto operator<=>(const RoleTerm &) const = default;
+};
+
 /// Who holds a role, as recorded in the store.
 struct RoleRecord
 {
@@ -168,6 +178,7 @@
     Epoch epoch_;
     Member holder_;
     std::vector<Member> members_; ///< the members whose promises count
+    std::vector<RoleTerm> predecessors_; ///< terms not known to be over when this was written
     std::string nonce_; ///< recognises the writer's own change after a lost answer
     bool released_ = false; ///< the holder gave the role up and acts no more
 };
--- /dev/null
+++ b/include/pimentostage/sibling/Membership.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "pimentostage/base/EnumNames.h"
+#include "pimentostage/base/Ids.h"
+#include "pimentostage/base/Random.h"
+#include "pimentostage/base/Time.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace pimentostage {
+
+/// What is believed of an entry host's process.
+enum class Liveness { Alive, Suspect, Dead, Left };
+
+template <>
+struct EnumTable<Liveness>
+{
+    static constexpr std::array kRows {
+        EnumName<Liveness> { Liveness::Alive, "alive" },
+        EnumName<Liveness> { Liveness::Suspect, "suspect" },
+        EnumName<Liveness> { Liveness::Dead, "dead" },
+        EnumName<Liveness> { Liveness::Left, "left" },
+    };
+};
+
+/// News of one entry host, passed on from host to host.
+struct MemberUpdate
+{
+    Member member_;
+    Address address_;
+    ZoneName zone_;
+    std::uint64_t refutation_ = 0; ///< raised by the host itself to deny a suspicion
+    Liveness liveness_ = Liveness::Alive;
+
+    auto operator<=>(const MemberUpdate &) const = default;
+};
+
+/// A probe to send.
+struct ProbeOrder
+{
+    HostName target_; ///< the host whose liveness is in question
+    HostName via_; ///< the host to send the probe to; equals target_ if direct
+    std::uint64_t sequence_ = 0;
+};
+
+/// Liveness of the entry hosts by probing a few of them at a time.
+///
+/// Each host sends a constant number of probes in each period, whatever the size of the fleet. A
+/// host that does not answer is probed through others, then suspected, then declared dead; news
+/// travels on probes and their answers. A new incarnation always supersedes an older one.
+class Membership
+{
+public:
+    Membership(const MemberUpdate &self, Random random);
+
+    /// Adds hosts named by the platform's list that are not known yet.
+    void addListed(const HostName &host, const Address &address, const ZoneName &zone);
+
+    /// Forgets hosts that the platform's list no longer names and that do not answer.
+    void dropUnlisted(const std::set<HostName> &listed);
+
+    /// @return the probes due at @p now.
+    std::vector<ProbeOrder> tick(TimePoint now);
+
+    /// Notes that @p host answered probe @p sequence, directly or through another host.
+    void onAck(const HostName &host, std::uint64_t sequence, TimePoint now);
+
+    /// Takes news from another host.
+    void merge(const MemberUpdate &update, TimePoint now);
+
+    /// @return news worth passing on with the next message; each call counts as one passing on.
+    std::vector<MemberUpdate> newsToPassOn();
+
+    /// Marks this host as leaving; the news travels with the next messages.
+    void leave();
+
+    /// @return processes believed to be alive or suspect, this one included, ordered by host.
+    [[nodiscard]] std::vector<Member> view() const;
+    /// @return a number that rises with each change of view().
+    [[nodiscard]] std::uint64_t viewNumber() const { return viewNumber_; }
+    [[nodiscard]] bool isInView(const Member &member) const;
+    /// @return the newest process known of @p host, or nothing.
+    [[nodiscard]] std::optional<MemberUpdate> find(const HostName &host) const;
+    /// @return everything known, this host included.
+    [[nodiscard]] std::vector<MemberUpdate> all() const;
+    /// @return hosts, this one included, that answered within @p period before @p now.
+    [[nodiscard]] std::size_t heardWithin(Duration period, TimePoint now) const;
+
+    static constexpr Duration kProbePeriod = std::chrono::milliseconds(100);
+    static constexpr std::size_t kProbesPerPeriod = 2;
+    static constexpr std::size_t kIndirectProbes = 2;
+    static constexpr Duration kDirectWait = std::chrono::milliseconds(100);
+    static constexpr Duration kIndirectWait = std::chrono::milliseconds(100);
+    static constexpr Duration kSuspicion = std::chrono::milliseconds(200);
+    /// Longest time from the loss of a host to its declaration as dead, once it is probed.
+    static constexpr Duration kDetection = kProbePeriod + kDirectWait + kIndirectWait + kSuspicion;
+
+private:
+    struct Tracked
+    {
+        MemberUpdate update_;
+        TimePoint suspectSince_ {};
+        TimePoint heardAt_ {};
+        std::size_t timesPassedOn_ = 0;
+    };
+    struct Outstanding
+    {
+        HostName target_;
+        TimePoint sentAt_;
+        bool isIndirect_ = false;
+    };
+
+    void startProbes(TimePoint now, std::vector<ProbeOrder> &orders);
+    void expireProbes(TimePoint now, std::vector<ProbeOrder> &orders);
+    void declareDead(TimePoint now);
+    void suspect(const HostName &host, TimePoint now);
+    void refute(const MemberUpdate &update);
+    void replace(Tracked &tracked, const MemberUpdate &update);
+    std::optional<HostName> nextTarget();
+    [[nodiscard]] std::vector<HostName> otherHosts(const HostName &except) const;
+    static bool supersedes(const MemberUpdate &next, const MemberUpdate &known);
+
+    MemberUpdate self_;
+    Random random_;
+    std::map<HostName, Tracked> others_;
+    std::map<std::uint64_t, Outstanding> outstanding_;
+    std::vector<HostName> round_; ///< hosts still to be probed in this round
+    std::uint64_t lastSequence_ = 0;
+    std::uint64_t viewNumber_ = 1;
+    std::size_t timesSelfPassedOn_ = 0;
+    TimePoint nextProbes_ {};
+};
+
+} // namespace pimentostage
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -1,8 +1,7 @@
 #include "src/backend/BackendProtocol.h"
 
-#include "pimentostage/base/Hash.h"
+#include "pimentostage/backend/ShardCoordinator.h"
 
-#include <algorithm>
 #include <charconv>
 
 namespace pimentostage {
@@ -34,23 +33,6 @@
 
 } // namespace
 
-std::string shardUnit(ShardId shard)
-{
-    return "s" + std::to_string(shard.value_);
-}
-
-std::string hotKeyUnit(std::string_view key)
-{
-    return "k" + std::to_string(hash64(key));
-}
-
-std::string fenceUnit(const Placement &placement, std::string_view key)
-{
-    const bool isHot = std::any_of(placement.hotKeys_.begin(), placement.hotKeys_.end(),
-                                   [&](const HotKey &hotKey) { return hotKey.key_ == key; });
-    return isHot ? hotKeyUnit(key) : shardUnit(shardOf(key, placement.shards_.size()));
-}
-
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, const ServiceRoutes &routes, TimePoint now)
 {
@@ -65,7 +47,7 @@
     if (!request.team_.isEmpty())
         http.headers_.push_back({ kTeamHeader, request.team_.str() });
     if (routes.placement_ && !request.key_.empty()) {
-        http.headers_.push_back({ kFenceHeader, fenceUnit(*routes.placement_, request.key_) + ' '
+        http.headers_.push_back({ kFenceHeader, unitOf(*routes.placement_, request.key_).str() + ' '
                                                     + std::to_string(choice.epoch_.value_) });
     }
     if (!request.contentType_.empty())
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -32,13 +32,4 @@
 /// @return what @p result says about its attempt.
 AttemptVerdict judge(const HttpResult &result);
 
-/// @return the fence that names a key's shard, or the key itself if it is hot.
-std::string fenceUnit(const Placement &placement, std::string_view key);
-
-/// @return the fence unit of shard @p shard.
-std::string shardUnit(ShardId shard);
-
-/// @return the fence unit of the hot key @p key.
-std::string hotKeyUnit(std::string_view key);
-
 } // namespace pimentostage
--- a/src/backend/GrantCodec.cpp
+++ b/src/backend/GrantCodec.cpp
@@ -76,6 +76,7 @@
     return Json({ { "result", toString(reply.result_) },
                   { "stamp", toJson(reply.stamp_) },
                   { "role_epoch", reply.roleEpoch_.value_ },
+                  { "sequence", reply.sequence_ },
                   { "units_digest", reply.unitsDigest_ },
                   { "draining", draining } })
         .dump();
@@ -92,6 +93,7 @@
               reply.result_ = *result;
               reply.stamp_ = stampFrom(json.at("stamp"));
               reply.roleEpoch_ = Epoch { json.at("role_epoch").get<std::uint64_t>() };
+              reply.sequence_ = json.at("sequence").get<std::uint64_t>();
               reply.unitsDigest_ = json.at("units_digest").get<std::uint64_t>();
               for (const Json &unit : json.at("draining"))
                   reply.draining_.emplace_back(unit.get<std::string>());
--- a/src/backend/ServerLease.cpp
+++ b/src/backend/ServerLease.cpp
@@ -31,6 +31,7 @@
     }
     reply.stamp_ = ServerStamp { incarnation_, now.time_since_epoch() };
     reply.roleEpoch_ = roleEpoch_;
+    reply.sequence_ = sequence_;
     reply.unitsDigest_ = digest_;
     return reply;
 }
--- a/src/base/Hash.cpp
+++ b/src/base/Hash.cpp
@@ -17,7 +17,7 @@
     EVP_Digest(data.data(), data.size(), digest, &length, EVP_sha256(), nullptr);
     static constexpr char kDigits[] = "0123456789abcdef";
     std::string text;
-    text.reserve(2 * length);
+    text.reserve(std::size_t { 2 } * length);
     for (unsigned int i = 0; i < length; ++i) {
         text += kDigits[digest[i] >> 4U];
         text += kDigits[digest[i] & 0xfU];
--- /dev/null
+++ b/src/daemon/RecoveryBudget.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "pimentostage/backend/Grant.h"
+#include "pimentostage/base/Time.h"
+#include "pimentostage/sibling/Membership.h"
+#include "pimentostage/sibling/RoleTiming.h"
+
+namespace pimentostage {
+
+/// A key is to be served again within this time of a loss.
+inline constexpr Duration kRecoveryTarget = std::chrono::seconds(3);
+/// Time allowed for the store's writes and the grants of a takeover.
+inline constexpr Duration kTakeoverWork = std::chrono::milliseconds(200);
+
+// Owner lost alone: its lease, stamped at the loss at the latest, has to lapse.
+static_assert(kClockDrift.stretched(kServerLease) + kTakeoverWork <= kRecoveryTarget);
+// Coordinator and owner lost at once: the new coordinator has to wait for the old one's authority
+// and then for the lease that the old one may have granted at its very end.
+static_assert(kClockDrift.stretched(Membership::kDetection + kStoreAuthority + kServerLease)
+                  + kTakeoverWork
+              <= kRecoveryTarget);
+// Coordinator lost alone: a server's lease, granted up to a period ago with a stamp up to a period
+// old, outlasts the takeover.
+static_assert(kClockDrift.stretched(Membership::kDetection + kStoreAuthority) + kTakeoverWork
+              <= kServerLease - 2 * kGrantPeriod);
+
+} // namespace pimentostage
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -16,7 +16,7 @@
     : store_(store)
     , state_(state)
     , runAfter_(std::move(runAfter))
-    , random_(std::move(random))
+    , random_(random)
     , log_(log)
     , onChange_(std::move(onChange))
     , backoff_(kFirstDelay, kMostDelay)
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -240,6 +240,35 @@
     return { { "host", member.host_.str() }, { "incarnation", member.incarnation_.value_ } };
 }
 
+std::vector<Member> readMembers(ObjectReader &reader);
+
+Json toJson(const std::vector<Member> &members)
+{
+    Json rows = Json::array();
+    for (const Member &member : members)
+        rows.push_back(toJson(member));
+    return rows;
+}
+
+Json toJson(const RoleTerm &term)
+{
+    return { { "epoch", term.epoch_.value_ },
+             { "holder", term.holder_.host_.str() },
+             { "incarnation", term.holder_.incarnation_.value_ },
+             { "members", toJson(term.members_) } };
+}
+
+RoleTerm readTerm(ObjectReader reader)
+{
+    RoleTerm term;
+    term.epoch_ = Epoch { reader.sequence("epoch") };
+    term.holder_.host_ = HostName(reader.requiredText("holder"));
+    term.holder_.incarnation_ = Incarnation { reader.sequence("incarnation") };
+    term.members_ = readMembers(reader);
+    reader.checkNoOtherFields();
+    return term;
+}
+
 Member readMember(ObjectReader reader)
 {
     Member member;
@@ -249,6 +278,15 @@
     return member;
 }
 
+std::vector<Member> readMembers(ObjectReader &reader)
+{
+    std::vector<Member> members;
+    std::size_t index = 0;
+    for (const Json &item : reader.array("members"))
+        members.push_back(readMember(reader.child(item, "members", index++)));
+    return members;
+}
+
 /// Back ends by index, so that a placement of many shards names each only once.
 class BackendIndex
 {
@@ -413,9 +451,10 @@
     record.epoch_ = Epoch { reader.sequence("epoch") };
     record.holder_.host_ = HostName(reader.requiredText("holder"));
     record.holder_.incarnation_ = Incarnation { reader.sequence("incarnation") };
+    record.members_ = readMembers(reader);
     std::size_t index = 0;
-    for (const Json &item : reader.array("members"))
-        record.members_.push_back(readMember(reader.child(item, "members", index++)));
+    for (const Json &item : reader.array("predecessors"))
+        record.predecessors_.push_back(readTerm(reader.child(item, "predecessors", index++)));
     record.nonce_ = reader.text("nonce");
     record.released_ = reader.flag("released", false);
     reader.checkNoOtherFields();
@@ -548,13 +587,14 @@
 
 std::string formatRoleRecord(const RoleRecord &record)
 {
-    Json members = Json::array();
-    for (const Member &member : record.members_)
-        members.push_back(toJson(member));
+    Json predecessors = Json::array();
+    for (const RoleTerm &term : record.predecessors_)
+        predecessors.push_back(toJson(term));
     return Json({ { "epoch", record.epoch_.value_ },
                   { "holder", record.holder_.host_.str() },
                   { "incarnation", record.holder_.incarnation_.value_ },
-                  { "members", members },
+                  { "members", toJson(record.members_) },
+                  { "predecessors", predecessors },
                   { "nonce", record.nonce_ },
                   { "released", record.released_ } })
         .dump();
--- /dev/null
+++ b/src/sibling/Succession.cpp
@@ -0,0 +1,101 @@
+#include "pimentostage/sibling/Succession.h"
+
+#include "pimentostage/sibling/HolderAuthority.h"
+#include "pimentostage/sibling/RoleTiming.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+std::optional<Epoch> epochOf(const std::optional<RoleRecord> &record)
+{
+    return record ? std::optional(record->epoch_) : std::nullopt;
+}
+
+} // namespace
+
+Succession::Succession(const std::optional<RoleRecord> &replaced, TimePoint writtenAt)
+    : replacedEpoch_(epochOf(replaced))
+    , writtenAt_(writtenAt)
+    , terms_(openTerms(replaced))
+{ }
+
+std::vector<RoleTerm> Succession::openTerms(const std::optional<RoleRecord> &replaced)
+{
+    if (!replaced)
+        return {};
+    std::vector<RoleTerm> terms = replaced->predecessors_;
+    if (replaced->released_)
+        return terms;
+    // A later term of the same holder with the same members takes the place of an earlier one.
+    std::erase_if(terms, [&](const RoleTerm &term) {
+        return term.holder_ == replaced->holder_ && term.members_ == replaced->members_;
+    });
+    terms.push_back(RoleTerm { replaced->epoch_, replaced->holder_, replaced->members_ });
+    return terms;
+}
+
+void Succession::onReleased(const Member &member, Duration remaining, TimePoint now)
+{
+    const TimePoint from = now + kClockDrift.stretched(remaining);
+    const auto [entry, isNew] = freeFrom_.emplace(member, from);
+    if (!isNew)
+        entry->second = std::min(entry->second, from);
+}
+
+void Succession::onStopped(const Member &member, TimePoint now)
+{
+    onReleased(member, kPromiseLife, now);
+}
+
+void Succession::onStepDown(const Member &holder, Epoch epoch)
+{
+    std::erase_if(terms_, [&](const RoleTerm &term) {
+        return term.holder_ == holder && term.epoch_ <= epoch;
+    });
+}
+
+void Succession::onVouchedLost(const Member &member, TimePoint now)
+{
+    onStopped(member, now);
+}
+
+bool Succession::mayAct(TimePoint now) const
+{
+    if (terms_.empty())
+        return true;
+    if (now < writtenAt_ + kClockDrift.stretched(kStoreAuthority))
+        return false;
+    return std::all_of(terms_.begin(), terms_.end(),
+                       [&](const RoleTerm &term) { return isOver(term, now); });
+}
+
+bool Succession::isOver(const RoleTerm &term, TimePoint now) const
+{
+    if (term.members_.empty())
+        return true;
+    const auto mayPromise
+        = std::count_if(term.members_.begin(), term.members_.end(), [&](const Member &member) {
+              const auto free = freeFrom_.find(member);
+              return free == freeFrom_.end() || now < free->second;
+          });
+    return static_cast<std::size_t>(mayPromise) < majorityOf(term.members_.size());
+}
+
+std::vector<Member> Succession::unreleased() const
+{
+    std::vector<Member> members;
+    for (const RoleTerm &term : terms_) {
+        for (const Member &member : term.members_) {
+            if (!freeFrom_.contains(member))
+                members.push_back(member);
+        }
+    }
+    std::sort(members.begin(), members.end());
+    members.erase(std::unique(members.begin(), members.end()), members.end());
+    return members;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/tests/fakes/EventQueue.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "pimentostage/base/Time.h"
+
+#include <functional>
+#include <map>
+
+namespace pimentostage {
+
+/// Runs functions in order of their true time; the heart of a test without real clocks.
+class EventQueue
+{
+public:
+    [[nodiscard]] Duration now() const { return now_; }
+
+    void after(Duration delay, std::function<void()> task)
+    {
+        tasks_.emplace(now_ + delay, std::move(task));
+    }
+
+    /// Runs everything due up to @p until and leaves the time there.
+    /// @param afterEach called after each function.
+    void runUntil(Duration until, const std::function<void()> &afterEach)
+    {
+        while (!tasks_.empty() && tasks_.begin()->first <= until) {
+            now_ = tasks_.begin()->first;
+            const std::function<void()> task = std::move(tasks_.begin()->second);
+            tasks_.erase(tasks_.begin());
+            task();
+            afterEach();
+        }
+        now_ = until;
+    }
+
+private:
+    Duration now_ {};
+    std::multimap<Duration, std::function<void()>> tasks_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/tests/fakes/FakeRecordStore.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "pimentostage/base/Ids.h"
+#include "tests/fakes/EventQueue.h"
+
+#include <functional>
+#include <optional>
+#include <utility>
+
+namespace pimentostage {
+
+/// One versioned record of the platform's store, with outages, delays and lost answers.
+template <typename Record>
+class FakeRecordStore
+{
+public:
+    /// How the store behaves.
+    struct Faults
+    {
+        bool down_ = false;
+        bool losesAnswers_ = false; ///< writes take effect, their answers are lost
+        Duration delay_ = std::chrono::milliseconds(2); ///< each way
+    };
+
+    explicit FakeRecordStore(EventQueue &events)
+        : events_(events)
+    { }
+
+    Faults faults_;
+    std::optional<Record> record_;
+    Version version_;
+
+    using OnRead = std::function<void(std::optional<std::pair<std::optional<Record>, Version>>)>;
+
+    /// @param done called with nothing if the read failed.
+    void read(OnRead done)
+    {
+        const Duration delay = faults_.delay_;
+        events_.after(delay, [this, done, delay] {
+            if (faults_.down_) {
+                events_.after(delay, [done] { done(std::nullopt); });
+                return;
+            }
+            const auto value = std::make_pair(record_, version_);
+            events_.after(delay, [done, value] { done(value); });
+        });
+    }
+
+    /// What a write is answered with.
+    enum class WriteAnswer { Written, Conflict, Failed };
+    using OnWrite = std::function<void(WriteAnswer, Version, std::optional<Record>)>;
+
+    void write(const Record &record, Version expected, OnWrite done)
+    {
+        const Duration delay = faults_.delay_;
+        events_.after(delay, [this, record, expected, done, delay] {
+            WriteAnswer answer = WriteAnswer::Written;
+            if (faults_.down_) {
+                answer = WriteAnswer::Failed;
+            } else if (expected != version_) {
+                answer = WriteAnswer::Conflict;
+            } else {
+                record_ = record;
+                version_ = version_.next();
+                if (faults_.losesAnswers_)
+                    answer = WriteAnswer::Failed;
+            }
+            const auto value = std::make_pair(record_, version_);
+            events_.after(delay,
+                          [done, answer, value] { done(answer, value.second, value.first); });
+        });
+    }
+
+private:
+    EventQueue &events_;
+};
+
+} // namespace pimentostage
