Proof that no two servers own a key: a property test over coordinators, servers, store and network

Cause: the handover of shards and hot keys had no proof under failure. Change: ShardCoordinatorTest drives ShardCoordinator and ServerLease with drifting clocks through pauses, cuts, restarts, lost and late messages, store outages and lost answers, changes of coordinator and of hot keys; its oracle asks every server for every key under every placement that was ever in the store. ServerLease gains a term, so that work begun before a lapse cannot finish after the lease was renewed.

--- a/src/backend/ServerLease.cpp
+++ b/src/backend/ServerLease.cpp
@@ -19,6 +19,7 @@
     GrantReply reply;
     reply.result_ = check(grant, now);
     if (reply.result_ == GrantResult::Accepted) {
+        term_ += now >= until_ ? 1 : 0;
         const bool isNewGranter = grant.roleEpoch_ > roleEpoch_;
         roleEpoch_ = grant.roleEpoch_;
         sequence_ = grant.sequence_;
--- /dev/null
+++ b/tests/ShardCoordinatorTest.cpp
@@ -0,0 +1,530 @@
+#include "pimentostage/backend/RoutingTable.h"
+#include "pimentostage/backend/ServerLease.h"
+#include "pimentostage/backend/ShardCoordinator.h"
+#include "tests/fakes/DriftingClock.h"
+#include "tests/fakes/EventQueue.h"
+#include "tests/fakes/FakeRecordStore.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+#include <memory>
+#include <tuple>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kTick = 10ms;
+constexpr std::uint32_t kShards = 8;
+
+using PlacementStore = FakeRecordStore<Placement>;
+
+Service permits()
+{
+    Service service;
+    service.name_ = ServiceName("permits");
+    service.keyed_ = true;
+    service.shardCount_ = kShards;
+    return service;
+}
+
+/// Servers with leases, one coordinator after another, a store and a network that fails.
+class ShardWorld
+{
+public:
+    explicit ShardWorld(std::size_t servers)
+        : store_(events_)
+    {
+        for (std::size_t i = 0; i < servers; ++i) {
+            servers_.push_back(std::make_unique<Server>());
+            servers_.back()->name_ = BackendName("worker-" + std::to_string(i));
+            restartServer(i);
+        }
+        for (int i = 0; i < 40; ++i)
+            keys_.push_back("key-" + std::to_string(i));
+        changeCoordinator();
+        scheduleTick();
+    }
+
+    void run(Duration duration)
+    {
+        events_.runUntil(events_.now() + duration, [this] { check(); });
+    }
+
+    void changeCoordinator()
+    {
+        if (coordinator_)
+            coordinator_->end();
+        retired_.push_back(std::move(coordinator_));
+        roleEpoch_ = roleEpoch_.next();
+        const std::int64_t kDrift = roleEpoch_.value_ % 2 == 0 ? 400 : -400;
+        clock_ = DriftingClock(std::chrono::seconds(500 * roleEpoch_.value_), kDrift);
+        coordinator_ = std::make_unique<ShardCoordinator>(permits(), roleEpoch_.value_);
+        coordinator_->setBackends(facts_);
+        coordinator_->setHotKeys(hotKeys_);
+        perform(coordinator_->begin(roleEpoch_, now()));
+    }
+
+    void pauseServer(std::size_t index, bool paused) { servers_[index]->paused_ = paused; }
+    void cutServer(std::size_t index, bool isCut) { servers_[index]->isCut_ = isCut; }
+    void killServer(std::size_t index) { servers_[index]->isDead_ = true; }
+
+    void restartServer(std::size_t index)
+    {
+        Server &server = *servers_[index];
+        ++lastIncarnation_;
+        const std::int64_t kDrift = index % 2 == 0 ? -400 : 400;
+        server.clock_ = DriftingClock(std::chrono::seconds(9000 + 13 * lastIncarnation_), kDrift);
+        server.lease_ = std::make_unique<ServerLease>(Incarnation { lastIncarnation_ });
+        server.isDead_ = false;
+        server.paused_ = false;
+        server.work_.clear();
+        facts_[server.name_] = CoordinatedBackend {};
+        if (coordinator_)
+            coordinator_->setBackends(facts_);
+    }
+
+    void setTakesNewWork(std::size_t index, bool takes)
+    {
+        facts_[servers_[index]->name_].takesNewWork_ = takes;
+        coordinator_->setBackends(facts_);
+    }
+
+    void setHotKeys(std::vector<std::string> keys)
+    {
+        hotKeys_ = std::move(keys);
+        coordinator_->setHotKeys(hotKeys_);
+    }
+
+    /// A request for a key comes to the server that a placement of any age names.
+    void request(std::size_t number, Duration length)
+    {
+        const std::string &key = keys_[number % keys_.size()];
+        const Placement &placement = history_.empty() ? Placement {} : history_[number % history_.size()];
+        if (placement.shards_.empty())
+            return;
+        const ShardOwner &owner = ownerOf(placement, key);
+        Server *server = find(owner.backend_);
+        if (!server || server->isDead_ || server->paused_)
+            return;
+        const UnitName unit = unitOf(placement, key);
+        if (!server->lease_->covers(unit, owner.epoch_, server->clock_.at(events_.now())))
+            return;
+        server->work_.push_back(
+                { key, unit, events_.now() + length, server->lease_->term() });
+    }
+
+    bool isServed(const std::string &key)
+    {
+        if (history_.empty())
+            return false;
+        const ShardOwner &owner = ownerOf(history_.back(), key);
+        Server *server = find(owner.backend_);
+        return server && !server->isDead_ && !server->paused_
+                && server->lease_->covers(unitOf(history_.back(), key), owner.epoch_,
+                                          server->clock_.at(events_.now()));
+    }
+
+    bool areAllServed()
+    {
+        return std::all_of(keys_.begin(), keys_.end(),
+                           [this](const std::string &key) { return isServed(key); });
+    }
+
+    BackendName ownerOfKey(const std::string &key) const
+    {
+        return ownerOf(history_.back(), key).backend_;
+    }
+
+    std::size_t index(const BackendName &name) const
+    {
+        for (std::size_t i = 0; i < servers_.size(); ++i) {
+            if (servers_[i]->name_ == name)
+                return i;
+        }
+        return servers_.size();
+    }
+
+    EventQueue events_;
+    PlacementStore store_;
+    std::size_t mostOwners_ = 0;
+    bool losesMessages_ = false;
+    Duration networkDelay_ = 1ms;
+    std::vector<Placement> history_; ///< every placement that was in the store
+    std::vector<std::string> keys_;
+
+private:
+    struct Work
+    {
+        std::string key_;
+        UnitName unit_;
+        Duration until_;
+        std::uint64_t term_;
+    };
+    struct Server
+    {
+        BackendName name_;
+        DriftingClock clock_ { Duration::zero(), 0 };
+        std::unique_ptr<ServerLease> lease_;
+        std::vector<Work> work_;
+        bool paused_ = false;
+        bool isCut_ = false;
+        bool isDead_ = false;
+    };
+
+    TimePoint now() const { return clock_.at(events_.now()); }
+
+    void scheduleTick()
+    {
+        events_.after(kTick, [this] {
+            perform(coordinator_->tick(now()));
+            for (auto &server : servers_) {
+                if (!server->paused_)
+                    std::erase_if(server->work_,
+                                  [&](const Work &work) { return work.until_ <= events_.now(); });
+            }
+            scheduleTick();
+        });
+    }
+
+    Server *find(const BackendName &name)
+    {
+        for (const auto &server : servers_) {
+            if (server->name_ == name)
+                return server.get();
+        }
+        return nullptr;
+    }
+
+    /// The oracle: no two servers accept or do work for one key, whichever placement named them.
+    void check()
+    {
+        for (const std::string &key : keys_) {
+            std::set<BackendName> owners;
+            for (const auto &server : servers_) {
+                if (isOwner(*server, key))
+                    owners.insert(server->name_);
+            }
+            mostOwners_ = std::max(mostOwners_, owners.size());
+        }
+    }
+
+    bool isOwner(const Server &server, const std::string &key) const
+    {
+        if (server.isDead_ || server.paused_)
+            return false;
+        const TimePoint now = server.clock_.at(events_.now());
+        for (const Work &work : server.work_) {
+            if (work.key_ == key && server.lease_->mayFinish(work.term_, now))
+                return true;
+        }
+        const auto namings = namings_.find(key);
+        if (namings == namings_.end())
+            return false;
+        return std::any_of(namings->second.begin(), namings->second.end(),
+                           [&](const Naming &naming) {
+                               return std::get<0>(naming) == server.name_
+                                       && server.lease_->covers(std::get<1>(naming),
+                                                                std::get<2>(naming), now);
+                           });
+    }
+
+    void perform(const CoordinatorActions &actions)
+    {
+        for (const CoordinatorAction &action : actions)
+            std::visit([this](const auto &step) { perform(step); }, action);
+    }
+
+    void perform(const ReadPlacement &)
+    {
+        ShardCoordinator *coordinator = coordinator_.get();
+        store_.read([this, coordinator](const auto &result) {
+            if (coordinator != coordinator_.get())
+                return;
+            if (result)
+                perform(coordinator->onRead(result->first, result->second, now()));
+            else
+                coordinator->onReadFailed(now());
+        });
+    }
+
+    void perform(const WritePlacement &write)
+    {
+        ShardCoordinator *coordinator = coordinator_.get();
+        store_.write(write.placement_, write.expected_,
+                     [this, coordinator](PlacementStore::WriteAnswer answer, Version version,
+                                         const std::optional<Placement> &) {
+                         noteHistory();
+                         if (coordinator != coordinator_.get())
+                             return;
+                         if (answer == PlacementStore::WriteAnswer::Written)
+                             perform(coordinator->onWritten(version, now()));
+                         else if (answer == PlacementStore::WriteAnswer::Conflict)
+                             perform(coordinator->onConflict(now()));
+                         else
+                             coordinator->onWriteFailed(now());
+                     });
+    }
+
+    void noteHistory()
+    {
+        if (!store_.record_ || (!history_.empty() && history_.back().nonce_ == store_.record_->nonce_))
+            return;
+        history_.push_back(*store_.record_);
+        for (const std::string &key : keys_) {
+            const ShardOwner &owner = ownerOf(history_.back(), key);
+            namings_[key].insert({ owner.backend_, unitOf(history_.back(), key), owner.epoch_ });
+        }
+    }
+
+    Duration nextDelay()
+    {
+        const bool isSlow = losesMessages_ && messages_ % 7 == 0;
+        return isSlow ? 1300ms : networkDelay_;
+    }
+
+    bool isNextLost() { return ++messages_ % 5 == 0 && losesMessages_; }
+
+    void perform(const SendGrant &send)
+    {
+        ShardCoordinator *coordinator = coordinator_.get();
+        if (isNextLost())
+            return;
+        events_.after(nextDelay(), [this, coordinator, send] { deliver(coordinator, send); });
+    }
+
+    void deliver(ShardCoordinator *coordinator, const SendGrant &send)
+    {
+        Server *server = find(send.backend_);
+        if (!server || server->isDead_ || server->isCut_)
+            return;
+        if (server->paused_) {
+            events_.after(25ms, [this, coordinator, send] { deliver(coordinator, send); });
+            return;
+        }
+        GrantReply reply = server->lease_->apply(send.grant_, server->clock_.at(events_.now()));
+        for (const Work &work : server->work_) {
+            if (!server->lease_->units().contains(work.unit_))
+                reply.draining_.push_back(work.unit_);
+        }
+        if (isNextLost())
+            return;
+        events_.after(nextDelay(), [this, coordinator, server, reply] {
+            if (coordinator == coordinator_.get() && !server->isCut_)
+                coordinator->onGrantReply(server->name_, reply, now());
+        });
+    }
+
+    void perform(const MoveDecided &) { }
+
+    using Naming = std::tuple<BackendName, UnitName, Epoch>;
+
+    std::vector<std::unique_ptr<Server>> servers_;
+    std::vector<std::unique_ptr<ShardCoordinator>> retired_;
+    std::unique_ptr<ShardCoordinator> coordinator_;
+    DriftingClock clock_ { Duration::zero(), 0 };
+    std::map<BackendName, CoordinatedBackend> facts_;
+    std::vector<std::string> hotKeys_;
+    std::map<std::string, std::set<Naming>> namings_;
+    Epoch roleEpoch_;
+    std::uint64_t lastIncarnation_ = 0;
+    std::uint64_t messages_ = 0;
+};
+
+TEST(ShardCoordinator, GivesEveryShardAnOwner)
+{
+    ShardWorld world(3);
+    world.run(500ms);
+    EXPECT_TRUE(world.areAllServed());
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, ServesTheKeysOfALostServerAgainWithinTheLease)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    world.killServer(0);
+    world.run(kServerLease + 200ms);
+    EXPECT_TRUE(world.areAllServed());
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, MovesTheKeysOfALeavingServerWithoutWaitingForItsLease)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    world.setTakesNewWork(0, false);
+    world.run(150ms);
+    EXPECT_TRUE(world.areAllServed());
+    for (const std::string &key : world.keys_)
+        EXPECT_NE(world.ownerOfKey(key), BackendName("worker-0"));
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, WaitsForRequestsThatStillRunAtTheFormerOwner)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    const std::size_t owner = world.index(world.ownerOfKey(world.keys_[0]));
+    // Number 0 of the history may be too old; the newest placement is the one with this index.
+    for (std::size_t i = 0; i < world.history_.size() * world.keys_.size(); ++i)
+        world.request(i, 700ms);
+    world.setTakesNewWork(owner, false);
+    world.run(400ms);
+    EXPECT_EQ(world.mostOwners_, 1U);
+    world.run(1s);
+    EXPECT_TRUE(world.areAllServed());
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, KeepsServingThroughTheLossOfItsPredecessor)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    world.changeCoordinator();
+    for (int i = 0; i < 100; ++i) {
+        world.run(20ms);
+        ASSERT_TRUE(world.areAllServed()) << i;
+    }
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, KeepsServingWhileTheStoreIsDown)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    world.store_.faults_.down_ = true;
+    world.run(60s);
+    EXPECT_TRUE(world.areAllServed());
+}
+
+TEST(ShardCoordinator, AFrozenServerDoesNotServeKeysThatMovedMeanwhile)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    for (std::size_t i = 0; i < 200; ++i)
+        world.request(i, 5s);
+    world.pauseServer(1, true);
+    world.run(4s);
+    world.pauseServer(1, false);
+    world.run(2s);
+    EXPECT_EQ(world.mostOwners_, 1U);
+    EXPECT_TRUE(world.areAllServed());
+}
+
+TEST(ShardCoordinator, MovesAHotKeyApartFromItsShardAndBack)
+{
+    ShardWorld world(3);
+    world.run(1s);
+    world.setHotKeys({ "key-3" });
+    world.run(300ms);
+    ASSERT_EQ(world.history_.back().hotKeys_.size(), 1U);
+    EXPECT_TRUE(world.areAllServed());
+    world.setHotKeys({});
+    world.run(300ms);
+    EXPECT_TRUE(world.history_.back().hotKeys_.empty());
+    EXPECT_TRUE(world.areAllServed());
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+TEST(ShardCoordinator, MovesNothingFromAWithdrawnServerOutOfReachBeforeItsLeaseHasLapsed)
+{
+    for (Duration offset = 0ms; offset < 100ms; offset += 3ms) {
+        ShardWorld world(3);
+        world.run(1s + offset);
+        world.cutServer(0, true);
+        world.setTakesNewWork(0, false);
+        world.run(kServerLease + 300ms);
+        ASSERT_EQ(world.mostOwners_, 1U);
+        ASSERT_TRUE(world.areAllServed());
+    }
+}
+
+TEST(ShardCoordinator, RecognisesItsOwnWriteAfterALostAnswer)
+{
+    ShardWorld world(3);
+    world.store_.faults_.losesAnswers_ = true;
+    world.run(3s);
+    EXPECT_TRUE(world.areAllServed());
+    EXPECT_EQ(world.mostOwners_, 1U);
+}
+
+RC_GTEST_PROP(ShardCoordinatorProperty, NeverTwoOwnersOfAKey, ())
+{
+    const auto servers = *rc::gen::inRange<std::size_t>(1, 5);
+    ShardWorld world(servers);
+    world.run(300ms);
+    const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+            25, rc::gen::tuple(rc::gen::inRange(0, 15), rc::gen::inRange(0, 1000),
+                               rc::gen::inRange(0, 900)));
+    for (const auto &[what, number, wait] : steps) {
+        const std::size_t server = static_cast<std::size_t>(number) % servers;
+        switch (what) {
+        case 0:
+            world.pauseServer(server, true);
+            break;
+        case 1:
+            world.pauseServer(server, false);
+            break;
+        case 2:
+            world.cutServer(server, true);
+            break;
+        case 3:
+            world.cutServer(server, false);
+            break;
+        case 4:
+            world.restartServer(server);
+            break;
+        case 5:
+            world.setTakesNewWork(server, false);
+            break;
+        case 6:
+            world.setTakesNewWork(server, true);
+            break;
+        case 7:
+            world.changeCoordinator();
+            break;
+        case 8:
+            world.store_.faults_.down_ = !world.store_.faults_.down_;
+            break;
+        case 9:
+            world.store_.faults_.losesAnswers_ = !world.store_.faults_.losesAnswers_;
+            break;
+        case 10:
+            world.store_.faults_.delay_ = std::chrono::milliseconds(1 + number / 2);
+            break;
+        case 11:
+            world.losesMessages_ = !world.losesMessages_;
+            break;
+        case 12:
+            world.setHotKeys({ world.keys_[static_cast<std::size_t>(number) % 40] });
+            break;
+        case 13:
+            world.setHotKeys({});
+            break;
+        default:
+            world.cutServer(server, true);
+            world.setTakesNewWork(server, false);
+            break;
+        }
+        for (int i = 0; i < 8; ++i)
+            world.request(static_cast<std::size_t>(number * 7 + i), std::chrono::milliseconds(wait));
+        world.run(std::chrono::milliseconds(wait));
+        RC_ASSERT(world.mostOwners_ <= 1U);
+    }
+    world.store_.faults_ = {};
+    world.losesMessages_ = false;
+    for (std::size_t i = 0; i < servers; ++i) {
+        world.pauseServer(i, false);
+        world.cutServer(i, false);
+        world.setTakesNewWork(i, true);
+    }
+    world.run(6s);
+    RC_ASSERT(world.areAllServed());
+    RC_ASSERT(world.mostOwners_ <= 1U);
+}
+
+} // namespace
--- a/tools/BackendStandin.cpp
+++ b/tools/BackendStandin.cpp
@@ -49,6 +49,7 @@
     bool hasTeamKey_ = false;
     TimePoint deadline_ = TimePoint::max();
     TimePoint beganAt_;
+    std::uint64_t leaseTerm_ = 0; ///< in which it began
     std::shared_ptr<HttpResponder> responder_;
 
     void readFence(const std::string &fence)
@@ -176,6 +177,7 @@
     if (!work->unit_.isEmpty())
         ++runningByUnit_[work->unit_];
     work->beganAt_ = BootClock::now();
+    work->leaseTerm_ = lease_.term();
     loop_.after(drawServiceTime(), [this, work] { finish(work); });
 }
 
@@ -195,7 +197,8 @@
     if (!work->unit_.isEmpty() && --runningByUnit_[work->unit_] == 0)
         runningByUnit_.erase(work->unit_);
     // The lease is checked again in the same call as the act: the process may have been stopped.
-    if (!isCovered(*work, now) && now >= lease_.until()) {
+    const bool isFenced = options_.checksFence_ && !work->unit_.isEmpty();
+    if (isFenced && !lease_.mayFinish(work->leaseTerm_, now)) {
         ++report_.refusedFence_;
         refuse(work, kConflict);
     } else if (now >= work->deadline_) {
