Wire membership, roles, placement and allowance into the daemon over TCP frames with MessagePack

Cause: the decision classes ran only in tests; keyed services answered no-backend and each host used a fixed part of every contract. Change: SiblingLinks and FrameCodec carry typed messages between hosts; MemberControl, RoleControl, PlacementControl and AllowanceControl run the decisions on the control thread; ControlPlane owns them and publishes. Configuration spreads with the probes; a host that may be stale alone fails closed. Operators can vouch for a lost host by an object of kind lost-host.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -48,6 +48,9 @@
     /// @param sentAt when the confirming request was sent.
     void confirm(Version revision, TimePoint sentAt);
 
+    /// Notes that every change up to @p revision was applied, without a word of the store.
+    void adoptRevision(Version revision);
+
     /// Notes that a sibling's state, confirmed by the store @p age before @p now, equals ours.
     void confirmThroughSibling(Version revision, Duration age, TimePoint now);
 
--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -17,6 +17,7 @@
     std::unordered_map<std::string, TeamKey> keysByHash_;
     std::map<ZoneName, Zone> zones_;
     std::map<BackendName, Backend> backends_;
+    std::map<HostName, LostHost> lostHosts_;
     std::map<ServiceName, std::shared_ptr<const Placement>> placements_;
     std::map<RoleName, RoleRecord> roles_;
     Version revision_; ///< the highest object version applied
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -21,6 +21,7 @@
 leaf::result<TeamKey> parseTeamKey(const std::string &name, const std::string &value);
 leaf::result<Zone> parseZone(const std::string &name, const std::string &value);
 leaf::result<Backend> parseBackend(const std::string &name, const std::string &value);
+leaf::result<LostHost> parseLostHost(const std::string &name, const std::string &value);
 leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value);
 leaf::result<Placement> parsePlacement(const std::string &name, const std::string &value);
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
@@ -35,6 +36,7 @@
 std::string formatTeamKey(const TeamKey &key);
 std::string formatZone(const Zone &zone);
 std::string formatBackend(const Backend &backend);
+std::string formatLostHost(const LostHost &host);
 std::string formatRoleRecord(const RoleRecord &record);
 std::string formatPlacement(const Placement &placement);
 std::string formatHostList(const std::vector<ListedHost> &hosts);
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -11,7 +11,7 @@
 namespace pimentostage {
 
 /// Kinds of objects in the platform's store.
-enum class ObjectKind { Service, Contract, TeamKey, Zone, Backend, Role, Placement };
+enum class ObjectKind { Service, Contract, TeamKey, Zone, Backend, LostHost, Role, Placement };
 
 template <>
 struct EnumTable<ObjectKind>
@@ -22,6 +22,7 @@
         EnumName<ObjectKind> { ObjectKind::TeamKey, "key" },
         EnumName<ObjectKind> { ObjectKind::Zone, "zone" },
         EnumName<ObjectKind> { ObjectKind::Backend, "backend" },
+        EnumName<ObjectKind> { ObjectKind::LostHost, "lost-host" },
         EnumName<ObjectKind> { ObjectKind::Role, "role" },
         EnumName<ObjectKind> { ObjectKind::Placement, "placement" },
     };
@@ -161,6 +162,13 @@
     std::uint32_t connections_ = 0; ///< connections it accepts from all hosts
 };
 
+/// An operator's word that a process of an entry host is lost for good.
+struct LostHost
+{
+    HostName name_;
+    Incarnation upTo_; ///< this and earlier incarnations are lost
+};
+
 /// A holder's time in office: while it is not known to be over, the holder may still act.
 struct RoleTerm
 {
--- a/include/pimentostage/sibling/RoleKeeper.h
+++ b/include/pimentostage/sibling/RoleKeeper.h
@@ -5,6 +5,7 @@
 #include "pimentostage/sibling/HolderAuthority.h"
 #include "pimentostage/sibling/Succession.h"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -81,7 +82,7 @@
 {
     std::vector<Member> view_; ///< processes believed to be alive, this one included
     std::set<Member> stopped_; ///< processes known to have stopped
-    std::set<HostName> vouchedLost_; ///< hosts that an operator declared lost
+    std::map<HostName, Incarnation> vouchedLost_; ///< processes up to which an operator vouched
     bool othersHearStore_ = false; ///< other hosts had an answer of the store lately
 };
 
--- a/include/pimentostage/sibling/TokenPurse.h
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -11,7 +11,7 @@
 namespace pimentostage {
 
 /// What became of an attempt to spend tokens.
-enum class SpendResult { Spent, Refused, Waiting };
+enum class SpendResult { Spent, Refused, Waiting, Unavailable };
 
 template <>
 struct EnumTable<SpendResult>
@@ -20,6 +20,7 @@
         EnumName<SpendResult> { SpendResult::Spent, "spent" },
         EnumName<SpendResult> { SpendResult::Refused, "refused" },
         EnumName<SpendResult> { SpendResult::Waiting, "waiting" },
+        EnumName<SpendResult> { SpendResult::Unavailable, "unavailable" },
     };
 };
 
@@ -29,7 +30,7 @@
 class TokenPurse
 {
 public:
-    /// Called once with Spent or Refused for a spender that had to wait.
+    /// Called once with Spent, Refused or Unavailable for a spender that had to wait.
     using Waiter = std::function<void(SpendResult)>;
 
     explicit TokenPurse(AccountName account);
@@ -44,7 +45,7 @@
     /// Takes a loan that answers a request sent at @p sentAt and serves the waiting spenders.
     void applyLoan(const AllowanceLoan &loan, TimePoint sentAt, TimePoint now);
 
-    /// Refuses spenders that have waited longer than kMostWait.
+    /// Tells spenders that have waited longer than kMostWait that the holder is not available.
     void expireWaiters(TimePoint now);
 
     /// @return whether spenders wait for tokens.
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -100,8 +100,10 @@
             forward(pending);
             return;
         }
-        refuse(pending,
-               Refusal { RefusalReason::OverRate, Outcome::NotRun, kRetryAfterOverRate, {} });
+        const RefusalReason reason = result == SpendResult::Unavailable
+                                         ? RefusalReason::AllowanceUnavailable
+                                         : RefusalReason::OverRate;
+        refuse(pending, Refusal { reason, Outcome::NotRun, kRetryAfterOverRate, {} });
     };
     TokenPurse &purse = *found->second;
     const SpendResult result
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -24,6 +24,7 @@
     { 403, "The team's contract does not cover this kind of request." },
     { 400, "The path holds no key." },
     { 429, "The team is over its contract's rate." },
+    { 503, "The holder of the team's allowance did not answer." },
     { 503, "The service is overloaded." },
     { 504, "The request's deadline has passed." },
     { 503, "No back end can take the request." },
--- /dev/null
+++ b/src/daemon/AllowanceControl.cpp
@@ -0,0 +1,219 @@
+#include "src/daemon/AllowanceControl.h"
+
+#include "pimentostage/base/Hash.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr const char *kRolePrefix = "accounts.";
+// A request to the holder that got no reply in this time is sent again.
+constexpr Duration kAnswerWait = std::chrono::milliseconds(20);
+// Purses not used for this long are not renewed.
+constexpr Duration kUnusedTime = std::chrono::seconds(2);
+
+RoleName roleOfGroup(std::uint64_t group)
+{
+    return RoleName(kRolePrefix + std::to_string(group));
+}
+
+} // namespace
+
+AllowanceControl::AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender,
+                                   Holds holds, Counters &counters)
+    : self_(self)
+    , purses_(purses)
+    , sender_(sender)
+    , holds_(std::move(holds))
+    , configuration_(std::make_shared<Configuration>())
+    , requests_(counters.counter("pimento_allowance_requests_total",
+                                 "Requests for loans made to holders of accounts."))
+    , loans_(counters.counter("pimento_allowance_loans_total",
+                              "Loans made by this host as holder of accounts."))
+    , lostAnswers_(counters.counter("pimento_allowance_unanswered_total",
+                                    "Requests for loans that got no reply in time."))
+{ }
+
+std::set<RoleName> AllowanceControl::roles()
+{
+    std::set<RoleName> roles;
+    for (std::uint64_t group = 0; group < kGroups; ++group)
+        roles.insert(roleOfGroup(group));
+    return roles;
+}
+
+RoleName AllowanceControl::roleOf(const AccountName &account)
+{
+    return roleOfGroup(hash64(account.str()) % kGroups);
+}
+
+void AllowanceControl::onConfig(std::shared_ptr<const Configuration> configuration)
+{
+    configuration_ = std::move(configuration);
+    terms_.clear();
+    for (const auto &[team, contract] : configuration_->contracts_)
+        terms_[PurseBook::accountOf(team)] = AllowanceTerms { contract.rate_, contract.burst_ };
+}
+
+std::optional<AllowanceTerms> AllowanceControl::termsOf(const AccountName &account) const
+{
+    const auto found = terms_.find(account);
+    if (found == terms_.end())
+        return std::nullopt;
+    return found->second;
+}
+
+std::optional<HostName> AllowanceControl::holderOf(const AccountName &account) const
+{
+    const auto record = configuration_->roles_.find(roleOf(account));
+    if (record == configuration_->roles_.end())
+        return std::nullopt;
+    return record->second.holder_.host_;
+}
+
+void AllowanceControl::onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now)
+{
+    if (role.str().rfind(kRolePrefix, 0) != 0)
+        return;
+    Held held;
+    held.epoch_ = gained.epoch_;
+    held.isFirst_ = gained.isFirst_;
+    held.unseenUntil_ = gained.isFirst_ ? now : now + kClockDrift.stretched(kShareValidity);
+    held_[role] = std::move(held);
+}
+
+void AllowanceControl::onRoleLost(const RoleName &role)
+{
+    held_.erase(role);
+}
+
+void AllowanceControl::tick(TimePoint now)
+{
+    Batches batches;
+    for (const auto &[team, purse] : purses_.purses()) {
+        purse->expireWaiters(now);
+        Asked &asked = asked_[purse->account()];
+        const bool isLost = asked.isOpen_ && now >= asked.at_ + kAnswerWait;
+        if (isLost) {
+            asked.isOpen_ = false;
+            lostAnswers_.add();
+        }
+        const bool isRenewalDue
+            = now >= asked.at_ + kShareRenewal && now < purse->usedAt() + kUnusedTime;
+        if (!asked.isOpen_ && (isRenewalDue || purse->hasWaiters()))
+            ask(*purse, now, batches);
+    }
+    send(batches, now);
+}
+
+void AllowanceControl::onTokensWanted(const AccountName &account, TimePoint now)
+{
+    TokenPurse *purse = purses_.find(account);
+    if (!purse || asked_[account].isOpen_ || !purse->hasWaiters())
+        return;
+    Batches batches;
+    ask(*purse, now, batches);
+    send(batches, now);
+}
+
+void AllowanceControl::ask(TokenPurse &purse, TimePoint now, Batches &batches)
+{
+    const auto holder = holderOf(purse.account());
+    if (!holder)
+        return;
+    asked_[purse.account()] = Asked { now, true };
+    batches[*holder].requests_.push_back(purse.request(now));
+    requests_.add();
+}
+
+void AllowanceControl::send(const Batches &batches, TimePoint now)
+{
+    for (const auto &[holder, batch] : batches) {
+        LoanRequests requests = batch;
+        requests.sentAt_ = now.time_since_epoch();
+        if (holder == self_)
+            apply(lend(self_, requests, now), now);
+        else
+            sender_.send(holder, requests);
+    }
+}
+
+void AllowanceControl::onMessage(const HostName &from, const LoanRequests &requests, TimePoint now)
+{
+    const LoanReplies replies = lend(from, requests, now);
+    if (!replies.loans_.empty())
+        sender_.send(from, replies);
+}
+
+LoanReplies AllowanceControl::lend(const HostName &borrower, const LoanRequests &requests,
+                                   TimePoint now)
+{
+    LoanReplies replies;
+    replies.sentAt_ = requests.sentAt_;
+    for (const AllowanceRequest &request : requests.requests_) {
+        if (auto loan = lend(borrower, request, now))
+            replies.loans_.push_back(std::move(*loan));
+    }
+    return replies;
+}
+
+std::optional<AllowanceLoan> AllowanceControl::lend(const HostName &borrower,
+                                                    const AllowanceRequest &request, TimePoint now)
+{
+    const RoleName role = roleOf(request.account_);
+    const auto held = held_.find(role);
+    const auto terms = termsOf(request.account_);
+    if (held == held_.end() || !terms || !holds_(role, now))
+        return std::nullopt;
+    AllowanceLender &lender = lenderFor(held->second, request.account_, *terms, now);
+    loans_.add();
+    return lender.lend(borrower, request, now);
+}
+
+AllowanceLender &AllowanceControl::lenderFor(Held &held, const AccountName &account,
+                                             const AllowanceTerms &terms, TimePoint now)
+{
+    const auto found = held.lenders_.find(account);
+    if (found != held.lenders_.end()) {
+        if (found->second.terms() != terms)
+            found->second.setTerms(terms, now);
+        return found->second;
+    }
+    // Nothing was lent here since the last loan of an earlier holder lapsed: the bucket has filled.
+    const Duration filling = std::max(Duration::zero(), Duration(now - held.unseenUntil_));
+    const double level = held.isFirst_ ? terms.burst_ : terms.rate_ * toSeconds(filling);
+    return held.lenders_
+        .emplace(account, AllowanceLender(terms, held.epoch_, held.unseenUntil_, level, now))
+        .first->second;
+}
+
+void AllowanceControl::onMessage(const LoanReplies &replies, TimePoint now)
+{
+    apply(replies, now);
+    // Spenders that came while the request was on its way need one more.
+    Batches batches;
+    for (const AllowanceLoan &loan : replies.loans_) {
+        TokenPurse *purse = purses_.find(loan.account_);
+        if (purse && purse->hasWaiters())
+            ask(*purse, now, batches);
+    }
+    send(batches, now);
+}
+
+void AllowanceControl::apply(const LoanReplies &replies, TimePoint now)
+{
+    const TimePoint sentAt { replies.sentAt_ };
+    if (sentAt > now)
+        return;
+    for (const AllowanceLoan &loan : replies.loans_) {
+        TokenPurse *purse = purses_.find(loan.account_);
+        if (!purse)
+            continue;
+        asked_[loan.account_].isOpen_ = false;
+        purse->applyLoan(loan, sentAt, now);
+    }
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/MemberControl.cpp
@@ -0,0 +1,164 @@
+#include "src/daemon/MemberControl.h"
+
+#include <set>
+
+namespace pimentostage {
+
+namespace {
+
+// A host's word on the store counts for this long.
+constexpr Duration kHeardWindow = std::chrono::seconds(1);
+// A confirmation by the store younger than this says that the store works.
+constexpr Duration kFreshAge = std::chrono::milliseconds(1500);
+// After its start a host waits this long to hear all others before it decides on roles.
+constexpr Duration kSettlingTime = std::chrono::seconds(1);
+constexpr Duration kPullPeriod = std::chrono::milliseconds(50);
+
+} // namespace
+
+MemberControl::MemberControl(const MemberUpdate &self, Random random, ConfigState &config,
+                             SiblingSender &sender, LogSink &log, OnConfig onConfig)
+    : self_(self)
+    , membership_(self, random)
+    , config_(config)
+    , sender_(sender)
+    , log_(log)
+    , onConfig_(std::move(onConfig))
+{ }
+
+void MemberControl::updateListed(const std::vector<ListedHost> &hosts)
+{
+    std::set<HostName> names;
+    for (const ListedHost &host : hosts) {
+        if (host.kind_ != HostKind::Entry)
+            continue;
+        names.insert(HostName(host.name_));
+        membership_.addListed(HostName(host.name_), host.siblingAddress_, host.zone_);
+    }
+    membership_.dropUnlisted(names);
+    names.insert(self_.member_.host_);
+    listedHosts_ = names.size();
+}
+
+void MemberControl::tick(TimePoint now)
+{
+    if (startedAt_ == TimePoint {})
+        startedAt_ = now;
+    for (const ProbeOrder &order : membership_.tick(now)) {
+        Probe probe;
+        probe.origin_ = self_.member_.host_;
+        probe.target_ = order.target_;
+        probe.sequence_ = order.sequence_;
+        probe.news_ = membership_.newsToPassOn();
+        probe.config_ = summary(now);
+        sender_.send(order.via_, probe);
+    }
+    logViewChange();
+}
+
+ConfigSummary MemberControl::summary(TimePoint now) const
+{
+    return ConfigSummary { config_.revision(), config_.digest(), config_.age(now) };
+}
+
+void MemberControl::onMessage(const HostName &from, const Probe &probe, TimePoint now)
+{
+    take(from, probe.news_, probe.config_, now);
+    if (probe.target_ != self_.member_.host_) {
+        sender_.send(probe.target_, probe);
+        return;
+    }
+    ProbeAck ack;
+    ack.origin_ = probe.origin_;
+    ack.responder_ = self_.member_.host_;
+    ack.sequence_ = probe.sequence_;
+    ack.news_ = membership_.newsToPassOn();
+    ack.config_ = summary(now);
+    sender_.send(from, ack);
+}
+
+void MemberControl::onMessage(const HostName &from, const ProbeAck &ack, TimePoint now)
+{
+    take(from, ack.news_, ack.config_, now);
+    if (ack.origin_ == self_.member_.host_)
+        membership_.onAck(ack.responder_, ack.sequence_, now);
+    else
+        sender_.send(ack.origin_, ack);
+}
+
+void MemberControl::take(const HostName &from, const std::vector<MemberUpdate> &news,
+                         const ConfigSummary &config, TimePoint now)
+{
+    for (const MemberUpdate &update : news)
+        membership_.merge(update, now);
+    heard_[from] = Heard { now, config.age_ };
+    const bool isEqual
+        = config.revision_ == config_.revision() && config.digest_ == config_.digest();
+    if (isEqual && config.age_)
+        config_.confirmThroughSibling(config.revision_, *config.age_, now);
+    const bool isBehind
+        = config.revision_ > config_.revision()
+          || (config.revision_ == config_.revision() && config.digest_ != config_.digest());
+    if (isBehind && now >= nextPull_) {
+        nextPull_ = now + kPullPeriod;
+        // Equal revisions with different objects: something was missed, so all of it is asked for.
+        const bool isMissing = config.revision_ == config_.revision();
+        sender_.send(from, ConfigPull { isMissing ? Version {} : config_.revision() });
+    }
+}
+
+void MemberControl::onMessage(const HostName &from, const ConfigPull &pull)
+{
+    sender_.send(from, ConfigPush { config_.revision(), config_.changesSince(pull.since_) });
+}
+
+void MemberControl::onMessage(const ConfigPush &push)
+{
+    onConfig_(push);
+}
+
+void MemberControl::leave()
+{
+    membership_.leave();
+    for (const Member &member : membership_.view()) {
+        Probe farewell;
+        farewell.origin_ = self_.member_.host_;
+        farewell.target_ = member.host_;
+        farewell.news_ = membership_.newsToPassOn();
+        sender_.send(member.host_, farewell);
+    }
+}
+
+bool MemberControl::othersHearStore(TimePoint now) const
+{
+    for (const auto &[host, heard] : heard_) {
+        const bool isFresh
+            = heard.at_ + kHeardWindow > now && heard.configAge_ && *heard.configAge_ < kFreshAge;
+        if (isFresh)
+            return true;
+    }
+    return false;
+}
+
+bool MemberControl::hearsMajority(TimePoint now) const
+{
+    return membership_.heardWithin(kHeardWindow, now) >= listedHosts_ / 2 + 1;
+}
+
+bool MemberControl::isSettled(TimePoint now) const
+{
+    return startedAt_ != TimePoint {} && now >= startedAt_ + kSettlingTime;
+}
+
+void MemberControl::logViewChange()
+{
+    if (membership_.viewNumber() == loggedView_)
+        return;
+    loggedView_ = membership_.viewNumber();
+    std::string hosts;
+    for (const Member &member : membership_.view())
+        hosts += (hosts.empty() ? "" : " ") + member.host_.str();
+    log_.write(LogLine(Severity::Info, "view").add("number", loggedView_).add("hosts", hosts));
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/MemberControl.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "pimentostage/base/Log.h"
+#include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/sibling/Membership.h"
+#include "pimentostage/sibling/Messages.h"
+
+#include <functional>
+#include <map>
+
+namespace pimentostage {
+
+/// Runs Membership over the sibling links and spreads the configuration along with the probes.
+///
+/// Lives on the control thread.
+class MemberControl
+{
+public:
+    /// @param onConfig called after objects arrived from a sibling, with what they are.
+    using OnConfig = std::function<void(const ConfigPush &)>;
+
+    MemberControl(const MemberUpdate &self, Random random, ConfigState &config,
+                  SiblingSender &sender, LogSink &log, OnConfig onConfig);
+
+    /// Adds the entry hosts of the platform's list and forgets those it no longer names.
+    void updateListed(const std::vector<ListedHost> &hosts);
+
+    void tick(TimePoint now);
+
+    void onMessage(const HostName &from, const Probe &probe, TimePoint now);
+    void onMessage(const HostName &from, const ProbeAck &ack, TimePoint now);
+    void onMessage(const HostName &from, const ConfigPull &pull);
+    void onMessage(const ConfigPush &push);
+
+    /// Tells the others that this host leaves.
+    void leave();
+
+    [[nodiscard]] Membership &membership() { return membership_; }
+
+    /// @return whether another host had an answer of the store lately.
+    [[nodiscard]] bool othersHearStore(TimePoint now) const;
+
+    /// @return whether this host hears a majority of the entry hosts that the platform lists.
+    [[nodiscard]] bool hearsMajority(TimePoint now) const;
+
+    /// @return whether every listed entry host was heard, or had the time to be.
+    [[nodiscard]] bool isSettled(TimePoint now) const;
+
+private:
+    struct Heard
+    {
+        TimePoint at_;
+        std::optional<Duration> configAge_;
+    };
+
+    ConfigSummary summary(TimePoint now) const;
+    void take(const HostName &from, const std::vector<MemberUpdate> &news,
+              const ConfigSummary &config, TimePoint now);
+    void logViewChange();
+
+    const MemberUpdate self_;
+    Membership membership_;
+    ConfigState &config_;
+    SiblingSender &sender_;
+    LogSink &log_;
+    const OnConfig onConfig_;
+    std::map<HostName, Heard> heard_;
+    std::size_t listedHosts_ = 1;
+    TimePoint startedAt_ {};
+    std::uint64_t loggedView_ = 0;
+    TimePoint nextPull_ {};
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/PlacementControl.cpp
@@ -0,0 +1,256 @@
+#include "src/daemon/PlacementControl.h"
+
+#include "pimentostage/platform/ObjectCodec.h"
+#include "src/backend/GrantCodec.h"
+#include "src/daemon/RecoveryBudget.h"
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kGrantTimeout = 4 * kGrantPeriod;
+constexpr const char *kRolePrefix = "coordinator.";
+
+HttpLoopOptions loopOptions()
+{
+    HttpLoopOptions options;
+    options.threadName_ = "grants";
+    options.connectionsPerPeer_ = 8;
+    options.connectTimeout_ = kGrantTimeout;
+    return options;
+}
+
+ObjectRef refOf(const ServiceName &service)
+{
+    return ObjectRef { ObjectKind::Placement, service.str() };
+}
+
+/// @return the placement in @p object, or nothing if it does not exist.
+leaf::result<std::optional<Placement>> placementIn(const StoredObject &object)
+{
+    if (object.deleted_)
+        return std::optional<Placement>();
+    BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
+    return std::optional<Placement>(std::move(placement));
+}
+
+} // namespace
+
+PlacementControl::PlacementControl(ObjectStore &store, Post post, Holds holds, std::uint64_t seed,
+                                   LogSink &log, Counters &counters, OnOwnWrite onOwnWrite)
+    : store_(store)
+    , post_(std::move(post))
+    , holds_(std::move(holds))
+    , seed_(seed)
+    , log_(log)
+    , onOwnWrite_(std::move(onOwnWrite))
+    , grants_(counters.counter("pimento_grants_sent_total", "Grants sent to back ends."))
+    , grantFailures_(
+          counters.counter("pimento_grant_failures_total", "Grants that got no usable reply."))
+    , moves_(counters.counter("pimento_unit_moves_total", "Moves of shards and hot keys begun."))
+    , loop_(loopOptions())
+{ }
+
+RoleName PlacementControl::roleOf(const ServiceName &service)
+{
+    return RoleName(kRolePrefix + service.str());
+}
+
+std::set<RoleName> PlacementControl::rolesFor(const Configuration &configuration)
+{
+    std::set<RoleName> roles;
+    for (const auto &[name, service] : configuration.services_) {
+        if (service.keyed_)
+            roles.insert(roleOf(name));
+    }
+    return roles;
+}
+
+void PlacementControl::onConfig(const Configuration &configuration,
+                                const std::set<std::string> &leavingHosts)
+{
+    std::erase_if(services_, [&](const auto &entry) {
+        const auto found = configuration.services_.find(entry.first);
+        return found == configuration.services_.end() || !found->second.keyed_;
+    });
+    for (const auto &[name, service] : configuration.services_) {
+        if (!service.keyed_)
+            continue;
+        Coordinated &coordinated = services_[name];
+        coordinated.service_ = service;
+        if (!coordinated.coordinator_)
+            coordinated.coordinator_ = std::make_unique<ShardCoordinator>(service, seed_);
+        std::map<BackendName, CoordinatedBackend> backends;
+        for (const auto &[backendName, backend] : configuration.backends_) {
+            if (backend.service_ != name)
+                continue;
+            CoordinatedBackend facts;
+            facts.capacity_ = backend.slots_;
+            facts.takesNewWork_ = configuration.isZoneIn(backend.zone_)
+                                  && !leavingHosts.contains(backendName.str());
+            backends[backendName] = facts;
+            coordinated.addresses_[backendName] = backend.address_;
+        }
+        coordinated.coordinator_->setBackends(backends);
+    }
+}
+
+ShardCoordinator *PlacementControl::find(const ServiceName &service)
+{
+    const auto found = services_.find(service);
+    return found == services_.end() ? nullptr : found->second.coordinator_.get();
+}
+
+void PlacementControl::onRoleGained(const RoleName &role, Epoch epoch, TimePoint now)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (roleOf(name) == role)
+            perform(name, coordinated.coordinator_->begin(epoch, now));
+    }
+}
+
+void PlacementControl::onRoleLost(const RoleName &role)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (roleOf(name) == role)
+            coordinated.coordinator_->end();
+    }
+}
+
+void PlacementControl::tick(TimePoint now)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (holds_(roleOf(name), now))
+            perform(name, coordinated.coordinator_->tick(now));
+    }
+}
+
+void PlacementControl::setHotKeys(const ServiceName &service, const std::vector<std::string> &keys)
+{
+    if (ShardCoordinator *coordinator = find(service))
+        coordinator->setHotKeys(keys);
+}
+
+std::size_t PlacementControl::movingUnits() const
+{
+    std::size_t moving = 0;
+    for (const auto &[name, coordinated] : services_)
+        moving += coordinated.coordinator_->movingUnits();
+    return moving;
+}
+
+void PlacementControl::perform(const ServiceName &service, const CoordinatorActions &actions)
+{
+    for (const CoordinatorAction &action : actions)
+        std::visit([&](const auto &step) { perform(service, step); }, action);
+}
+
+void PlacementControl::perform(const ServiceName &service, const ReadPlacement &)
+{
+    store_.get(refOf(service), [this, service](const Reply<StoredObject> &reply) {
+        ShardCoordinator *coordinator = find(service);
+        const TimePoint now = BootClock::now();
+        if (!coordinator || !holds_(roleOf(service), now))
+            return;
+        const auto *object = std::get_if<StoredObject>(&reply);
+        if (!object) {
+            coordinator->onReadFailed(now);
+            return;
+        }
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(placement, placementIn(*object));
+                perform(service, coordinator->onRead(placement, object->version_, now));
+                return {};
+            },
+            [&](const Error &error) {
+                // A placement that does not parse is never acted on.
+                log_.write(LogLine(Severity::Error, "placement-unreadable")
+                               .add("error", error.describe()));
+                coordinator->onReadFailed(now);
+            },
+            [&] { coordinator->onReadFailed(now); });
+    });
+}
+
+void PlacementControl::perform(const ServiceName &service, const WritePlacement &write)
+{
+    store_.put(refOf(service), formatPlacement(write.placement_), write.expected_,
+               [this, service, placement = write.placement_](const Reply<WriteResult> &reply) {
+                   onWriteReply(service, placement, reply);
+               });
+}
+
+void PlacementControl::onWriteReply(const ServiceName &service, const Placement &placement,
+                                    const Reply<WriteResult> &reply)
+{
+    const TimePoint now = BootClock::now();
+    const auto *result = std::get_if<WriteResult>(&reply);
+    if (result && result->written_)
+        onOwnWrite_(
+            StoredObject { refOf(service), result->version_, false, formatPlacement(placement) });
+    ShardCoordinator *coordinator = find(service);
+    if (!coordinator || !holds_(roleOf(service), now))
+        return;
+    if (!result)
+        coordinator->onWriteFailed(now);
+    else if (result->written_)
+        perform(service, coordinator->onWritten(result->version_, now));
+    else
+        perform(service, coordinator->onConflict(now));
+    perform(service, coordinator->tick(now));
+}
+
+void PlacementControl::perform(const ServiceName &service, const SendGrant &send)
+{
+    const auto &addresses = services_.at(service).addresses_;
+    const auto address = addresses.find(send.backend_);
+    if (address == addresses.end())
+        return;
+    grants_.add();
+    HttpRequest request;
+    request.method_ = "POST";
+    request.url_ = "http://" + address->second.str() + kGrantPath;
+    request.body_ = formatGrant(send.grant_);
+    request.timeout_ = kGrantTimeout;
+    request.expectedId_ = "grant-" + std::to_string(send.grant_.sequence_);
+    request.headers_.push_back({ kRequestIdHeader, request.expectedId_ });
+    loop_.post([this, service, backend = send.backend_, request = std::move(request)] {
+        loop_.start(request, [this, service, backend](HttpResult result) {
+            post_([this, service, backend, result = std::move(result)] {
+                onGrantResult(service, backend, result);
+            });
+        });
+    });
+}
+
+void PlacementControl::onGrantResult(const ServiceName &service, const BackendName &backend,
+                                     const HttpResult &result)
+{
+    ShardCoordinator *coordinator = find(service);
+    const TimePoint now = BootClock::now();
+    if (!coordinator || !holds_(roleOf(service), now))
+        return;
+    const bool isAnswer = result.answer_ && result.answer_->status_ == kOk;
+    const auto reply = isAnswer ? parseGrantReply(result.answer_->body_) : std::nullopt;
+    if (!reply) {
+        grantFailures_.add();
+        return;
+    }
+    coordinator->onGrantReply(backend, *reply, now);
+    perform(service, coordinator->tick(now));
+}
+
+void PlacementControl::perform(const ServiceName &service, const MoveDecided &move)
+{
+    moves_.add();
+    log_.write(LogLine(Severity::Info, "placement")
+                   .add("service", service.str())
+                   .add("unit", move.unit_)
+                   .add("from", move.from_.str())
+                   .add("to", move.to_.str())
+                   .add("reason", toString(move.reason_)));
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/PlacementControl.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "pimentostage/backend/ShardCoordinator.h"
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/platform/Configuration.h"
+#include "pimentostage/platform/ObjectStore.h"
+#include "src/base/HttpLoop.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace pimentostage {
+
+/// Runs a ShardCoordinator for each keyed service that this host coordinates.
+///
+/// Lives on the control thread.
+class PlacementControl
+{
+public:
+    /// Runs a function on the control thread.
+    using Post = std::function<void(std::function<void()>)>;
+    /// Passes on an object that this host has written itself.
+    using OnOwnWrite = std::function<void(const StoredObject &)>;
+    /// @return whether this host may act in a role at a time.
+    using Holds = std::function<bool(const RoleName &, TimePoint)>;
+
+    PlacementControl(ObjectStore &store, Post post, Holds holds, std::uint64_t seed, LogSink &log,
+                     Counters &counters, OnOwnWrite onOwnWrite);
+
+    /// @return the roles of the coordinators of all keyed services.
+    static std::set<RoleName> rolesFor(const Configuration &configuration);
+    /// @return the role of the coordinator of @p service.
+    static RoleName roleOf(const ServiceName &service);
+
+    /// Takes services and back ends from the configuration in force.
+    void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts);
+
+    void onRoleGained(const RoleName &role, Epoch epoch, TimePoint now);
+    void onRoleLost(const RoleName &role);
+    void tick(TimePoint now);
+
+    /// Replaces the keys of @p service that are to live apart from their shards.
+    void setHotKeys(const ServiceName &service, const std::vector<std::string> &keys);
+
+    /// @return how many units are on their way between owners, of all services coordinated here.
+    [[nodiscard]] std::size_t movingUnits() const;
+
+private:
+    struct Coordinated
+    {
+        Service service_;
+        std::unique_ptr<ShardCoordinator> coordinator_;
+        std::map<BackendName, Address> addresses_;
+    };
+
+    void perform(const ServiceName &service, const CoordinatorActions &actions);
+    void perform(const ServiceName &service, const ReadPlacement &read);
+    void perform(const ServiceName &service, const WritePlacement &write);
+    void perform(const ServiceName &service, const SendGrant &send);
+    void perform(const ServiceName &service, const MoveDecided &move);
+    void onWriteReply(const ServiceName &service, const Placement &placement,
+                      const Reply<WriteResult> &reply);
+    void onGrantResult(const ServiceName &service, const BackendName &backend,
+                       const HttpResult &result);
+    ShardCoordinator *find(const ServiceName &service);
+
+    ObjectStore &store_;
+    const Post post_;
+    const Holds holds_;
+    const std::uint64_t seed_;
+    LogSink &log_;
+    const OnOwnWrite onOwnWrite_;
+    Counter &grants_;
+    Counter &grantFailures_;
+    Counter &moves_;
+    std::map<ServiceName, Coordinated> services_;
+    HttpLoop loop_;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/RoleControl.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "pimentostage/base/Log.h"
+#include "pimentostage/platform/Configuration.h"
+#include "pimentostage/platform/ObjectStore.h"
+#include "pimentostage/sibling/Messages.h"
+#include "pimentostage/sibling/PromiseLedger.h"
+#include "pimentostage/sibling/RoleKeeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace pimentostage {
+
+class ConfigState;
+class MemberControl;
+
+/// What is done when this host gains or loses a role. Called on the control thread.
+class RoleListener
+{
+public:
+    virtual ~RoleListener() = default;
+    virtual void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now) = 0;
+    virtual void onRoleLost(const RoleName &role) = 0;
+};
+
+/// Runs a RoleKeeper for each role against the store and the siblings.
+///
+/// Lives on the control thread.
+class RoleControl
+{
+public:
+    /// Passes on an object that this host has written itself.
+    using OnOwnWrite = std::function<void(const StoredObject &)>;
+
+    RoleControl(const Member &self, Random random, ObjectStore &store, SiblingSender &sender,
+                MemberControl &members, const ConfigState &config, RoleListener &listener,
+                LogSink &log, OnOwnWrite onOwnWrite);
+
+    /// Keeps exactly @p roles.
+    void setRoles(const std::set<RoleName> &roles);
+
+    /// Takes role records from the configuration in force.
+    void onConfig(const Configuration &configuration, TimePoint now);
+
+    void tick(const Configuration &configuration, TimePoint now);
+
+    void onMessage(const MemberUpdate &from, const PromiseRequest &request, TimePoint now);
+    void onMessage(const MemberUpdate &from, const PromiseReply &reply, TimePoint now);
+    void onMessage(const MemberUpdate &from, const ReleaseRequest &request, TimePoint now);
+    void onMessage(const MemberUpdate &from, const ReleaseReply &reply, TimePoint now);
+    void onMessage(const MemberUpdate &from, const StepDown &stepDown);
+
+    /// Gives all roles up, for a planned stop.
+    void resign(TimePoint now);
+    /// @return writes that have not been answered yet.
+    [[nodiscard]] std::size_t pendingWrites() const { return pendingWrites_; }
+
+    [[nodiscard]] bool holds(const RoleName &role, TimePoint now) const;
+    /// @return the keepers of all roles, for status pages.
+    [[nodiscard]] const std::map<RoleName, std::unique_ptr<RoleKeeper>> &keepers() const
+    {
+        return keepers_;
+    }
+
+private:
+    RoleSurroundings surroundings(const Configuration &configuration, TimePoint now) const;
+    void addStopped(const RoleRecord &record, std::set<Member> &stopped) const;
+    RoleKeeper *find(const RoleName &role);
+    void perform(RoleKeeper &keeper, const RoleActions &actions, TimePoint now);
+    void perform(RoleKeeper &keeper, const ReadRole &read, TimePoint now);
+    void perform(RoleKeeper &keeper, const WriteRole &write, TimePoint now);
+    void perform(RoleKeeper &keeper, const AskPromise &ask, TimePoint now);
+    void perform(RoleKeeper &keeper, const AskRelease &ask, TimePoint now);
+    void perform(RoleKeeper &keeper, const RoleGained &gained, TimePoint now);
+    void perform(RoleKeeper &keeper, const RoleLost &lost, TimePoint now);
+    void perform(RoleKeeper &keeper, const AnnounceStepDown &announcement, TimePoint now);
+    void onWriteReply(const RoleName &role, const WriteRole &write, TimePoint sentAt,
+                      const Reply<WriteResult> &reply);
+    void logBlocked(const RoleKeeper &keeper, TimePoint now);
+
+    const Member self_;
+    Random random_;
+    ObjectStore &store_;
+    SiblingSender &sender_;
+    MemberControl &members_;
+    const ConfigState &config_;
+    RoleListener &listener_;
+    LogSink &log_;
+    const OnOwnWrite onOwnWrite_;
+    std::map<RoleName, std::unique_ptr<RoleKeeper>> keepers_;
+    PromiseLedger promises_;
+    std::size_t pendingWrites_ = 0;
+    TimePoint nextBlockedLog_ {};
+};
+
+} // namespace pimentostage
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -64,6 +64,7 @@
     &addTeamKey,
     &addByName<&parseZone, &Configuration::zones_>,
     &addByName<&parseBackend, &Configuration::backends_>,
+    &addByName<&parseLostHost, &Configuration::lostHosts_>,
     &addByName<&parseRoleRecord, &Configuration::roles_>,
     &addPlacement,
 };
@@ -136,6 +137,11 @@
         confirmedAt_ = sentAt;
 }
 
+void ConfigState::adoptRevision(Version revision)
+{
+    revision_ = std::max(revision_, revision);
+}
+
 void ConfigState::confirmThroughSibling(Version revision, Duration age, TimePoint now)
 {
     if (revision < revision_)
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -443,6 +443,17 @@
     return backend;
 }
 
+leaf::result<LostHost> parseLostHost(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::LostHost, name }, value);
+    LostHost host;
+    host.name_ = HostName(name);
+    host.upTo_ = Incarnation { reader.sequence("up_to_incarnation") };
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return host;
+}
+
 leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value)
 {
     ObjectReader reader({ ObjectKind::Role, name }, value);
@@ -518,8 +529,9 @@
 
 // One row for each ObjectKind, in its order.
 constexpr std::array<CheckObject, kEnumCount<ObjectKind>> kCheckObject {
-    &check<&parseService>, &check<&parseContract>,   &check<&parseTeamKey>,   &check<&parseZone>,
-    &check<&parseBackend>, &check<&parseRoleRecord>, &check<&parsePlacement>,
+    &check<&parseService>,    &check<&parseContract>,  &check<&parseTeamKey>,
+    &check<&parseZone>,       &check<&parseBackend>,   &check<&parseLostHost>,
+    &check<&parseRoleRecord>, &check<&parsePlacement>,
 };
 
 } // namespace
@@ -585,6 +597,11 @@
         .dump();
 }
 
+std::string formatLostHost(const LostHost &host)
+{
+    return Json({ { "up_to_incarnation", host.upTo_.value_ } }).dump();
+}
+
 std::string formatRoleRecord(const RoleRecord &record)
 {
     Json predecessors = Json::array();
--- /dev/null
+++ b/src/sibling/FrameCodec.cpp
@@ -0,0 +1,380 @@
+#include "src/sibling/FrameCodec.h"
+
+#include <array>
+#include <type_traits>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t kMostElements = 1'000'000;
+constexpr unsigned kBitsPerByte = 8;
+constexpr std::uint32_t kByteMask = 0xff;
+
+template <typename T>
+struct IsVector : std::false_type
+{ };
+template <typename T>
+struct IsVector<std::vector<T>> : std::true_type
+{ };
+template <typename T>
+struct IsOptional : std::false_type
+{ };
+template <typename T>
+struct IsOptional<std::optional<T>> : std::true_type
+{ };
+template <typename T>
+struct IsName : std::false_type
+{ };
+template <typename T>
+struct IsName<Name<T>> : std::true_type
+{ };
+template <typename T>
+struct IsSequence : std::false_type
+{ };
+template <typename T>
+struct IsSequence<Sequence<T>> : std::true_type
+{ };
+
+// The fields of each type, once for reading and writing.
+
+template <typename Archive>
+void fields(Archive &archive, Member &member)
+{
+    archive(member.host_, member.incarnation_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, Address &address)
+{
+    archive(address.ip_, address.port_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, MemberUpdate &update)
+{
+    archive(update.member_, update.address_, update.zone_, update.refutation_, update.liveness_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ConfigSummary &summary)
+{
+    archive(summary.revision_, summary.digest_, summary.age_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ObjectRef &ref)
+{
+    archive(ref.kind_, ref.name_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, StoredObject &object)
+{
+    archive(object.ref_, object.version_, object.deleted_, object.value_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, LoanNumber &number)
+{
+    archive(number.epoch_, number.sequence_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, AllowanceRequest &request)
+{
+    archive(request.account_, request.lastLoan_, request.demand_, request.wanted_,
+            request.leastUseful_, request.heldRate_, request.heldBurst_, request.heldFor_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, AllowanceLoan &loan)
+{
+    archive(loan.account_, loan.number_, loan.rate_, loan.burst_, loan.validity_, loan.tokens_,
+            loan.emptyFor_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, Hello &message)
+{
+    archive(message.self_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, Probe &message)
+{
+    archive(message.origin_, message.target_, message.sequence_, message.news_, message.config_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ProbeAck &message)
+{
+    archive(message.origin_, message.responder_, message.sequence_, message.news_, message.config_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ConfigPull &message)
+{
+    archive(message.since_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ConfigPush &message)
+{
+    archive(message.revision_, message.objects_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, PromiseRequest &message)
+{
+    archive(message.role_, message.epoch_, message.sentAt_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, PromiseReply &message)
+{
+    archive(message.role_, message.epoch_, message.sentAt_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ReleaseRequest &message)
+{
+    archive(message.role_, message.epoch_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, ReleaseReply &message)
+{
+    archive(message.role_, message.epoch_, message.remaining_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, StepDown &message)
+{
+    archive(message.role_, message.epoch_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, LoanRequests &message)
+{
+    archive(message.requests_, message.sentAt_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, LoanReplies &message)
+{
+    archive(message.loans_, message.sentAt_);
+}
+
+/// Appends fields to a JSON array.
+class Writer
+{
+public:
+    template <typename... T>
+    void operator()(T &...values)
+    {
+        (array_.push_back(write(values)), ...);
+    }
+
+    Json take() { return std::move(array_); }
+
+private:
+    template <typename T>
+    static Json write(T &value)
+    {
+        if constexpr (IsName<T>::value) {
+            return value.str();
+        } else if constexpr (IsSequence<T>::value) {
+            return value.value_;
+        } else if constexpr (std::is_same_v<T, Duration>) {
+            return value.count();
+        } else if constexpr (std::is_enum_v<T>) {
+            return static_cast<std::uint64_t>(value);
+        } else if constexpr (IsOptional<T>::value) {
+            return value ? write(*value) : Json();
+        } else if constexpr (IsVector<T>::value) {
+            Json items = Json::array();
+            for (auto &item : value)
+                items.push_back(write(item));
+            return items;
+        } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
+            return value;
+        } else {
+            Writer writer;
+            fields(writer, value);
+            return writer.take();
+        }
+    }
+
+    Json array_ = Json::array();
+};
+
+/// Reads fields from a JSON array; anything unexpected makes it fail.
+class Reader
+{
+public:
+    explicit Reader(const Json &array)
+        : array_(array)
+        , ok_(array.is_array())
+    { }
+
+    template <typename... T>
+    void operator()(T &...values)
+    {
+        ok_ = ok_ && array_.size() == sizeof...(values);
+        std::size_t index = 0;
+        ((ok_ = ok_ && read(array_[index++], values)), ...);
+    }
+
+    bool isOk() const { return ok_; }
+
+private:
+    template <typename T>
+    static bool read(const Json &json, T &value)
+    {
+        if constexpr (IsName<T>::value) {
+            if (!json.is_string())
+                return false;
+            value = T(json.get<std::string>());
+            return true;
+        } else if constexpr (IsSequence<T>::value) {
+            return read(json, value.value_);
+        } else if constexpr (std::is_same_v<T, Duration>) {
+            if (!json.is_number_integer())
+                return false;
+            value = Duration(json.get<Duration::rep>());
+            return true;
+        } else if constexpr (std::is_enum_v<T>) {
+            if (!json.is_number_unsigned() || json.get<std::uint64_t>() >= kEnumCount<T>)
+                return false;
+            value = static_cast<T>(json.get<std::uint64_t>());
+            return true;
+        } else if constexpr (IsOptional<T>::value) {
+            if (json.is_null())
+                return true;
+            return read(json, value.emplace());
+        } else if constexpr (IsVector<T>::value) {
+            return readItems(json, value);
+        } else if constexpr (std::is_same_v<T, bool>) {
+            value = json == true;
+            return json.is_boolean();
+        } else if constexpr (std::is_floating_point_v<T>) {
+            if (!json.is_number())
+                return false;
+            value = json.get<T>();
+            return true;
+        } else if constexpr (std::is_integral_v<T>) {
+            if (!json.is_number_unsigned() || !std::in_range<T>(json.get<std::uint64_t>()))
+                return false;
+            value = json.get<T>();
+            return true;
+        } else if constexpr (std::is_same_v<T, std::string>) {
+            if (!json.is_string())
+                return false;
+            value = json.get<std::string>();
+            return true;
+        } else {
+            Reader reader(json);
+            fields(reader, value);
+            return reader.isOk();
+        }
+    }
+
+    template <typename T>
+    static bool readItems(const Json &json, std::vector<T> &values)
+    {
+        if (!json.is_array() || json.size() > kMostElements)
+            return false;
+        values.resize(json.size());
+        for (std::size_t i = 0; i < values.size(); ++i) {
+            if (!read(json[i], values[i]))
+                return false;
+        }
+        return true;
+    }
+
+    const Json &array_;
+    bool ok_;
+};
+
+template <std::size_t kIndex>
+bool readMessage(const Json &json, SiblingMessage &message)
+{
+    Reader reader(json);
+    fields(reader, message.emplace<kIndex>());
+    return reader.isOk();
+}
+
+using ReadMessage = bool (*)(const Json &, SiblingMessage &);
+
+template <std::size_t... kIndices>
+constexpr auto makeReaders(std::index_sequence<kIndices...>)
+{
+    return std::array<ReadMessage, sizeof...(kIndices)> { &readMessage<kIndices>... };
+}
+
+// One row for each alternative of SiblingMessage, in its order.
+constexpr auto kReaders
+    = makeReaders(std::make_index_sequence<std::variant_size_v<SiblingMessage>>());
+
+leaf::error_id malformed(const char *detail)
+{
+    return fail(
+        Error { Step::DecodeFrame, Peer { PeerKind::Sibling, "" }, ErrorCode::Malformed, detail });
+}
+
+} // namespace
+
+std::vector<std::uint8_t> encodeFrame(const SiblingMessage &message)
+{
+    SiblingMessage copy = message;
+    Json body = std::visit(
+        [](auto &alternative) {
+            Writer writer;
+            fields(writer, alternative);
+            return writer.take();
+        },
+        copy);
+    const Json envelope = Json::array({ kSiblingProtocol, message.index(), std::move(body) });
+    std::vector<std::uint8_t> frame(kFrameLengthBytes);
+    Json::to_msgpack(envelope, frame);
+    const auto length = static_cast<std::uint32_t>(frame.size() - kFrameLengthBytes);
+    for (std::size_t i = 0; i < kFrameLengthBytes; ++i) {
+        const auto shift = static_cast<unsigned>(kFrameLengthBytes - 1 - i) * kBitsPerByte;
+        frame[i] = static_cast<std::uint8_t>((length >> shift) & kByteMask);
+    }
+    return frame;
+}
+
+std::uint32_t frameLength(const std::uint8_t *bytes)
+{
+    std::uint32_t length = 0;
+    for (std::size_t i = 0; i < kFrameLengthBytes; ++i)
+        length = (length << kBitsPerByte) | bytes[i];
+    return length;
+}
+
+leaf::result<SiblingMessage> decodeFrame(const std::vector<std::uint8_t> &payload)
+{
+    const Json envelope = Json::from_msgpack(payload, true, false);
+    const bool isEnvelope = envelope.is_array() && envelope.size() == 3
+                            && envelope[0].is_number_unsigned() && envelope[1].is_number_unsigned();
+    if (!isEnvelope)
+        return malformed("not a message");
+    if (envelope[0].get<std::uint64_t>() != kSiblingProtocol)
+        return malformed("another version of the protocol");
+    const auto index = envelope[1].get<std::uint64_t>();
+    if (index >= kReaders.size())
+        return malformed("unknown message");
+    SiblingMessage message;
+    if (!kReaders.at(index)(envelope[2], message))
+        return malformed("unexpected fields");
+    return message;
+}
+
+} // namespace pimentostage
--- a/src/sibling/RoleKeeper.cpp
+++ b/src/sibling/RoleKeeper.cpp
@@ -328,7 +328,10 @@
     for (const Member &member : succession_->unreleased()) {
         if (surroundings.stopped_.contains(member))
             succession_->onStopped(member, now);
-        else if (surroundings.vouchedLost_.contains(member.host_))
+        const auto vouched = surroundings.vouchedLost_.find(member.host_);
+        const bool isVouchedLost
+            = vouched != surroundings.vouchedLost_.end() && member.incarnation_ <= vouched->second;
+        if (isVouchedLost)
             succession_->onVouchedLost(member, now);
     }
     if (now >= nextReleases_) {
--- a/src/sibling/TokenPurse.cpp
+++ b/src/sibling/TokenPurse.cpp
@@ -100,7 +100,7 @@
         }
     }
     for (const Waiter &waiter : expired)
-        waiter(SpendResult::Refused);
+        waiter(SpendResult::Unavailable);
 }
 
 bool TokenPurse::hasWaiters() const
