--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -19,6 +19,7 @@
 struct ExecutionPolicy
 {
     bool idempotent_ = false;
+    bool waitsForOwner_ = false; ///< only one back end may run it, which may change
     TimePoint deadline_;
     std::optional<Duration> hedgeAfter_; ///< no hedging if empty
     std::uint32_t mostAttempts_ = 3;
--- a/include/pimentostage/sibling/Allowance.h
+++ b/include/pimentostage/sibling/Allowance.h
@@ -40,6 +40,7 @@
     double heldRate_ = 0; ///< rate of the share still held
     double heldBurst_ = 0; ///< burst of the share still held
     Duration heldFor_ {}; ///< how long the held share stays valid
+    double returned_ = 0; ///< tokens given back
 };
 
 /// What the holder lends: a share of the rate for some time, and tokens for at once.
--- a/include/pimentostage/sibling/AllowanceLender.h
+++ b/include/pimentostage/sibling/AllowanceLender.h
@@ -7,6 +7,21 @@
 
 namespace pimentostage {
 
+/// When and how a holder came to hold an account.
+struct LenderStart
+{
+    Epoch epoch_; ///< epoch under which it has its role
+    TimePoint since_;
+    TimePoint unseenUntil_; ///< loans of an earlier holder may be in use until then
+};
+
+/// A loan, and the borrowers to be asked for what they do not need.
+struct LendResult
+{
+    AllowanceLoan loan_;
+    std::vector<HostName> recallFrom_;
+};
+
 /// Lends parts of one account's bound to hosts so that their sum never exceeds it.
 ///
 /// At every moment the tokens in the central bucket, the tokens lent and not yet lapsed, and the
@@ -15,15 +30,13 @@
 class AllowanceLender
 {
 public:
-    /// @param epoch epoch under which the holder has its role.
-    /// @param unseenUntil until when loans of an earlier holder may be in use; the bucket starts
-    ///        empty and fills from then on.
-    /// @param level tokens in the bucket at @p now.
-    AllowanceLender(const AllowanceTerms &terms, Epoch epoch, TimePoint unseenUntil, double level,
-                    TimePoint now);
+    /// @param start if there was an earlier holder, the bucket starts empty, and until its loans
+    ///        have surely lapsed only the part of the bound is lent that is never given as shares.
+    AllowanceLender(const AllowanceTerms &terms, const LenderStart &start, TimePoint now);
 
     /// Answers @p request of @p borrower.
-    AllowanceLoan lend(const HostName &borrower, const AllowanceRequest &request, TimePoint now);
+    /// @return the loan, and whom to ask to give back what it does not need.
+    LendResult lend(const HostName &borrower, const AllowanceRequest &request, TimePoint now);
 
     /// Replaces the bound. A lower one is reached as loans under the former one lapse.
     void setTerms(const AllowanceTerms &terms, TimePoint now);
@@ -45,6 +58,7 @@
         std::vector<Share> shares_; ///< the newest last; more than one while unacknowledged
         double demand_ = 0;
         TimePoint seenAt_;
+        TimePoint recalledAt_ {};
     };
     struct TopUp
     {
@@ -56,6 +70,8 @@
     void refill(TimePoint until);
     [[nodiscard]] TimePoint nextLapse(TimePoint until) const;
     void dropLapsed(TimePoint now);
+    void acknowledge(Borrower &borrower, const AllowanceRequest &request);
+    std::vector<HostName> chooseRecalls(const HostName &except, TimePoint now);
     void adopt(Borrower &borrower, const AllowanceRequest &request, TimePoint now);
     [[nodiscard]] Share chooseShare(const HostName &name, const Borrower &borrower,
                                     TimePoint now) const;
@@ -67,9 +83,8 @@
     [[nodiscard]] double centralCap() const;
 
     AllowanceTerms terms_;
-    const Epoch epoch_;
-    const TimePoint unseenUntil_;
-    double level_;
+    const LenderStart start_;
+    double level_ = 0;
     TimePoint advancedTo_;
     std::uint64_t lastSequence_ = 0;
     std::map<HostName, Borrower> borrowers_;
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -109,10 +109,16 @@
     Duration sentAt_ {}; ///< as in the request
 };
 
+/// The sender holds accounts and is short of tokens: give back what is not needed and ask anew.
+struct LoanRecall
+{
+    std::vector<AccountName> accounts_;
+};
+
 /// Any message between entry hosts. The index is the message's number on the wire.
 using SiblingMessage
     = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
-                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies>;
+                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/include/pimentostage/sibling/TokenPurse.h
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/EnumNames.h"
 #include "pimentostage/sibling/Allowance.h"
+#include "pimentostage/sibling/DecayingRate.h"
 
 #include <deque>
 #include <functional>
@@ -24,6 +25,9 @@
     };
 };
 
+/// What a purse keeps when it asks the holder anew.
+enum class PurseNeed { Usual, Recalled };
+
 /// One host's part of an account: the share it holds and the tokens it was lent.
 ///
 /// Used by traffic threads to spend and by the control thread to renew.
@@ -39,12 +43,16 @@
     /// @param waiter kept and called later only if the result is Waiting.
     SpendResult spend(double tokens, TimePoint now, Waiter waiter);
 
-    /// @return the request to send to the holder now.
-    AllowanceRequest request(TimePoint now);
+    /// @return the request to send to the holder now. Gives back what the purse does not need: a
+    ///         little if it is only renewed, all but the demand of the moment if it is recalled.
+    AllowanceRequest request(TimePoint now, PurseNeed need = PurseNeed::Usual);
 
     /// Takes a loan that answers a request sent at @p sentAt and serves the waiting spenders.
     void applyLoan(const AllowanceLoan &loan, TimePoint sentAt, TimePoint now);
 
+    /// Serves spenders that wait from what the share has gained since.
+    void serveWaiters(TimePoint now);
+
     /// Tells spenders that have waited longer than kMostWait that the holder is not available.
     void expireWaiters(TimePoint now);
 
@@ -55,11 +63,14 @@
     [[nodiscard]] const AccountName &account() const { return account_; }
 
     /// Longest time that a spender waits for the holder.
-    static constexpr Duration kMostWait = std::chrono::milliseconds(60);
+    static constexpr Duration kMostWait = std::chrono::milliseconds(150);
     /// Most spenders that wait at once.
     static constexpr std::size_t kMostWaiters = 1024;
 
 private:
+    static constexpr double kDemandSeconds = 0.5;
+    static constexpr double kRecentSeconds = 0.1;
+
     struct Waiting
     {
         double tokens_ = 0;
@@ -74,9 +85,9 @@
 
     void refill(TimePoint now);
     bool take(double tokens);
-    void countDemand(double tokens, TimePoint now);
-    [[nodiscard]] double demandAt(TimePoint now) const;
-    std::vector<Decided> serveWaiters(TimePoint now);
+    
+    double shrink(double rate, double burst);
+    std::vector<Decided> decideWaiters(TimePoint now);
 
     const AccountName account_;
     mutable std::mutex mutex_;
@@ -89,8 +100,8 @@
     double topUp_ = 0;
     TimePoint topUpUntil_ {};
     TimePoint emptyUntil_ {};
-    double demand_ = 0;
-    TimePoint demandAt_ {};
+    DecayingRate demand_ { kDemandSeconds };
+    DecayingRate recentDemand_ { kRecentSeconds };
     TimePoint usedAt_ {};
     std::deque<Waiting> waiting_;
 };
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -134,6 +134,7 @@
     {
         ExecutionPolicy policy;
         policy.idempotent_ = request_.idempotent_;
+        policy.waitsForOwner_ = !request_.key_.empty();
         policy.deadline_ = request_.deadline_;
         const Duration quantile = route_.latency_.value();
         if (worker_.options_.hedging_ && quantile > Duration::zero())
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-// A stale epoch means that the placement is changing; a later try reads the new one.
-constexpr Duration kStaleEpochDelay = std::chrono::milliseconds(20);
+// Time between tries to find the present owner of a key, or a back end with room.
+constexpr Duration kOwnerDelay = std::chrono::milliseconds(20);
 
 GiveUpReason reasonFor(AttemptFailure failure)
 {
@@ -66,12 +66,12 @@
     tracked.state_ = AttemptState::NotSent;
     if (finished_ || isRunning())
         return {};
-    const bool canWait = now + kStaleEpochDelay < policy_.deadline_;
+    const bool canWait = now + kOwnerDelay < policy_.deadline_;
     if (!canWait)
         return giveUp(GiveUpReason::NoBackend);
     // No attempt was spent: the placement or a slot may become free before the deadline.
     attempts_.pop_back();
-    retryAt_ = now + kStaleEpochDelay;
+    retryAt_ = now + kOwnerDelay;
     return { WakeAt { *retryAt_ } };
 }
 
@@ -93,8 +93,11 @@
         return giveUp(GiveUpReason::DeadlinePassed);
     if (!mayRetry(state))
         return giveUp(reasonFor(failure));
-    if (failure == AttemptFailure::StaleEpoch) {
-        retryAt_ = now + kStaleEpochDelay;
+    // The owner is changing or lost: the request waits for the next one, for nothing was sent.
+    const bool isOwnerGone = failure == AttemptFailure::StaleEpoch
+        || (policy_.waitsForOwner_ && failure == AttemptFailure::ConnectFailed);
+    if (isOwnerGone) {
+        retryAt_ = now + kOwnerDelay;
         return { WakeAt { *retryAt_ } };
     }
     const bool isSpent = attempts_.size() >= policy_.mostAttempts_;
--- a/src/daemon/AllowanceControl.cpp
+++ b/src/daemon/AllowanceControl.cpp
@@ -78,9 +78,10 @@
     if (role.str().rfind(kRolePrefix, 0) != 0)
         return;
     Held held;
-    held.epoch_ = gained.epoch_;
-    held.isFirst_ = gained.isFirst_;
-    held.unseenUntil_ = gained.isFirst_ ? now : now + kClockDrift.stretched(kShareValidity);
+    held.start_.epoch_ = gained.epoch_;
+    held.start_.since_ = now;
+    held.start_.unseenUntil_
+        = gained.isFirst_ ? now : now + kClockDrift.stretched(kShareValidity);
     held_[role] = std::move(held);
 }
 
@@ -93,7 +94,10 @@
 {
     Batches batches;
     for (const auto &[team, purse] : purses_.purses()) {
-        purse->expireWaiters(now);
+        if (purse->hasWaiters()) {
+            purse->serveWaiters(now);
+            purse->expireWaiters(now);
+        }
         Asked &asked = asked_[purse->account()];
         const bool isLost = asked.isOpen_ && now >= asked.at_ + kAnswerWait;
         if (isLost) {
@@ -103,7 +107,7 @@
         const bool isRenewalDue
             = now >= asked.at_ + kShareRenewal && now < purse->usedAt() + kUnusedTime;
         if (!asked.isOpen_ && (isRenewalDue || purse->hasWaiters()))
-            ask(*purse, now, batches);
+            ask(*purse, PurseNeed::Usual, now, batches);
     }
     send(batches, now);
 }
@@ -114,17 +118,17 @@
     if (!purse || asked_[account].isOpen_ || !purse->hasWaiters())
         return;
     Batches batches;
-    ask(*purse, now, batches);
+    ask(*purse, PurseNeed::Usual, now, batches);
     send(batches, now);
 }
 
-void AllowanceControl::ask(TokenPurse &purse, TimePoint now, Batches &batches)
+void AllowanceControl::ask(TokenPurse &purse, PurseNeed need, TimePoint now, Batches &batches)
 {
     const auto holder = holderOf(purse.account());
     if (!holder)
         return;
     asked_[purse.account()] = Asked { now, true };
-    batches[*holder].requests_.push_back(purse.request(now));
+    batches[*holder].requests_.push_back(purse.request(now, need));
     requests_.add();
 }
 
@@ -169,7 +173,15 @@
         return std::nullopt;
     AllowanceLender &lender = lenderFor(held->second, request.account_, *terms, now);
     loans_.add();
-    return lender.lend(borrower, request, now);
+    LendResult result = lender.lend(borrower, request, now);
+    for (const HostName &host : result.recallFrom_) {
+        const LoanRecall recall { { request.account_ } };
+        if (host == self_)
+            onMessage(self_, recall, now);
+        else
+            sender_.send(host, recall);
+    }
+    return result.loan_;
 }
 
 AllowanceLender &AllowanceControl::lenderFor(Held &held, const AccountName &account,
@@ -181,11 +193,7 @@
             found->second.setTerms(terms, now);
         return found->second;
     }
-    // Nothing was lent here since the last loan of an earlier holder lapsed: the bucket has filled.
-    const Duration filling = std::max(Duration::zero(), Duration(now - held.unseenUntil_));
-    const double level = held.isFirst_ ? terms.burst_ : terms.rate_ * toSeconds(filling);
-    return held.lenders_
-        .emplace(account, AllowanceLender(terms, held.epoch_, held.unseenUntil_, level, now))
+    return held.lenders_.emplace(account, AllowanceLender(terms, held.start_, now))
         .first->second;
 }
 
@@ -197,7 +205,18 @@
     for (const AllowanceLoan &loan : replies.loans_) {
         TokenPurse *purse = purses_.find(loan.account_);
         if (purse && purse->hasWaiters())
-            ask(*purse, now, batches);
+            ask(*purse, PurseNeed::Usual, now, batches);
+    }
+    send(batches, now);
+}
+
+void AllowanceControl::onMessage(const HostName &from, const LoanRecall &recall, TimePoint now)
+{
+    Batches batches;
+    for (const AccountName &account : recall.accounts_) {
+        TokenPurse *purse = purses_.find(account);
+        if (purse && holderOf(account) == from)
+            ask(*purse, PurseNeed::Recalled, now, batches);
     }
     send(batches, now);
 }
--- a/src/daemon/AllowanceControl.h
+++ b/src/daemon/AllowanceControl.h
@@ -44,6 +44,7 @@
 
     void onMessage(const HostName &from, const LoanRequests &requests, TimePoint now);
     void onMessage(const LoanReplies &replies, TimePoint now);
+    void onMessage(const HostName &from, const LoanRecall &recall, TimePoint now);
 
     static constexpr std::uint64_t kGroups = 4;
 
@@ -51,9 +52,7 @@
     /// A group of accounts that this host holds.
     struct Held
     {
-        Epoch epoch_;
-        TimePoint unseenUntil_; ///< loans of an earlier holder may be in use until then
-        bool isFirst_ = false; ///< nobody held the group before
+        LenderStart start_;
         std::map<AccountName, AllowanceLender> lenders_;
     };
     struct Asked
@@ -64,7 +63,7 @@
 
     using Batches = std::map<HostName, LoanRequests>;
 
-    void ask(TokenPurse &purse, TimePoint now, Batches &batches);
+    void ask(TokenPurse &purse, PurseNeed need, TimePoint now, Batches &batches);
     void send(const Batches &batches, TimePoint now);
     void apply(const LoanReplies &replies, TimePoint now);
     LoanReplies lend(const HostName &borrower, const LoanRequests &requests, TimePoint now);
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -222,6 +222,10 @@
     {
         plane_.allowance_.onMessage(message, now_);
     }
+    void operator()(const LoanRecall &message) const
+    {
+        plane_.allowance_.onMessage(host(), message, now_);
+    }
 };
 
 void ControlPlane::onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message)
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -89,7 +89,8 @@
 void fields(Archive &archive, AllowanceRequest &request)
 {
     archive(request.account_, request.lastLoan_, request.demand_, request.wanted_,
-            request.leastUseful_, request.heldRate_, request.heldBurst_, request.heldFor_);
+            request.leastUseful_, request.heldRate_, request.heldBurst_, request.heldFor_,
+            request.returned_);
 }
 
 template <typename Archive>
@@ -171,6 +172,12 @@
     archive(message.loans_, message.sentAt_);
 }
 
+template <typename Archive>
+void fields(Archive &archive, LoanRecall &message)
+{
+    archive(message.accounts_);
+}
+
 /// Appends fields to a JSON array.
 class Writer
 {
--- a/src/sibling/TokenPurse.cpp
+++ b/src/sibling/TokenPurse.cpp
@@ -1,14 +1,16 @@
 #include "pimentostage/sibling/TokenPurse.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace pimentostage {
 
 namespace {
 
-// Time constant of the moving average of the demand.
-constexpr double kDemandSeconds = 0.5;
+// A renewal gives back only if the share is this much larger than the demand.
+constexpr double kMostSurplus = 3;
+// What a recalled purse keeps: the demand of the moment with some room, and little in its bucket.
+constexpr double kRecalledHeadroom = 1.2;
+constexpr double kRecalledBurstSeconds = 0.05;
 
 } // namespace
 
@@ -20,7 +22,8 @@
 {
     const std::lock_guard lock(mutex_);
     usedAt_ = now;
-    countDemand(tokens, now);
+    demand_.add(tokens, now);
+    recentDemand_.add(tokens, now);
     refill(now);
     if (waiting_.empty() && take(tokens))
         return SpendResult::Spent;
@@ -30,14 +33,21 @@
     return SpendResult::Waiting;
 }
 
-AllowanceRequest TokenPurse::request(TimePoint now)
+AllowanceRequest TokenPurse::request(TimePoint now, PurseNeed need)
 {
     const std::lock_guard lock(mutex_);
     refill(now);
     AllowanceRequest request;
     request.account_ = account_;
     request.lastLoan_ = lastLoan_;
-    request.demand_ = demandAt(now);
+    request.demand_ = demand_.at(now);
+    if (need == PurseNeed::Recalled) {
+        request.demand_ = std::min(request.demand_, recentDemand_.at(now));
+        const double rate = kRecalledHeadroom * request.demand_;
+        request.returned_ = shrink(rate, 1 + rate * kRecalledBurstSeconds);
+    } else if (rate_ > kMostSurplus * request.demand_) {
+        request.returned_ = shrink(kMostSurplus * request.demand_, burst_);
+    }
     for (const Waiting &waiting : waiting_) {
         request.wanted_ += waiting.tokens_;
         const bool isLeast = request.leastUseful_ == 0 || waiting.tokens_ < request.leastUseful_;
@@ -69,13 +79,25 @@
         topUpUntil_ = sentAt + kTopUpValidity;
         emptyUntil_ = now + loan.emptyFor_;
         refill(now);
-        decided = serveWaiters(now);
+        decided = decideWaiters(now);
+    }
+    for (const Decided &entry : decided)
+        entry.waiter_(entry.result_);
+}
+
+void TokenPurse::serveWaiters(TimePoint now)
+{
+    std::vector<Decided> decided;
+    {
+        const std::lock_guard lock(mutex_);
+        refill(now);
+        decided = decideWaiters(now);
     }
     for (const Decided &entry : decided)
         entry.waiter_(entry.result_);
 }
 
-std::vector<TokenPurse::Decided> TokenPurse::serveWaiters(TimePoint now)
+std::vector<TokenPurse::Decided> TokenPurse::decideWaiters(TimePoint now)
 {
     std::vector<Decided> decided;
     while (!waiting_.empty()) {
@@ -139,16 +161,14 @@
     return true;
 }
 
-void TokenPurse::countDemand(double tokens, TimePoint now)
-{
-    demand_ = demandAt(now) + tokens / kDemandSeconds;
-    demandAt_ = std::max(demandAt_, now);
-}
-
-double TokenPurse::demandAt(TimePoint now) const
+/// @return tokens that no longer fit into the bucket.
+double TokenPurse::shrink(double rate, double burst)
 {
-    const double passed = std::max(0.0, toSeconds(now - demandAt_));
-    return demand_ * std::exp(-passed / kDemandSeconds);
+    rate_ = std::min(rate_, rate);
+    burst_ = std::min(burst_, burst);
+    const double surplus = std::max(0.0, level_ - burst_);
+    level_ -= surplus;
+    return surplus;
 }
 
 } // namespace pimentostage
--- a/tests/RequestExecutionTest.cpp
+++ b/tests/RequestExecutionTest.cpp
@@ -132,6 +132,23 @@
     EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::NotRun);
 }
 
+TEST_F(RequestExecutionTest, WaitsForTheNextOwnerWhenTheOwnerCannotBeReached)
+{
+    ExecutionPolicy keyed = policy(false);
+    keyed.waitsForOwner_ = true;
+    RequestExecution execution(keyed, retries_, hedges_);
+    execution.start(at(0ms));
+    TimePoint now = at(1ms);
+    for (AttemptNumber attempt = 0; attempt < 20; ++attempt) {
+        const auto waiting = execution.onFailed(attempt, AttemptState::NotSent,
+                                                AttemptFailure::ConnectFailed, now);
+        ASSERT_TRUE(find<WakeAt>(waiting)) << attempt;
+        now = find<WakeAt>(waiting)->at_;
+        ASSERT_TRUE(find<SendAttempt>(execution.onWake(now))) << attempt;
+    }
+    EXPECT_TRUE(find<DeliverAnswer>(execution.onAnswered(20, now)));
+}
+
 // The oracle keeps what really happened at the back ends and compares what the caller is told.
 RC_GTEST_PROP(RequestExecutionProperty, RunsANonIdempotentRequestAtMostOnceAndNeverLies, ())
 {
--- /dev/null
+++ b/tests/fakes/AllowanceFleet.cpp
@@ -0,0 +1,187 @@
+#include "tests/fakes/AllowanceFleet.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(10);
+
+} // namespace
+
+/// Sends from one host of the fleet.
+class AllowanceFleet::Sender : public SiblingSender
+{
+public:
+    Sender(AllowanceFleet &fleet, std::size_t host)
+        : fleet_(fleet)
+        , host_(host)
+    {
+    }
+
+    void send(const HostName &host, const SiblingMessage &message) override
+    {
+        fleet_.deliver(host_, fleet_.indexOf(host), message);
+    }
+
+private:
+    AllowanceFleet &fleet_;
+    const std::size_t host_;
+};
+
+AllowanceFleet::AllowanceFleet(std::size_t hosts, const AllowanceTerms &terms, std::uint64_t seed)
+    : random_(seed)
+    , terms_(terms)
+{
+    const std::int64_t kDrift = 400;
+    for (std::size_t i = 0; i < hosts; ++i) {
+        auto host = std::make_unique<Host>();
+        host->name_ = HostName("host-" + std::to_string(i));
+        host->clock_ = DriftingClock(std::chrono::seconds(100 + 7 * static_cast<std::int64_t>(i)),
+                                     i % 2 == 0 ? kDrift : -kDrift);
+        host->sender_ = std::make_unique<Sender>(*this, i);
+        host->control_ = std::make_unique<AllowanceControl>(
+            host->name_, host->purses_, *host->sender_,
+            [this, i](const RoleName &, TimePoint) { return hasHolder_ && holder_ == i; },
+            counters_);
+        hosts_.push_back(std::move(host));
+    }
+    changeHolder(0, Duration::zero());
+    for (std::size_t i = 0; i < hosts; ++i)
+        scheduleTick(i);
+}
+
+AllowanceFleet::~AllowanceFleet() = default;
+
+std::size_t AllowanceFleet::indexOf(const HostName &name) const
+{
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        if (hosts_[i]->name_ == name)
+            return i;
+    }
+    return hosts_.size();
+}
+
+void AllowanceFleet::publish()
+{
+    auto configuration = std::make_shared<Configuration>();
+    Contract contract;
+    contract.team_ = team_;
+    contract.rate_ = terms_.rate_;
+    contract.burst_ = terms_.burst_;
+    configuration->contracts_[team_] = contract;
+    RoleRecord record;
+    record.role_ = AllowanceControl::roleOf(PurseBook::accountOf(team_));
+    record.epoch_ = epoch_;
+    record.holder_.host_ = hosts_[holder_]->name_;
+    configuration->roles_[record.role_] = record;
+    for (const auto &host : hosts_) {
+        host->purses_.update(*configuration);
+        host->control_->onConfig(configuration);
+    }
+}
+
+void AllowanceFleet::changeHolder(std::size_t host, Duration gap)
+{
+    const RoleName role = AllowanceControl::roleOf(PurseBook::accountOf(team_));
+    hosts_[holder_]->control_->onRoleLost(role);
+    hasHolder_ = false;
+    events_.after(gap, [this, host, role] {
+        hosts_[holder_]->control_->onRoleLost(role);
+        const bool isFirst = epoch_ == Epoch {};
+        epoch_ = epoch_.next();
+        holder_ = host;
+        hasHolder_ = true;
+        hosts_[host]->control_->onRoleGained(role, RoleGained { epoch_, isFirst },
+                                             hosts_[host]->clock_.at(events_.now()));
+        publish();
+    });
+}
+
+void AllowanceFleet::scheduleTick(std::size_t index)
+{
+    events_.after(kTick, [this, index] {
+        Host &host = *hosts_[index];
+        if (!host.isDead_ && !host.isPaused_)
+            host.control_->tick(host.clock_.at(events_.now()));
+        scheduleTick(index);
+    });
+}
+
+void AllowanceFleet::deliver(std::size_t from, std::size_t to, const SiblingMessage &message)
+{
+    ++messages_;
+    if (to >= hosts_.size() || random_.unit() < network_.loss_)
+        return;
+    const Duration jitter = fromSeconds(random_.unit() * toSeconds(network_.jitter_));
+    events_.after(network_.delay_ + jitter,
+                  [this, from, to, message] { receive(from, to, message); });
+}
+
+void AllowanceFleet::receive(std::size_t from, std::size_t to, const SiblingMessage &message)
+{
+    Host &host = *hosts_[to];
+    if (host.isDead_ || hosts_[from]->isDead_)
+        return;
+    if (host.isPaused_) {
+        events_.after(kTick, [this, from, to, message] { receive(from, to, message); });
+        return;
+    }
+    const TimePoint now = host.clock_.at(events_.now());
+    if (const auto *requests = std::get_if<LoanRequests>(&message))
+        host.control_->onMessage(hosts_[from]->name_, *requests, now);
+    if (const auto *replies = std::get_if<LoanReplies>(&message))
+        host.control_->onMessage(*replies, now);
+    if (const auto *recall = std::get_if<LoanRecall>(&message))
+        host.control_->onMessage(hosts_[from]->name_, *recall, now);
+}
+
+void AllowanceFleet::offer(std::size_t index, double tokens)
+{
+    Host &host = *hosts_[index];
+    if (host.isDead_ || host.isPaused_ || host.purses_.purses().empty())
+        return;
+    const std::size_t number = offered_.size();
+    offered_.push_back(Offered { events_.now(), tokens, SpendResult::Waiting, {} });
+    const auto decided = [this, number](SpendResult result) {
+        offered_[number].result_ = result;
+        offered_[number].decidedAt_ = events_.now();
+    };
+    TokenPurse &purse = *host.purses_.purses().at(team_);
+    const TimePoint now = host.clock_.at(events_.now());
+    const SpendResult result = purse.spend(tokens, now, decided);
+    if (result == SpendResult::Waiting)
+        host.control_->onTokensWanted(purse.account(), now);
+    else
+        decided(result);
+}
+
+void AllowanceFleet::run(Duration duration)
+{
+    events_.runUntil(events_.now() + duration, [] {});
+}
+
+double AllowanceFleet::worstExcess() const
+{
+    std::vector<Offered> spent;
+    for (const Offered &offered : offered_) {
+        if (offered.result_ == SpendResult::Spent)
+            spent.push_back(offered);
+    }
+    std::sort(spent.begin(), spent.end(),
+              [](const Offered &a, const Offered &b) { return a.decidedAt_ < b.decidedAt_; });
+    // The smallest bucket that would have allowed all of it: its level never falls below zero.
+    double owed = 0;
+    double worst = 0;
+    Duration last {};
+    for (const Offered &offered : spent) {
+        owed = std::max(0.0, owed - terms_.rate_ * toSeconds(offered.decidedAt_ - last));
+        last = offered.decidedAt_;
+        owed += offered.tokens_;
+        worst = std::max(worst, owed);
+    }
+    return worst - terms_.burst_;
+}
+
+} // namespace pimentostage
