--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/Warmup.h"
 #include "pimentostage/base/Time.h"
 
 #include <atomic>
@@ -46,6 +47,13 @@
     }
     [[nodiscard]] bool isEjected(TimePoint now) const { return now < ejectedUntil(); }
 
+    /// @return the state of its cold start.
+    [[nodiscard]] Warmup &warmup() { return warmup_; }
+    [[nodiscard]] const Warmup &warmup() const { return warmup_; }
+
+    /// Notes the incarnation that an answer carries. @return whether the process is a new one.
+    bool onIncarnation(std::uint64_t incarnation);
+
     /// @return the cost of one more request here: expected wait in seconds.
     [[nodiscard]] double cost(TimePoint now) const;
 
@@ -59,6 +67,8 @@
     std::atomic<Duration::rep> ejectedUntil_ { 0 };
     std::atomic<std::uint32_t> reported_ { 0 };
     std::atomic<Duration::rep> reportedAt_ { 0 };
+    std::atomic<std::uint64_t> incarnation_ { 0 };
+    Warmup warmup_;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Random.h"
 #include "pimentostage/platform/Configuration.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -25,6 +26,12 @@
     TimePoint rampStart_ {}; ///< when its data centre came back
     Duration ramp_ {}; ///< time over which it regains its share; zero if none
 
+    /// @return requests that this host may have in flight there now.
+    [[nodiscard]] std::uint32_t presentLimit() const
+    {
+        return stats_->warmup().isCold() ? std::min(limit_, stats_->warmup().limit()) : limit_;
+    }
+
     /// @return the share of its usual traffic that it may get at @p now, from 0 to 1.
     [[nodiscard]] double share(TimePoint now) const;
 };
@@ -63,6 +70,9 @@
     std::shared_ptr<const RoutingTable> build(const Configuration &configuration,
                                               const FleetFacts &facts);
 
+    /// @return the observations of @p backend, or nullptr.
+    [[nodiscard]] std::shared_ptr<BackendStats> stats(const BackendName &backend) const;
+
 private:
     std::map<BackendName, std::shared_ptr<BackendStats>> stats_;
 };
@@ -91,6 +101,19 @@
                                 TimePoint now);
 
 private:
+    /// Back ends that may take a request, by how readily they are to be used.
+    struct Choices
+    {
+        std::vector<const Candidate *> usable_;
+        std::vector<const Candidate *> ejected_; ///< failed lately
+        std::vector<const Candidate *> ramping_; ///< passed over by their data centre's ramp
+        std::vector<const Candidate *> cold_; ///< warmed up by another host
+        bool hasOwn_ = false; ///< this host may use some back end, even if it is full now
+    };
+
+    static Choices sortCandidates(const ServiceRoutes &routes,
+                                  const std::vector<BackendName> &tried, Random &random,
+                                  TimePoint now);
     static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key);
     static const Candidate *selectBalanced(const ServiceRoutes &routes,
                                            const std::vector<BackendName> &tried, Random &random,
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -115,10 +115,17 @@
     std::vector<AccountName> accounts_;
 };
 
+/// A back end's cold start has begun or ended.
+struct BackendWarmth
+{
+    BackendName backend_;
+    bool isCold_ = false;
+};
+
 /// Any message between entry hosts. The index is the message's number on the wire.
 using SiblingMessage
     = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
-                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall>;
+                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall, BackendWarmth>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -59,9 +59,11 @@
 {
 public:
     Worker(const BackendClientOptions &options, std::size_t index,
-           const SnapshotPublisher<RoutingTable> &routing, LogSink &log, Counters &counters)
+           const SnapshotPublisher<RoutingTable> &routing, WarmthListener &warmth, LogSink &log,
+           Counters &counters)
         : options_(options)
         , routing_(routing)
+        , warmth_(warmth)
         , log_(log)
         , counters_(counters)
         , random_(std::random_device {}())
@@ -101,6 +103,7 @@
 
     const BackendClientOptions options_;
     SnapshotReader<RoutingTable> routing_;
+    WarmthListener &warmth_;
     LogSink &log_;
     BackendCounters counters_;
     Random random_;
@@ -213,6 +216,7 @@
         const AttemptVerdict verdict = judge(result);
         if (verdict.load_)
             flight.stats_->onLoadReport(*verdict.load_, now);
+        noteWarmth(flight, verdict, now);
         if (!verdict.failure_) {
             flight.stats_->onAnswer(result.elapsed_, now);
             worker_.counters_.latency_.record(toSeconds(result.elapsed_));
@@ -226,6 +230,25 @@
         perform(execution_.onFailed(attempt, verdict.state_, *verdict.failure_, now));
     }
 
+    // Cold starts come without warning: the answers themselves are the first sign.
+    void noteWarmth(const InFlight &flight, const AttemptVerdict &verdict, TimePoint now)
+    {
+        const bool isNewProcess
+            = verdict.incarnation_ && flight.stats_->onIncarnation(*verdict.incarnation_);
+        const bool isShed = verdict.failure_ == AttemptFailure::Shed;
+        const bool isGone = verdict.failure_ == AttemptFailure::ConnectFailed;
+        if (isShed)
+            flight.stats_->warmup().onShed(now);
+        const bool isCold = isNewProcess || isShed || isGone;
+        if (isCold) {
+            if (!flight.stats_->warmup().isCold())
+                worker_.warmth_.onBackendCold(flight.backend_);
+            return;
+        }
+        if (!verdict.failure_ && flight.stats_->warmup().onAnswer(now) == Warmup::Change::Warm)
+            worker_.warmth_.onBackendWarm(flight.backend_);
+    }
+
     void countFailure(BackendStats &stats, AttemptFailure failure, TimePoint now)
     {
         worker_.counters_.failures_.add();
@@ -294,11 +317,11 @@
 }
 
 BackendClient::BackendClient(const BackendClientOptions &options,
-                             const SnapshotPublisher<RoutingTable> &routing, LogSink &log,
-                             Counters &counters)
+                             const SnapshotPublisher<RoutingTable> &routing,
+                             WarmthListener &warmth, LogSink &log, Counters &counters)
 {
     for (std::size_t i = 0; i < options.threads_; ++i)
-        workers_.push_back(std::make_unique<Worker>(options, i, routing, log, counters));
+        workers_.push_back(std::make_unique<Worker>(options, i, routing, warmth, log, counters));
 }
 
 BackendClient::~BackendClient() = default;
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -49,12 +49,24 @@
     bool hedging_ = true;
 };
 
+/// Told of cold starts that traffic has noticed. Called on traffic threads.
+class WarmthListener
+{
+public:
+    virtual ~WarmthListener() = default;
+    /// The back end shed a request, could not be reached, or its process is a new one.
+    virtual void onBackendCold(const BackendName &backend) = 0;
+    /// The back end has borne all of its slots.
+    virtual void onBackendWarm(const BackendName &backend) = 0;
+};
+
 /// Runs requests at back ends on traffic threads of its own.
 class BackendClient
 {
 public:
     BackendClient(const BackendClientOptions &options,
-                  const SnapshotPublisher<RoutingTable> &routing, LogSink &log, Counters &counters);
+                  const SnapshotPublisher<RoutingTable> &routing, WarmthListener &warmth,
+                  LogSink &log, Counters &counters);
     ~BackendClient();
 
     /// Runs @p request. @param done called once, on one of this client's threads.
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -11,9 +11,10 @@
 constexpr int kConflict = 409;
 constexpr int kServiceUnavailable = 503;
 
-std::optional<std::uint32_t> parseLoad(const std::string &text)
+template <typename T>
+std::optional<T> parseNumber(const std::string &text)
 {
-    std::uint32_t value = 0;
+    T value = 0;
     const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
     if (text.empty() || error != std::errc() || end != text.data() + text.size())
         return std::nullopt;
@@ -65,7 +66,8 @@
         verdict.failure_ = failureOf(*result.error_);
         return verdict;
     }
-    verdict.load_ = parseLoad(result.answer_->header(kLoadHeader));
+    verdict.load_ = parseNumber<std::uint32_t>(result.answer_->header(kLoadHeader));
+    verdict.incarnation_ = parseNumber<std::uint64_t>(result.answer_->header(kIncarnationHeader));
     const bool didNotRun = result.answer_->header(kOutcomeHeader) == toString(Outcome::NotRun);
     if (!didNotRun)
         return verdict;
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -16,12 +16,14 @@
 inline constexpr const char *kFenceHeader = "Pimento-Fence";
 inline constexpr const char *kOutcomeHeader = "Pimento-Outcome";
 inline constexpr const char *kLoadHeader = "Pimento-Load";
+inline constexpr const char *kIncarnationHeader = "Pimento-Incarnation";
 
 /// What the end of a transfer says about an attempt.
 struct AttemptVerdict
 {
     AttemptState state_ = AttemptState::NotSent;
     std::optional<AttemptFailure> failure_; ///< empty if the answer may go to the caller
+    std::optional<std::uint64_t> incarnation_; ///< start of the back end's process
     std::optional<std::uint32_t> load_; ///< requests that the back end says it runs
 };
 
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -65,6 +65,12 @@
     reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
+bool BackendStats::onIncarnation(std::uint64_t incarnation)
+{
+    const std::uint64_t known = incarnation_.exchange(incarnation, std::memory_order_relaxed);
+    return known != 0 && known != incarnation;
+}
+
 double BackendStats::reportedLoad(TimePoint now) const
 {
     const TimePoint at { Duration(reportedAt_.load(std::memory_order_relaxed)) };
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -78,6 +78,12 @@
     return table;
 }
 
+std::shared_ptr<BackendStats> RoutingTableBuilder::stats(const BackendName &backend) const
+{
+    const auto found = stats_.find(backend);
+    return found == stats_.end() ? nullptr : found->second;
+}
+
 ShardId shardOf(std::string_view key, std::size_t shardCount)
 {
     return ShardId { hash64(key) % shardCount };
@@ -108,7 +114,11 @@
         return {};
     const ShardOwner &owner = ownerOf(*routes.placement_, key);
     const Candidate *candidate = routes.find(owner.backend_);
-    if (!candidate || !candidate->stats_->tryBegin(candidate->limit_))
+    if (!candidate)
+        return {};
+    // Nobody else can run the request: a cold owner gets one at a time from each host.
+    const std::uint32_t limit = std::max(1U, candidate->presentLimit());
+    if (!candidate->stats_->tryBegin(limit))
         return {};
     return BackendChoice { candidate, owner.epoch_ };
 }
@@ -117,34 +127,52 @@
                                                  const std::vector<BackendName> &tried,
                                                  Random &random, TimePoint now)
 {
-    std::vector<const Candidate *> usable;
-    std::vector<const Candidate *> ejected;
-    std::vector<const Candidate *> ramping;
-    for (const Candidate &candidate : routes.candidates_) {
-        const bool isFull = candidate.stats_->inFlight() >= candidate.limit_;
-        if (!candidate.takesNewWork_ || isFull || contains(tried, candidate.backend_.name_))
-            continue;
-        if (candidate.stats_->isEjected(now))
-            ejected.push_back(&candidate);
-        else if (random.unit() >= candidate.share(now))
-            ramping.push_back(&candidate);
-        else
-            usable.push_back(&candidate);
-    }
-    const auto total = static_cast<double>(usable.size() + ejected.size());
-    const bool isTooManyEjected = static_cast<double>(ejected.size()) > kMostEjectedShare * total;
+    Choices choices = sortCandidates(routes, tried, random, now);
+    const auto total = static_cast<double>(choices.usable_.size() + choices.ejected_.size());
+    const bool isTooManyEjected
+        = static_cast<double>(choices.ejected_.size()) > kMostEjectedShare * total;
+    std::vector<const Candidate *> &usable = choices.usable_;
     if (isTooManyEjected)
-        usable.insert(usable.end(), ejected.begin(), ejected.end());
+        usable.insert(usable.end(), choices.ejected_.begin(), choices.ejected_.end());
     if (usable.empty())
-        usable = ramping;
+        usable = choices.ramping_;
+    // Others warm these up; they are used only by a host that has none of its own.
+    if (usable.empty() && !choices.hasOwn_)
+        usable = choices.cold_;
     const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
     while (!usable.empty()) {
         const std::size_t index = strategy.pick(usable, random, now);
-        if (usable[index]->stats_->tryBegin(usable[index]->limit_))
+        const std::uint32_t limit = std::max(1U, usable[index]->presentLimit());
+        if (usable[index]->stats_->tryBegin(limit))
             return usable[index];
         usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
     }
     return nullptr;
 }
 
+BackendSelector::Choices BackendSelector::sortCandidates(const ServiceRoutes &routes,
+                                                         const std::vector<BackendName> &tried,
+                                                         Random &random, TimePoint now)
+{
+    Choices choices;
+    for (const Candidate &candidate : routes.candidates_) {
+        if (!candidate.takesNewWork_ || contains(tried, candidate.backend_.name_))
+            continue;
+        const std::uint32_t limit = candidate.presentLimit();
+        choices.hasOwn_ = choices.hasOwn_ || limit > 0;
+        const bool isFull = candidate.stats_->inFlight() >= std::max(1U, limit);
+        if (isFull)
+            continue;
+        if (limit == 0)
+            choices.cold_.push_back(&candidate);
+        else if (candidate.stats_->isEjected(now))
+            choices.ejected_.push_back(&candidate);
+        else if (random.unit() >= candidate.share(now))
+            choices.ramping_.push_back(&candidate);
+        else
+            choices.usable_.push_back(&candidate);
+    }
+    return choices;
+}
+
 } // namespace pimentostage
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -222,6 +222,10 @@
     {
         plane_.allowance_.onMessage(message, now_);
     }
+    void operator()(const BackendWarmth &message) const
+    {
+        plane_.applyWarmth(message, false);
+    }
     void operator()(const LoanRecall &message) const
     {
         plane_.allowance_.onMessage(host(), message, now_);
@@ -241,6 +245,7 @@
     roles_.tick(*configuration, now);
     placement_.tick(now);
     allowance_.tick(now);
+    expireWarmups(now);
     if (readinessAt(now) != publishedReadiness_)
         publish();
     updateGauges(now);
@@ -335,6 +340,45 @@
     loop_.post([this, account] { allowance_.onTokensWanted(account, BootClock::now()); });
 }
 
+void ControlPlane::backendWarmth(const BackendWarmth &warmth)
+{
+    loop_.post([this, warmth] { applyWarmth(warmth, true); });
+}
+
+void ControlPlane::applyWarmth(const BackendWarmth &warmth, bool isNews)
+{
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    const auto backend = configuration->backends_.find(warmth.backend_);
+    const std::shared_ptr<BackendStats> stats = tableBuilder_.stats(warmth.backend_);
+    if (!stats || backend == configuration->backends_.end())
+        return;
+    const std::vector<Member> view = members_.membership().view();
+    const std::vector<Member> ranked = rankedFor(RoleName(warmth.backend_.str()), view);
+    const bool isOurs = !ranked.empty() && ranked.front() == self_.member_;
+    bool isChange = true;
+    if (warmth.isCold_)
+        isChange = stats->warmup().start(isOurs, backend->second.slots_, BootClock::now());
+    else
+        stats->warmup().finish();
+    if (!isNews || !isChange)
+        return;
+    log_.write(LogLine(Severity::Info, warmth.isCold_ ? "backend-cold" : "backend-warm")
+                   .add("backend", warmth.backend_.str())
+                   .add("warmed_up_here", isOurs));
+    for (const Member &member : view) {
+        if (member != self_.member_)
+            links_.send(member.host_, warmth);
+    }
+}
+
+void ControlPlane::expireWarmups(TimePoint now)
+{
+    for (const auto &[name, backend] : config_.configuration()->backends_) {
+        if (const auto stats = tableBuilder_.stats(name))
+            stats->warmup().expire(now);
+    }
+}
+
 std::string ControlPlane::statusJson()
 {
     nlohmann::json status;
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -45,6 +45,8 @@
 
     /// Spenders of @p account wait. Returns at once.
     void tokensWanted(const AccountName &account);
+    /// Traffic noticed that a cold start has begun or ended. Returns at once.
+    void backendWarmth(const BackendWarmth &warmth);
 
     [[nodiscard]] Readiness readiness() const { return readiness_; }
     /// @return a JSON object about this host.
@@ -61,6 +63,8 @@
     void onOwnWrite(const StoredObject &object);
     void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
     void onConfigChange();
+    void applyWarmth(const BackendWarmth &warmth, bool isNews);
+    void expireWarmups(TimePoint now);
     void tick();
     void publish();
     void trackZones(const Configuration &configuration);
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -56,7 +56,7 @@
     , routing_(std::make_shared<RoutingTable>())
     , views_(emptyView())
     , control_(settings, routing_, views_, log, counters_)
-    , backends_(backendOptions(settings), routing_, log, counters_)
+    , backends_(backendOptions(settings), routing_, *this, log, counters_)
     , callers_(views_, backends_, *this, log, counters_)
     , callerServer_(callers_, idPrefix(settings))
     , operatorServer_(*this, counters_)
@@ -101,6 +101,16 @@
     control_.tokensWanted(account);
 }
 
+void Node::onBackendCold(const BackendName &backend)
+{
+    control_.backendWarmth(BackendWarmth { backend, true });
+}
+
+void Node::onBackendWarm(const BackendName &backend)
+{
+    control_.backendWarmth(BackendWarmth { backend, false });
+}
+
 bool Node::isReady() const
 {
     return control_.readiness() == Readiness::Ready;
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -16,9 +16,7 @@
 namespace pimentostage {
 
 /// One entry host's process: the control plane, the traffic threads and the listeners.
-class Node
-    : private ControlPort
-    , private HostStatus
+class Node : private ControlPort, private WarmthListener, private HostStatus
 {
 public:
     Node(const Settings &settings, LogSink &log);
@@ -33,6 +31,8 @@
 
 private:
     void tokensWanted(const AccountName &account) override;
+    void onBackendCold(const BackendName &backend) override;
+    void onBackendWarm(const BackendName &backend) override;
     [[nodiscard]] bool isReady() const override;
     [[nodiscard]] std::string statusJson() override;
     [[nodiscard]] std::string ownerJson(const std::string &service,
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -178,6 +178,12 @@
     archive(message.accounts_);
 }
 
+template <typename Archive>
+void fields(Archive &archive, BackendWarmth &message)
+{
+    archive(message.backend_, message.isCold_);
+}
+
 /// Appends fields to a JSON array.
 class Writer
 {
--- /dev/null
+++ b/tests/BackendSelectorTest.cpp
@@ -0,0 +1,134 @@
+#include "pimentostage/backend/RoutingTable.h"
+
+#include <gtest/gtest.h>
+
+#include <set>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+class BackendSelectorTest : public testing::Test
+{
+protected:
+    BackendSelectorTest()
+    {
+        Service service;
+        service.name_ = ServiceName("plain");
+        configuration_.services_[service.name_] = service;
+        for (int i = 0; i < 4; ++i) {
+            Backend backend;
+            backend.name_ = BackendName("worker-" + std::to_string(i));
+            backend.service_ = service.name_;
+            backend.zone_ = ZoneName(i < 2 ? "a" : "b");
+            backend.slots_ = 6;
+            backend.connections_ = 40;
+            configuration_.backends_[backend.name_] = backend;
+        }
+        facts_.entryHosts_ = 4;
+        rebuild();
+    }
+
+    void rebuild() { table_ = builder_.build(configuration_, facts_); }
+
+    const ServiceRoutes &routes() const { return table_->services_.at("plain"); }
+
+    BackendStats &stats(int worker) const
+    {
+        return *routes().find(BackendName("worker-" + std::to_string(worker)))->stats_;
+    }
+
+    std::string pick(const std::vector<BackendName> &tried = {})
+    {
+        const BackendChoice choice = BackendSelector::select(routes(), "", tried, random_, now_);
+        return choice.candidate_ ? choice.candidate_->backend_.name_.str() : "";
+    }
+
+    Configuration configuration_;
+    FleetFacts facts_;
+    RoutingTableBuilder builder_;
+    std::shared_ptr<const RoutingTable> table_;
+    Random random_ { 1 };
+    TimePoint now_ { 1h };
+};
+
+TEST_F(BackendSelectorTest, DividesTheConnectionsOfABackEndAmongTheEntryHosts)
+{
+    for (int i = 0; i < 40; ++i)
+        EXPECT_NE(pick(), "");
+    EXPECT_EQ(pick(), "") << "10 of 40 connections for each of 4 back ends";
+}
+
+TEST_F(BackendSelectorTest, AvoidsBackEndsThatEarlierAttemptsUsed)
+{
+    std::vector<BackendName> tried;
+    std::set<std::string> seen;
+    for (int i = 0; i < 4; ++i) {
+        const std::string picked = pick(tried);
+        seen.insert(picked);
+        tried.emplace_back(picked);
+    }
+    EXPECT_EQ(seen.size(), 4U);
+    EXPECT_EQ(pick(tried), "");
+}
+
+TEST_F(BackendSelectorTest, SendsNothingToADataCentreThatIsOutOrAHostThatLeaves)
+{
+    configuration_.zones_[ZoneName("a")] = Zone { ZoneName("a"), ZoneState::Out, {} };
+    facts_.leavingHosts_ = { "worker-2" };
+    rebuild();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(pick(), "worker-3");
+}
+
+TEST_F(BackendSelectorTest, KeepsObservationsAcrossTables)
+{
+    stats(1).onAnswer(5ms, now_);
+    rebuild();
+    EXPECT_EQ(stats(1).latency(), 5ms);
+}
+
+TEST_F(BackendSelectorTest, EjectsAFailingBackEndButNeverTooMany)
+{
+    for (int i = 0; i < 3; ++i)
+        stats(0).onFailure(now_);
+    for (int i = 0; i < 20; ++i)
+        EXPECT_NE(pick(), "worker-0");
+    for (int worker = 1; worker < 3; ++worker) {
+        for (int i = 0; i < 3; ++i)
+            stats(worker).onFailure(now_);
+    }
+    std::set<std::string> seen;
+    for (int i = 0; i < 15; ++i)
+        seen.insert(pick());
+    EXPECT_GT(seen.size(), 1U) << "three of four ejected: the ejection is not believed";
+}
+
+TEST_F(BackendSelectorTest, LeavesColdBackEndsToTheHostThatWarmsThemUp)
+{
+    stats(0).warmup().start(false, 6, now_);
+    stats(1).warmup().start(true, 6, now_);
+    std::multiset<std::string> seen;
+    for (int i = 0; i < 21; ++i)
+        seen.insert(pick());
+    EXPECT_EQ(seen.count("worker-0"), 0U);
+    EXPECT_EQ(seen.count("worker-1"), 1U);
+    EXPECT_EQ(seen.count("worker-2"), 10U);
+    EXPECT_EQ(seen.count("worker-3"), 10U);
+    EXPECT_EQ(pick(), "") << "full is no reason to overload a cold back end";
+}
+
+TEST_F(BackendSelectorTest, AReturningDataCentreRegainsItsShareByARamp)
+{
+    configuration_.zones_[ZoneName("a")] = Zone { ZoneName("a"), ZoneState::In, 10s };
+    facts_.zoneReturnedAt_[ZoneName("a")] = now_;
+    rebuild();
+    const auto shareOf = [&](const char *worker) {
+        return routes().find(BackendName(worker))->share(now_ + 5s);
+    };
+    EXPECT_NEAR(shareOf("worker-0"), 0.5, 0.01);
+    EXPECT_EQ(shareOf("worker-2"), 1);
+}
+
+} // namespace
--- a/tools/BackendStandin.cpp
+++ b/tools/BackendStandin.cpp
@@ -268,7 +268,7 @@
     }
     answer.headers_.push_back({ kRequestIdHeader, id });
     answer.headers_.push_back({ kLoadHeader, std::to_string(running_) });
-    answer.headers_.push_back({ "Pimento-Incarnation", std::to_string(incarnation_.value_) });
+    answer.headers_.push_back({ kIncarnationHeader, std::to_string(incarnation_.value_) });
     if (faults_.lateAnswers_ > 0) {
         --faults_.lateAnswers_;
         loop_.after(kLateDelay, [work, answer] { work->responder_->send(answer); });
--- a/tools/pimento-load.cpp
+++ b/tools/pimento-load.cpp
@@ -105,7 +105,8 @@
              { "reasons", tally.reasons_ },
              { "p50_ms", tally.quantile(0.5) },
              { "p99_ms", tally.quantile(0.99) },
-             { "p999_ms", tally.quantile(0.999) } };
+             { "p999_ms", tally.quantile(0.999) },
+             { "max_ms", tally.quantile(1) } };
 }
 
 void writeJson(const std::string &file, const LoadResult &result, const Verdict &verdict)
