--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -84,7 +85,7 @@
     Version revision_;
     std::optional<TimePoint> confirmedAt_;
     std::uint64_t digest_ = 0;
-    bool changed_ = false;
+    std::set<ObjectRef> changed_; ///< since configuration_ was built
 };
 
 } // namespace pimentostage
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -16,22 +16,48 @@
     return hash64(object.ref_.str(), object.version_.value_);
 }
 
+/// Puts an object into a configuration and takes it out again.
+struct KindHandler
+{
+    void (*add_)(const StoredObject &, Configuration &);
+    void (*remove_)(const std::string &name, Configuration &);
+};
+
+/// Handles kinds that the configuration keeps in a map by name.
 template <auto kParse, auto kMember>
-void addByName(const StoredObject &object, Configuration &configuration)
+struct ByName
+{
+    static void add(const StoredObject &object, Configuration &configuration)
+    {
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_AUTO(parsed, kParse(object.ref_.name_, object.value_));
+                (configuration.*kMember).insert_or_assign(Key(object.ref_.name_), std::move(parsed));
+                return {};
+            },
+            [] {});
+    }
+
+    static void remove(const std::string &name, Configuration &configuration)
+    {
+        (configuration.*kMember).erase(Key(name));
+    }
+
+    using Map = std::remove_reference_t<decltype(std::declval<Configuration &>().*kMember)>;
+    using Key = typename Map::key_type;
+    static constexpr KindHandler kHandler { &add, &remove };
+};
+
+void removeTeamKey(const std::string &name, Configuration &configuration)
 {
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(parsed, kParse(object.ref_.name_, object.value_));
-            using Map = std::remove_reference_t<decltype(configuration.*kMember)>;
-            using Key = typename Map::key_type;
-            (configuration.*kMember).emplace(Key(object.ref_.name_), std::move(parsed));
-            return {};
-        },
-        [] {});
+    std::erase_if(configuration.keysByHash_,
+                  [&](const auto &entry) { return entry.second.name_ == name; });
 }
 
 void addTeamKey(const StoredObject &object, Configuration &configuration)
 {
+    // The name may have stood for another key before.
+    removeTeamKey(object.ref_.name_, configuration);
     leaf::try_handle_all(
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(key, parseTeamKey(object.ref_.name_, object.value_));
@@ -55,18 +81,21 @@
         [] {});
 }
 
-using AddObject = void (*)(const StoredObject &, Configuration &);
+void removePlacement(const std::string &name, Configuration &configuration)
+{
+    configuration.placements_.erase(ServiceName(name));
+}
 
 // One row for each ObjectKind, in its order.
-constexpr std::array<AddObject, kEnumCount<ObjectKind>> kAddObject {
-    &addByName<&parseService, &Configuration::services_>,
-    &addByName<&parseContract, &Configuration::contracts_>,
-    &addTeamKey,
-    &addByName<&parseZone, &Configuration::zones_>,
-    &addByName<&parseBackend, &Configuration::backends_>,
-    &addByName<&parseLostHost, &Configuration::lostHosts_>,
-    &addByName<&parseRoleRecord, &Configuration::roles_>,
-    &addPlacement,
+constexpr std::array<KindHandler, kEnumCount<ObjectKind>> kHandlers {
+    ByName<&parseService, &Configuration::services_>::kHandler,
+    ByName<&parseContract, &Configuration::contracts_>::kHandler,
+    KindHandler { &addTeamKey, &removeTeamKey },
+    ByName<&parseZone, &Configuration::zones_>::kHandler,
+    ByName<&parseBackend, &Configuration::backends_>::kHandler,
+    ByName<&parseLostHost, &Configuration::lostHosts_>::kHandler,
+    ByName<&parseRoleRecord, &Configuration::roles_>::kHandler,
+    KindHandler { &addPlacement, &removePlacement },
 };
 
 } // namespace
@@ -107,7 +136,7 @@
         entry->second = object;
     }
     digest_ ^= digestOf(object);
-    changed_ = true;
+    changed_.insert(object.ref_);
 }
 
 std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision)
@@ -158,21 +187,26 @@
 
 std::shared_ptr<const Configuration> ConfigState::configuration()
 {
-    if (changed_)
+    if (!changed_.empty())
         rebuild();
     return configuration_;
 }
 
+// Only what has changed is parsed again.
 void ConfigState::rebuild()
 {
-    auto next = std::make_shared<Configuration>();
-    for (const auto &[ref, object] : objects_) {
+    auto next = std::make_shared<Configuration>(*configuration_);
+    for (const ObjectRef &ref : changed_) {
+        const StoredObject &object = objects_.at(ref);
+        const KindHandler &handler = kHandlers.at(static_cast<std::size_t>(ref.kind_));
         next->revision_ = std::max(next->revision_, object.version_);
-        if (!object.deleted_)
-            kAddObject.at(static_cast<std::size_t>(ref.kind_))(object, *next);
+        if (object.deleted_)
+            handler.remove_(ref.name_, *next);
+        else
+            handler.add_(object, *next);
     }
     configuration_ = std::move(next);
-    changed_ = false;
+    changed_.clear();
 }
 
 Version ConfigState::versionOf(const ObjectRef &ref) const
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -54,6 +54,26 @@
     EXPECT_FALSE(state.configuration()->isZoneIn(ZoneName("a")));
 }
 
+TEST(ConfigState, AKeyGrantedAnewUnderTheSameNameEndsTheFormerOne)
+{
+    ConfigState state;
+    const auto grant = [&](char digit, std::uint64_t version) {
+        const std::string hash(64, digit);
+        state.apply({ { ObjectKind::TeamKey, "caxias-1" },
+                      Version { version },
+                      false,
+                      formatTeamKey(TeamKey { "caxias-1", TeamName("caxias"), hash }) });
+        return hash;
+    };
+    const std::string first = grant('a', 1);
+    EXPECT_TRUE(state.configuration()->keysByHash_.contains(first));
+    const std::string second = grant('b', 2);
+    EXPECT_FALSE(state.configuration()->keysByHash_.contains(first));
+    EXPECT_TRUE(state.configuration()->keysByHash_.contains(second));
+    state.apply({ { ObjectKind::TeamKey, "caxias-1" }, Version { 3 }, true, {} });
+    EXPECT_TRUE(state.configuration()->keysByHash_.empty());
+}
+
 TEST(ConfigState, TreatsObjectsThatAListingLacksAsDeleted)
 {
     ConfigState state;
