Codecs: every message, object and settings file survives changed bytes

Cause: frames, store objects and settings come from outside the process; no test fed them rubbish. Change: CodecTest writes and reads every message and object, checks that refusals name the step and the peer, and changes bytes of real ones at random.

--- /dev/null
+++ b/tests/CodecTest.cpp
@@ -0,0 +1,218 @@
+#include "pimentostage/operator/Settings.h"
+#include "pimentostage/platform/ObjectCodec.h"
+#include "src/backend/GrantCodec.h"
+#include "src/platform/StoreCodec.h"
+#include "src/sibling/FrameCodec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Bytes = std::vector<std::uint8_t>;
+
+Bytes payloadOf(const SiblingMessage &message)
+{
+    const Bytes frame = encodeFrame(message);
+    return { frame.begin() + kFrameLengthBytes, frame.end() };
+}
+
+/// @return the message in @p payload, or nothing if it was refused.
+std::optional<SiblingMessage> decoded(const Bytes &payload)
+{
+    return valueOr(
+        [&]() -> leaf::result<std::optional<SiblingMessage>> {
+            BOOST_LEAF_AUTO(message, decodeFrame(payload));
+            return std::optional<SiblingMessage>(std::move(message));
+        },
+        [](const Error &error) {
+            EXPECT_EQ(error.step_, Step::DecodeFrame);
+            EXPECT_EQ(error.peer_.kind_, PeerKind::Sibling);
+            return std::optional<SiblingMessage>();
+        });
+}
+
+std::vector<SiblingMessage> sampleMessages()
+{
+    MemberUpdate self;
+    self.member_ = Member { HostName("entry-1"), Incarnation { 77 } };
+    self.address_ = Address { "10.0.0.1", 7350 };
+    self.zone_ = ZoneName("serra-a");
+    self.liveness_ = Liveness::Suspect;
+    const ConfigSummary summary { Version { 9 }, 12345, 250ms };
+    const StoredObject object { { ObjectKind::Zone, "a" }, Version { 3 }, false, "{}" };
+    AllowanceRequest request;
+    request.account_ = AccountName("team/caxias");
+    request.lastLoan_ = { Epoch { 2 }, 5 };
+    request.demand_ = 1.5;
+    request.heldFor_ = 3s;
+    AllowanceLoan loan;
+    loan.account_ = request.account_;
+    loan.rate_ = 2.25;
+    const RoleName role("coordinator.permits");
+    return { Hello { self },
+             Probe { HostName("a"), HostName("b"), 4, { self }, summary },
+             ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
+             ConfigPull { Version { 8 } },
+             ConfigPush { Version { 9 }, { object } },
+             PromiseRequest { role, Epoch { 3 }, 5s },
+             PromiseReply { role, Epoch { 3 }, 5s },
+             ReleaseRequest { role, Epoch { 3 } },
+             ReleaseReply { role, Epoch { 3 }, 600ms },
+             StepDown { role, Epoch { 3 } },
+             LoanRequests { { request }, 7s },
+             LoanReplies { { loan }, 7s },
+             LoanRecall { { request.account_ } },
+             BackendWarmth { BackendName("permits-1"), true } };
+}
+
+TEST(FrameCodec, EveryMessageComesBackAsItWas)
+{
+    const std::vector<SiblingMessage> messages = sampleMessages();
+    ASSERT_EQ(messages.size(), std::variant_size_v<SiblingMessage>);
+    for (std::size_t i = 0; i < messages.size(); ++i) {
+        ASSERT_EQ(messages[i].index(), i);
+        const auto back = decoded(payloadOf(messages[i]));
+        ASSERT_TRUE(back.has_value()) << i;
+        EXPECT_EQ(back->index(), i);
+        EXPECT_EQ(encodeFrame(*back), encodeFrame(messages[i])) << i;
+    }
+}
+
+TEST(FrameCodec, AnnouncesTheLengthOfItsPayload)
+{
+    const Bytes frame = encodeFrame(ConfigPull { Version { 8 } });
+    EXPECT_EQ(frameLength(frame.data()), frame.size() - kFrameLengthBytes);
+}
+
+TEST(FrameCodec, RefusesUnknownMessagesAndOtherVersions)
+{
+    EXPECT_FALSE(decoded({}).has_value());
+    EXPECT_FALSE(decoded({ 0xc0 }).has_value());
+    EXPECT_FALSE(decoded({ 0x93, 0x01, 0x7f, 0x90 }).has_value()) << "message 127";
+    EXPECT_FALSE(decoded({ 0x93, 0x02, 0x03, 0x91, 0x08 }).has_value()) << "protocol 2";
+    EXPECT_TRUE(decoded({ 0x93, 0x01, 0x03, 0x91, 0x08 }).has_value());
+    EXPECT_FALSE(decoded({ 0x93, 0x01, 0x03, 0x92, 0x08, 0x08 }).has_value()) << "a field more";
+    EXPECT_FALSE(decoded({ 0x93, 0x01, 0x03, 0x91, 0xa1, 0x78 }).has_value()) << "text as version";
+}
+
+RC_GTEST_PROP(FrameCodecProperty, SurvivesAnyBytes, (const std::vector<std::uint8_t> &bytes))
+{
+    decoded(bytes);
+}
+
+RC_GTEST_PROP(FrameCodecProperty, SurvivesChangedBytesOfARealFrame, ())
+{
+    const auto messages = sampleMessages();
+    Bytes payload = payloadOf(messages[*rc::gen::inRange<std::size_t>(0, messages.size())]);
+    const int changes = *rc::gen::inRange(1, 6);
+    for (int i = 0; i < changes; ++i)
+        payload[*rc::gen::inRange<std::size_t>(0, payload.size())] = *rc::gen::arbitrary<std::uint8_t>();
+    if (*rc::gen::arbitrary<bool>())
+        payload.resize(*rc::gen::inRange<std::size_t>(0, payload.size()));
+    const auto message = decoded(payload);
+    // What is taken can be written again.
+    if (message)
+        RC_ASSERT(!encodeFrame(*message).empty());
+}
+
+/// Checks an object and returns whether it was accepted; a refusal names the object.
+bool isAccepted(const ObjectRef &ref, const std::string &value)
+{
+    return valueOr(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(checkObject(ref, value));
+            return true;
+        },
+        [&](const Error &error) {
+            EXPECT_EQ(error.step_, Step::ParseObject);
+            EXPECT_EQ(error.peer_.name_, ref.str());
+            return false;
+        });
+}
+
+std::vector<std::string> sampleValues()
+{
+    Placement placement;
+    placement.service_ = ServiceName("x");
+    placement.epoch_ = Epoch { 4 };
+    placement.shards_ = { { BackendName("a"), Epoch { 3 } }, { BackendName("b"), Epoch { 4 } } };
+    placement.hotKeys_ = { { "k", { BackendName("b"), Epoch { 4 } } } };
+    RoleRecord record;
+    record.epoch_ = Epoch { 2 };
+    record.holder_ = Member { HostName("h"), Incarnation { 1 } };
+    record.members_ = { record.holder_ };
+    record.predecessors_ = { { Epoch { 1 }, record.holder_, { record.holder_ } } };
+    Contract contract;
+    contract.rate_ = 10;
+    contract.burst_ = 5;
+    contract.connections_ = 3;
+    return { formatPlacement(placement), formatRoleRecord(record), formatContract(contract),
+             formatZone(Zone {}), formatLostHost(LostHost {}),
+             formatTeamKey(TeamKey { "k", TeamName("t"), std::string(64, 'a') }),
+             R"({"routes":[{"name":"r"}]})" };
+}
+
+TEST(ObjectCodec, AcceptsWhatItWrites)
+{
+    const std::vector<std::string> values = sampleValues();
+    EXPECT_TRUE(isAccepted({ ObjectKind::Placement, "x" }, values[0]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Role, "x" }, values[1]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Contract, "x" }, values[2]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Zone, "x" }, values[3]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::LostHost, "x" }, values[4]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::TeamKey, "x" }, values[5]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Service, "x" }, values[6]));
+}
+
+TEST(ObjectCodec, NamesEveryFaultOfAnObject)
+{
+    const std::string value
+        = R"({"rate_per_second":-1,"burst":"many","connections":0,"colour":"red"})";
+    const std::string text = valueOr(
+        [&]() -> leaf::result<std::string> {
+            BOOST_LEAF_CHECK(parseContract("caxias", value));
+            return std::string();
+        },
+        [](const Error &error) { return error.describe(); });
+    for (const char *field : { "rate_per_second", "burst", "connections", "colour" })
+        EXPECT_NE(text.find(field), std::string::npos) << field;
+}
+
+TEST(ObjectCodec, RefusesAPlacementWhoseEpochsAreNotInUse)
+{
+    EXPECT_FALSE(isAccepted({ ObjectKind::Placement, "x" },
+                            R"({"epoch":3,"role_epoch":1,"backends":["a"],"shards":[[0,9]]})"));
+    EXPECT_FALSE(isAccepted({ ObjectKind::Placement, "x" },
+                            R"({"epoch":3,"role_epoch":1,"backends":["a"],"shards":[[1,2]]})"));
+}
+
+RC_GTEST_PROP(ObjectCodecProperty, SurvivesChangedText, ())
+{
+    const std::vector<std::string> values = sampleValues();
+    std::string value = values[*rc::gen::inRange<std::size_t>(0, values.size())];
+    const int changes = *rc::gen::inRange(1, 5);
+    for (int i = 0; i < changes; ++i)
+        value[*rc::gen::inRange<std::size_t>(0, value.size())]
+            = *rc::gen::elementOf(std::string("{}[]\":,0129-.eatrunl\\ "));
+    const auto kind = static_cast<ObjectKind>(*rc::gen::inRange<std::size_t>(0, kEnumCount<ObjectKind>));
+    isAccepted({ kind, "x" }, value);
+    parseStoredObject(value);
+    parseListing(value);
+    parseGrant(value);
+    parseGrantReply(value);
+}
+
+RC_GTEST_PROP(SettingsProperty, SurvivesAnyText, (const std::string &text))
+{
+    const SettingsResult result = parseSettings(text, "x.ini");
+    RC_ASSERT(!result.faults_.empty());
+}
+
+} // namespace
