--- /dev/null
+++ b/tests/ConfigEditorTest.cpp
@@ -0,0 +1,111 @@
+#include "pimentostage/operator/ConfigEditor.h"
+#include "pimentostage/platform/ObjectCodec.h"
+#include "tests/fakes/FakeObjectStore.h"
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+
+namespace {
+
+const ObjectRef kZone { ObjectKind::Zone, "serra-a" };
+
+std::string zoneValue(ZoneState state)
+{
+    return formatZone(Zone { ZoneName("serra-a"), state, {} });
+}
+
+class ConfigEditorTest : public testing::Test
+{
+protected:
+    ChangeReport apply(ZoneState state, std::optional<Version> expected = std::nullopt)
+    {
+        return valueOr(
+            [&]() -> leaf::result<ChangeReport> {
+                return editor_.apply(kZone, zoneValue(state), expected);
+            },
+            [](const Error &error) {
+                ADD_FAILURE() << error.describe();
+                return ChangeReport {};
+            });
+    }
+
+    bool storeHolds(ZoneState state) const
+    {
+        return ConfigEditor::isSameValue(store_.find(kZone).value_, zoneValue(state));
+    }
+
+    FakeObjectStore store_;
+    ConfigEditor editor_ { store_, "change-1" };
+};
+
+TEST_F(ConfigEditorTest, WritesAndLeavesEqualValuesAlone)
+{
+    EXPECT_EQ(apply(ZoneState::Out).outcome_, ChangeOutcome::Written);
+    EXPECT_EQ(apply(ZoneState::Out).outcome_, ChangeOutcome::Unchanged);
+    EXPECT_TRUE(storeHolds(ZoneState::Out));
+}
+
+TEST_F(ConfigEditorTest, NamesBothVersionsWhenAnotherOperatorWasFaster)
+{
+    store_.set(kZone, zoneValue(ZoneState::In));
+    int writes = 0;
+    store_.beforeWrite_ = [&] {
+        if (writes++ == 0)
+            store_.set(kZone, R"({"state":"in","ramp_ms":7})");
+    };
+    const ChangeReport report = apply(ZoneState::Out);
+    EXPECT_EQ(report.outcome_, ChangeOutcome::Conflict);
+    EXPECT_EQ(report.expected_, Version { 1 });
+    EXPECT_EQ(report.current_, Version { 2 });
+    EXPECT_TRUE(ConfigEditor::isSameValue(store_.find(kZone).value_, R"({"state":"in","ramp_ms":7})"));
+}
+
+TEST_F(ConfigEditorTest, RecognisesItsOwnChangeAfterALostAnswer)
+{
+    store_.loseAnswers_ = 1;
+    const ChangeReport report = apply(ZoneState::Out);
+    EXPECT_EQ(report.outcome_, ChangeOutcome::Written);
+    EXPECT_EQ(report.current_, Version { 1 });
+}
+
+TEST_F(ConfigEditorTest, TriesAgainIfTheWriteDidNotTakeEffect)
+{
+    store_.loseWrites_ = 1;
+    EXPECT_EQ(apply(ZoneState::Out).outcome_, ChangeOutcome::Written);
+    EXPECT_TRUE(storeHolds(ZoneState::Out));
+}
+
+TEST_F(ConfigEditorTest, SaysUnknownIfTheStoreCannotTell)
+{
+    store_.loseAnswers_ = 1;
+    int writes = 0;
+    store_.beforeWrite_ = [&] {
+        ++writes;
+        store_.failReads_ = 1;
+    };
+    const ChangeReport report = apply(ZoneState::Out);
+    EXPECT_EQ(report.outcome_, ChangeOutcome::Unknown);
+    EXPECT_EQ(writes, 1) << "a change whose outcome is unknown is not written again";
+}
+
+TEST_F(ConfigEditorTest, SaysConflictIfSomeoneWroteAfterALostAnswer)
+{
+    store_.set(kZone, zoneValue(ZoneState::In));
+    store_.loseWrites_ = 1;
+    int writes = 0;
+    store_.beforeWrite_ = [&] {
+        if (writes++ == 0)
+            store_.set(kZone, R"({"state":"in","ramp_ms":9})");
+    };
+    EXPECT_EQ(apply(ZoneState::Out).outcome_, ChangeOutcome::Conflict);
+}
+
+TEST_F(ConfigEditorTest, HonoursAnExpectedVersion)
+{
+    store_.set(kZone, zoneValue(ZoneState::In));
+    EXPECT_EQ(apply(ZoneState::Out, Version { 9 }).outcome_, ChangeOutcome::Conflict);
+    EXPECT_EQ(apply(ZoneState::Out, Version { 1 }).outcome_, ChangeOutcome::Written);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/MembershipTest.cpp
@@ -0,0 +1,181 @@
+#include "pimentostage/sibling/Membership.h"
+#include "tests/fakes/EventQueue.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Memberships of several hosts that probe each other over a network with dead hosts.
+class ProbeWorld
+{
+public:
+    explicit ProbeWorld(std::size_t hosts)
+    {
+        for (std::size_t i = 0; i < hosts; ++i)
+            start(i);
+        for (std::size_t i = 0; i < hosts; ++i) {
+            list(i);
+            tick(i);
+        }
+    }
+
+    void run(Duration duration)
+    {
+        events_.runUntil(events_.now() + duration, [] {});
+    }
+
+    void start(std::size_t index)
+    {
+        MemberUpdate self;
+        self.member_ = Member { name(index), Incarnation { ++lastIncarnation_ } };
+        if (hosts_.size() <= index)
+            hosts_.resize(index + 1);
+        hosts_[index] = std::make_unique<Membership>(self, Random(lastIncarnation_));
+        dead_.resize(hosts_.size());
+        dead_[index] = false;
+    }
+
+    void list(std::size_t index)
+    {
+        for (std::size_t i = 0; i < hosts_.size(); ++i)
+            hosts_[index]->addListed(name(i), Address { "127.0.0.1", 1 }, ZoneName("a"));
+    }
+
+    void kill(std::size_t index) { dead_[index] = true; }
+
+    /// Messages between the two get lost, both ways.
+    void cutPair(std::size_t a, std::size_t b) { cut_ = { a, b }; }
+
+    Membership &operator[](std::size_t index) { return *hosts_[index]; }
+    TimePoint now() const { return TimePoint(1h) + events_.now(); }
+
+private:
+    static HostName name(std::size_t index) { return HostName("host-" + std::to_string(index)); }
+    static std::size_t indexOf(const HostName &host) { return std::stoul(host.str().substr(5)); }
+
+    bool isBlocked(std::size_t a, std::size_t b) const
+    {
+        const bool isCut = (a == cut_.first && b == cut_.second)
+            || (b == cut_.first && a == cut_.second);
+        return dead_[a] || dead_[b] || isCut;
+    }
+
+    void tick(std::size_t index)
+    {
+        if (!dead_[index]) {
+            for (const ProbeOrder &order : hosts_[index]->tick(now()))
+                probe(index, order);
+        }
+        events_.after(10ms, [this, index] { tick(index); });
+    }
+
+    void probe(std::size_t from, const ProbeOrder &order)
+    {
+        const std::size_t via = indexOf(order.via_);
+        const std::size_t target = indexOf(order.target_);
+        const auto news = hosts_[from]->newsToPassOn();
+        events_.after(1ms, [this, from, via, target, order, news] {
+            if (isBlocked(from, via) || (via != target && isBlocked(via, target)))
+                return;
+            for (const MemberUpdate &update : news)
+                hosts_[target]->merge(update, now());
+            const auto answer = hosts_[target]->newsToPassOn();
+            events_.after(1ms, [this, from, target, order, answer] {
+                for (const MemberUpdate &update : answer)
+                    hosts_[from]->merge(update, now());
+                hosts_[from]->onAck(order.target_, order.sequence_, now());
+            });
+        });
+    }
+
+    EventQueue events_;
+    std::vector<std::unique_ptr<Membership>> hosts_;
+    std::vector<bool> dead_;
+    std::pair<std::size_t, std::size_t> cut_ { 1000, 1000 };
+    std::uint64_t lastIncarnation_ = 0;
+};
+
+TEST(Membership, AllHostsFindEachOther)
+{
+    ProbeWorld world(8);
+    world.run(1s);
+    for (std::size_t i = 0; i < 8; ++i)
+        EXPECT_EQ(world[i].view().size(), 8U);
+}
+
+TEST(Membership, ALostHostLeavesAllViewsWithinTheDetectionTime)
+{
+    ProbeWorld world(8);
+    world.run(1s);
+    world.kill(3);
+    // Every host notices by itself or by the others' news.
+    world.run(Membership::kDetection + 200ms);
+    for (std::size_t i = 0; i < 8; ++i) {
+        if (i != 3) {
+            EXPECT_EQ(world[i].view().size(), 7U) << i;
+        }
+    }
+}
+
+TEST(Membership, ACutBetweenTwoHostsAloneSuspectsNobodyForLong)
+{
+    ProbeWorld world(6);
+    world.run(1s);
+    world.cutPair(1, 2);
+    for (int i = 0; i < 40; ++i) {
+        world.run(100ms);
+        ASSERT_EQ(world[1].view().size(), 6U);
+        ASSERT_EQ(world[2].view().size(), 6U);
+    }
+}
+
+TEST(Membership, ARestartedHostReplacesItsFormerProcess)
+{
+    ProbeWorld world(4);
+    world.run(1s);
+    world.kill(2);
+    world.run(2s);
+    world.start(2);
+    world.list(2);
+    world.run(1s);
+    for (std::size_t i = 0; i < 4; ++i) {
+        EXPECT_EQ(world[i].view().size(), 4U) << i;
+        EXPECT_EQ(world[i].find(HostName("host-2"))->member_.incarnation_, Incarnation { 5 });
+    }
+}
+
+TEST(Membership, SendsAConstantNumberOfProbes)
+{
+    for (const std::size_t hosts : { 4U, 64U }) {
+        MemberUpdate self;
+        self.member_ = Member { HostName("self"), Incarnation { 1 } };
+        Membership membership(self, Random(1));
+        for (std::size_t i = 0; i < hosts; ++i) {
+            MemberUpdate other;
+            other.member_ = Member { HostName("host-" + std::to_string(i)), Incarnation { 1 } };
+            membership.merge(other, TimePoint(1h));
+        }
+        EXPECT_EQ(membership.tick(TimePoint(1h)).size(), Membership::kProbesPerPeriod);
+        EXPECT_TRUE(membership.tick(TimePoint(1h) + 1ms).empty());
+    }
+}
+
+TEST(Membership, DeniesThatItIsDead)
+{
+    MemberUpdate self;
+    self.member_ = Member { HostName("self"), Incarnation { 1 } };
+    Membership membership(self, Random(1));
+    MemberUpdate rumour = self;
+    rumour.liveness_ = Liveness::Dead;
+    membership.merge(rumour, TimePoint(1h));
+    const MemberUpdate told = membership.newsToPassOn().front();
+    EXPECT_EQ(told.liveness_, Liveness::Alive);
+    EXPECT_GT(told.refutation_, rumour.refutation_);
+}
+
+} // namespace
