--- a/bench/AllowanceBench.cpp
+++ b/bench/AllowanceBench.cpp
@@ -79,8 +79,7 @@
         : rate_(rate)
         , burst_(burst)
         , level_(burst)
-    {
-    }
+    { }
 
     bool take(Duration at)
     {
--- a/bench/BenchFleet.cpp
+++ b/bench/BenchFleet.cpp
@@ -200,8 +200,8 @@
                                     { "kind", "entry" },
                                     { "zone", zoneName(i % options_.zones_) },
                                     { "sibling", address(kSiblingPort, i).str() } };
-        fetch("PUT", "http://" + address(kStorePort, 0).str() + "/v1/hosts/entry-"
-                  + std::to_string(i),
+        fetch("PUT",
+              "http://" + address(kStorePort, 0).str() + "/v1/hosts/entry-" + std::to_string(i),
               host.dump(), "");
     }
     for (std::size_t i = 0; i < options_.hosts_; ++i) {
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -30,7 +30,7 @@
     getrusage(RUSAGE_SELF, &usage);
     const double kMillion = 1e6;
     return static_cast<double>(usage.ru_utime.tv_sec + usage.ru_stime.tv_sec)
-        + static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / kMillion;
+           + static_cast<double>(usage.ru_utime.tv_usec + usage.ru_stime.tv_usec) / kMillion;
 }
 
 double allocatedBytes()
@@ -76,7 +76,9 @@
     {
         Host &host = *hosts_[index];
         const StoredObject object { { ObjectKind::Zone, "zone-" + std::to_string(version) },
-                                    Version { version }, false, "{\"state\":\"in\"}" };
+                                    Version { version },
+                                    false,
+                                    "{\"state\":\"in\"}" };
         host.config_.apply(object);
         host.config_.confirm(Version { version }, now());
     }
@@ -98,8 +100,7 @@
         Host(MemberFleet &fleet, std::size_t index)
             : fleet_(fleet)
             , index_(index)
-        {
-        }
+        { }
 
         void send(const HostName &host, const SiblingMessage &message) override
         {
@@ -121,13 +122,13 @@
         host->self_.address_ = Address { "10.0.0.1", 7350 };
         host->self_.zone_ = ZoneName("serra-a");
         Host *raw = host.get();
-        host->control_ = std::make_unique<MemberControl>(
-            host->self_, Random(index + 1), host->config_, *host, log_,
-            [raw](const ConfigPush &push) {
-                for (const StoredObject &object : push.objects_)
-                    raw->config_.apply(object);
-                raw->config_.adoptRevision(push.revision_);
-            });
+        host->control_
+            = std::make_unique<MemberControl>(host->self_, Random(index + 1), host->config_, *host,
+                                              log_, [raw](const ConfigPush &push) {
+                                                  for (const StoredObject &object : push.objects_)
+                                                      raw->config_.apply(object);
+                                                  raw->config_.adoptRevision(push.revision_);
+                                              });
         indexOf_[host->self_.member_.host_] = index;
         hosts_.push_back(std::move(host));
     }
@@ -219,10 +220,10 @@
     std::printf("\ncoordinator of one service (renewals answered at once; after the start)\n");
     std::printf("%8s %8s %12s %14s %14s %16s\n", "servers", "shards", "grants/s", "bytes/s",
                 "cpu us/s", "placement bytes");
-    const std::vector<std::pair<std::size_t, std::uint32_t>> sizes {
-        { 8, 256 }, { 50, 256 }, { 200, 256 }, { 8, 4096 }, { 50, 4096 }, { 200, 4096 },
-        { 200, 16384 }
-    };
+    const std::vector<std::pair<std::size_t, std::uint32_t>> sizes { { 8, 256 },    { 50, 256 },
+                                                                     { 200, 256 },  { 8, 4096 },
+                                                                     { 50, 4096 },  { 200, 4096 },
+                                                                     { 200, 16384 } };
     for (const auto &[servers, shards] : sizes) {
         Service service;
         service.name_ = ServiceName("permits");
@@ -323,7 +324,9 @@
             contract.burst_ = 10;
             contract.connections_ = 1;
             state.apply({ { ObjectKind::Contract, "team-" + std::to_string(number) },
-                          Version { ++version }, false, formatContract(contract) });
+                          Version { ++version },
+                          false,
+                          formatContract(contract) });
             if (rebuilds)
                 static_cast<void>(state.configuration());
         };
@@ -384,8 +387,8 @@
 };
 
 constexpr Part kParts[] = {
-    { "membership", &measureMembership },       { "coordinator", &measureCoordinator },
-    { "allowance", &measureAllowance },         { "configuration", &measureConfiguration },
+    { "membership", &measureMembership },     { "coordinator", &measureCoordinator },
+    { "allowance", &measureAllowance },       { "configuration", &measureConfiguration },
     { "placement", &measurePlacementMemory },
 };
 
--- a/bench/ScenarioBench.cpp
+++ b/bench/ScenarioBench.cpp
@@ -53,8 +53,8 @@
     std::string reasons;
     for (const auto &[reason, count] : tally.reasons_)
         reasons += reason + '=' + std::to_string(count) + ' ';
-    std::printf("%-12s %-34s %8lu %8lu %8lu %8lu %8.2f %8.2f %8.2f  %s%s\n", scenario,
-                name.c_str(), tally.sent_, tally.answered_, tally.refusedNotRun_, tally.unknown_,
+    std::printf("%-12s %-34s %8lu %8lu %8lu %8lu %8.2f %8.2f %8.2f  %s%s\n", scenario, name.c_str(),
+                tally.sent_, tally.answered_, tally.refusedNotRun_, tally.unknown_,
                 tally.quantile(0.5), tally.quantile(0.99), tally.quantile(0.999), notes.c_str(),
                 reasons.c_str());
     std::fflush(stdout);
@@ -70,8 +70,8 @@
                      { "notes", notes } });
 }
 
-LoadResult load(const LoadProfile &profile, const std::vector<std::string> &entries, Duration length,
-                std::uint64_t seed = 1)
+LoadResult load(const LoadProfile &profile, const std::vector<std::string> &entries,
+                Duration length, std::uint64_t seed = 1)
 {
     LoadOptions options;
     options.entries_ = entries;
@@ -104,13 +104,13 @@
         LoadTally through;
         const int kTurns = 4;
         for (int turn = 0; turn < kTurns; ++turn) {
-            LoadProfile straight = fleet.profile({ { "read", "GET", "/items/{key}", 1, 100 } },
-                                                 { { "a", rate } });
+            LoadProfile straight
+                = fleet.profile({ { "read", "GET", "/items/{key}", 1, 100 } }, { { "a", rate } });
             straight.teams_.front().key_.clear();
             direct.add(
                 load(straight, fleet.backends("plain"), length() / kTurns, 10U + turn).total());
-            through.add(load(fleet.profile({ reads("plain") }, { { "a", rate } }),
-                             fleet.entries(), length() / kTurns, 20U + turn)
+            through.add(load(fleet.profile({ reads("plain") }, { { "a", rate } }), fleet.entries(),
+                             length() / kTurns, 20U + turn)
                             .total());
         }
         const std::string at = " at " + std::to_string(static_cast<int>(rate)) + "/s";
@@ -187,9 +187,9 @@
         outages[0].to_ = BootClock::now().time_since_epoch().count();
         fleet.applyZone("zone-1", ZoneState::In, 2s);
     });
-    const LoadResult result = load(
-        fleet.profile({ reads("plain"), reads("keyed"), writes("keyed", 0.3) }, rates),
-        fleet.entries(), length());
+    const LoadResult result
+        = load(fleet.profile({ reads("plain"), reads("keyed"), writes("keyed", 0.3) }, rates),
+               fleet.entries(), length());
     operatorThread.join();
     for (const auto &[team, tally] : result.byTeam_)
         print("zone", team, tally);
--- a/examples/embed/embed.cpp
+++ b/examples/embed/embed.cpp
@@ -48,9 +48,8 @@
     int spent = 0;
     for (int i = 0; i < 100; ++i) {
         for (TokenPurse *purse : { &north, &south }) {
-            const auto count = [&spent](SpendResult result) {
-                spent += result == SpendResult::Spent ? 1 : 0;
-            };
+            const auto count
+                = [&spent](SpendResult result) { spent += result == SpendResult::Spent ? 1 : 0; };
             const SpendResult result = purse->spend(1, now, count);
             if (result == SpendResult::Waiting) {
                 const HostName host(purse == &north ? "north" : "south");
--- a/include/pimentostage/sibling/DecayingRate.h
+++ b/include/pimentostage/sibling/DecayingRate.h
@@ -14,8 +14,7 @@
     /// @param seconds time constant of the decay.
     explicit DecayingRate(double seconds)
         : seconds_(seconds)
-    {
-    }
+    { }
 
     /// Counts @p amount at @p now.
     void add(double amount, TimePoint now)
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -123,9 +123,9 @@
 };
 
 /// Any message between entry hosts. The index is the message's number on the wire.
-using SiblingMessage
-    = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
-                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall, BackendWarmth>;
+using SiblingMessage = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest,
+                                    PromiseReply, ReleaseRequest, ReleaseReply, StepDown,
+                                    LoanRequests, LoanReplies, LoanRecall, BackendWarmth>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/include/pimentostage/sibling/TokenPurse.h
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -85,7 +85,7 @@
 
     void refill(TimePoint now);
     bool take(double tokens);
-    
+
     double shrink(double rate, double burst);
     std::vector<Decided> decideWaiters(TimePoint now);
 
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -86,8 +86,8 @@
     const Duration::rep nanoseconds = latency_.load(std::memory_order_relaxed);
     double latency = nanoseconds == 0 ? kUnknownLatency : toSeconds(Duration(nanoseconds));
     // An old estimate loses its weight, so that a back end once slow is tried again.
-    const Duration age = now.time_since_epoch()
-        - Duration(answeredAt_.load(std::memory_order_relaxed));
+    const Duration age
+        = now.time_since_epoch() - Duration(answeredAt_.load(std::memory_order_relaxed));
     latency *= std::exp(-toSeconds(age) / toSeconds(kLatencyLife));
     const double load = std::max(static_cast<double>(inFlight()), reportedLoad(now));
     return latency * (load + 1);
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -94,8 +94,9 @@
     if (!mayRetry(state))
         return giveUp(reasonFor(failure));
     // The owner is changing or lost: the request waits for the next one, for nothing was sent.
-    const bool isOwnerGone = failure == AttemptFailure::StaleEpoch
-        || (policy_.waitsForOwner_ && failure == AttemptFailure::ConnectFailed);
+    const bool isOwnerGone
+        = failure == AttemptFailure::StaleEpoch
+          || (policy_.waitsForOwner_ && failure == AttemptFailure::ConnectFailed);
     if (isOwnerGone) {
         retryAt_ = now + kOwnerDelay;
         return { WakeAt { *retryAt_ } };
--- a/src/daemon/AllowanceControl.cpp
+++ b/src/daemon/AllowanceControl.cpp
@@ -80,8 +80,7 @@
     Held held;
     held.start_.epoch_ = gained.epoch_;
     held.start_.since_ = now;
-    held.start_.unseenUntil_
-        = gained.isFirst_ ? now : now + kClockDrift.stretched(kShareValidity);
+    held.start_.unseenUntil_ = gained.isFirst_ ? now : now + kClockDrift.stretched(kShareValidity);
     held_[role] = std::move(held);
 }
 
@@ -193,8 +192,7 @@
             found->second.setTerms(terms, now);
         return found->second;
     }
-    return held.lenders_.emplace(account, AllowanceLender(terms, held.start_, now))
-        .first->second;
+    return held.lenders_.emplace(account, AllowanceLender(terms, held.start_, now)).first->second;
 }
 
 void AllowanceControl::onMessage(const LoanReplies &replies, TimePoint now)
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -222,10 +222,7 @@
     {
         plane_.allowance_.onMessage(message, now_);
     }
-    void operator()(const BackendWarmth &message) const
-    {
-        plane_.applyWarmth(message, false);
-    }
+    void operator()(const BackendWarmth &message) const { plane_.applyWarmth(message, false); }
     void operator()(const LoanRecall &message) const
     {
         plane_.allowance_.onMessage(host(), message, now_);
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -16,7 +16,10 @@
 namespace pimentostage {
 
 /// One entry host's process: the control plane, the traffic threads and the listeners.
-class Node : private ControlPort, private WarmthListener, private HostStatus
+class Node
+    : private ControlPort
+    , private WarmthListener
+    , private HostStatus
 {
 public:
     Node(const Settings &settings, LogSink &log);
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -32,7 +32,8 @@
         leaf::try_handle_all(
             [&]() -> leaf::result<void> {
                 BOOST_LEAF_AUTO(parsed, kParse(object.ref_.name_, object.value_));
-                (configuration.*kMember).insert_or_assign(Key(object.ref_.name_), std::move(parsed));
+                (configuration.*kMember)
+                    .insert_or_assign(Key(object.ref_.name_), std::move(parsed));
                 return {};
             },
             [] {});
--- a/src/sibling/AllowanceLender.cpp
+++ b/src/sibling/AllowanceLender.cpp
@@ -42,7 +42,7 @@
 }
 
 LendResult AllowanceLender::lend(const HostName &borrowerName, const AllowanceRequest &request,
-                                    TimePoint now)
+                                 TimePoint now)
 {
     advance(now);
     Borrower &borrower = borrowers_[borrowerName];
@@ -92,9 +92,8 @@
 {
     std::vector<HostName> recalls;
     for (auto &[host, borrower] : borrowers_) {
-        const bool holdsShare
-            = std::any_of(borrower.shares_.begin(), borrower.shares_.end(),
-                          [](const Share &share) { return share.rate_ > 0; });
+        const bool holdsShare = std::any_of(borrower.shares_.begin(), borrower.shares_.end(),
+                                            [](const Share &share) { return share.rate_ > 0; });
         if (host == except || !holdsShare || now < borrower.recalledAt_ + kRecallPeriod)
             continue;
         borrower.recalledAt_ = now;
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -124,9 +124,8 @@
     configuration_.zones_[ZoneName("a")] = Zone { ZoneName("a"), ZoneState::In, 10s };
     facts_.zoneReturnedAt_[ZoneName("a")] = now_;
     rebuild();
-    const auto shareOf = [&](const char *worker) {
-        return routes().find(BackendName(worker))->share(now_ + 5s);
-    };
+    const auto shareOf
+        = [&](const char *worker) { return routes().find(BackendName(worker))->share(now_ + 5s); };
     EXPECT_NEAR(shareOf("worker-0"), 0.5, 0.01);
     EXPECT_EQ(shareOf("worker-2"), 1);
 }
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -113,7 +113,8 @@
     Bytes payload = payloadOf(messages[*rc::gen::inRange<std::size_t>(0, messages.size())]);
     const int changes = *rc::gen::inRange(1, 6);
     for (int i = 0; i < changes; ++i)
-        payload[*rc::gen::inRange<std::size_t>(0, payload.size())] = *rc::gen::arbitrary<std::uint8_t>();
+        payload[*rc::gen::inRange<std::size_t>(0, payload.size())]
+            = *rc::gen::arbitrary<std::uint8_t>();
     if (*rc::gen::arbitrary<bool>())
         payload.resize(*rc::gen::inRange<std::size_t>(0, payload.size()));
     const auto message = decoded(payload);
@@ -153,8 +154,11 @@
     contract.rate_ = 10;
     contract.burst_ = 5;
     contract.connections_ = 3;
-    return { formatPlacement(placement), formatRoleRecord(record), formatContract(contract),
-             formatZone(Zone {}), formatLostHost(LostHost {}),
+    return { formatPlacement(placement),
+             formatRoleRecord(record),
+             formatContract(contract),
+             formatZone(Zone {}),
+             formatLostHost(LostHost {}),
              formatTeamKey(TeamKey { "k", TeamName("t"), std::string(64, 'a') }),
              R"({"routes":[{"name":"r"}]})" };
 }
@@ -201,7 +205,8 @@
     for (int i = 0; i < changes; ++i)
         value[*rc::gen::inRange<std::size_t>(0, value.size())]
             = *rc::gen::elementOf(std::string("{}[]\":,0129-.eatrunl\\ "));
-    const auto kind = static_cast<ObjectKind>(*rc::gen::inRange<std::size_t>(0, kEnumCount<ObjectKind>));
+    const auto kind
+        = static_cast<ObjectKind>(*rc::gen::inRange<std::size_t>(0, kEnumCount<ObjectKind>));
     isAccepted({ kind, "x" }, value);
     parseStoredObject(value);
     parseListing(value);
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -58,7 +58,8 @@
     EXPECT_EQ(report.outcome_, ChangeOutcome::Conflict);
     EXPECT_EQ(report.expected_, Version { 1 });
     EXPECT_EQ(report.current_, Version { 2 });
-    EXPECT_TRUE(ConfigEditor::isSameValue(store_.find(kZone).value_, R"({"state":"in","ramp_ms":7})"));
+    EXPECT_TRUE(
+        ConfigEditor::isSameValue(store_.find(kZone).value_, R"({"state":"in","ramp_ms":7})"));
 }
 
 TEST_F(ConfigEditorTest, RecognisesItsOwnChangeAfterALostAnswer)
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -1,6 +1,6 @@
+#include "src/backend/BackendProtocol.h"
 #include "src/base/HttpLoop.h"
 #include "src/base/HttpServer.h"
-#include "src/backend/BackendProtocol.h"
 #include "tests/fakes/RawServer.h"
 
 #include <gtest/gtest.h>
@@ -180,8 +180,8 @@
 
 TEST_F(HttpServerTest, SaysThatARequestIsTooLarge)
 {
-    const std::string answer = ask("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
-                                        + std::string(20'000, 'x'));
+    const std::string answer
+        = ask("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(20'000, 'x'));
     EXPECT_NE(answer.find(" 413 "), std::string::npos) << answer.substr(0, 60);
 }
 
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -60,8 +60,8 @@
 
     bool isBlocked(std::size_t a, std::size_t b) const
     {
-        const bool isCut = (a == cut_.first && b == cut_.second)
-            || (b == cut_.first && a == cut_.second);
+        const bool isCut
+            = (a == cut_.first && b == cut_.second) || (b == cut_.first && a == cut_.second);
         return dead_[a] || dead_[b] || isCut;
     }
 
--- a/tests/fakes/AllowanceFleet.cpp
+++ b/tests/fakes/AllowanceFleet.cpp
@@ -17,8 +17,7 @@
     Sender(AllowanceFleet &fleet, std::size_t host)
         : fleet_(fleet)
         , host_(host)
-    {
-    }
+    { }
 
     void send(const HostName &host, const SiblingMessage &message) override
     {
--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -33,8 +33,7 @@
         : answer_(std::move(answer))
         , acceptor_(context_, { boost::asio::ip::make_address_v4("127.0.0.1"), 0 })
         , thread_([this] { serve(); })
-    {
-    }
+    { }
 
     ~RawServer()
     {
@@ -101,7 +100,7 @@
 inline std::string rawAnswer(const std::string &id, const std::string &body)
 {
     return "HTTP/1.1 200 OK\r\nPimento-Request-Id: " + id
-        + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+           + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
 } // namespace pimentostage
