--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Allowance.h"
 #include "pimentostage/sibling/Membership.h"
@@ -125,7 +126,7 @@
 /// Any message between entry hosts. The index is the message's number on the wire.
 using SiblingMessage = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest,
                                     PromiseReply, ReleaseRequest, ReleaseReply, StepDown,
-                                    LoanRequests, LoanReplies, LoanRecall, BackendWarmth>;
+                                    LoanRequests, LoanReplies, LoanRecall, BackendWarmth, KeyLoad>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -1,5 +1,6 @@
 #include "src/backend/BackendClient.h"
 
+#include "pimentostage/backend/HeavyHitters.h"
 #include "pimentostage/backend/LatencyQuantile.h"
 #include "pimentostage/backend/ShareBudget.h"
 #include "pimentostage/base/Hash.h"
@@ -17,6 +18,9 @@
 constexpr double kHedgeQuantile = 0.95;
 constexpr Duration kLeastHedgeDelay = std::chrono::milliseconds(1);
 constexpr double kBudgetReserve = 10;
+constexpr std::size_t kKeysCounted = 128;
+constexpr std::size_t kKeysReported = 32;
+constexpr double kLeastRateReported = 4;
 
 /// Budgets and latency of one route, shared by all requests of one traffic thread.
 struct RouteState
@@ -59,16 +63,18 @@
 {
 public:
     Worker(const BackendClientOptions &options, std::size_t index,
-           const SnapshotPublisher<RoutingTable> &routing, WarmthListener &warmth, LogSink &log,
+           const SnapshotPublisher<RoutingTable> &routing, TrafficListener &listener, LogSink &log,
            Counters &counters)
         : options_(options)
         , routing_(routing)
-        , warmth_(warmth)
+        , listener_(listener)
         , log_(log)
         , counters_(counters)
         , random_(std::random_device {}())
         , loop_(loopOptions(options, index))
-    { }
+    {
+        loop_.post([this] { reportKeyLoadLater(); });
+    }
 
     void forward(ForwardRequest request, ForwardDone done);
 
@@ -85,6 +91,38 @@
         return loop;
     }
 
+    void countKey(const ForwardRequest &request)
+    {
+        if (request.key_.empty())
+            return;
+        hitters_.try_emplace(request.service_, kKeysCounted).first->second.add(request.key_);
+    }
+
+    void reportKeyLoadLater()
+    {
+        loop_.runAt(BootClock::now() + kKeyLoadPeriod, [this] {
+            for (auto &[service, hitters] : hitters_) {
+                if (hitters.total() > 0)
+                    listener_.onKeyLoad(keyLoad(service, hitters));
+            }
+            reportKeyLoadLater();
+        });
+    }
+
+    static KeyLoad keyLoad(const ServiceName &service, HeavyHitters &hitters)
+    {
+        const double perSecond = 1 / toSeconds(kKeyLoadPeriod);
+        KeyLoad load;
+        load.service_ = service;
+        load.total_ = perSecond * static_cast<double>(hitters.total());
+        for (const KeyCount &key : hitters.take()) {
+            const double rate = perSecond * static_cast<double>(key.count_);
+            if (load.keys_.size() < kKeysReported && rate >= kLeastRateReported)
+                load.keys_.push_back({ key.key_, rate });
+        }
+        return load;
+    }
+
     RouteState &routeState(const ForwardRequest &request)
     {
         std::unique_ptr<RouteState> &state = routeStates_[{ request.service_, request.route_ }];
@@ -103,11 +141,12 @@
 
     const BackendClientOptions options_;
     SnapshotReader<RoutingTable> routing_;
-    WarmthListener &warmth_;
+    TrafficListener &listener_;
     LogSink &log_;
     BackendCounters counters_;
     Random random_;
     std::map<RouteKey, std::unique_ptr<RouteState>> routeStates_;
+    std::map<ServiceName, HeavyHitters> hitters_;
     HttpLoop loop_;
 };
 
@@ -242,11 +281,11 @@
         const bool isCold = isNewProcess || isShed || isGone;
         if (isCold) {
             if (!flight.stats_->warmup().isCold())
-                worker_.warmth_.onBackendCold(flight.backend_);
+                worker_.listener_.onBackendCold(flight.backend_);
             return;
         }
         if (!verdict.failure_ && flight.stats_->warmup().onAnswer(now) == Warmup::Change::Warm)
-            worker_.warmth_.onBackendWarm(flight.backend_);
+            worker_.listener_.onBackendWarm(flight.backend_);
     }
 
     void countFailure(BackendStats &stats, AttemptFailure failure, TimePoint now)
@@ -311,17 +350,18 @@
 void BackendClient::Worker::forward(ForwardRequest request, ForwardDone done)
 {
     loop_.post([this, request = std::move(request), done = std::move(done)]() mutable {
+        countKey(request);
         auto run = std::make_shared<Run>(*this, std::move(request), std::move(done));
         run->start();
     });
 }
 
 BackendClient::BackendClient(const BackendClientOptions &options,
-                             const SnapshotPublisher<RoutingTable> &routing, WarmthListener &warmth,
+                             const SnapshotPublisher<RoutingTable> &routing, TrafficListener &listener,
                              LogSink &log, Counters &counters)
 {
     for (std::size_t i = 0; i < options.threads_; ++i)
-        workers_.push_back(std::make_unique<Worker>(options, i, routing, warmth, log, counters));
+        workers_.push_back(std::make_unique<Worker>(options, i, routing, listener, log, counters));
 }
 
 BackendClient::~BackendClient() = default;
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/backend/RequestExecution.h"
 #include "pimentostage/backend/RoutingTable.h"
 #include "pimentostage/base/Counters.h"
@@ -38,6 +39,8 @@
 using ForwardResult = std::variant<HttpAnswer, GiveUp>;
 using ForwardDone = std::function<void(ForwardResult)>;
 
+
+
 /// Settings of a BackendClient.
 struct BackendClientOptions
 {
@@ -49,15 +52,17 @@
     bool hedging_ = true;
 };
 
-/// Told of cold starts that traffic has noticed. Called on traffic threads.
-class WarmthListener
+/// Told of what traffic has noticed. Called on traffic threads.
+class TrafficListener
 {
 public:
-    virtual ~WarmthListener() = default;
+    virtual ~TrafficListener() = default;
     /// The back end shed a request, could not be reached, or its process is a new one.
     virtual void onBackendCold(const BackendName &backend) = 0;
     /// The back end has borne all of its slots.
     virtual void onBackendWarm(const BackendName &backend) = 0;
+    /// One traffic thread's load on a keyed service, every kKeyLoadPeriod.
+    virtual void onKeyLoad(const KeyLoad &load) = 0;
 };
 
 /// Runs requests at back ends on traffic threads of its own.
@@ -65,7 +70,7 @@
 {
 public:
     BackendClient(const BackendClientOptions &options,
-                  const SnapshotPublisher<RoutingTable> &routing, WarmthListener &warmth,
+                  const SnapshotPublisher<RoutingTable> &routing, TrafficListener &listener,
                   LogSink &log, Counters &counters);
     ~BackendClient();
 
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -223,6 +223,10 @@
         plane_.allowance_.onMessage(message, now_);
     }
     void operator()(const BackendWarmth &message) const { plane_.applyWarmth(message, false); }
+    void operator()(const KeyLoad &message) const
+    {
+        plane_.placement_.onKeyLoad(host(), message, now_);
+    }
     void operator()(const LoanRecall &message) const
     {
         plane_.allowance_.onMessage(host(), message, now_);
@@ -243,6 +247,7 @@
     placement_.tick(now);
     allowance_.tick(now);
     expireWarmups(now);
+    tellKeyLoads(now);
     if (readinessAt(now) != publishedReadiness_)
         publish();
     updateGauges(now);
@@ -368,6 +373,47 @@
     }
 }
 
+void ControlPlane::keyLoad(const KeyLoad &load)
+{
+    loop_.post([this, load] { sumKeyLoad(load); });
+}
+
+// Traffic threads report one after the other; their counts of one period are added up.
+void ControlPlane::sumKeyLoad(const KeyLoad &load)
+{
+    KeyLoad &sum = keyLoads_[load.service_];
+    sum.service_ = load.service_;
+    sum.total_ += load.total_;
+    for (const KeyRate &key : load.keys_) {
+        const auto known = std::find_if(sum.keys_.begin(), sum.keys_.end(), [&](const auto &other) {
+            return other.key_ == key.key_;
+        });
+        if (known == sum.keys_.end())
+            sum.keys_.push_back(key);
+        else
+            known->rate_ += key.rate_;
+    }
+}
+
+void ControlPlane::tellKeyLoads(TimePoint now)
+{
+    if (now < nextKeyLoads_)
+        return;
+    nextKeyLoads_ = now + kKeyLoadPeriod;
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    for (const auto &[service, load] : keyLoads_) {
+        const auto role = configuration->roles_.find(PlacementControl::roleOf(service));
+        if (role == configuration->roles_.end())
+            continue;
+        const HostName &holder = role->second.holder_.host_;
+        if (holder == self_.member_.host_)
+            placement_.onKeyLoad(holder, load, now);
+        else
+            links_.send(holder, load);
+    }
+    keyLoads_.clear();
+}
+
 void ControlPlane::expireWarmups(TimePoint now)
 {
     for (const auto &[name, backend] : config_.configuration()->backends_) {
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -47,6 +47,8 @@
     void tokensWanted(const AccountName &account);
     /// Traffic noticed that a cold start has begun or ended. Returns at once.
     void backendWarmth(const BackendWarmth &warmth);
+    /// What a traffic thread measured of a keyed service. Returns at once.
+    void keyLoad(const KeyLoad &load);
 
     [[nodiscard]] Readiness readiness() const { return readiness_; }
     /// @return a JSON object about this host.
@@ -64,6 +66,8 @@
     void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
     void onConfigChange();
     void applyWarmth(const BackendWarmth &warmth, bool isNews);
+    void sumKeyLoad(const KeyLoad &load);
+    void tellKeyLoads(TimePoint now);
     void expireWarmups(TimePoint now);
     void tick();
     void publish();
@@ -91,6 +95,8 @@
     std::map<ZoneName, ZoneState> zoneStates_;
     PurseBook purses_;
     std::vector<ListedHost> hosts_;
+    std::map<ServiceName, KeyLoad> keyLoads_; ///< of all traffic threads since the last telling
+    TimePoint nextKeyLoads_ {};
 
     ControlLoop loop_;
     StoreClient store_;
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -111,6 +111,11 @@
     control_.backendWarmth(BackendWarmth { backend, false });
 }
 
+void Node::onKeyLoad(const KeyLoad &load)
+{
+    control_.keyLoad(load);
+}
+
 bool Node::isReady() const
 {
     return control_.readiness() == Readiness::Ready;
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -18,7 +18,7 @@
 /// One entry host's process: the control plane, the traffic threads and the listeners.
 class Node
     : private ControlPort
-    , private WarmthListener
+    , private TrafficListener
     , private HostStatus
 {
 public:
@@ -36,6 +36,7 @@
     void tokensWanted(const AccountName &account) override;
     void onBackendCold(const BackendName &backend) override;
     void onBackendWarm(const BackendName &backend) override;
+    void onKeyLoad(const KeyLoad &load) override;
     [[nodiscard]] bool isReady() const override;
     [[nodiscard]] std::string statusJson() override;
     [[nodiscard]] std::string ownerJson(const std::string &service,
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -126,10 +126,15 @@
     }
 }
 
-void PlacementControl::setHotKeys(const ServiceName &service, const std::vector<std::string> &keys)
+void PlacementControl::onKeyLoad(const HostName &host, const KeyLoad &load, TimePoint now)
 {
-    if (ShardCoordinator *coordinator = find(service))
-        coordinator->setHotKeys(keys);
+    const auto found = services_.find(load.service_);
+    if (found == services_.end())
+        return;
+    Coordinated &coordinated = found->second;
+    coordinated.hotKeys_.report(host, load, now);
+    coordinated.coordinator_->setHotKeys(
+        coordinated.hotKeys_.hotKeys(coordinated.addresses_.size(), now));
 }
 
 std::size_t PlacementControl::movingUnits() const
--- a/src/daemon/PlacementControl.h
+++ b/src/daemon/PlacementControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/backend/ShardCoordinator.h"
 #include "pimentostage/base/Counters.h"
 #include "pimentostage/base/Log.h"
@@ -42,8 +43,8 @@
     void onRoleLost(const RoleName &role);
     void tick(TimePoint now);
 
-    /// Replaces the keys of @p service that are to live apart from their shards.
-    void setHotKeys(const ServiceName &service, const std::vector<std::string> &keys);
+    /// Takes what @p host measured of a service, to find its hot keys.
+    void onKeyLoad(const HostName &host, const KeyLoad &load, TimePoint now);
 
     /// @return how many units are on their way between owners, of all services coordinated here.
     [[nodiscard]] std::size_t movingUnits() const;
@@ -54,6 +55,7 @@
         Service service_;
         std::unique_ptr<ShardCoordinator> coordinator_;
         std::map<BackendName, Address> addresses_;
+        HotKeyTracker hotKeys_;
     };
 
     void perform(const ServiceName &service, const CoordinatorActions &actions);
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -184,6 +184,18 @@
     archive(message.backend_, message.isCold_);
 }
 
+template <typename Archive>
+void fields(Archive &archive, KeyRate &rate)
+{
+    archive(rate.key_, rate.rate_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, KeyLoad &message)
+{
+    archive(message.service_, message.total_, message.keys_);
+}
+
 /// Appends fields to a JSON array.
 class Writer
 {
