--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -59,8 +59,21 @@
     wait_for "http://$store_address/v1/stats"
 }
 
-# start_entry NUMBER ZONE: an entry host on ports 7310+N, 7330+N and 7350+N.
+# register_entry NUMBER ZONE: puts an entry host on the platform's list.
+register_entry() {
+    local number=$1 zone=$2 name=entry-$1
+    curl -sf --noproxy '*' -o /dev/null -X PUT "http://$store_address/v1/hosts/$name" \
+        -d "{\"name\":\"$name\",\"kind\":\"entry\",\"zone\":\"$zone\",\"sibling\":\"127.0.0.1:$((7350 + number))\"}"
+}
+
+# start_entry NUMBER ZONE: registers and starts an entry host.
 start_entry() {
+    register_entry "$1" "$2"
+    start_unregistered "$1" "$2"
+}
+
+# start_unregistered NUMBER ZONE: an entry host on ports 7310+N, 7330+N and 7350+N.
+start_unregistered() {
     local number=$1 zone=$2 name=entry-$1
     cat >"$run_folder/$name.ini" <<INI
 [host]
@@ -75,8 +88,6 @@
 [platform]
 url = http://$store_address
 INI
-    curl -sf --noproxy '*' -o /dev/null -X PUT "http://$store_address/v1/hosts/$name" \
-        -d "{\"name\":\"$name\",\"kind\":\"entry\",\"zone\":\"$zone\",\"sibling\":\"127.0.0.1:$((7350 + number))\"}"
     start "$name" "$build/pimentostaged" --config="$run_folder/$name.ini"
 }
 
