Sibling links: let connections and what they share go at the end

Cause: under AddressSanitizer an entry host that stops gracefully leaked 7 allocations (1,568 bytes): incoming connections and the set that names them held each other. Change: close() empties the set before it closes the connections. Conclusion: mended.

--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -375,7 +375,10 @@
     shared_->isClosed_ = true;
     if (acceptor_)
         acceptor_->close();
-    for (const auto &incoming : shared_->incoming_)
+    // Connections and what they share hold each other; emptying the set lets both go.
+    const std::set<std::shared_ptr<Incoming>> connections = std::move(shared_->incoming_);
+    shared_->incoming_.clear();
+    for (const auto &incoming : connections)
         incoming->close();
     for (const auto &[host, outgoing] : outgoing_)
         outgoing->reset();
