HTTP server: a port of the system's choice, for tests that run beside each other

CTest runs each test as a process of its own, several at once, and all tests of this fixture listened on port 18081. Ruled out: a port left in TIME_WAIT (the server sets SO_REUSEADDR). Change: HttpServer::port() tells the port it got; the fixture asks for port 0. A test starts a second server beside the first one.

--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -182,6 +182,11 @@
     return {};
 }
 
+std::uint16_t HttpServer::port() const
+{
+    return impl_->endpoint_ ? static_cast<std::uint16_t>(impl_->endpoint_->getPort()) : 0;
+}
+
 void HttpServer::stop()
 {
     if (!impl_->endpoint_)
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -100,6 +100,9 @@
     /// Closes the listener and all connections.
     void stop();
 
+    /// @return the port it listens on, also if the options left its choice to the system (0).
+    [[nodiscard]] std::uint16_t port() const;
+
 private:
     class Impl;
     std::unique_ptr<Impl> impl_;
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::uint16_t kServerPort = 18'081;
+/// Lets the system choose, so that tests may run beside each other.
+constexpr std::uint16_t kAnyPort = 0;
 
 HttpRequest post(const RawServer &server, const std::string &id)
 {
@@ -101,12 +102,12 @@
 class HttpServerTest : public testing::Test
 {
 protected:
-    void SetUp() override { ASSERT_TRUE(start(server_)); }
+    void SetUp() override { ASSERT_TRUE(start(server_, kAnyPort)); }
 
-    static bool start(HttpServer &server, std::string *error = nullptr)
+    static bool start(HttpServer &server, std::uint16_t port, std::string *error = nullptr)
     {
         HttpServerOptions options;
-        options.address_ = Address { "127.0.0.1", kServerPort };
+        options.address_ = Address { "127.0.0.1", port };
         options.threads_ = 1;
         options.mostRequestBytes_ = 4096;
         return valueOr(
@@ -127,12 +128,12 @@
     }
 
     /// Sends bytes on a connection of their own, reads what comes first, and closes it.
-    static std::string ask(const std::string &bytes)
+    std::string ask(const std::string &bytes)
     {
         namespace asio = boost::asio;
         asio::io_context context;
         asio::ip::tcp::socket socket(context);
-        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), kServerPort });
+        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), server_.port() });
         boost::system::error_code ignored;
         asio::write(socket, asio::buffer(bytes), ignored);
         std::string answer(4096, '\0');
@@ -141,22 +142,22 @@
     }
 
     /// Sends bytes on a connection of their own and hangs up.
-    static void send(const std::string &bytes)
+    void send(const std::string &bytes)
     {
         namespace asio = boost::asio;
         asio::io_context context;
         asio::ip::tcp::socket socket(context);
-        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), kServerPort });
+        socket.connect({ asio::ip::make_address_v4("127.0.0.1"), server_.port() });
         boost::system::error_code ignored;
         asio::write(socket, asio::buffer(bytes), ignored);
         socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
-    static bool isServing()
+    bool isServing()
     {
         HttpLoop loop({});
         HttpRequest request;
-        request.url_ = "http://127.0.0.1:" + std::to_string(kServerPort) + "/ok";
+        request.url_ = "http://127.0.0.1:" + std::to_string(server_.port()) + "/ok";
         const HttpResult result = loop.fetch(request);
         return result.answer_ && result.answer_->body_ == "/ok";
     }
@@ -189,9 +190,19 @@
 {
     HttpServer second;
     std::string error;
-    EXPECT_FALSE(start(second, &error));
+    EXPECT_FALSE(start(second, server_.port(), &error));
     EXPECT_NE(error.find("listen"), std::string::npos);
-    EXPECT_NE(error.find("127.0.0.1:" + std::to_string(kServerPort)), std::string::npos);
+    EXPECT_NE(error.find("127.0.0.1:" + std::to_string(server_.port())), std::string::npos);
+}
+
+TEST_F(HttpServerTest, TakesAFreePortBesideAnotherServer)
+{
+    HttpServer second;
+    ASSERT_TRUE(start(second, kAnyPort));
+    EXPECT_NE(second.port(), 0);
+    EXPECT_NE(second.port(), server_.port());
+    second.stop();
+    EXPECT_EQ(second.port(), 0);
 }
 
 TEST_F(HttpServerTest, KeepsConnectionsOpen)
