--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -214,7 +214,108 @@
     }
 }
 
-/// Runs one coordinator against servers that always answer, without a network.
+/// Runs one coordinator against holders of leases that always answer, without a network.
+class CoordinatorRun
+{
+public:
+    CoordinatorRun(Fencing fencing, std::size_t servers, std::size_t routers, std::uint32_t shards)
+        : coordinator_(service(fencing, shards), 1)
+    {
+        std::map<BackendName, CoordinatedBackend> backends;
+        for (std::size_t i = 0; i < servers; ++i)
+            backends[BackendName("permits-" + std::to_string(i))] = CoordinatedBackend {};
+        coordinator_.setBackends(backends);
+        std::set<Member> members;
+        for (std::size_t i = 0; i < routers; ++i)
+            members.insert({ HostName("entry-" + std::to_string(i)), Incarnation { 1 } });
+        coordinator_.setRouters(members);
+    }
+
+    /// Places all shards, then counts what renewals cost, and prints a row.
+    void measure()
+    {
+        perform(coordinator_.begin(Epoch { 1 }, now_));
+        perform(coordinator_.onRead(std::nullopt, Version {}, now_));
+        run(200);
+        grants_ = 0;
+        bytes_ = 0;
+        const double cpu = processorSeconds();
+        const int kTicks = 500;
+        run(kTicks);
+        const double seconds = kTicks * toSeconds(kTick);
+        const double kMillion = 1e6;
+        std::printf(" %12.0f %14.0f %14.0f %16zu\n", static_cast<double>(grants_) / seconds,
+                    static_cast<double>(bytes_) / seconds,
+                    kMillion * (processorSeconds() - cpu) / seconds,
+                    formatPlacement(*coordinator_.placement()).size());
+        std::fflush(stdout);
+    }
+
+private:
+    static constexpr Duration kTick = 10ms;
+
+    static Service service(Fencing fencing, std::uint32_t shards)
+    {
+        Service service;
+        service.name_ = ServiceName("permits");
+        service.keyed_ = true;
+        service.shardCount_ = shards;
+        service.fencing_ = fencing;
+        return service;
+    }
+
+    void run(int ticks)
+    {
+        for (int i = 0; i < ticks; ++i) {
+            now_ += kTick;
+            perform(coordinator_.tick(now_));
+        }
+    }
+
+    void perform(const CoordinatorActions &actions)
+    {
+        for (const CoordinatorAction &action : actions)
+            std::visit([this](const auto &step) { perform(step); }, action);
+    }
+
+    GrantReply accept(const Grant &grant)
+    {
+        ++grants_;
+        GrantReply reply;
+        reply.stamp_ = ServerStamp { Incarnation { 1 }, now_.time_since_epoch() };
+        reply.roleEpoch_ = Epoch { 1 };
+        reply.sequence_ = grant.sequence_;
+        reply.unitsDigest_ = grant.unitsDigest_;
+        return reply;
+    }
+
+    void perform(const SendGrant &send)
+    {
+        const GrantReply reply = accept(send.grant_);
+        bytes_ += formatGrant(send.grant_).size() + formatGrantReply(reply).size();
+        coordinator_.onGrantReply(send.backend_, reply, now_);
+    }
+
+    void perform(const SendRouterGrant &send)
+    {
+        const GrantReply reply = accept(send.grant_);
+        bytes_ += encodeFrame(RouterGrant { send.grant_ }).size()
+                  + encodeFrame(RouterGrantReply { send.grant_.service_, reply }).size();
+        coordinator_.onRouterReply(send.router_, reply, now_);
+    }
+
+    void perform(const ProbeBackend &probe) { coordinator_.onProbeReply(probe.backend_, now_); }
+    void perform(const WritePlacement &) { coordinator_.onWritten(Version { ++version_ }, now_); }
+    void perform(const ReadPlacement &) { }
+    void perform(const MoveDecided &) { }
+
+    ShardCoordinator coordinator_;
+    TimePoint now_ { 1h };
+    std::uint64_t grants_ = 0;
+    std::uint64_t bytes_ = 0;
+    std::uint64_t version_ = 0;
+};
+
 void measureCoordinator()
 {
     std::printf("\ncoordinator of one service (renewals answered at once; after the start)\n");
@@ -225,63 +326,22 @@
                                                                      { 50, 4096 },  { 200, 4096 },
                                                                      { 200, 16384 } };
     for (const auto &[servers, shards] : sizes) {
-        Service service;
-        service.name_ = ServiceName("permits");
-        service.keyed_ = true;
-        service.shardCount_ = shards;
-        ShardCoordinator coordinator(service, 1);
-        std::map<BackendName, CoordinatedBackend> backends;
-        for (std::size_t i = 0; i < servers; ++i)
-            backends[BackendName("permits-" + std::to_string(i))] = CoordinatedBackend {};
-        coordinator.setBackends(backends);
-        TimePoint now(1h);
-        std::uint64_t grants = 0;
-        std::uint64_t bytes = 0;
-        std::uint64_t version = 0;
-        const auto perform = [&](const CoordinatorActions &actions) {
-            for (const CoordinatorAction &action : actions) {
-                if (const auto *grant = std::get_if<SendGrant>(&action)) {
-                    ++grants;
-                    bytes += formatGrant(grant->grant_).size();
-                    GrantReply reply;
-                    reply.stamp_ = ServerStamp { Incarnation { 1 }, now.time_since_epoch() };
-                    reply.roleEpoch_ = Epoch { 1 };
-                    reply.sequence_ = grant->grant_.sequence_;
-                    reply.unitsDigest_ = grant->grant_.unitsDigest_;
-                    bytes += formatGrantReply(reply).size();
-                    coordinator.onGrantReply(grant->backend_, reply, now);
-                }
-            }
-        };
-        const auto write = [&](const CoordinatorActions &actions) {
-            for (const CoordinatorAction &action : actions) {
-                if (std::get_if<WritePlacement>(&action))
-                    coordinator.onWritten(Version { ++version }, now);
-            }
-        };
-        coordinator.begin(Epoch { 1 }, now);
-        write(coordinator.onRead(std::nullopt, Version {}, now));
-        for (int i = 0; i < 200; ++i) {
-            now += 10ms;
-            const CoordinatorActions actions = coordinator.tick(now);
-            perform(actions);
-            write(actions);
-        }
-        grants = 0;
-        bytes = 0;
-        const double cpu = processorSeconds();
-        const int kTicks = 500;
-        for (int i = 0; i < kTicks; ++i) {
-            now += 10ms;
-            perform(coordinator.tick(now));
-        }
-        const double seconds = kTicks * 0.01;
-        const double kMillion = 1e6;
-        std::printf("%8zu %8u %12.0f %14.0f %14.0f %16zu\n", servers, shards,
-                    static_cast<double>(grants) / seconds, static_cast<double>(bytes) / seconds,
-                    kMillion * (processorSeconds() - cpu) / seconds,
-                    formatPlacement(*coordinator.placement()).size());
-        std::fflush(stdout);
+        std::printf("%8zu %8u", servers, shards);
+        CoordinatorRun(Fencing::Checked, servers, 0, shards).measure();
+    }
+}
+
+void measureRouterGrants()
+{
+    std::printf("\ncoordinator of one service whose back ends check no fence (8 servers)\n");
+    std::printf("%8s %8s %12s %14s %14s %16s\n", "routers", "shards", "grants/s", "bytes/s",
+                "cpu us/s", "placement bytes");
+    const std::vector<std::pair<std::size_t, std::uint32_t>> sizes {
+        { 8, 256 }, { 50, 256 }, { 200, 256 }, { 800, 256 }, { 200, 4096 }
+    };
+    for (const auto &[routers, shards] : sizes) {
+        std::printf("%8zu %8u", routers, shards);
+        CoordinatorRun(Fencing::Unchecked, 8, routers, shards).measure();
     }
 }
 
@@ -387,9 +447,9 @@
 };
 
 constexpr Part kParts[] = {
-    { "membership", &measureMembership },     { "coordinator", &measureCoordinator },
-    { "allowance", &measureAllowance },       { "configuration", &measureConfiguration },
-    { "placement", &measurePlacementMemory },
+    { "membership", &measureMembership },       { "coordinator", &measureCoordinator },
+    { "routers", &measureRouterGrants },        { "allowance", &measureAllowance },
+    { "configuration", &measureConfiguration }, { "placement", &measurePlacementMemory },
 };
 
 } // namespace
--- /dev/null
+++ b/include/pimentostage/backend/BackendFence.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "pimentostage/backend/LeaseGranter.h"
+#include "pimentostage/backend/UnitFence.h"
+
+namespace pimentostage {
+
+/// Fence of a service whose back ends check grants: each back end holds the lease of its units.
+class BackendFence : public UnitFence
+{
+public:
+    explicit BackendFence(const ServiceName &service);
+
+    void begin(Epoch roleEpoch, TimePoint now) override;
+    void end() override;
+    void adopt(const Placement &placement) override;
+    void setBackends(const std::set<BackendName> &backends) override;
+    void setUnits(const std::map<BackendName, GrantedUnits> &units) override;
+    void takeDue(TimePoint now, CoordinatorActions &actions) override;
+    void onGrantReply(const BackendName &backend, const GrantReply &reply, TimePoint now) override;
+    [[nodiscard]] bool isReleased(const UnitName &unit, const BackendName &owner,
+                                  TimePoint now) const override;
+    [[nodiscard]] bool isAnswering(const BackendName &backend, TimePoint now) const override;
+    [[nodiscard]] bool isLost(const BackendName &backend, TimePoint now) const override;
+
+private:
+    LeaseGranter<BackendName> granter_;
+};
+
+} // namespace pimentostage
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/BackendStats.h"
+#include "pimentostage/backend/RoutingFence.h"
 #include "pimentostage/base/Random.h"
 #include "pimentostage/platform/Configuration.h"
 
@@ -43,6 +44,7 @@
     std::vector<Candidate> candidates_;
     std::unordered_map<std::string, std::size_t> indexByName_;
     std::shared_ptr<const Placement> placement_;
+    std::shared_ptr<RoutingFence> fence_; ///< nullptr if the back ends check the fence
 
     /// @return the candidate called @p name, or nullptr.
     [[nodiscard]] const Candidate *find(const BackendName &name) const;
@@ -59,6 +61,7 @@
 {
     std::set<std::string> leavingHosts_;
     std::map<ZoneName, TimePoint> zoneReturnedAt_;
+    Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< entry hosts that share the back ends' connections
 };
 
@@ -73,8 +76,12 @@
     /// @return the observations of @p backend, or nullptr.
     [[nodiscard]] std::shared_ptr<BackendStats> stats(const BackendName &backend) const;
 
+    /// @return the fence of a service whose back ends check none, or nullptr.
+    [[nodiscard]] std::shared_ptr<RoutingFence> fence(const ServiceName &service) const;
+
 private:
     std::map<BackendName, std::shared_ptr<BackendStats>> stats_;
+    std::map<ServiceName, std::shared_ptr<RoutingFence>> fences_;
 };
 
 /// @return the shard of @p key among @p shardCount.
@@ -87,7 +94,8 @@
 struct BackendChoice
 {
     const Candidate *candidate_ = nullptr; ///< nullptr if none can take the request
-    Epoch epoch_; ///< fencing epoch of the key's owner; zero for services that are not keyed
+    UnitName unit_; ///< that the key belongs to; empty for services that are not keyed
+    Epoch epoch_; ///< fencing epoch of the unit's owner
 };
 
 /// Chooses back ends for the attempts of one request.
@@ -95,7 +103,8 @@
 {
 public:
     /// @param tried back ends that earlier attempts used; avoided while others are left.
-    /// @return a candidate whose stats count the request already, or none.
+    /// @return a candidate whose stats count the request already, as does the service's fence, or
+    ///         none.
     static BackendChoice select(const ServiceRoutes &routes, std::string_view key,
                                 const std::vector<BackendName> &tried, Random &random,
                                 TimePoint now);
@@ -114,7 +123,8 @@
     static Choices sortCandidates(const ServiceRoutes &routes,
                                   const std::vector<BackendName> &tried, Random &random,
                                   TimePoint now);
-    static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key);
+    static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key,
+                                     TimePoint now);
     static const Candidate *selectBalanced(const ServiceRoutes &routes,
                                            const std::vector<BackendName> &tried, Random &random,
                                            TimePoint now);
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -217,6 +217,8 @@
     std::string nonce_;
     std::vector<ShardOwner> shards_;
     std::vector<HotKey> hotKeys_; ///< sorted by key
+    /// Sorted; entry hosts that may have a lease to route, if the back ends check no fence.
+    std::vector<Member> routers_;
 };
 
 /// Whether the platform lists a host as live.
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/Grant.h"
 #include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Allowance.h"
@@ -123,10 +124,24 @@
     bool isCold_ = false;
 };
 
+/// A coordinator's grant to a router of a service whose back ends check no fence.
+struct RouterGrant
+{
+    Grant grant_;
+};
+
+/// A router's answer to a RouterGrant.
+struct RouterGrantReply
+{
+    ServiceName service_;
+    GrantReply reply_;
+};
+
 /// Any message between entry hosts. The index is the message's number on the wire.
-using SiblingMessage = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest,
-                                    PromiseReply, ReleaseRequest, ReleaseReply, StepDown,
-                                    LoanRequests, LoanReplies, LoanRecall, BackendWarmth, KeyLoad>;
+using SiblingMessage
+    = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
+                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall,
+                   BackendWarmth, KeyLoad, RouterGrant, RouterGrantReply>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -170,6 +170,8 @@
         HttpLoop::TransferId transfer_ = 0;
         std::shared_ptr<BackendStats> stats_;
         BackendName backend_;
+        std::shared_ptr<RoutingFence> fence_; ///< nullptr if the back end checks the fence
+        UnitName unit_;
     };
 
     ExecutionPolicy policy() const
@@ -215,14 +217,21 @@
         worker_.counters_.attempts_.add();
         if (send.isHedge_)
             worker_.counters_.hedges_.add();
-        const HttpRequest http = encodeAttempt(request_, send.attempt_, choice, routes, now);
+        HttpRequest http = encodeAttempt(request_, send.attempt_, choice, now);
         InFlight &flight = inFlight_[send.attempt_];
         flight.stats_ = choice.candidate_->stats_;
         flight.backend_ = choice.candidate_->backend_.name_;
-        flight.transfer_ = worker_.loop_.start(
-            http, [self = shared_from_this(), attempt = send.attempt_](HttpResult result) {
-                self->onResult(attempt, std::move(result));
-            });
+        flight.fence_ = routes.fence_;
+        flight.unit_ = choice.unit_;
+        if (routes.fence_) {
+            http.maySend_ = [fence = routes.fence_, unit = choice.unit_, epoch = choice.epoch_,
+                             now] { return fence->maySend(unit, epoch, now, BootClock::now()); };
+        }
+        flight.transfer_
+            = worker_.loop_.start(std::move(http), [self = shared_from_this(),
+                                                    attempt = send.attempt_](HttpResult result) {
+                  self->onResult(attempt, std::move(result));
+              });
     }
 
     void perform(const CancelAttempt &cancel)
@@ -231,7 +240,7 @@
         if (found == inFlight_.end())
             return;
         worker_.loop_.cancel(found->second.transfer_);
-        found->second.stats_->end();
+        end(found->second, AttemptState::Sent, BootClock::now());
         inFlight_.erase(found);
     }
 
@@ -251,8 +260,8 @@
         const TimePoint now = BootClock::now();
         const InFlight flight = std::move(inFlight_.at(attempt));
         inFlight_.erase(attempt);
-        flight.stats_->end();
         const AttemptVerdict verdict = judge(result);
+        end(flight, verdict.state_, now);
         if (verdict.load_)
             flight.stats_->onLoadReport(*verdict.load_, now);
         noteWarmth(flight, verdict, now);
@@ -269,6 +278,13 @@
         perform(execution_.onFailed(attempt, verdict.state_, *verdict.failure_, now));
     }
 
+    void end(const InFlight &flight, AttemptState state, TimePoint now) const
+    {
+        flight.stats_->end();
+        if (flight.fence_)
+            flight.fence_->end(flight.unit_, mayRunUntil(state, request_.deadline_, now), now);
+    }
+
     // Cold starts come without warning: the answers themselves are the first sign.
     void noteWarmth(const InFlight &flight, const AttemptVerdict &verdict, TimePoint now)
     {
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -1,7 +1,5 @@
 #include "src/backend/BackendProtocol.h"
 
-#include "pimentostage/backend/ShardCoordinator.h"
-
 #include <charconv>
 
 namespace pimentostage {
@@ -23,6 +21,8 @@
 
 AttemptFailure failureOf(const Error &error)
 {
+    if (error.code_ == ErrorCode::Stale)
+        return AttemptFailure::StaleEpoch;
     if (error.step_ == Step::Connect)
         return AttemptFailure::ConnectFailed;
     if (error.code_ == ErrorCode::Timeout)
@@ -35,7 +35,7 @@
 } // namespace
 
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
-                          const BackendChoice &choice, const ServiceRoutes &routes, TimePoint now)
+                          const BackendChoice &choice, TimePoint now)
 {
     HttpRequest http;
     http.method_ = request.method_;
@@ -47,9 +47,9 @@
     http.headers_.push_back({ kDeadlineHeader, std::to_string(toMilliseconds(http.timeout_)) });
     if (!request.team_.isEmpty())
         http.headers_.push_back({ kTeamHeader, request.team_.str() });
-    if (routes.placement_ && !request.key_.empty()) {
-        http.headers_.push_back({ kFenceHeader, unitOf(*routes.placement_, request.key_).str() + ' '
-                                                    + std::to_string(choice.epoch_.value_) });
+    if (!choice.unit_.isEmpty()) {
+        http.headers_.push_back(
+            { kFenceHeader, choice.unit_.str() + ' ' + std::to_string(choice.epoch_.value_) });
     }
     if (!request.contentType_.empty())
         http.headers_.push_back({ "Content-Type", request.contentType_ });
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -18,6 +18,9 @@
 inline constexpr const char *kLoadHeader = "Pimento-Load";
 inline constexpr const char *kIncarnationHeader = "Pimento-Incarnation";
 
+/// Path at which a back end tells its load; any answer shows that it runs.
+inline constexpr const char *kLoadPath = "/.pimento/load";
+
 /// What the end of a transfer says about an attempt.
 struct AttemptVerdict
 {
@@ -29,7 +32,7 @@
 
 /// @return the HTTP request for one attempt. The team's key is no part of it.
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
-                          const BackendChoice &choice, const ServiceRoutes &routes, TimePoint now);
+                          const BackendChoice &choice, TimePoint now);
 
 /// @return what @p result says about its attempt.
 AttemptVerdict judge(const HttpResult &result);
--- /dev/null
+++ b/src/backend/RoutingFence.cpp
@@ -0,0 +1,66 @@
+#include "pimentostage/backend/RoutingFence.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+TimePoint mayRunUntil(AttemptState state, TimePoint deadline, TimePoint now)
+{
+    const bool isOver = state == AttemptState::Answered || outcomeOf(state) == Outcome::NotRun;
+    return isOver ? now : deadline + kMostTransit;
+}
+
+RoutingFence::RoutingFence(Incarnation router)
+    : lease_(router)
+{ }
+
+GrantReply RoutingFence::apply(const Grant &grant, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    GrantReply reply = lease_.apply(grant, now);
+    std::erase_if(traffic_, [&](const auto &entry) {
+        return entry.second.running_ == 0 && now >= entry.second.runsUntil_;
+    });
+    for (const auto &[unit, traffic] : traffic_) {
+        if (!lease_.units().contains(unit))
+            reply.draining_.push_back(unit);
+    }
+    return reply;
+}
+
+bool RoutingFence::tryBegin(const UnitName &unit, Epoch epoch, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    if (!lease_.covers(unit, epoch, now))
+        return false;
+    ++traffic_[unit].running_;
+    return true;
+}
+
+bool RoutingFence::maySend(const UnitName &unit, Epoch epoch, TimePoint begunAt,
+                           TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return now <= begunAt + kMostSendDelay && lease_.covers(unit, epoch, now);
+}
+
+void RoutingFence::end(const UnitName &unit, TimePoint runsUntil, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    const auto found = traffic_.find(unit);
+    if (found == traffic_.end())
+        return;
+    Traffic &traffic = found->second;
+    --traffic.running_;
+    traffic.runsUntil_ = std::max(traffic.runsUntil_, runsUntil);
+    if (traffic.running_ == 0 && now >= traffic.runsUntil_)
+        traffic_.erase(found);
+}
+
+TimePoint RoutingFence::until() const
+{
+    const std::lock_guard lock(mutex_);
+    return lease_.until();
+}
+
+} // namespace pimentostage
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -1,6 +1,7 @@
 #include "pimentostage/backend/RoutingTable.h"
 
 #include "pimentostage/backend/BalancingStrategy.h"
+#include "pimentostage/backend/Units.h"
 #include "pimentostage/base/Hash.h"
 
 #include <algorithm>
@@ -51,6 +52,12 @@
         const auto placement = configuration.placements_.find(name);
         if (placement != configuration.placements_.end())
             routes.placement_ = placement->second;
+        if (!service.keyed_ || service.fencing_ == Fencing::Checked)
+            continue;
+        std::shared_ptr<RoutingFence> &fence = fences_[name];
+        if (!fence)
+            fence = std::make_shared<RoutingFence>(facts.router_);
+        routes.fence_ = fence;
     }
     for (const auto &[name, backend] : configuration.backends_) {
         const auto routes = table->services_.find(backend.service_.str());
@@ -84,6 +91,12 @@
     return found == stats_.end() ? nullptr : found->second;
 }
 
+std::shared_ptr<RoutingFence> RoutingTableBuilder::fence(const ServiceName &service) const
+{
+    const auto found = fences_.find(service);
+    return found == fences_.end() ? nullptr : found->second;
+}
+
 ShardId shardOf(std::string_view key, std::size_t shardCount)
 {
     return ShardId { hash64(key) % shardCount };
@@ -104,11 +117,12 @@
                                       TimePoint now)
 {
     if (routes.service_.keyed_)
-        return selectOwner(routes, key);
-    return BackendChoice { selectBalanced(routes, tried, random, now), Epoch {} };
+        return selectOwner(routes, key, now);
+    return BackendChoice { selectBalanced(routes, tried, random, now), {}, {} };
 }
 
-BackendChoice BackendSelector::selectOwner(const ServiceRoutes &routes, std::string_view key)
+BackendChoice BackendSelector::selectOwner(const ServiceRoutes &routes, std::string_view key,
+                                           TimePoint now)
 {
     if (!routes.placement_)
         return {};
@@ -120,7 +134,12 @@
     const std::uint32_t limit = std::max(1U, candidate->presentLimit());
     if (!candidate->stats_->tryBegin(limit))
         return {};
-    return BackendChoice { candidate, owner.epoch_ };
+    BackendChoice choice { candidate, unitOf(*routes.placement_, key), owner.epoch_ };
+    if (routes.fence_ && !routes.fence_->tryBegin(choice.unit_, choice.epoch_, now)) {
+        candidate->stats_->end();
+        return {};
+    }
+    return choice;
 }
 
 const Candidate *BackendSelector::selectBalanced(const ServiceRoutes &routes,
--- a/src/backend/ShardCoordinator.cpp
+++ b/src/backend/ShardCoordinator.cpp
@@ -1,7 +1,7 @@
 #include "pimentostage/backend/ShardCoordinator.h"
 
 #include "pimentostage/backend/RoutingTable.h"
-#include "pimentostage/base/Hash.h"
+#include "pimentostage/backend/UnitFence.h"
 
 #include <algorithm>
 
@@ -9,10 +9,6 @@
 
 namespace {
 
-// A server that has not answered for this long is given no more units.
-constexpr Duration kAnswerWindow = 4 * kGrantPeriod;
-// How often a server is asked whether requests for units withdrawn from it have ended.
-constexpr Duration kDrainingPeriod = std::chrono::milliseconds(5);
 constexpr Duration kReadPeriod = std::chrono::milliseconds(100);
 // Part of the shards that may move at once only to even out the load.
 constexpr std::size_t kBalanceMovesDivisor = 16;
@@ -36,28 +32,14 @@
 
 } // namespace
 
-UnitName shardUnit(ShardId shard)
-{
-    return UnitName("s" + std::to_string(shard.value_));
-}
-
-UnitName hotKeyUnit(std::string_view key)
-{
-    return UnitName("k" + std::to_string(hash64(key)));
-}
-
-UnitName unitOf(const Placement &placement, std::string_view key)
-{
-    const bool isHot = std::any_of(placement.hotKeys_.begin(), placement.hotKeys_.end(),
-                                   [&](const HotKey &hotKey) { return hotKey.key_ == key; });
-    return isHot ? hotKeyUnit(key) : shardUnit(shardOf(key, placement.shards_.size()));
-}
-
 ShardCoordinator::ShardCoordinator(const Service &service, std::uint64_t seed)
     : service_(service)
     , seed_(seed)
+    , fence_(UnitFence::forService(service))
 { }
 
+ShardCoordinator::~ShardCoordinator() = default;
+
 std::string ShardCoordinator::newNonce()
 {
     return std::to_string(seed_) + '-' + std::to_string(++nonces_);
@@ -67,7 +49,7 @@
 {
     end();
     roleEpoch_ = roleEpoch;
-    begunAt_ = now;
+    fence_->begin(roleEpoch, now);
     return read(now);
 }
 
@@ -81,24 +63,22 @@
     writingUnits_.clear();
     hotChanges_.clear();
     plannedPlacement_.reset();
-    std::erase_if(servers_, [](const auto &entry) { return !entry.second.isKnown_; });
-    for (auto &[name, server] : servers_) {
-        const CoordinatedBackend facts = server.facts_;
-        server = Server {};
-        server.facts_ = facts;
-        server.isKnown_ = true;
-    }
+    fence_->end();
 }
 
 void ShardCoordinator::setBackends(const std::map<BackendName, CoordinatedBackend> &backends)
 {
-    for (auto &[name, server] : servers_)
-        server.isKnown_ = false;
-    for (const auto &[name, facts] : backends) {
-        Server &server = servers_[name];
-        server.facts_ = facts;
-        server.isKnown_ = true;
-    }
+    backends_ = backends;
+    std::set<BackendName> names;
+    for (const auto &[name, facts] : backends)
+        names.insert(name);
+    fence_->setBackends(names);
+    unitsChanged_ = true;
+}
+
+void ShardCoordinator::setRouters(const std::set<Member> &routers)
+{
+    fence_->setRouters(routers);
     unitsChanged_ = true;
 }
 
@@ -148,6 +128,7 @@
     // The first write under this role makes every write of an earlier coordinator fail that is
     // still on its way.
     current.roleEpoch_ = *roleEpoch_;
+    current.routers_ = fence_->routersToName(now);
     return write(std::move(current));
 }
 
@@ -159,17 +140,7 @@
     writingUnits_.clear();
     hotChanges_.clear();
     unitsChanged_ = true;
-    const auto mayHoldLease = [this](const BackendName &owner) {
-        if (owner.isEmpty())
-            return;
-        Server &server = servers_[owner];
-        server.leaseUntil_
-            = std::max(server.leaseUntil_, begunAt_ + kClockDrift.stretched(kServerLease));
-    };
-    for (const ShardOwner &owner : placement.shards_)
-        mayHoldLease(owner.backend_);
-    for (const HotKey &hotKey : placement.hotKeys_)
-        mayHoldLease(hotKey.owner_.backend_);
+    fence_->adopt(placement);
 }
 
 CoordinatorActions ShardCoordinator::write(Placement next)
@@ -191,6 +162,7 @@
     for (const UnitName &unit : writingUnits_)
         moves_.erase(unit);
     writingUnits_.clear();
+    fence_->onRoutersNamed(placement_->routers_);
     std::erase_if(hotChanges_, [&](const auto &entry) {
         return isHot(entry.first) == !entry.second.to_.isEmpty();
     });
@@ -238,27 +210,20 @@
     return actions;
 }
 
-bool ShardCoordinator::isAnswering(const Server &server, TimePoint now)
-{
-    return server.repliedAt_ + kAnswerWindow > now;
-}
-
 std::size_t ShardCoordinator::answeringBackends(TimePoint now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(servers_.begin(), servers_.end(),
-                      [&](const auto &entry) { return isAnswering(entry.second, now); }));
+        std::count_if(backends_.begin(), backends_.end(),
+                      [&](const auto &entry) { return fence_->isAnswering(entry.first, now); }));
 }
 
 // A server that is silent but may still hold its lease keeps what it owns and gains nothing.
 std::vector<PlacementBackend> ShardCoordinator::placementBackends(TimePoint now) const
 {
     std::vector<PlacementBackend> backends;
-    for (const auto &[name, server] : servers_) {
-        const bool isLost = !isAnswering(server, now) && now >= server.leaseUntil_;
-        if (!server.isKnown_ || !server.facts_.takesNewWork_ || isLost)
-            continue;
-        backends.push_back({ name, server.facts_.capacity_, isAnswering(server, now) });
+    for (const auto &[name, facts] : backends_) {
+        if (facts.takesNewWork_ && !fence_->isLost(name, now))
+            backends.push_back({ name, facts.capacity_, fence_->isAnswering(name, now) });
     }
     return backends;
 }
@@ -267,9 +232,8 @@
 {
     if (owner.isEmpty())
         return MoveReason::Unowned;
-    const auto found = servers_.find(owner);
-    const bool isWithdrawn
-        = found == servers_.end() || !found->second.isKnown_ || !found->second.facts_.takesNewWork_;
+    const auto found = backends_.find(owner);
+    const bool isWithdrawn = found == backends_.end() || !found->second.takesNewWork_;
     if (isWithdrawn)
         return MoveReason::OwnerWithdrawn;
     const bool stays = std::any_of(plannedFor_.begin(), plannedFor_.end(),
@@ -319,8 +283,8 @@
 BackendName ShardCoordinator::leastBurdened(TimePoint now) const
 {
     std::map<BackendName, std::size_t> burden;
-    for (const auto &[name, server] : servers_) {
-        if (server.isKnown_ && server.facts_.takesNewWork_ && isAnswering(server, now))
+    for (const auto &[name, facts] : backends_) {
+        if (facts.takesNewWork_ && fence_->isAnswering(name, now))
             burden[name] = 0;
     }
     const auto count = [&](const BackendName &owner) {
@@ -393,26 +357,11 @@
     actions.emplace_back(MoveDecided { unit.str(), from, to, reason });
 }
 
-bool ShardCoordinator::isReleased(const UnitName &unit, const Move &move, TimePoint now) const
-{
-    if (move.from_.isEmpty())
-        return true;
-    const auto found = servers_.find(move.from_);
-    if (found == servers_.end())
-        return now >= begunAt_ + kClockDrift.stretched(kServerLease);
-    const Server &server = found->second;
-    if (now >= server.leaseUntil_)
-        return true;
-    const bool isTaken
-        = server.unitsSequence_ > 0 && server.ackedSequence_ >= server.unitsSequence_;
-    return isTaken && !server.sentUnits_.contains(unit) && !server.draining_.contains(unit);
-}
-
 std::set<UnitName> ShardCoordinator::releasedUnits(TimePoint now) const
 {
     std::set<UnitName> released;
     for (const auto &[unit, move] : moves_) {
-        if (isReleased(unit, move, now))
+        if (move.from_.isEmpty() || fence_->isReleased(unit, move.from_, now))
             released.insert(unit);
     }
     return released;
@@ -436,9 +385,11 @@
             released.erase(hotKeyUnit(key));
         }
     }
-    if (released.empty())
+    std::vector<Member> routers = fence_->routersToName(now);
+    if (released.empty() && routers == placement_->routers_)
         return;
     Placement next = *placement_;
+    next.routers_ = std::move(routers);
     next.epoch_ = next.epoch_.next();
     applyMoves(next, released);
     writingUnits_ = std::move(released);
@@ -487,81 +438,31 @@
     return units;
 }
 
-void ShardCoordinator::updateUnits()
+void ShardCoordinator::sendGrants(TimePoint now, CoordinatorActions &actions)
 {
-    std::map<BackendName, GrantedUnits> granted = grantedUnits();
-    for (auto &[name, server] : servers_) {
-        GrantedUnits &units = granted[name];
-        const bool isNews = server.unitsSequence_ == 0 || units != server.sentUnits_;
-        if (!isNews)
-            continue;
-        server.sentUnits_ = std::move(units);
-        server.sentDigest_ = digestOf(server.sentUnits_);
-        server.unitsSequence_ = server.sequence_ + 1;
-        server.nextGrant_ = TimePoint {};
-    }
+    if (unitsChanged_)
+        fence_->setUnits(grantedUnits());
     unitsChanged_ = false;
+    fence_->takeDue(now, actions);
 }
 
-void ShardCoordinator::sendGrants(TimePoint now, CoordinatorActions &actions)
+void ShardCoordinator::onGrantReply(const BackendName &backend, const GrantReply &reply,
+                                    TimePoint now)
 {
-    if (unitsChanged_)
-        updateUnits();
-    for (auto &[name, server] : servers_) {
-        const bool isGone = !server.isKnown_ && now >= server.leaseUntil_;
-        if (isGone || now < server.nextGrant_)
-            continue;
-        server.nextGrant_ = now + kGrantPeriod;
-        if (server.stamp_) {
-            const TimePoint until = server.stampAt_ + kClockDrift.stretched(kServerLease);
-            server.leaseUntil_ = std::max(server.leaseUntil_, until);
-        }
-        actions.emplace_back(SendGrant { name, grantFor(server) });
-    }
+    if (isActive())
+        fence_->onGrantReply(backend, reply, now);
 }
 
-Grant ShardCoordinator::grantFor(Server &server) const
+void ShardCoordinator::onRouterReply(const Member &router, const GrantReply &reply, TimePoint now)
 {
-    Grant grant;
-    grant.service_ = service_.name_;
-    grant.roleEpoch_ = *roleEpoch_;
-    grant.sequence_ = ++server.sequence_;
-    grant.stamp_ = server.stamp_.value_or(ServerStamp {});
-    grant.lease_ = kServerLease;
-    grant.unitsDigest_ = server.sentDigest_;
-    if (server.ackedSequence_ < server.unitsSequence_)
-        grant.units_ = server.sentUnits_;
-    return grant;
+    if (isActive())
+        fence_->onRouterReply(router, reply, now);
 }
 
-void ShardCoordinator::onGrantReply(const BackendName &backend, const GrantReply &reply,
-                                    TimePoint now)
+void ShardCoordinator::onProbeReply(const BackendName &backend, TimePoint now)
 {
-    const auto found = servers_.find(backend);
-    if (!isActive() || found == servers_.end())
-        return;
-    Server &server = found->second;
-    const bool isRestarted
-        = server.stamp_ && server.stamp_->incarnation_ != reply.stamp_.incarnation_;
-    const bool isOlder = server.stamp_ && !isRestarted && reply.stamp_.at_ < server.stamp_->at_;
-    const bool isForeign = reply.roleEpoch_ > *roleEpoch_;
-    if (isOlder || isForeign)
-        return;
-    const bool isFirst = !server.stamp_ || isRestarted;
-    server.stamp_ = reply.stamp_;
-    server.stampAt_ = now;
-    server.repliedAt_ = now;
-    const bool isOurs = reply.roleEpoch_ == *roleEpoch_;
-    server.ackedSequence_ = isOurs ? reply.sequence_ : 0;
-    server.draining_ = { reply.draining_.begin(), reply.draining_.end() };
-    const bool mustResend = isFirst || reply.result_ == GrantResult::UnknownStamp
-                            || reply.result_ == GrantResult::UnknownUnits;
-    if (reply.result_ == GrantResult::UnknownUnits)
-        server.ackedSequence_ = 0;
-    if (mustResend)
-        server.nextGrant_ = now;
-    else if (!server.draining_.empty())
-        server.nextGrant_ = std::min(server.nextGrant_, now + kDrainingPeriod);
+    if (isActive())
+        fence_->onProbeReply(backend, now);
 }
 
 } // namespace pimentostage
--- a/src/base/HttpLoop.cpp
+++ b/src/base/HttpLoop.cpp
@@ -172,6 +172,7 @@
         int sends_ = 0; ///< how often curl was about to write the request to a connection
         bool headersComplete_ = false;
         bool isMismatched_ = false;
+        bool isForbidden_ = false; ///< HttpRequest::maySend_ was false
     };
 
     EasyHandle takeEasy()
@@ -257,6 +258,10 @@
         auto &transfer = *static_cast<Transfer *>(context);
         if (transfer.sends_ > 0)
             return CURL_PREREQFUNC_ABORT;
+        const auto &maySend = transfer.request_.maySend_;
+        transfer.isForbidden_ = maySend && !maySend();
+        if (transfer.isForbidden_)
+            return CURL_PREREQFUNC_ABORT;
         ++transfer.sends_;
         return CURL_PREREQFUNC_OK;
     }
@@ -412,6 +417,10 @@
         }
         if (transfer.sends_ == 0)
             error.step_ = Step::Connect;
+        if (transfer.isForbidden_) {
+            error.code_ = ErrorCode::Stale;
+            error.detail_ = "the lease under which it was to be sent has ended";
+        }
         if (transfer.isMismatched_)
             error.detail_ = "the answer carries another request's id";
         return error;
--- a/src/base/HttpLoop.h
+++ b/src/base/HttpLoop.h
@@ -30,6 +30,8 @@
     std::string body_;
     Duration timeout_ = std::chrono::seconds(1);
     std::string expectedId_; ///< if set, an answer must repeat it in kRequestIdHeader
+    /// If set, asked right before the first byte is sent; if false, the request ends as Stale.
+    std::function<bool()> maySend_;
 };
 
 /// A whole answer.
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -79,19 +79,25 @@
               onSiblingMessage(from, message);
           },
           log, counters)
+    , routers_(self_.member_.host_, links_,
+               [this](const SiblingMessage &message) {
+                   loop_.post([this, message] { onSiblingMessage(self_, message); });
+               })
     , members_(self_, randomlySeeded(), config_, links_, log,
                [this](const ConfigPush &push) { onConfigPush(push); })
     , roles_(self_.member_, randomlySeeded(), store_, links_, members_, config_, *this, log,
              [this](const StoredObject &object) { onOwnWrite(object); })
     , placement_(
-          store_, [this](std::function<void()> task) { loop_.post(std::move(task)); },
+          store_, routers_, [this](std::function<void()> task) { loop_.post(std::move(task)); },
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
           std::random_device {}(), log, counters,
           [this](const StoredObject &object) { onOwnWrite(object); })
     , allowance_(
           self_.member_.host_, purses_, links_,
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); }, counters)
-{ }
+{
+    facts_.router_ = self_.member_.incarnation_;
+}
 
 ControlPlane::~ControlPlane()
 {
@@ -227,6 +233,14 @@
     {
         plane_.placement_.onKeyLoad(host(), message, now_);
     }
+    void operator()(const RouterGrant &message) const
+    {
+        plane_.onRouterGrant(from_, message, now_);
+    }
+    void operator()(const RouterGrantReply &message) const
+    {
+        plane_.placement_.onMessage(from_.member_, message, now_);
+    }
     void operator()(const LoanRecall &message) const
     {
         plane_.allowance_.onMessage(host(), message, now_);
@@ -238,11 +252,23 @@
     std::visit(Dispatcher { *this, from, BootClock::now() }, message);
 }
 
+void ControlPlane::onRouterGrant(const MemberUpdate &from, const RouterGrant &message,
+                                 TimePoint now)
+{
+    const std::shared_ptr<RoutingFence> fence = tableBuilder_.fence(message.grant_.service_);
+    if (!fence)
+        return;
+    routers_.send(from.member_.host_,
+                  RouterGrantReply { message.grant_.service_, fence->apply(message.grant_, now) });
+}
+
 void ControlPlane::tick()
 {
     const TimePoint now = BootClock::now();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     members_.tick(now);
+    const std::vector<Member> view = members_.membership().view();
+    placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
     allowance_.tick(now);
@@ -286,7 +312,7 @@
     roles.merge(PlacementControl::rolesFor(*configuration));
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
-    placement_.onConfig(*configuration, facts_.leavingHosts_);
+    placement_.onConfig(*configuration, facts_.leavingHosts_, now);
     allowance_.onConfig(configuration);
     publish();
 }
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -9,6 +9,7 @@
 #include "pimentostage/platform/ConfigState.h"
 #include "src/daemon/AllowanceControl.h"
 #include "src/daemon/ControlLoop.h"
+#include "src/daemon/LocalSender.h"
 #include "src/daemon/MemberControl.h"
 #include "src/daemon/PlacementControl.h"
 #include "src/daemon/PurseBook.h"
@@ -64,6 +65,7 @@
     void onConfigPush(const ConfigPush &push);
     void onOwnWrite(const StoredObject &object);
     void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
+    void onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now);
     void onConfigChange();
     void applyWarmth(const BackendWarmth &warmth, bool isNews);
     void sumKeyLoad(const KeyLoad &load);
@@ -102,6 +104,7 @@
     StoreClient store_;
     ConfigWatcher watcher_;
     SiblingLinks links_;
+    LocalSender routers_; ///< reaches all entry hosts, this one included
     MemberControl members_;
     RoleControl roles_;
     PlacementControl placement_;
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -1,6 +1,8 @@
 #include "src/daemon/PlacementControl.h"
 
+#include "pimentostage/backend/RouterFence.h"
 #include "pimentostage/platform/ObjectCodec.h"
+#include "src/backend/BackendProtocol.h"
 #include "src/backend/GrantCodec.h"
 #include "src/daemon/RecoveryBudget.h"
 
@@ -37,9 +39,11 @@
 
 } // namespace
 
-PlacementControl::PlacementControl(ObjectStore &store, Post post, Holds holds, std::uint64_t seed,
-                                   LogSink &log, Counters &counters, OnOwnWrite onOwnWrite)
+PlacementControl::PlacementControl(ObjectStore &store, SiblingSender &routers, Post post,
+                                   Holds holds, std::uint64_t seed, LogSink &log,
+                                   Counters &counters, OnOwnWrite onOwnWrite)
     : store_(store)
+    , routers_(routers)
     , post_(std::move(post))
     , holds_(std::move(holds))
     , seed_(seed)
@@ -68,7 +72,7 @@
 }
 
 void PlacementControl::onConfig(const Configuration &configuration,
-                                const std::set<std::string> &leavingHosts)
+                                const std::set<std::string> &leavingHosts, TimePoint now)
 {
     std::erase_if(services_, [&](const auto &entry) {
         const auto found = configuration.services_.find(entry.first);
@@ -78,9 +82,8 @@
         if (!service.keyed_)
             continue;
         Coordinated &coordinated = services_[name];
-        coordinated.service_ = service;
-        if (!coordinated.coordinator_)
-            coordinated.coordinator_ = std::make_unique<ShardCoordinator>(service, seed_);
+        updateCoordinator(coordinated, service, now);
+
         std::map<BackendName, CoordinatedBackend> backends;
         for (const auto &[backendName, backend] : configuration.backends_) {
             if (backend.service_ != name)
@@ -96,6 +99,32 @@
     }
 }
 
+// A request that may run longer makes its router's lease bind longer, so that the coordinator has
+// to start anew; one that runs shorter changes nothing.
+void PlacementControl::updateCoordinator(Coordinated &coordinated, const Service &service,
+                                         TimePoint now)
+{
+    const bool isUsable = coordinated.coordinator_
+                          && coordinated.service_.fencing_ == service.fencing_
+                          && mostRequestTime(coordinated.service_) >= mostRequestTime(service);
+    if (isUsable)
+        return;
+    coordinated.service_ = service;
+    coordinated.coordinator_ = std::make_unique<ShardCoordinator>(service, seed_);
+    coordinated.coordinator_->setRouters(runningRouters_);
+    if (coordinated.roleEpoch_)
+        perform(service.name_, coordinated.coordinator_->begin(*coordinated.roleEpoch_, now));
+}
+
+void PlacementControl::setRouters(const std::set<Member> &routers)
+{
+    if (routers == runningRouters_)
+        return;
+    runningRouters_ = routers;
+    for (auto &[name, coordinated] : services_)
+        coordinated.coordinator_->setRouters(routers);
+}
+
 ShardCoordinator *PlacementControl::find(const ServiceName &service)
 {
     const auto found = services_.find(service);
@@ -105,16 +134,20 @@
 void PlacementControl::onRoleGained(const RoleName &role, Epoch epoch, TimePoint now)
 {
     for (auto &[name, coordinated] : services_) {
-        if (roleOf(name) == role)
-            perform(name, coordinated.coordinator_->begin(epoch, now));
+        if (roleOf(name) != role)
+            continue;
+        coordinated.roleEpoch_ = epoch;
+        perform(name, coordinated.coordinator_->begin(epoch, now));
     }
 }
 
 void PlacementControl::onRoleLost(const RoleName &role)
 {
     for (auto &[name, coordinated] : services_) {
-        if (roleOf(name) == role)
-            coordinated.coordinator_->end();
+        if (roleOf(name) != role)
+            continue;
+        coordinated.roleEpoch_.reset();
+        coordinated.coordinator_->end();
     }
 }
 
@@ -247,6 +280,50 @@
     perform(service, coordinator->tick(now));
 }
 
+void PlacementControl::perform(const ServiceName &, const SendRouterGrant &send)
+{
+    grants_.add();
+    routers_.send(send.router_.host_, RouterGrant { send.grant_ });
+}
+
+void PlacementControl::onMessage(const Member &router, const RouterGrantReply &message,
+                                 TimePoint now)
+{
+    ShardCoordinator *coordinator = find(message.service_);
+    if (!coordinator || !holds_(roleOf(message.service_), now))
+        return;
+    coordinator->onRouterReply(router, message.reply_, now);
+    perform(message.service_, coordinator->tick(now));
+}
+
+void PlacementControl::perform(const ServiceName &service, const ProbeBackend &probe)
+{
+    const auto &addresses = services_.at(service).addresses_;
+    const auto address = addresses.find(probe.backend_);
+    if (address == addresses.end())
+        return;
+    HttpRequest request;
+    request.url_ = "http://" + address->second.str() + kLoadPath;
+    request.timeout_ = kGrantTimeout;
+    loop_.post([this, service, backend = probe.backend_, request = std::move(request)] {
+        loop_.start(request, [this, service, backend](HttpResult result) {
+            post_([this, service, backend, result = std::move(result)] {
+                onProbeResult(service, backend, result);
+            });
+        });
+    });
+}
+
+void PlacementControl::onProbeResult(const ServiceName &service, const BackendName &backend,
+                                     const HttpResult &result)
+{
+    ShardCoordinator *coordinator = find(service);
+    const TimePoint now = BootClock::now();
+    if (!coordinator || !result.answer_ || !holds_(roleOf(service), now))
+        return;
+    coordinator->onProbeReply(backend, now);
+}
+
 void PlacementControl::perform(const ServiceName &service, const MoveDecided &move)
 {
     moves_.add();
--- a/src/daemon/PlacementControl.h
+++ b/src/daemon/PlacementControl.h
@@ -6,11 +6,13 @@
 #include "pimentostage/base/Log.h"
 #include "pimentostage/platform/Configuration.h"
 #include "pimentostage/platform/ObjectStore.h"
+#include "pimentostage/sibling/Messages.h"
 #include "src/base/HttpLoop.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace pimentostage {
@@ -28,8 +30,9 @@
     /// @return whether this host may act in a role at a time.
     using Holds = std::function<bool(const RoleName &, TimePoint)>;
 
-    PlacementControl(ObjectStore &store, Post post, Holds holds, std::uint64_t seed, LogSink &log,
-                     Counters &counters, OnOwnWrite onOwnWrite);
+    /// @param routers takes grants to entry hosts, this one included.
+    PlacementControl(ObjectStore &store, SiblingSender &routers, Post post, Holds holds,
+                     std::uint64_t seed, LogSink &log, Counters &counters, OnOwnWrite onOwnWrite);
 
     /// @return the roles of the coordinators of all keyed services.
     static std::set<RoleName> rolesFor(const Configuration &configuration);
@@ -37,7 +40,12 @@
     static RoleName roleOf(const ServiceName &service);
 
     /// Takes services and back ends from the configuration in force.
-    void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts);
+    void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts,
+                  TimePoint now);
+
+    /// Replaces the entry hosts that are believed to run.
+    void setRouters(const std::set<Member> &routers);
+    void onMessage(const Member &router, const RouterGrantReply &message, TimePoint now);
 
     void onRoleGained(const RoleName &role, Epoch epoch, TimePoint now);
     void onRoleLost(const RoleName &role);
@@ -53,6 +61,7 @@
     struct Coordinated
     {
         Service service_;
+        std::optional<Epoch> roleEpoch_; ///< while this host has the role
         std::unique_ptr<ShardCoordinator> coordinator_;
         std::map<BackendName, Address> addresses_;
         HotKeyTracker hotKeys_;
@@ -62,7 +71,12 @@
     void perform(const ServiceName &service, const ReadPlacement &read);
     void perform(const ServiceName &service, const WritePlacement &write);
     void perform(const ServiceName &service, const SendGrant &send);
+    void perform(const ServiceName &service, const SendRouterGrant &send);
+    void perform(const ServiceName &service, const ProbeBackend &probe);
     void perform(const ServiceName &service, const MoveDecided &move);
+    void updateCoordinator(Coordinated &coordinated, const Service &service, TimePoint now);
+    void onProbeResult(const ServiceName &service, const BackendName &backend,
+                       const HttpResult &result);
     void onWriteReply(const ServiceName &service, const Placement &placement,
                       const Reply<WriteResult> &reply);
     void onGrantResult(const ServiceName &service, const BackendName &backend,
@@ -70,6 +84,7 @@
     ShardCoordinator *find(const ServiceName &service);
 
     ObjectStore &store_;
+    SiblingSender &routers_;
     const Post post_;
     const Holds holds_;
     const std::uint64_t seed_;
@@ -78,6 +93,7 @@
     Counter &grants_;
     Counter &grantFailures_;
     Counter &moves_;
+    std::set<Member> runningRouters_;
     std::map<ServiceName, Coordinated> services_;
     HttpLoop loop_;
 };
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -48,7 +48,7 @@
     return { { "host", member.host_.str() }, { "incarnation", member.incarnation_.value_ } };
 }
 
-std::vector<Member> readMembers(ObjectReader &reader);
+std::vector<Member> readMembers(ObjectReader &reader, const char *field);
 
 Json toJson(const std::vector<Member> &members)
 {
@@ -72,7 +72,7 @@
     term.epoch_ = Epoch { reader.sequence("epoch") };
     term.holder_.host_ = HostName(reader.requiredText("holder"));
     term.holder_.incarnation_ = Incarnation { reader.sequence("incarnation") };
-    term.members_ = readMembers(reader);
+    term.members_ = readMembers(reader, "members");
     reader.checkNoOtherFields();
     return term;
 }
@@ -86,12 +86,12 @@
     return member;
 }
 
-std::vector<Member> readMembers(ObjectReader &reader)
+std::vector<Member> readMembers(ObjectReader &reader, const char *field)
 {
     std::vector<Member> members;
     std::size_t index = 0;
-    for (const Json &item : reader.array("members"))
-        members.push_back(readMember(reader.child(item, "members", index++)));
+    for (const Json &item : reader.array(field))
+        members.push_back(readMember(reader.child(item, field, index++)));
     return members;
 }
 
@@ -270,7 +270,7 @@
     record.epoch_ = Epoch { reader.sequence("epoch") };
     record.holder_.host_ = HostName(reader.requiredText("holder"));
     record.holder_.incarnation_ = Incarnation { reader.sequence("incarnation") };
-    record.members_ = readMembers(reader);
+    record.members_ = readMembers(reader, "members");
     std::size_t index = 0;
     for (const Json &item : reader.array("predecessors"))
         record.predecessors_.push_back(readTerm(reader.child(item, "predecessors", index++)));
@@ -299,6 +299,7 @@
     if (!std::is_sorted(placement.hotKeys_.begin(), placement.hotKeys_.end(),
                         [](const auto &a, const auto &b) { return a.key_ < b.key_; }))
         reader.addFault("hot_keys", "must be sorted by key");
+    placement.routers_ = readMembers(reader, "routers");
     reader.checkNoOtherFields();
     BOOST_LEAF_CHECK(reader.result());
     return placement;
@@ -439,7 +440,8 @@
                   { "nonce", placement.nonce_ },
                   { "backends", index.names() },
                   { "shards", shards },
-                  { "hot_keys", hotKeys } })
+                  { "hot_keys", hotKeys },
+                  { "routers", toJson(placement.routers_) } })
         .dump();
 }
 
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -1,6 +1,7 @@
 #include "src/sibling/FrameCodec.h"
 
 #include <array>
+#include <map>
 #include <type_traits>
 #include <utility>
 
@@ -35,6 +36,12 @@
 struct IsName<Name<T>> : std::true_type
 { };
 template <typename T>
+struct IsMap : std::false_type
+{ };
+template <typename K, typename V>
+struct IsMap<std::map<K, V>> : std::true_type
+{ };
+template <typename T>
 struct IsSequence : std::false_type
 { };
 template <typename T>
@@ -196,6 +203,38 @@
     archive(message.service_, message.total_, message.keys_);
 }
 
+template <typename Archive>
+void fields(Archive &archive, ServerStamp &stamp)
+{
+    archive(stamp.incarnation_, stamp.at_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, Grant &grant)
+{
+    archive(grant.service_, grant.roleEpoch_, grant.sequence_, grant.stamp_, grant.lease_,
+            grant.units_, grant.unitsDigest_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, GrantReply &reply)
+{
+    archive(reply.result_, reply.stamp_, reply.roleEpoch_, reply.sequence_, reply.unitsDigest_,
+            reply.draining_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, RouterGrant &message)
+{
+    archive(message.grant_);
+}
+
+template <typename Archive>
+void fields(Archive &archive, RouterGrantReply &message)
+{
+    archive(message.service_, message.reply_);
+}
+
 /// Appends fields to a JSON array.
 class Writer
 {
@@ -227,6 +266,13 @@
             for (auto &item : value)
                 items.push_back(write(item));
             return items;
+        } else if constexpr (IsMap<T>::value) {
+            Json items = Json::array();
+            for (auto &[key, item] : value) {
+                auto name = key;
+                items.push_back(Json::array({ write(name), write(item) }));
+            }
+            return items;
         } else if constexpr (std::is_arithmetic_v<T> || std::is_same_v<T, std::string>) {
             return value;
         } else {
@@ -285,6 +331,8 @@
             return read(json, value.emplace());
         } else if constexpr (IsVector<T>::value) {
             return readItems(json, value);
+        } else if constexpr (IsMap<T>::value) {
+            return readEntries(json, value);
         } else if constexpr (std::is_same_v<T, bool>) {
             value = json == true;
             return json.is_boolean();
@@ -323,6 +371,23 @@
         return true;
     }
 
+    template <typename Key, typename T>
+    static bool readEntries(const Json &json, std::map<Key, T> &entries)
+    {
+        if (!json.is_array() || json.size() > kMostElements)
+            return false;
+        for (const Json &item : json) {
+            Key key;
+            T value;
+            const bool isEntry
+                = item.is_array() && item.size() == 2 && read(item[0], key) && read(item[1], value);
+            if (!isEntry)
+                return false;
+            entries.insert_or_assign(std::move(key), std::move(value));
+        }
+        return true;
+    }
+
     const Json &array_;
     bool ok_;
 };
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -56,6 +56,15 @@
     loan.account_ = request.account_;
     loan.rate_ = 2.25;
     const RoleName role("coordinator.permits");
+    Grant grant;
+    grant.service_ = ServiceName("permits");
+    grant.roleEpoch_ = Epoch { 4 };
+    grant.stamp_ = { Incarnation { 77 }, 12s };
+    grant.units_
+        = GrantedUnits { { UnitName("s1"), Epoch { 6 } }, { UnitName("s2"), Epoch { 9 } } };
+    GrantReply reply;
+    reply.result_ = GrantResult::UnknownUnits;
+    reply.draining_ = { UnitName("s3") };
     return { Hello { self },
              Probe { HostName("a"), HostName("b"), 4, { self }, summary },
              ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
@@ -70,7 +79,9 @@
              LoanReplies { { loan }, 7s },
              LoanRecall { { request.account_ } },
              BackendWarmth { BackendName("permits-1"), true },
-             KeyLoad { ServiceName("permits"), 20, { { "k1", 4.5 } } } };
+             KeyLoad { ServiceName("permits"), 20, { { "k1", 4.5 } } },
+             RouterGrant { grant },
+             RouterGrantReply { grant.service_, reply } };
 }
 
 TEST(FrameCodec, EveryMessageComesBackAsItWas)
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -87,6 +87,22 @@
     EXPECT_EQ(judge(result).failure_, AttemptFailure::ConnectFailed);
 }
 
+TEST(HttpLoop, SendsNothingOnceTheLeaseHasEnded)
+{
+    RawServer server([](const std::string &, int) {
+        return RawServer::Reply { rawAnswer("r1", "x"), false };
+    });
+    HttpLoop loop({});
+    HttpRequest request = post(server, "r1");
+    request.maySend_ = [] { return false; };
+    const HttpResult result = loop.fetch(request);
+    EXPECT_EQ(result.state_, AttemptState::NotSent);
+    EXPECT_EQ(judge(result).failure_, AttemptFailure::StaleEpoch);
+    EXPECT_EQ(server.requests(), 0);
+    request.maySend_ = [] { return true; };
+    EXPECT_TRUE(loop.fetch(request).answer_.has_value());
+}
+
 TEST(HttpLoop, ATimeoutAfterSendingIsUnknown)
 {
     RawServer server([](const std::string &, int) { return RawServer::Reply {}; });
--- a/tests/ShardCoordinatorTest.cpp
+++ b/tests/ShardCoordinatorTest.cpp
@@ -1,9 +1,6 @@
 #include "pimentostage/backend/ShardCoordinator.h"
-#include "pimentostage/backend/RoutingTable.h"
 #include "pimentostage/backend/ServerLease.h"
-#include "tests/fakes/DriftingClock.h"
-#include "tests/fakes/EventQueue.h"
-#include "tests/fakes/FakeRecordStore.h"
+#include "tests/fakes/CoordinatorWorld.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -17,11 +14,8 @@
 
 namespace {
 
-constexpr Duration kTick = 10ms;
 constexpr std::uint32_t kShards = 8;
 
-using PlacementStore = FakeRecordStore<Placement>;
-
 Service permits()
 {
     Service service;
@@ -31,41 +25,19 @@
     return service;
 }
 
-/// Servers with leases, one coordinator after another, a store and a network that fails.
-class ShardWorld
+/// Servers that check their grants: each holds the lease of its units.
+class ShardWorld : public CoordinatorWorld
 {
 public:
     explicit ShardWorld(std::size_t servers)
-        : store_(events_)
+        : CoordinatorWorld(permits())
     {
         for (std::size_t i = 0; i < servers; ++i) {
             servers_.push_back(std::make_unique<Server>());
             servers_.back()->name_ = BackendName("worker-" + std::to_string(i));
             restartServer(i);
         }
-        for (int i = 0; i < 40; ++i)
-            keys_.push_back("key-" + std::to_string(i));
-        changeCoordinator();
-        scheduleTick();
-    }
-
-    void run(Duration duration)
-    {
-        events_.runUntil(events_.now() + duration, [this] { check(); });
-    }
-
-    void changeCoordinator()
-    {
-        if (coordinator_)
-            coordinator_->end();
-        retired_.push_back(std::move(coordinator_));
-        roleEpoch_ = roleEpoch_.next();
-        const std::int64_t kDrift = roleEpoch_.value_ % 2 == 0 ? 400 : -400;
-        clock_ = DriftingClock(std::chrono::seconds(500 * roleEpoch_.value_), kDrift);
-        coordinator_ = std::make_unique<ShardCoordinator>(permits(), roleEpoch_.value_);
-        coordinator_->setBackends(facts_);
-        coordinator_->setHotKeys(hotKeys_);
-        perform(coordinator_->begin(roleEpoch_, now()));
+        begin();
     }
 
     void pauseServer(std::size_t index, bool paused) { servers_[index]->paused_ = paused; }
@@ -82,61 +54,34 @@
         server.isDead_ = false;
         server.paused_ = false;
         server.work_.clear();
-        facts_[server.name_] = CoordinatedBackend {};
-        if (coordinator_)
-            coordinator_->setBackends(facts_);
+        setBackend(server.name_, CoordinatedBackend {});
     }
 
     void setTakesNewWork(std::size_t index, bool takes)
     {
-        facts_[servers_[index]->name_].takesNewWork_ = takes;
-        coordinator_->setBackends(facts_);
-    }
-
-    void setHotKeys(std::vector<std::string> keys)
-    {
-        hotKeys_ = std::move(keys);
-        coordinator_->setHotKeys(hotKeys_);
+        CoordinatorWorld::setTakesNewWork(servers_[index]->name_, takes);
     }
 
     /// A request for a key comes to the server that a placement of any age names.
     void request(std::size_t number, Duration length)
     {
-        const std::string &key = keys_[number % keys_.size()];
-        const Placement &placement
-            = history_.empty() ? Placement {} : history_[number % history_.size()];
-        if (placement.shards_.empty())
-            return;
-        const ShardOwner &owner = ownerOf(placement, key);
-        Server *server = find(owner.backend_);
-        if (!server || server->isDead_ || server->paused_)
-            return;
-        const UnitName unit = unitOf(placement, key);
-        if (!server->lease_->covers(unit, owner.epoch_, server->clock_.at(events_.now())))
+        if (history_.empty())
             return;
-        server->work_.push_back({ key, unit, events_.now() + length, server->lease_->term() });
+        const std::string &key = keys_[number % keys_.size()];
+        const Naming naming = namingOf(history_[number % history_.size()], key);
+        Server *server = find(naming.backend_);
+        if (server && accepts(*server, naming))
+            server->work_.push_back(
+                { key, naming.unit_, events_.now() + length, server->lease_->term() });
     }
 
-    bool isServed(const std::string &key)
+    bool isServed(const std::string &key) override
     {
         if (history_.empty())
             return false;
-        const ShardOwner &owner = ownerOf(history_.back(), key);
-        Server *server = find(owner.backend_);
-        return server && !server->isDead_ && !server->paused_
-               && server->lease_->covers(unitOf(history_.back(), key), owner.epoch_,
-                                         server->clock_.at(events_.now()));
-    }
-
-    bool areAllServed()
-    {
-        return std::all_of(keys_.begin(), keys_.end(),
-                           [this](const std::string &key) { return isServed(key); });
-    }
-
-    BackendName ownerOfKey(const std::string &key) const
-    {
-        return ownerOf(history_.back(), key).backend_;
+        const Naming naming = namingOf(history_.back(), key);
+        const Server *server = find(naming.backend_);
+        return server && accepts(*server, naming);
     }
 
     std::size_t index(const BackendName &name) const
@@ -148,14 +93,6 @@
         return servers_.size();
     }
 
-    EventQueue events_;
-    PlacementStore store_;
-    std::size_t mostOwners_ = 0;
-    bool losesMessages_ = false;
-    Duration networkDelay_ = 1ms;
-    std::vector<Placement> history_; ///< every placement that was in the store
-    std::vector<std::string> keys_;
-
 private:
     struct Work
     {
@@ -175,19 +112,13 @@
         bool isDead_ = false;
     };
 
-    TimePoint now() const { return clock_.at(events_.now()); }
-
-    void scheduleTick()
+    void tick() override
     {
-        events_.after(kTick, [this] {
-            perform(coordinator_->tick(now()));
-            for (auto &server : servers_) {
-                if (!server->paused_)
-                    std::erase_if(server->work_,
-                                  [&](const Work &work) { return work.until_ <= events_.now(); });
-            }
-            scheduleTick();
-        });
+        for (auto &server : servers_) {
+            if (!server->paused_)
+                std::erase_if(server->work_,
+                              [&](const Work &work) { return work.until_ <= events_.now(); });
+        }
     }
 
     Server *find(const BackendName &name)
@@ -199,20 +130,25 @@
         return nullptr;
     }
 
+    bool accepts(const Server &server, const Naming &naming) const
+    {
+        return !server.isDead_ && !server.paused_
+               && server.lease_->covers(naming.unit_, naming.epoch_,
+                                        server.clock_.at(events_.now()));
+    }
+
     /// The oracle: no two servers accept or do work for one key, whichever placement named them.
-    void check()
+    void check() override
     {
         for (const std::string &key : keys_) {
-            std::set<BackendName> owners;
-            for (const auto &server : servers_) {
-                if (isOwner(*server, key))
-                    owners.insert(server->name_);
-            }
-            mostOwners_ = std::max(mostOwners_, owners.size());
+            std::size_t owners = 0;
+            for (const auto &server : servers_)
+                owners += isOwner(*server, key) ? 1 : 0;
+            mostOwners_ = std::max(mostOwners_, owners);
         }
     }
 
-    bool isOwner(const Server &server, const std::string &key) const
+    bool isOwner(const Server &server, const std::string &key)
     {
         if (server.isDead_ || server.paused_)
             return false;
@@ -221,117 +157,38 @@
             if (work.key_ == key && server.lease_->mayFinish(work.term_, now))
                 return true;
         }
-        const auto namings = namings_.find(key);
-        if (namings == namings_.end())
-            return false;
-        return std::any_of(
-            namings->second.begin(), namings->second.end(), [&](const Naming &naming) {
-                return std::get<0>(naming) == server.name_
-                       && server.lease_->covers(std::get<1>(naming), std::get<2>(naming), now);
-            });
-    }
-
-    void perform(const CoordinatorActions &actions)
-    {
-        for (const CoordinatorAction &action : actions)
-            std::visit([this](const auto &step) { perform(step); }, action);
-    }
-
-    void perform(const ReadPlacement &)
-    {
-        ShardCoordinator *coordinator = coordinator_.get();
-        store_.read([this, coordinator](const auto &result) {
-            if (coordinator != coordinator_.get())
-                return;
-            if (result)
-                perform(coordinator->onRead(result->first, result->second, now()));
-            else
-                coordinator->onReadFailed(now());
+        return std::any_of(namings(key).begin(), namings(key).end(), [&](const Naming &naming) {
+            return naming.backend_ == server.name_ && accepts(server, naming);
         });
     }
 
-    void perform(const WritePlacement &write)
-    {
-        ShardCoordinator *coordinator = coordinator_.get();
-        store_.write(write.placement_, write.expected_,
-                     [this, coordinator](PlacementStore::WriteAnswer answer, Version version,
-                                         const std::optional<Placement> &) {
-                         noteHistory();
-                         if (coordinator != coordinator_.get())
-                             return;
-                         if (answer == PlacementStore::WriteAnswer::Written)
-                             perform(coordinator->onWritten(version, now()));
-                         else if (answer == PlacementStore::WriteAnswer::Conflict)
-                             perform(coordinator->onConflict(now()));
-                         else
-                             coordinator->onWriteFailed(now());
-                     });
-    }
-
-    void noteHistory()
-    {
-        if (!store_.record_
-            || (!history_.empty() && history_.back().nonce_ == store_.record_->nonce_))
-            return;
-        history_.push_back(*store_.record_);
-        for (const std::string &key : keys_) {
-            const ShardOwner &owner = ownerOf(history_.back(), key);
-            namings_[key].insert({ owner.backend_, unitOf(history_.back(), key), owner.epoch_ });
-        }
-    }
-
-    Duration nextDelay()
+    void transmit(const SendGrant &grant) override
     {
-        const bool isSlow = losesMessages_ && messages_ % 7 == 0;
-        return isSlow ? 1300ms : networkDelay_;
+        send([this, grant, coordinator = coordinator()] { deliver(coordinator, grant); });
     }
 
-    bool isNextLost() { return ++messages_ % 5 == 0 && losesMessages_; }
-
-    void perform(const SendGrant &send)
+    void deliver(ShardCoordinator *coordinator, const SendGrant &grant)
     {
-        ShardCoordinator *coordinator = coordinator_.get();
-        if (isNextLost())
-            return;
-        events_.after(nextDelay(), [this, coordinator, send] { deliver(coordinator, send); });
-    }
-
-    void deliver(ShardCoordinator *coordinator, const SendGrant &send)
-    {
-        Server *server = find(send.backend_);
+        Server *server = find(grant.backend_);
         if (!server || server->isDead_ || server->isCut_)
             return;
         if (server->paused_) {
-            events_.after(25ms, [this, coordinator, send] { deliver(coordinator, send); });
+            events_.after(25ms, [this, coordinator, grant] { deliver(coordinator, grant); });
             return;
         }
-        GrantReply reply = server->lease_->apply(send.grant_, server->clock_.at(events_.now()));
+        GrantReply answer = server->lease_->apply(grant.grant_, server->clock_.at(events_.now()));
         for (const Work &work : server->work_) {
             if (!server->lease_->units().contains(work.unit_))
-                reply.draining_.push_back(work.unit_);
+                answer.draining_.push_back(work.unit_);
         }
-        if (isNextLost())
-            return;
-        events_.after(nextDelay(), [this, coordinator, server, reply] {
-            if (coordinator == coordinator_.get() && !server->isCut_)
-                coordinator->onGrantReply(server->name_, reply, now());
+        reply(coordinator, [this, server, answer](ShardCoordinator &present) {
+            if (!server->isCut_)
+                present.onGrantReply(server->name_, answer, now());
         });
     }
 
-    void perform(const MoveDecided &) { }
-
-    using Naming = std::tuple<BackendName, UnitName, Epoch>;
-
     std::vector<std::unique_ptr<Server>> servers_;
-    std::vector<std::unique_ptr<ShardCoordinator>> retired_;
-    std::unique_ptr<ShardCoordinator> coordinator_;
-    DriftingClock clock_ { Duration::zero(), 0 };
-    std::map<BackendName, CoordinatedBackend> facts_;
-    std::vector<std::string> hotKeys_;
-    std::map<std::string, std::set<Naming>> namings_;
-    Epoch roleEpoch_;
     std::uint64_t lastIncarnation_ = 0;
-    std::uint64_t messages_ = 0;
 };
 
 TEST(ShardCoordinator, GivesEveryShardAnOwner)
@@ -500,7 +357,8 @@
             world.losesMessages_ = !world.losesMessages_;
             break;
         case 12:
-            world.setHotKeys({ world.keys_[static_cast<std::size_t>(number) % 40] });
+            world.setHotKeys(
+                { world.keys_[static_cast<std::size_t>(number) % world.keys_.size()] });
             break;
         case 13:
             world.setHotKeys({});
--- a/tools/BackendStandin.cpp
+++ b/tools/BackendStandin.cpp
@@ -63,7 +63,7 @@
 
 const BackendStandin::Row BackendStandin::kRows[] = {
     { "POST", kGrantPath, &BackendStandin::grant },
-    { "GET", "/.pimento/load", &BackendStandin::load },
+    { "GET", kLoadPath, &BackendStandin::load },
     { "GET", "/.pimento/report", &BackendStandin::report },
     { "POST", "/.pimento/faults", &BackendStandin::setFaults },
 };
