Overload: fair queues by team, limits learned from sheds

Cause: a request that found no room at a back end asked again every 20 ms until its deadline. Change: FairQueue (bounded, weighted by the contract's share, early refusal, a shed request keeps its place), one for each balanced service and each owner; AdmissionQueue shares it between traffic threads; ConcurrencyLimit learns from sheds what a back end bears; RequestExecution waits for room as a step of its own. A shed is a cold start only below the back end's slots.

--- a/bench/ScenarioBench.cpp
+++ b/bench/ScenarioBench.cpp
@@ -1,8 +1,10 @@
 // End-to-end scenarios on one machine: a whole fleet in one process with real sockets.
 
 #include "bench/BenchFleet.h"
+#include "bench/OverloadTeams.h"
 #include "tools/ProgramMain.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <fstream>
 #include <thread>
@@ -11,7 +13,7 @@
 #include <nlohmann/json.hpp>
 
 ABSL_FLAG(std::string, scenario, "all",
-          "overhead, stragglers, zone, cold, noisy, faults, hot or all");
+          "overhead, stragglers, zone, cold, noisy, faults, hot, overload or all");
 ABSL_FLAG(double, seconds, 8, "length of each load");
 ABSL_FLAG(std::string, json, "", "file to write the figures to");
 
@@ -313,6 +315,56 @@
     }
 }
 
+// The callers ask for up to three times what the back ends bear; by team.
+void runOverload()
+{
+    BenchFleetOptions options;
+    BenchService plain { "plain" };
+    plain.workers_ = 2;
+    plain.serviceTime_ = 20ms;
+    BenchService keyed = plain;
+    keyed.name_ = "keyed";
+    keyed.keyed_ = true;
+    options.services_ = { plain, keyed };
+    for (const OverloadTeam &team : kOverloadTeams) {
+        Contract object = contract(team.name_, 1e6);
+        object.share_ = team.share_;
+        options.teams_.push_back(object);
+    }
+    BenchFleet fleet(options);
+    const double capacity
+        = static_cast<double>(plain.workers_) * plain.slots_ / toSeconds(plain.serviceTime_);
+    for (const char *service : { "plain", "keyed" }) {
+        fleet.waitUntilServed(std::string("/") + service + "/items/k1", "large");
+        for (const double factor : { 0.7, 1.0, 2.0, 3.0 }) {
+            std::map<std::string, double> rates;
+            for (const OverloadTeam &team : kOverloadTeams)
+                rates[team.name_] = factor * capacity * team.demand_;
+            const double before = fleet.counterSum("pimento_backend_attempts_total");
+            const LoadResult result
+                = load(fleet.profile({ reads(service) }, rates), fleet.entries(), length());
+            const double attempts = fleet.counterSum("pimento_backend_attempts_total") - before;
+            char label[64];
+            std::snprintf(label, sizeof label, "%s at %.1f x capacity", service, factor);
+            double worst = 1;
+            for (const auto &[team, fair] : fairRates(capacity, factor)) {
+                const double got
+                    = static_cast<double>(result.byTeam_.at(team).answered_) / toSeconds(length());
+                worst = std::min(worst, got / fair);
+                print("overload", std::string(label) + ": " + team, result.byTeam_.at(team));
+            }
+            const LoadTally total = result.total();
+            char notes[128];
+            std::snprintf(notes, sizeof notes,
+                          "of capacity %.2f, worst team's part of its share %.2f, attempts for "
+                          "each answer %.2f ",
+                          static_cast<double>(total.answered_) / toSeconds(length()) / capacity,
+                          worst, attempts / static_cast<double>(total.answered_));
+            print("overload", label, total, notes);
+        }
+    }
+}
+
 struct Scenario
 {
     const char *name_;
@@ -322,7 +374,7 @@
 constexpr Scenario kScenarios[] = {
     { "overhead", &runOverhead }, { "stragglers", &runStragglers }, { "zone", &runZone },
     { "cold", &runCold },         { "noisy", &runNoisy },           { "faults", &runFaults },
-    { "hot", &runHot },
+    { "hot", &runHot },           { "overload", &runOverload },
 };
 
 } // namespace
--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/ConcurrencyLimit.h"
 #include "pimentostage/backend/Warmup.h"
 #include "pimentostage/base/Time.h"
 
@@ -51,6 +52,10 @@
     [[nodiscard]] Warmup &warmup() { return warmup_; }
     [[nodiscard]] const Warmup &warmup() const { return warmup_; }
 
+    /// @return what it bears from this host, as learned from sheds.
+    [[nodiscard]] ConcurrencyLimit &concurrency() { return concurrency_; }
+    [[nodiscard]] const ConcurrencyLimit &concurrency() const { return concurrency_; }
+
     /// Notes the incarnation that an answer carries. @return whether the process is a new one.
     bool onIncarnation(std::uint64_t incarnation);
 
@@ -69,6 +74,7 @@
     std::atomic<Duration::rep> reportedAt_ { 0 };
     std::atomic<std::uint64_t> incarnation_ { 0 };
     Warmup warmup_;
+    ConcurrencyLimit concurrency_;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -26,7 +26,7 @@
 };
 
 /// Why a request was given up.
-enum class GiveUpReason { DeadlinePassed, NoBackend, AttemptsFailed, AnswerBroken };
+enum class GiveUpReason { DeadlinePassed, NoBackend, AttemptsFailed, AnswerBroken, Overloaded };
 
 template <>
 struct EnumTable<GiveUpReason>
@@ -36,6 +36,7 @@
         EnumName<GiveUpReason> { GiveUpReason::NoBackend, "no-backend" },
         EnumName<GiveUpReason> { GiveUpReason::AttemptsFailed, "attempts-failed" },
         EnumName<GiveUpReason> { GiveUpReason::AnswerBroken, "answer-broken" },
+        EnumName<GiveUpReason> { GiveUpReason::Overloaded, "overloaded" },
     };
 };
 
@@ -58,6 +59,10 @@
     TimePoint at_;
 };
 
+/// Let the request wait in turn for room at a back end; report with onRoom() or onNoRoom().
+struct AwaitRoom
+{ };
+
 /// Hand the answer of attempt `attempt_` to the caller. The request is finished.
 struct DeliverAnswer
 {
@@ -71,7 +76,8 @@
     Outcome outcome_ = Outcome::NotRun;
 };
 
-using ExecutionAction = std::variant<SendAttempt, CancelAttempt, WakeAt, DeliverAnswer, GiveUp>;
+using ExecutionAction
+    = std::variant<SendAttempt, CancelAttempt, WakeAt, AwaitRoom, DeliverAnswer, GiveUp>;
 using ExecutionActions = std::vector<ExecutionAction>;
 
 /// Decides on attempts, retries and hedges of one request.
@@ -89,6 +95,13 @@
     /// Reports that no back end could take attempt @p attempt.
     ExecutionActions onNoBackend(AttemptNumber attempt, TimePoint now);
 
+    /// Reports that back ends for @p attempt exist and have no room.
+    ExecutionActions onBusy(AttemptNumber attempt, TimePoint now);
+    /// Reports that the request's turn has come: there may be room.
+    ExecutionActions onRoom(TimePoint now);
+    /// Reports that the request may not wait, or may not wait any longer.
+    ExecutionActions onNoRoom(TimePoint now);
+
     /// Reports that @p attempt ended without a usable answer.
     /// @param state what is known of the attempt.
     ExecutionActions onFailed(AttemptNumber attempt, AttemptState state, AttemptFailure failure,
@@ -112,6 +125,7 @@
     };
 
     ExecutionActions send(bool isHedge, TimePoint now);
+    ExecutionActions awaitRoom(TimePoint now);
     ExecutionActions retryOrGiveUp(AttemptState state, AttemptFailure failure, TimePoint now);
     ExecutionActions giveUp(GiveUpReason reason);
     [[nodiscard]] bool mayRetry(AttemptState state) const;
@@ -124,6 +138,7 @@
     std::vector<Tracked> attempts_;
     std::optional<TimePoint> hedgeAt_;
     std::optional<TimePoint> retryAt_;
+    bool isWaiting_ = false; ///< for room
     bool finished_ = false;
 };
 
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -30,7 +30,9 @@
     /// @return requests that this host may have in flight there now.
     [[nodiscard]] std::uint32_t presentLimit() const
     {
-        return stats_->warmup().isCold() ? std::min(limit_, stats_->warmup().limit()) : limit_;
+        if (stats_->warmup().isCold())
+            return std::min(limit_, stats_->warmup().limit());
+        return stats_->concurrency().limit(limit_);
     }
 
     /// @return the share of its usual traffic that it may get at @p now, from 0 to 1.
@@ -96,6 +98,7 @@
     const Candidate *candidate_ = nullptr; ///< nullptr if none can take the request
     UnitName unit_; ///< that the key belongs to; empty for services that are not keyed
     Epoch epoch_; ///< fencing epoch of the unit's owner
+    bool isBusy_ = false; ///< there is none now, but back ends that had no room
 };
 
 /// Chooses back ends for the attempts of one request.
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -38,6 +38,8 @@
     double backendRetryShare_ = 0.1;
     double backendHedgeShare_ = 0.05;
     bool backendHedging_ = true;
+    std::int64_t backendQueueLength_ = 2000;
+    Duration backendQueueTime_ = std::chrono::milliseconds(500);
 
     Severity logLevel_ = Severity::Info;
     std::int64_t logCapacity_ = 16'384;
--- a/include/pimentostage/sibling/TokenPurse.h
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "pimentostage/base/DecayingRate.h"
 #include "pimentostage/base/EnumNames.h"
 #include "pimentostage/sibling/Allowance.h"
-#include "pimentostage/sibling/DecayingRate.h"
 
 #include <deque>
 #include <functional>
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -4,12 +4,15 @@
 #include "pimentostage/backend/LatencyQuantile.h"
 #include "pimentostage/backend/ShareBudget.h"
 #include "pimentostage/base/Hash.h"
+#include "src/backend/AdmissionQueue.h"
 #include "src/backend/BackendProtocol.h"
 
 #include <algorithm>
 #include <map>
 #include <mutex>
 #include <random>
+#include <set>
+#include <unordered_map>
 
 namespace pimentostage {
 
@@ -21,6 +24,8 @@
 constexpr std::size_t kKeysCounted = 128;
 constexpr std::size_t kKeysReported = 32;
 constexpr double kLeastRateReported = 4;
+// How often requests that wait are looked at, besides when an attempt ends.
+constexpr Duration kQueuePeriod = std::chrono::milliseconds(10);
 
 /// Budgets and latency of one route, shared by all requests of one traffic thread.
 struct RouteState
@@ -45,6 +50,10 @@
                                      "Attempts that ended without a usable answer."))
         , mismatches_(counters.counter("pimento_backend_mismatches_total",
                                        "Answers that belonged to another request."))
+        , waits_(counters.counter("pimento_queue_waits_total",
+                                  "Requests that had to wait for room at a back end."))
+        , waited_(counters.histogram("pimento_queue_wait_seconds",
+                                     "Time for which requests waited before they were sent."))
         , latency_(counters.histogram("pimento_backend_latency_seconds",
                                       "Time from sending an attempt to its whole answer."))
     { }
@@ -53,6 +62,8 @@
     Counter &hedges_;
     Counter &failures_;
     Counter &mismatches_;
+    Counter &waits_;
+    DurationHistogram &waited_;
     DurationHistogram &latency_;
 };
 
@@ -62,10 +73,11 @@
 class BackendClient::Worker
 {
 public:
-    Worker(const BackendClientOptions &options, std::size_t index,
+    Worker(const BackendClientOptions &options, std::size_t index, AdmissionQueues &queues,
            const SnapshotPublisher<RoutingTable> &routing, TrafficListener &listener, LogSink &log,
            Counters &counters)
         : options_(options)
+        , queues_(queues)
         , routing_(routing)
         , listener_(listener)
         , log_(log)
@@ -123,6 +135,39 @@
         return load;
     }
 
+    /// @return the queue called @p name.
+    std::shared_ptr<AdmissionQueue> queue(const std::string &name)
+    {
+        std::shared_ptr<AdmissionQueue> &queue = knownQueues_[name];
+        if (!queue)
+            queue = queues_.find(name);
+        return queue;
+    }
+
+    /// Looks at @p queue every kQueuePeriod for as long as requests wait there.
+    void watch(const std::shared_ptr<AdmissionQueue> &queue)
+    {
+        watched_.insert(queue);
+        if (!isWatching_)
+            watchLater();
+    }
+
+    void watchLater()
+    {
+        isWatching_ = true;
+        loop_.runAt(BootClock::now() + kQueuePeriod, [this] {
+            const TimePoint now = BootClock::now();
+            for (const auto &queue : watched_) {
+                queue->expire(now);
+                queue->admitNext(now);
+            }
+            std::erase_if(watched_, [](const auto &queue) { return queue->waiting() == 0; });
+            isWatching_ = !watched_.empty();
+            if (isWatching_)
+                watchLater();
+        });
+    }
+
     RouteState &routeState(const ForwardRequest &request)
     {
         std::unique_ptr<RouteState> &state = routeStates_[{ request.service_, request.route_ }];
@@ -140,6 +185,7 @@
     };
 
     const BackendClientOptions options_;
+    AdmissionQueues &queues_;
     SnapshotReader<RoutingTable> routing_;
     TrafficListener &listener_;
     LogSink &log_;
@@ -147,6 +193,9 @@
     Random random_;
     std::map<RouteKey, std::unique_ptr<RouteState>> routeStates_;
     std::map<ServiceName, HeavyHitters> hitters_;
+    std::unordered_map<std::string, std::shared_ptr<AdmissionQueue>> knownQueues_;
+    std::set<std::shared_ptr<AdmissionQueue>> watched_;
+    bool isWatching_ = false;
     HttpLoop loop_;
 };
 
@@ -172,6 +221,8 @@
         BackendName backend_;
         std::shared_ptr<RoutingFence> fence_; ///< nullptr if the back end checks the fence
         UnitName unit_;
+        std::uint32_t slots_ = 0;
+        std::shared_ptr<AdmissionQueue> queue_;
     };
 
     ExecutionPolicy policy() const
@@ -197,19 +248,94 @@
         const TimePoint now = BootClock::now();
         const std::shared_ptr<const RoutingTable> table = worker_.routing_.get();
         const auto routes = table->services_.find(request_.service_.str());
+        if (routes == table->services_.end()) {
+            perform(execution_.onNoBackend(send.attempt_, now));
+            return;
+        }
+        queue_ = worker_.queue(queueName(routes->second));
+        // Those who wait come first, and nothing is hedged while anybody waits.
+        const bool mustWait = queue_->waiting() > 0 && !isAdmitted_;
         BackendChoice choice;
-        if (routes != table->services_.end()) {
+        if (mustWait)
+            choice.isBusy_ = true;
+        else
             choice = BackendSelector::select(routes->second, request_.key_, tried_, worker_.random_,
                                              now);
-        }
         if (!choice.candidate_) {
-            perform(execution_.onNoBackend(send.attempt_, now));
+            perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now)
+                                   : execution_.onNoBackend(send.attempt_, now));
             return;
         }
+        noteAdmission(now);
         logChoice(send, choice);
         dispatch(send, choice, routes->second, now);
     }
 
+    // A keyed service has a queue for each owner, so that one does not hold up the others.
+    std::string queueName(const ServiceRoutes &routes) const
+    {
+        if (!routes.placement_ || request_.key_.empty())
+            return request_.service_.str();
+        return request_.service_.str() + '/'
+               + ownerOf(*routes.placement_, request_.key_).backend_.str();
+    }
+
+    void noteAdmission(TimePoint now)
+    {
+        if (!isAdmitted_)
+            return;
+        isAdmitted_ = false;
+        worker_.counters_.waited_.record(toSeconds(now - place_->since_));
+        // There may be room for more than one.
+        queue_->admitNext(now);
+    }
+
+    void perform(const AwaitRoom &)
+    {
+        const TimePoint now = BootClock::now();
+        const auto done
+            = [self = shared_from_this()](Admission admission, const WaitingRequest &request) {
+                  self->worker_.loop_.post(
+                      [self, admission, request] { self->onAdmission(admission, request); });
+              };
+        // One whose turn came in vain, or that was shed, keeps its place.
+        isAdmitted_ = false;
+        if (place_ && placeQueue_ == queue_) {
+            queue_->putBack(*place_, done, now);
+        } else if (!queue_->push(waitingRequest(now), done, now)) {
+            perform(execution_.onNoRoom(now));
+            return;
+        } else {
+            worker_.counters_.waits_.add();
+        }
+        placeQueue_ = queue_;
+        worker_.watch(queue_);
+    }
+
+    WaitingRequest waitingRequest(TimePoint now) const
+    {
+        WaitingRequest waiting;
+        waiting.team_ = request_.team_;
+        waiting.share_ = request_.share_;
+        waiting.cost_ = request_.cost_;
+        waiting.deadline_ = request_.deadline_;
+        waiting.since_ = place_ ? place_->since_ : now;
+        return waiting;
+    }
+
+    void onAdmission(Admission admission, const WaitingRequest &request)
+    {
+        const TimePoint now = BootClock::now();
+        if (admission == Admission::Refused) {
+            perform(execution_.onNoRoom(now));
+            return;
+        }
+        place_ = request;
+        isAdmitted_ = true;
+        tried_.clear();
+        perform(execution_.onRoom(now));
+    }
+
     void dispatch(const SendAttempt &send, const BackendChoice &choice, const ServiceRoutes &routes,
                   TimePoint now)
     {
@@ -223,6 +349,8 @@
         flight.backend_ = choice.candidate_->backend_.name_;
         flight.fence_ = routes.fence_;
         flight.unit_ = choice.unit_;
+        flight.slots_ = choice.candidate_->backend_.slots_;
+        flight.queue_ = queue_;
         if (routes.fence_) {
             http.maySend_ = [fence = routes.fence_, unit = choice.unit_, epoch = choice.epoch_,
                              now] { return fence->maySend(unit, epoch, now, BootClock::now()); };
@@ -261,6 +389,7 @@
         const InFlight flight = std::move(inFlight_.at(attempt));
         inFlight_.erase(attempt);
         const AttemptVerdict verdict = judge(result);
+        learnLimit(flight, verdict, now);
         end(flight, verdict.state_, now);
         if (verdict.load_)
             flight.stats_->onLoadReport(*verdict.load_, now);
@@ -281,10 +410,19 @@
     void end(const InFlight &flight, AttemptState state, TimePoint now) const
     {
         flight.stats_->end();
+        flight.queue_->admitNext(now);
         if (flight.fence_)
             flight.fence_->end(flight.unit_, mayRunUntil(state, request_.deadline_, now), now);
     }
 
+    static void learnLimit(const InFlight &flight, const AttemptVerdict &verdict, TimePoint now)
+    {
+        if (verdict.failure_ == AttemptFailure::Shed)
+            flight.stats_->concurrency().onShed(flight.stats_->inFlight(), now);
+        else if (!verdict.failure_)
+            flight.stats_->concurrency().onAnswer(flight.stats_->inFlight());
+    }
+
     // Cold starts come without warning: the answers themselves are the first sign.
     void noteWarmth(const InFlight &flight, const AttemptVerdict &verdict, TimePoint now)
     {
@@ -292,9 +430,11 @@
             = verdict.incarnation_ && flight.stats_->onIncarnation(*verdict.incarnation_);
         const bool isShed = verdict.failure_ == AttemptFailure::Shed;
         const bool isGone = verdict.failure_ == AttemptFailure::ConnectFailed;
+        // A warm back end sheds only once all of its slots are taken.
+        const bool isShedCold = isShed && (!verdict.load_ || *verdict.load_ < flight.slots_);
         if (isShed)
             flight.stats_->warmup().onShed(now);
-        const bool isCold = isNewProcess || isShed || isGone;
+        const bool isCold = isNewProcess || isShedCold || isGone;
         if (isCold) {
             if (!flight.stats_->warmup().isCold())
                 worker_.listener_.onBackendCold(flight.backend_);
@@ -359,6 +499,10 @@
     RouteState &route_;
     RequestExecution execution_;
     std::vector<BackendName> tried_;
+    std::shared_ptr<AdmissionQueue> queue_; ///< of the attempt made last
+    std::optional<WaitingRequest> place_; ///< in placeQueue_, once its turn has come
+    std::shared_ptr<AdmissionQueue> placeQueue_;
+    bool isAdmitted_ = false; ///< its turn has come and it is not sent yet
     std::map<AttemptNumber, InFlight> inFlight_;
     HttpAnswer answer_;
 };
@@ -375,9 +519,12 @@
 BackendClient::BackendClient(const BackendClientOptions &options,
                              const SnapshotPublisher<RoutingTable> &routing,
                              TrafficListener &listener, LogSink &log, Counters &counters)
+    : queues_(std::make_unique<AdmissionQueues>(options.queue_))
 {
-    for (std::size_t i = 0; i < options.threads_; ++i)
-        workers_.push_back(std::make_unique<Worker>(options, i, routing, listener, log, counters));
+    for (std::size_t i = 0; i < options.threads_; ++i) {
+        workers_.push_back(
+            std::make_unique<Worker>(options, i, *queues_, routing, listener, log, counters));
+    }
 }
 
 BackendClient::~BackendClient() = default;
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/FairQueue.h"
 #include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/backend/RequestExecution.h"
 #include "pimentostage/backend/RoutingTable.h"
@@ -18,6 +19,9 @@
 
 namespace pimentostage {
 
+class AdmissionQueue;
+class AdmissionQueues;
+
 /// A request that is to run at a back end of one service.
 struct ForwardRequest
 {
@@ -32,6 +36,8 @@
     std::string accept_;
     std::string body_;
     bool idempotent_ = false;
+    double share_ = 1; ///< the team's weight when capacity is short
+    double cost_ = 1; ///< weight of the request's kind
     TimePoint deadline_;
 };
 
@@ -48,6 +54,7 @@
     double retryShare_ = 0.1;
     double hedgeShare_ = 0.05;
     bool hedging_ = true;
+    FairQueueOptions queue_;
 };
 
 /// Told of what traffic has noticed. Called on traffic threads.
@@ -78,6 +85,7 @@
 private:
     class Worker;
 
+    std::unique_ptr<AdmissionQueues> queues_; ///< outlives the workers
     std::vector<std::unique_ptr<Worker>> workers_;
     std::atomic<std::size_t> next_ { 0 };
 };
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -75,6 +75,40 @@
     return { WakeAt { *retryAt_ } };
 }
 
+ExecutionActions RequestExecution::onBusy(AttemptNumber attempt, TimePoint now)
+{
+    // No attempt was spent.
+    attempts_.erase(attempts_.begin() + attempt);
+    if (finished_ || isRunning())
+        return {};
+    return awaitRoom(now);
+}
+
+ExecutionActions RequestExecution::awaitRoom(TimePoint now)
+{
+    if (now >= policy_.deadline_)
+        return giveUp(GiveUpReason::DeadlinePassed);
+    isWaiting_ = true;
+    return { AwaitRoom {} };
+}
+
+ExecutionActions RequestExecution::onRoom(TimePoint now)
+{
+    if (finished_ || !isWaiting_)
+        return {};
+    isWaiting_ = false;
+    return send(false, now);
+}
+
+ExecutionActions RequestExecution::onNoRoom(TimePoint now)
+{
+    if (finished_ || !isWaiting_)
+        return {};
+    isWaiting_ = false;
+    return giveUp(now >= policy_.deadline_ ? GiveUpReason::DeadlinePassed
+                                           : GiveUpReason::Overloaded);
+}
+
 ExecutionActions RequestExecution::onFailed(AttemptNumber attempt, AttemptState state,
                                             AttemptFailure failure, TimePoint now)
 {
@@ -102,8 +136,12 @@
         return { WakeAt { *retryAt_ } };
     }
     const bool isSpent = attempts_.size() >= policy_.mostAttempts_;
+    // A back end that sheds has not run the request, which then waits its turn.
+    const bool isShed = failure == AttemptFailure::Shed;
+    if (isShed && (isSpent || policy_.waitsForOwner_))
+        return awaitRoom(now);
     if (isSpent || !retries_.take())
-        return giveUp(reasonFor(failure));
+        return isShed ? awaitRoom(now) : giveUp(reasonFor(failure));
     return send(false, now);
 }
 
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -118,7 +118,15 @@
 {
     if (routes.service_.keyed_)
         return selectOwner(routes, key, now);
-    return BackendChoice { selectBalanced(routes, tried, random, now), {}, {} };
+    BackendChoice choice;
+    choice.candidate_ = selectBalanced(routes, tried, random, now);
+    choice.isBusy_ = !choice.candidate_
+                     && std::any_of(routes.candidates_.begin(), routes.candidates_.end(),
+                                    [&](const Candidate &candidate) {
+                                        return candidate.takesNewWork_
+                                               && !contains(tried, candidate.backend_.name_);
+                                    });
+    return choice;
 }
 
 BackendChoice BackendSelector::selectOwner(const ServiceRoutes &routes, std::string_view key,
@@ -132,9 +140,13 @@
         return {};
     // Nobody else can run the request: a cold owner gets one at a time from each host.
     const std::uint32_t limit = std::max(1U, candidate->presentLimit());
-    if (!candidate->stats_->tryBegin(limit))
-        return {};
-    BackendChoice choice { candidate, unitOf(*routes.placement_, key), owner.epoch_ };
+    BackendChoice choice;
+    choice.isBusy_ = !candidate->stats_->tryBegin(limit);
+    if (choice.isBusy_)
+        return choice;
+    choice.candidate_ = candidate;
+    choice.unit_ = unitOf(*routes.placement_, key);
+    choice.epoch_ = owner.epoch_;
     if (routes.fence_ && !routes.fence_->tryBegin(choice.unit_, choice.epoch_, now)) {
         candidate->stats_->end();
         return {};
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -13,8 +13,11 @@
     forward.id_ = request.id_;
     forward.service_ = routed.routes_->service_.name_;
     forward.route_ = routed.route_->name_;
-    if (routed.contract_)
+    if (routed.contract_) {
         forward.team_ = routed.contract_->team_;
+        forward.share_ = routed.contract_->share_;
+    }
+    forward.cost_ = routed.route_->weight_;
     forward.key_ = routed.key_;
     forward.method_ = std::move(request.method_);
     forward.path_ = routed.backendPath_;
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -43,10 +43,8 @@
 
 // One row for each GiveUpReason, in its order.
 constexpr std::array<RefusalReason, kEnumCount<GiveUpReason>> kRefusalOf {
-    RefusalReason::DeadlinePassed,
-    RefusalReason::NoBackend,
-    RefusalReason::BackendFailed,
-    RefusalReason::AnswerBroken,
+    RefusalReason::DeadlinePassed, RefusalReason::NoBackend,  RefusalReason::BackendFailed,
+    RefusalReason::AnswerBroken,   RefusalReason::Overloaded,
 };
 
 } // namespace
@@ -66,7 +64,9 @@
     Refusal refusal;
     refusal.reason_ = kRefusalOf.at(static_cast<std::size_t>(giveUp.reason_));
     refusal.outcome_ = giveUp.outcome_;
-    if (refusal.reason_ == RefusalReason::NoBackend)
+    const bool mayPass = refusal.reason_ == RefusalReason::NoBackend
+                         || refusal.reason_ == RefusalReason::Overloaded;
+    if (mayPass)
         refusal.retryAfter_ = kRetryAfterOverload;
     return refusal;
 }
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -19,6 +19,8 @@
     options.retryShare_ = settings.backendRetryShare_;
     options.hedgeShare_ = settings.backendHedgeShare_;
     options.hedging_ = settings.backendHedging_;
+    options.queue_.mostWaiting_ = static_cast<std::size_t>(settings.backendQueueLength_);
+    options.queue_.mostWait_ = settings.backendQueueTime_;
     return options;
 }
 
--- a/tests/RequestExecutionTest.cpp
+++ b/tests/RequestExecutionTest.cpp
@@ -149,6 +149,39 @@
     EXPECT_TRUE(find<DeliverAnswer>(execution.onAnswered(20, now)));
 }
 
+TEST_F(RequestExecutionTest, WaitsItsTurnWhileBackEndsHaveNoRoom)
+{
+    RequestExecution execution(policy(false), retries_, hedges_);
+    execution.start(at(0ms));
+    ASSERT_TRUE(find<AwaitRoom>(execution.onBusy(0, at(1ms))));
+    EXPECT_EQ(execution.attemptCount(), 0U) << "no attempt was spent";
+    EXPECT_TRUE(find<SendAttempt>(execution.onRoom(at(40ms))));
+    EXPECT_TRUE(execution.onRoom(at(41ms)).empty()) << "it waits no more";
+    EXPECT_TRUE(find<DeliverAnswer>(execution.onAnswered(0, at(60ms))));
+}
+
+TEST_F(RequestExecutionTest, SaysOverloadedAndNotRunIfItMayNotWait)
+{
+    RequestExecution execution(policy(false), retries_, hedges_);
+    execution.start(at(0ms));
+    execution.onBusy(0, at(1ms));
+    const auto actions = execution.onNoRoom(at(2ms));
+    ASSERT_TRUE(find<GiveUp>(actions));
+    EXPECT_EQ(find<GiveUp>(actions)->reason_, GiveUpReason::Overloaded);
+    EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::NotRun);
+}
+
+TEST_F(RequestExecutionTest, AShedRequestWaitsOnceTheRetryBudgetIsSpent)
+{
+    ShareBudget none(0, 0);
+    RequestExecution execution(policy(false), none, hedges_);
+    execution.start(at(0ms));
+    const auto actions
+        = execution.onFailed(0, AttemptState::DeclaredNotRun, AttemptFailure::Shed, at(5ms));
+    EXPECT_TRUE(find<AwaitRoom>(actions));
+    EXPECT_TRUE(find<SendAttempt>(execution.onRoom(at(10ms))));
+}
+
 // The oracle keeps what really happened at the back ends and compares what the caller is told.
 RC_GTEST_PROP(RequestExecutionProperty, RunsANonIdempotentRequestAtMostOnceAndNeverLies, ())
 {
@@ -162,6 +195,7 @@
     bool finished = false;
     std::optional<Outcome> told;
     std::optional<TimePoint> wake;
+    bool waiting = false;
 
     const auto perform = [&](const ExecutionActions &actions) {
         for (const ExecutionAction &action : actions) {
@@ -174,6 +208,8 @@
                 finished = true;
                 told = giveUp->outcome_;
             }
+            if (std::get_if<AwaitRoom>(&action))
+                waiting = true;
             if (std::get_if<DeliverAnswer>(&action))
                 finished = true;
         }
@@ -183,12 +219,26 @@
         now += std::chrono::milliseconds(*rc::gen::inRange(0, 60));
         const auto attempt = std::find_if(running.begin(), running.end(),
                                           [](const auto &entry) { return entry.second; });
-        const int what = *rc::gen::inRange(0, 6);
+        const int what = *rc::gen::inRange(0, 7);
+        if (waiting && what < 3) {
+            waiting = false;
+            perform(what == 0 ? execution.onNoRoom(now) : execution.onRoom(now));
+            continue;
+        }
         if (attempt == running.end() || what == 0) {
             perform(execution.onWake(wake.value_or(now)));
             continue;
         }
         const AttemptNumber number = attempt->first;
+        if (what == 6) {
+            // Only the attempt asked for last can turn out not to be sent.
+            const AttemptNumber last = running.rbegin()->first;
+            if (last + 1 == execution.attemptCount() && running[last]) {
+                running.erase(last);
+                perform(execution.onBusy(last, now));
+            }
+            continue;
+        }
         running.erase(attempt);
         if (what == 1) {
             perform(execution.onNoBackend(number, now));
