Callers' connection limits; how the worst-served team fares as a metric

Cause: a contract's "connections" was read and not enforced, and nothing told operators which part of a team's requests within contract went unanswered. Change: ConnectionLimits counts connections by team and in all from their first request on; one too many is refused with too-many-connections (429, not run) and closed. HttpConnection keeps a context with a connection. ServedShares and the gauge pimento_worst_team_answered_ratio, weighted by kind. Setting caller.max_connections. Conclusion: connections that never send a request are bounded by header_timeout_ms only, for Pistache's connection hooks are private.

--- a/bench/ScenarioBench.cpp
+++ b/bench/ScenarioBench.cpp
@@ -13,7 +13,7 @@
 #include <nlohmann/json.hpp>
 
 ABSL_FLAG(std::string, scenario, "all",
-          "overhead, stragglers, zone, cold, noisy, faults, hot, overload or all");
+          "overhead, stragglers, zone, cold, noisy, faults, hot, overload, connections or all");
 ABSL_FLAG(double, seconds, 8, "length of each load");
 ABSL_FLAG(std::string, json, "", "file to write the figures to");
 
@@ -365,6 +365,33 @@
     }
 }
 
+// One team opens many more connections than its contract allows; what the others see.
+void runConnections()
+{
+    BenchFleetOptions options;
+    options.hosts_ = 2;
+    BenchService slow { "plain" };
+    slow.serviceTime_ = 20ms;
+    options.services_ = { slow };
+    for (const char *team : { "flood", "calm" })
+        options.teams_.push_back(contract(team, 2000));
+    options.teams_.front().connections_ = 8;
+    BenchFleet fleet(options);
+    fleet.waitUntilServed("/plain/items/k1", "calm");
+    LoadTally flooded;
+    std::thread flood([&] {
+        flooded = load(fleet.profile({ reads("plain") }, { { "flood", 1200 } }), fleet.entries(),
+                       length(), 2)
+                      .total();
+    });
+    const LoadTally calm
+        = load(fleet.profile({ reads("plain") }, { { "calm", 200 } }), fleet.entries(), length())
+              .total();
+    flood.join();
+    print("connections", "8 a host allowed, up to 32 used", flooded);
+    print("connections", "another team meanwhile", calm);
+}
+
 struct Scenario
 {
     const char *name_;
@@ -372,9 +399,15 @@
 };
 
 constexpr Scenario kScenarios[] = {
-    { "overhead", &runOverhead }, { "stragglers", &runStragglers }, { "zone", &runZone },
-    { "cold", &runCold },         { "noisy", &runNoisy },           { "faults", &runFaults },
-    { "hot", &runHot },           { "overload", &runOverload },
+    { "overhead", &runOverhead },
+    { "stragglers", &runStragglers },
+    { "zone", &runZone },
+    { "cold", &runCold },
+    { "noisy", &runNoisy },
+    { "faults", &runFaults },
+    { "hot", &runHot },
+    { "overload", &runOverload },
+    { "connections", &runConnections },
 };
 
 } // namespace
--- a/include/pimentostage/caller/CallerRequest.h
+++ b/include/pimentostage/caller/CallerRequest.h
@@ -3,11 +3,14 @@
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Time.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 
 namespace pimentostage {
 
+class CallerConnection;
+
 /// A request as it came from a caller, free of any encoding.
 struct CallerRequest
 {
@@ -20,6 +23,7 @@
     std::string contentType_;
     std::string accept_;
     std::string body_;
+    std::shared_ptr<CallerConnection> connection_; ///< nullptr if connections are not counted
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -18,6 +18,7 @@
     std::string zone_;
 
     Address callerAddress_;
+    std::int64_t callerMostConnections_ = 10'000;
     std::int64_t callerThreads_ = 2;
     std::int64_t callerMostRequestBytes_ = std::int64_t { 1 } << 20;
     Duration callerHeaderTimeout_ = std::chrono::seconds(30);
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "src/base/HttpServer.h"
 
 #include <pistache/endpoint.h>
+#include <pistache/peer.h>
 
 namespace pimentostage {
 
@@ -10,6 +11,7 @@
 
 constexpr int kInternalError = 500;
 constexpr int kListenBacklog = 1024;
+constexpr const char *kConnectionData = "pimentostage.connection";
 
 /// A header with any name; Pistache writes only headers of typed classes.
 class TextHeader : public http::Header::Header
@@ -44,6 +46,18 @@
         setHeader(writer, "Connection", "Keep-Alive");
 }
 
+// Pistache keeps the data with the peer and lets it go when the peer is gone.
+std::shared_ptr<HttpConnection> connectionOf(const http::ResponseWriter &writer)
+{
+    const std::shared_ptr<Pistache::Tcp::Peer> peer = writer.getPeer();
+    auto known = std::static_pointer_cast<HttpConnection>(peer->tryGetData(kConnectionData));
+    if (known)
+        return known;
+    auto connection = std::make_shared<HttpConnection>();
+    peer->putData(kConnectionData, connection);
+    return connection;
+}
+
 } // namespace
 
 std::string ServerRequest::method() const
@@ -127,7 +141,9 @@
     void onRequest(const http::Request &request, http::ResponseWriter writer) override
     {
         keepAliveByDefault(request, writer);
-        handler_(ServerRequest(request), std::make_shared<HttpResponder>(std::move(writer)));
+        const std::shared_ptr<HttpConnection> connection = connectionOf(writer);
+        handler_(ServerRequest(request, *connection),
+                 std::make_shared<HttpResponder>(std::move(writer)));
     }
 
 private:
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -17,12 +17,19 @@
 
 namespace pimentostage {
 
+/// A connection to an HttpServer; lives as long as it is open, and as long as somebody holds it.
+struct HttpConnection
+{
+    std::shared_ptr<void> context_; ///< whatever the handler keeps with it
+};
+
 /// A request as an HttpServer received it. Valid only during the handler's call.
 class ServerRequest
 {
 public:
-    explicit ServerRequest(const Pistache::Http::Request &request)
+    ServerRequest(const Pistache::Http::Request &request, HttpConnection &connection)
         : request_(request)
+        , connection_(connection)
     { }
 
     /// @return the method in upper case.
@@ -36,9 +43,12 @@
     /// @return the value of a header, or nothing.
     [[nodiscard]] std::optional<std::string> header(const std::string &name) const;
     [[nodiscard]] const std::string &body() const;
+    /// @return the connection that it came on.
+    [[nodiscard]] HttpConnection &connection() const { return connection_; }
 
 private:
     const Pistache::Http::Request &request_;
+    HttpConnection &connection_;
 };
 
 /// An answer to send.
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -4,9 +4,21 @@
 
 namespace pimentostage {
 
-CallerServer::CallerServer(CallerService &service, std::string idPrefix)
+namespace {
+
+bool isConnectionRefused(const CallerAnswer &answer)
+{
+    const auto *refusal = std::get_if<Refusal>(&answer);
+    return refusal && refusal->reason_ == RefusalReason::TooManyConnections;
+}
+
+} // namespace
+
+CallerServer::CallerServer(CallerService &service, std::string idPrefix,
+                           std::size_t mostConnections)
     : service_(service)
     , idPrefix_(std::move(idPrefix))
+    , limits_(mostConnections)
 { }
 
 leaf::result<void> CallerServer::start(const HttpServerOptions &options)
@@ -25,6 +37,10 @@
             return;
         }
         auto &callerRequest = std::get<CallerRequest>(decoded);
+        std::shared_ptr<void> &context = request.connection().context_;
+        if (!context)
+            context = limits_.open();
+        callerRequest.connection_ = std::static_pointer_cast<CallerConnection>(context);
         const RequestId id = callerRequest.id_;
         entrance->handle(std::move(callerRequest), [this, id, responder](CallerAnswer answer) {
             ServerAnswer encoded;
@@ -32,7 +48,9 @@
                 encoded = encodeRefusal(*refusal, id);
             else
                 encoded = encodeAnswer(std::move(std::get<HttpAnswer>(answer)), id);
-            if (draining_.load(std::memory_order_relaxed))
+            const bool mustClose
+                = draining_.load(std::memory_order_relaxed) || isConnectionRefused(answer);
+            if (mustClose)
                 encoded.headers_.push_back({ "Connection", "close" });
             responder->send(encoded);
         });
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/caller/ConnectionLimits.h"
 #include "src/base/HttpServer.h"
 #include "src/caller/CallerService.h"
 
@@ -14,7 +15,8 @@
 {
 public:
     /// @param idPrefix start of the ids of requests that come without one.
-    CallerServer(CallerService &service, std::string idPrefix);
+    /// @param mostConnections connections that may send requests at once.
+    CallerServer(CallerService &service, std::string idPrefix, std::size_t mostConnections);
 
     /// @return nothing, or an Error of step Listen.
     leaf::result<void> start(const HttpServerOptions &options);
@@ -32,6 +34,7 @@
     const std::string idPrefix_;
     std::atomic<std::uint64_t> lastId_ { 0 };
     std::atomic<bool> draining_ { false };
+    ConnectionLimits limits_;
     HttpServer server_;
 };
 
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -1,10 +1,13 @@
 #include "src/caller/CallerService.h"
 
+#include "pimentostage/caller/ConnectionLimits.h"
+
 namespace pimentostage {
 
 namespace {
 
 constexpr Duration kRetryAfterOverRate = std::chrono::seconds(1);
+constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 // Takes all of the request but its id, which a refusal still needs.
 ForwardRequest forwardRequest(CallerRequest &request, const RoutedRequest &routed)
@@ -38,6 +41,7 @@
     RoutedRequest routed_;
     std::shared_ptr<const TrafficView> view_; ///< keeps what routed_ points to
     TimePoint arrivedAt_;
+    bool isAdmitted_ = false; ///< within its team's contract
     CallerDone done_;
 };
 
@@ -52,7 +56,11 @@
                                  "Requests answered with a back end's answer."))
     , latency_(counters.histogram("pimento_caller_latency_seconds",
                                   "Time from a request's arrival to its answer or refusal."))
+    , worstShare_(counters.gauge(
+          "pimento_worst_team_answered_ratio",
+          "Part of its requests within contract that the worst-served team had answered lately."))
 {
+    worstShare_.set(1);
     for (const auto &row : EnumTable<RefusalReason>::kRows) {
         refused_.at(static_cast<std::size_t>(row.value_))
             = &counters.counter("pimento_caller_refused_total", "Requests refused, by reason.",
@@ -83,9 +91,24 @@
         return;
     }
     pending->routed_ = std::move(std::get<RoutedRequest>(decision));
+    if (!mayConnect(*pending)) {
+        service_.refuse(pending,
+                        Refusal { RefusalReason::TooManyConnections, Outcome::NotRun, {}, {} });
+        return;
+    }
     service_.admit(pending);
 }
 
+bool CallerService::mayConnect(const Pending &pending)
+{
+    const std::shared_ptr<CallerConnection> &connection = pending.request_.connection_;
+    if (!connection)
+        return true;
+    const Contract *contract = pending.routed_.contract_;
+    return connection->isWithinLimit()
+           && (!contract || connection->bind(contract->team_, contract->connections_));
+}
+
 void CallerService::admit(const std::shared_ptr<Pending> &pending)
 {
     const Contract *contract = pending->routed_.contract_;
@@ -119,6 +142,7 @@
 
 void CallerService::forward(const std::shared_ptr<Pending> &pending)
 {
+    pending->isAdmitted_ = true;
     backends_.forward(forwardRequest(pending->request_, pending->routed_),
                       [this, pending](ForwardResult result) {
                           if (const auto *giveUp = std::get_if<GiveUp>(&result)) {
@@ -147,9 +171,28 @@
 
 void CallerService::finish(const std::shared_ptr<Pending> &pending, CallerAnswer answer)
 {
-    latency_.record(toSeconds(BootClock::now() - pending->arrivedAt_));
+    const TimePoint now = BootClock::now();
+    latency_.record(toSeconds(now - pending->arrivedAt_));
+    countShare(*pending, std::holds_alternative<HttpAnswer>(answer), now);
     pending->done_(std::move(answer));
     inFlight_.fetch_sub(1, std::memory_order_acq_rel);
 }
 
+void CallerService::countShare(const Pending &pending, bool isAnswered, TimePoint now)
+{
+    if (!pending.isAdmitted_ || !pending.routed_.contract_)
+        return;
+    shares_.onEnd(pending.routed_.contract_->team_, pending.routed_.route_->weight_, isAnswered,
+                  now);
+    Duration::rep next = nextGauge_.load(std::memory_order_relaxed);
+    const Duration::rep present = now.time_since_epoch().count();
+    const bool isDue = present >= next
+                       && nextGauge_.compare_exchange_strong(next, present + kGaugePeriod.count(),
+                                                             std::memory_order_relaxed);
+    if (!isDue)
+        return;
+    const auto worst = shares_.worst(now);
+    worstShare_.set(worst ? worst->share_ : 1);
+}
+
 } // namespace pimentostage
--- a/src/caller/CallerService.h
+++ b/src/caller/CallerService.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Snapshot.h"
 #include "pimentostage/caller/RequestRouter.h"
+#include "pimentostage/caller/ServedShares.h"
 #include "pimentostage/caller/TrafficView.h"
 #include "pimentostage/sibling/TokenPurse.h"
 #include "src/backend/BackendClient.h"
@@ -55,10 +56,12 @@
 private:
     struct Pending;
 
+    [[nodiscard]] static bool mayConnect(const Pending &pending);
     void admit(const std::shared_ptr<Pending> &pending);
     void forward(const std::shared_ptr<Pending> &pending);
     void refuse(const std::shared_ptr<Pending> &pending, const Refusal &refusal);
     void finish(const std::shared_ptr<Pending> &pending, CallerAnswer answer);
+    void countShare(const Pending &pending, bool isAnswered, TimePoint now);
 
     const SnapshotPublisher<TrafficView> &views_;
     BackendClient &backends_;
@@ -69,6 +72,9 @@
     Counter &answered_;
     std::array<Counter *, kEnumCount<RefusalReason>> refused_ {};
     DurationHistogram &latency_;
+    Gauge &worstShare_;
+    ServedShares shares_;
+    std::atomic<Duration::rep> nextGauge_ { 0 };
 };
 
 } // namespace pimentostage
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -23,6 +23,7 @@
     { 403, "The team has no contract." },
     { 403, "The team's contract does not cover this kind of request." },
     { 400, "The path holds no key." },
+    { 429, "Too many connections are open." },
     { 429, "The team is over its contract's rate." },
     { 503, "The holder of the team's allowance did not answer." },
     { 503, "The service is overloaded." },
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -60,7 +60,8 @@
     , control_(settings, routing_, views_, log, counters_)
     , backends_(backendOptions(settings), routing_, *this, log, counters_)
     , callers_(views_, backends_, *this, log, counters_)
-    , callerServer_(callers_, idPrefix(settings))
+    , callerServer_(callers_, idPrefix(settings),
+                    static_cast<std::size_t>(settings.callerMostConnections_))
     , operatorServer_(*this, counters_)
 { }
 
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -48,6 +48,8 @@
                  "Where callers reach this host." },
     SettingRow { "caller", "threads", &Settings::callerThreads_, Need::Optional, 1, 256,
                  "Threads that serve callers' connections." },
+    SettingRow { "caller", "max_connections", &Settings::callerMostConnections_, Need::Optional, 1,
+                 1'000'000, "Connections of callers that may send requests." },
     SettingRow { "caller", "max_request_bytes", &Settings::callerMostRequestBytes_, Need::Optional,
                  1024, 67108864, "Largest request with its headers, in bytes." },
     SettingRow { "caller", "header_timeout_ms", &Settings::callerHeaderTimeout_, Need::Optional,
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -131,7 +131,14 @@
                 BOOST_LEAF_CHECK(server.start(options, [] {
                     return [](const ServerRequest &request,
                               const std::shared_ptr<HttpResponder> &responder) {
-                        responder->send(ServerAnswer { 200, "text/plain", {}, request.path() });
+                        std::shared_ptr<void> &context = request.connection().context_;
+                        if (!context)
+                            context = std::make_shared<int>(0);
+                        int &count = *std::static_pointer_cast<int>(context);
+                        ++count;
+                        const std::string body
+                            = request.path() == "/count" ? std::to_string(count) : request.path();
+                        responder->send(ServerAnswer { 200, "text/plain", {}, body });
                     };
                 }));
                 return true;
@@ -211,6 +218,21 @@
     EXPECT_NE(error.find("127.0.0.1:" + std::to_string(server_.port())), std::string::npos);
 }
 
+TEST_F(HttpServerTest, KeepsWhatBelongsToAConnectionWithIt)
+{
+    const auto count = [this](HttpLoop &loop) {
+        HttpRequest request;
+        request.url_ = "http://127.0.0.1:" + std::to_string(server_.port()) + "/count";
+        const HttpResult result = loop.fetch(request);
+        return result.answer_ ? result.answer_->body_ : "";
+    };
+    HttpLoop first({});
+    HttpLoop second({});
+    EXPECT_EQ(count(first), "1");
+    EXPECT_EQ(count(first), "2");
+    EXPECT_EQ(count(second), "1");
+}
+
 TEST_F(HttpServerTest, TakesAFreePortBesideAnotherServer)
 {
     HttpServer second;
