ControlCore: a host's control state without threads, sockets and clocks

Cause: the decisions of a whole host could not be run together in a test: ControlPlane mixed them with its thread and connections, PlacementControl sent HTTP itself, three parts read the clock. Change: ControlCore takes its peers as interfaces (ObjectStore, SiblingSender, BackendLink) and time as a Clock; ControlPlane is the thread and the connections around it. HttpBackendLink carries grants and probes.

--- /dev/null
+++ b/include/pimentostage/backend/BackendLink.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "pimentostage/backend/Grant.h"
+
+#include <functional>
+#include <optional>
+
+namespace pimentostage {
+
+/// A coordinator's way to back ends. Results come on the control thread.
+class BackendLink
+{
+public:
+    /// Called with the back end's reply, or with nothing if there was none.
+    using OnGrantReply = std::function<void(const std::optional<GrantReply> &)>;
+    /// Called with whether the back end answered.
+    using OnProbeReply = std::function<void(bool)>;
+
+    virtual ~BackendLink() = default;
+
+    virtual void grant(const Address &backend, const Grant &grant, OnGrantReply done) = 0;
+    virtual void probe(const Address &backend, OnProbeReply done) = 0;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/backend/HttpBackendLink.cpp
@@ -0,0 +1,61 @@
+#include "src/backend/HttpBackendLink.h"
+
+#include "src/backend/BackendProtocol.h"
+#include "src/backend/GrantCodec.h"
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr Duration kTimeout = 4 * kGrantPeriod;
+
+HttpLoopOptions loopOptions()
+{
+    HttpLoopOptions options;
+    options.threadName_ = "grants";
+    options.connectionsPerPeer_ = 8;
+    options.connectTimeout_ = kTimeout;
+    return options;
+}
+
+} // namespace
+
+HttpBackendLink::HttpBackendLink(Post post)
+    : post_(std::move(post))
+    , loop_(loopOptions())
+{ }
+
+void HttpBackendLink::send(HttpRequest request, std::function<void(const HttpResult &)> done)
+{
+    request.timeout_ = kTimeout;
+    loop_.post([this, request = std::move(request), done = std::move(done)] {
+        loop_.start(request, [this, done](HttpResult result) {
+            post_([done, result = std::move(result)] { done(result); });
+        });
+    });
+}
+
+void HttpBackendLink::grant(const Address &backend, const Grant &grant, OnGrantReply done)
+{
+    HttpRequest request;
+    request.method_ = "POST";
+    request.url_ = "http://" + backend.str() + kGrantPath;
+    request.body_ = formatGrant(grant);
+    request.expectedId_ = "grant-" + std::to_string(grant.sequence_);
+    request.headers_.push_back({ kRequestIdHeader, request.expectedId_ });
+    send(std::move(request), [done = std::move(done)](const HttpResult &result) {
+        const bool isAnswer = result.answer_ && result.answer_->status_ == kOk;
+        done(isAnswer ? parseGrantReply(result.answer_->body_) : std::nullopt);
+    });
+}
+
+void HttpBackendLink::probe(const Address &backend, OnProbeReply done)
+{
+    HttpRequest request;
+    request.url_ = "http://" + backend.str() + kLoadPath;
+    send(std::move(request),
+         [done = std::move(done)](const HttpResult &result) { done(result.answer_.has_value()); });
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/ControlCore.cpp
@@ -0,0 +1,362 @@
+#include "src/daemon/ControlCore.h"
+
+#include <algorithm>
+#include <set>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr Duration kHostPollPeriod = std::chrono::seconds(1);
+// A configuration that neither the store nor a sibling has confirmed for this long may be stale.
+constexpr Duration kMostConfigAge = std::chrono::seconds(3);
+
+/// Parts of the core that choose at random, each with a stream of its own.
+enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement };
+
+std::uint64_t seedFor(std::uint64_t seed, RandomUse use)
+{
+    Random random(seed + static_cast<std::uint64_t>(use));
+    return random.engine()();
+}
+
+} // namespace
+
+ControlCore::ControlCore(const MemberUpdate &self, const ControlPorts &ports,
+                         SnapshotPublisher<RoutingTable> &routing,
+                         SnapshotPublisher<TrafficView> &views, LogSink &log, Counters &counters)
+    : self_(self)
+    , store_(ports.store_)
+    , siblings_(ports.siblings_)
+    , runAfter_(ports.runAfter_)
+    , clock_(ports.clock_)
+    , routing_(routing)
+    , views_(views)
+    , log_(log)
+    , counters_(counters)
+    , routers_(self_.member_.host_, siblings_,
+               [this](const SiblingMessage &message) {
+                   runAfter_(Duration::zero(),
+                             [this, message] { onSiblingMessage(self_, message); });
+               })
+    , watcher_(store_, config_, runAfter_, clock_, Random(seedFor(ports.seed_, RandomUse::Watcher)),
+               log, [this] { onConfigChange(); })
+    , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), config_, siblings_, log,
+               [this](const ConfigPush &push) { onConfigPush(push); })
+    , roles_(self_.member_, Random(seedFor(ports.seed_, RandomUse::Roles)), store_, siblings_,
+             members_, config_, *this, clock_, log,
+             [this](const StoredObject &object) { onOwnWrite(object); })
+    , placement_(
+          store_, ports.backends_, routers_, clock_,
+          [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
+          seedFor(ports.seed_, RandomUse::Placement), log, counters,
+          [this](const StoredObject &object) { onOwnWrite(object); })
+    , allowance_(
+          self_.member_.host_, purses_, siblings_,
+          [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); }, counters)
+{
+    facts_.router_ = self_.member_.incarnation_;
+}
+
+void ControlCore::start()
+{
+    watcher_.start();
+    pollHosts();
+}
+
+void ControlCore::leave()
+{
+    leaving_ = true;
+    publish();
+    roles_.resign(clock_());
+    members_.leave();
+}
+
+void ControlCore::onTokensWanted(const AccountName &account)
+{
+    allowance_.onTokensWanted(account, clock_());
+}
+
+void ControlCore::pollHosts()
+{
+    store_.hosts([this](const Reply<std::vector<ListedHost>> &reply) {
+        if (const auto *hosts = std::get_if<std::vector<ListedHost>>(&reply))
+            onHosts(*hosts);
+        runAfter_(kHostPollPeriod, [this] { pollHosts(); });
+    });
+}
+
+void ControlCore::onHosts(const std::vector<ListedHost> &hosts)
+{
+    if (hosts == hosts_)
+        return;
+    hosts_ = hosts;
+    members_.updateListed(hosts_);
+    publishedDigest_ = 0;
+    onConfigChange();
+}
+
+void ControlCore::onConfigPush(const ConfigPush &push)
+{
+    watcher_.apply(push.objects_);
+    config_.adoptRevision(push.revision_);
+    onConfigChange();
+}
+
+void ControlCore::onOwnWrite(const StoredObject &object)
+{
+    watcher_.apply({ object });
+    onConfigChange();
+}
+
+void ControlCore::onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now)
+{
+    placement_.onRoleGained(role, gained.epoch_, now);
+    allowance_.onRoleGained(role, gained, now);
+}
+
+void ControlCore::onRoleLost(const RoleName &role)
+{
+    placement_.onRoleLost(role);
+    allowance_.onRoleLost(role);
+}
+
+struct ControlCore::Dispatcher
+{
+    ControlCore &core_;
+    const MemberUpdate &from_;
+    const TimePoint now_;
+
+    const HostName &host() const { return from_.member_.host_; }
+
+    void operator()(const Hello &) const { }
+    void operator()(const Probe &message) const { core_.members_.onMessage(host(), message, now_); }
+    void operator()(const ProbeAck &message) const
+    {
+        core_.members_.onMessage(host(), message, now_);
+    }
+    void operator()(const ConfigPull &message) const { core_.members_.onMessage(host(), message); }
+    void operator()(const ConfigPush &message) const { core_.members_.onMessage(message); }
+    void operator()(const PromiseRequest &message) const
+    {
+        core_.roles_.onMessage(from_, message, now_);
+    }
+    void operator()(const PromiseReply &message) const
+    {
+        core_.roles_.onMessage(from_, message, now_);
+    }
+    void operator()(const ReleaseRequest &message) const
+    {
+        core_.roles_.onMessage(from_, message, now_);
+    }
+    void operator()(const ReleaseReply &message) const
+    {
+        core_.roles_.onMessage(from_, message, now_);
+    }
+    void operator()(const StepDown &message) const { core_.roles_.onMessage(from_, message); }
+    void operator()(const LoanRequests &message) const
+    {
+        core_.allowance_.onMessage(host(), message, now_);
+    }
+    void operator()(const LoanReplies &message) const { core_.allowance_.onMessage(message, now_); }
+    void operator()(const BackendWarmth &message) const { core_.applyWarmth(message, false); }
+    void operator()(const KeyLoad &message) const
+    {
+        core_.placement_.onKeyLoad(host(), message, now_);
+    }
+    void operator()(const RouterGrant &message) const { core_.onRouterGrant(from_, message, now_); }
+    void operator()(const RouterGrantReply &message) const
+    {
+        core_.placement_.onMessage(from_.member_, message, now_);
+    }
+    void operator()(const LoanRecall &message) const
+    {
+        core_.allowance_.onMessage(host(), message, now_);
+    }
+};
+
+void ControlCore::onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message)
+{
+    std::visit(Dispatcher { *this, from, clock_() }, message);
+}
+
+void ControlCore::onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now)
+{
+    const std::shared_ptr<RoutingFence> fence = tableBuilder_.fence(message.grant_.service_);
+    if (!fence)
+        return;
+    routers_.send(from.member_.host_,
+                  RouterGrantReply { message.grant_.service_, fence->apply(message.grant_, now) });
+}
+
+void ControlCore::tick()
+{
+    const TimePoint now = clock_();
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    members_.tick(now);
+    const std::vector<Member> view = members_.membership().view();
+    placement_.setRouters({ view.begin(), view.end() });
+    roles_.tick(*configuration, now);
+    placement_.tick(now);
+    allowance_.tick(now);
+    expireWarmups(now);
+    tellKeyLoads(now);
+    if (readinessAt(now) != publishedReadiness_)
+        publish();
+    updateGauges(now);
+}
+
+Readiness ControlCore::readinessAt(TimePoint now) const
+{
+    if (leaving_)
+        return Readiness::Stopping;
+    const auto age = config_.age(now);
+    if (!age)
+        return Readiness::Starting;
+    // Alone, this host cannot tell an outage of the store from a cut; with a majority it can.
+    const bool isTrusted = *age < kMostConfigAge || members_.hearsMajority(now);
+    return isTrusted ? Readiness::Ready : Readiness::Stale;
+}
+
+void ControlCore::onConfigChange()
+{
+    if (config_.digest() == publishedDigest_)
+        return;
+    publishedDigest_ = config_.digest();
+    const TimePoint now = clock_();
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    trackZones(*configuration);
+    facts_.leavingHosts_.clear();
+    std::size_t entryHosts = 0;
+    for (const ListedHost &host : hosts_) {
+        if (host.state_ == HostState::Leaving)
+            facts_.leavingHosts_.insert(host.name_);
+        entryHosts += host.kind_ == HostKind::Entry ? 1 : 0;
+    }
+    facts_.entryHosts_ = std::max<std::size_t>(1, entryHosts);
+    purses_.update(*configuration);
+    std::set<RoleName> roles = AllowanceControl::roles();
+    roles.merge(PlacementControl::rolesFor(*configuration));
+    roles_.setRoles(roles);
+    roles_.onConfig(*configuration, now);
+    placement_.onConfig(*configuration, facts_.leavingHosts_, now);
+    allowance_.onConfig(configuration);
+    publish();
+}
+
+void ControlCore::trackZones(const Configuration &configuration)
+{
+    const TimePoint now = clock_();
+    for (const auto &[name, zone] : configuration.zones_) {
+        const auto known = zoneStates_.find(name);
+        const bool hasReturned = known != zoneStates_.end() && known->second == ZoneState::Out
+                                 && zone.state_ == ZoneState::In;
+        if (hasReturned)
+            facts_.zoneReturnedAt_[name] = now;
+        zoneStates_[name] = zone.state_;
+    }
+}
+
+void ControlCore::publish()
+{
+    auto view = std::make_shared<TrafficView>();
+    view->configuration_ = config_.configuration();
+    view->routing_ = tableBuilder_.build(*view->configuration_, facts_);
+    view->purses_ = purses_.purses();
+    view->readiness_ = readinessAt(clock_());
+    publishedReadiness_ = view->readiness_;
+    readiness_ = view->readiness_;
+    routing_.publish(view->routing_);
+    views_.publish(std::move(view));
+}
+
+void ControlCore::updateGauges(TimePoint now)
+{
+    const auto age = config_.age(now);
+    counters_
+        .gauge("pimento_config_age_seconds",
+               "Time since the store confirmed this host's configuration.")
+        .set(age ? toSeconds(*age) : -1);
+    counters_.gauge("pimento_config_revision", "Revision of the configuration in force.")
+        .set(static_cast<double>(config_.revision().value_));
+    counters_.gauge("pimento_view_hosts", "Entry hosts believed to be alive, this one included.")
+        .set(static_cast<double>(members_.membership().view().size()));
+    std::size_t held = 0;
+    for (const auto &[role, keeper] : roles_.keepers())
+        held += keeper->holds(now) ? 1 : 0;
+    counters_.gauge("pimento_roles_held", "Roles in which this host may act.")
+        .set(static_cast<double>(held));
+    counters_.gauge("pimento_units_moving", "Shards and hot keys on their way between owners.")
+        .set(static_cast<double>(placement_.movingUnits()));
+}
+
+void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isNews)
+{
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    const auto backend = configuration->backends_.find(warmth.backend_);
+    const std::shared_ptr<BackendStats> stats = tableBuilder_.stats(warmth.backend_);
+    if (!stats || backend == configuration->backends_.end())
+        return;
+    const std::vector<Member> view = members_.membership().view();
+    const std::vector<Member> ranked = rankedFor(RoleName(warmth.backend_.str()), view);
+    const bool isOurs = !ranked.empty() && ranked.front() == self_.member_;
+    bool isChange = true;
+    if (warmth.isCold_)
+        isChange = stats->warmup().start(isOurs, backend->second.slots_, clock_());
+    else
+        stats->warmup().finish();
+    if (!isNews || !isChange)
+        return;
+    log_.write(LogLine(Severity::Info, warmth.isCold_ ? "backend-cold" : "backend-warm")
+                   .add("backend", warmth.backend_.str())
+                   .add("warmed_up_here", isOurs));
+    for (const Member &member : view) {
+        if (member != self_.member_)
+            siblings_.send(member.host_, warmth);
+    }
+}
+
+// Traffic threads report one after the other; their counts of one period are added up.
+void ControlCore::sumKeyLoad(const KeyLoad &load)
+{
+    KeyLoad &sum = keyLoads_[load.service_];
+    sum.service_ = load.service_;
+    sum.total_ += load.total_;
+    for (const KeyRate &key : load.keys_) {
+        const auto known = std::find_if(sum.keys_.begin(), sum.keys_.end(),
+                                        [&](const auto &other) { return other.key_ == key.key_; });
+        if (known == sum.keys_.end())
+            sum.keys_.push_back(key);
+        else
+            known->rate_ += key.rate_;
+    }
+}
+
+void ControlCore::tellKeyLoads(TimePoint now)
+{
+    if (now < nextKeyLoads_)
+        return;
+    nextKeyLoads_ = now + kKeyLoadPeriod;
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    for (const auto &[service, load] : keyLoads_) {
+        const auto role = configuration->roles_.find(PlacementControl::roleOf(service));
+        if (role == configuration->roles_.end())
+            continue;
+        const HostName &holder = role->second.holder_.host_;
+        if (holder == self_.member_.host_)
+            placement_.onKeyLoad(holder, load, now);
+        else
+            siblings_.send(holder, load);
+    }
+    keyLoads_.clear();
+}
+
+void ControlCore::expireWarmups(TimePoint now)
+{
+    for (const auto &[name, backend] : config_.configuration()->backends_) {
+        if (const auto stats = tableBuilder_.stats(name))
+            stats->warmup().expire(now);
+    }
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/ControlCore.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "pimentostage/backend/BackendLink.h"
+#include "pimentostage/base/Clock.h"
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/base/Snapshot.h"
+#include "pimentostage/caller/TrafficView.h"
+#include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/ObjectStore.h"
+#include "src/daemon/AllowanceControl.h"
+#include "src/daemon/LocalSender.h"
+#include "src/daemon/MemberControl.h"
+#include "src/daemon/PlacementControl.h"
+#include "src/daemon/PurseBook.h"
+#include "src/daemon/RoleControl.h"
+#include "src/platform/ConfigWatcher.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace pimentostage {
+
+/// How a ControlCore reaches its peers and tells the time.
+struct ControlPorts
+{
+    ObjectStore &store_;
+    SiblingSender &siblings_; ///< reaches all entry hosts but this one
+    BackendLink &backends_;
+    RunAfter runAfter_;
+    Clock clock_;
+    std::uint64_t seed_ = 0; ///< of random choices and nonces; differs between processes
+};
+
+/// All mutable control state of a host, free of threads, sockets and clocks.
+///
+/// Publishes what traffic threads read. All functions are called on the control thread, unless
+/// they say otherwise.
+class ControlCore : private RoleListener
+{
+public:
+    /// Time between two calls of tick().
+    static constexpr Duration kTick = std::chrono::milliseconds(10);
+
+    ControlCore(const MemberUpdate &self, const ControlPorts &ports,
+                SnapshotPublisher<RoutingTable> &routing, SnapshotPublisher<TrafficView> &views,
+                LogSink &log, Counters &counters);
+
+    /// Starts to read the configuration and the host list.
+    void start();
+    /// Must be called every kTick.
+    void tick();
+    /// Takes a message of a sibling.
+    void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
+
+    /// Turns not ready, gives roles up and tells the siblings.
+    void leave();
+    /// @return writes to the store that have not been answered yet.
+    [[nodiscard]] std::size_t pendingWrites() const { return roles_.pendingWrites(); }
+
+    /// Spenders of @p account wait.
+    void onTokensWanted(const AccountName &account);
+    /// Takes word of a cold start. @param isNews whether this host noticed it itself.
+    void applyWarmth(const BackendWarmth &warmth, bool isNews);
+    /// Adds up what traffic threads measured of a keyed service.
+    void sumKeyLoad(const KeyLoad &load);
+
+    /// @return what this host last published of its readiness. Any thread may ask.
+    [[nodiscard]] Readiness readiness() const { return readiness_; }
+    [[nodiscard]] const ConfigState &config() const { return config_; }
+    [[nodiscard]] Membership &membership() { return members_.membership(); }
+    [[nodiscard]] const RoleControl &roles() const { return roles_; }
+    /// @return whether the last call to the store succeeded.
+    [[nodiscard]] bool isStoreConnected() const { return watcher_.isConnected(); }
+
+private:
+    void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now) override;
+    void onRoleLost(const RoleName &role) override;
+
+    void pollHosts();
+    void onHosts(const std::vector<ListedHost> &hosts);
+    void onConfigPush(const ConfigPush &push);
+    void onOwnWrite(const StoredObject &object);
+    void onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now);
+    void onConfigChange();
+    void tellKeyLoads(TimePoint now);
+    void expireWarmups(TimePoint now);
+    void publish();
+    void trackZones(const Configuration &configuration);
+    void updateGauges(TimePoint now);
+    [[nodiscard]] Readiness readinessAt(TimePoint now) const;
+
+    /// Passes a sibling's message to the part that takes it; an overload for each message.
+    struct Dispatcher;
+
+    const MemberUpdate self_;
+    ObjectStore &store_;
+    SiblingSender &siblings_;
+    const RunAfter runAfter_;
+    const Clock clock_;
+    SnapshotPublisher<RoutingTable> &routing_;
+    SnapshotPublisher<TrafficView> &views_;
+    LogSink &log_;
+    Counters &counters_;
+    std::atomic<Readiness> readiness_ { Readiness::Starting };
+    bool leaving_ = false;
+
+    ConfigState config_;
+    std::uint64_t publishedDigest_ = 0;
+    Readiness publishedReadiness_ = Readiness::Starting;
+    RoutingTableBuilder tableBuilder_;
+    FleetFacts facts_;
+    std::map<ZoneName, ZoneState> zoneStates_;
+    PurseBook purses_;
+    std::vector<ListedHost> hosts_;
+    std::map<ServiceName, KeyLoad> keyLoads_; ///< of all traffic threads since the last telling
+    TimePoint nextKeyLoads_ {};
+
+    LocalSender routers_; ///< reaches all entry hosts, this one included
+    ConfigWatcher watcher_;
+    MemberControl members_;
+    RoleControl roles_;
+    PlacementControl placement_;
+    AllowanceControl allowance_;
+};
+
+} // namespace pimentostage
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -2,27 +2,14 @@
 
 #include "pimentostage/backend/RouterFence.h"
 #include "pimentostage/platform/ObjectCodec.h"
-#include "src/backend/BackendProtocol.h"
-#include "src/backend/GrantCodec.h"
 #include "src/daemon/RecoveryBudget.h"
 
 namespace pimentostage {
 
 namespace {
 
-constexpr int kOk = 200;
-constexpr Duration kGrantTimeout = 4 * kGrantPeriod;
 constexpr const char *kRolePrefix = "coordinator.";
 
-HttpLoopOptions loopOptions()
-{
-    HttpLoopOptions options;
-    options.threadName_ = "grants";
-    options.connectionsPerPeer_ = 8;
-    options.connectTimeout_ = kGrantTimeout;
-    return options;
-}
-
 ObjectRef refOf(const ServiceName &service)
 {
     return ObjectRef { ObjectKind::Placement, service.str() };
@@ -39,12 +26,14 @@
 
 } // namespace
 
-PlacementControl::PlacementControl(ObjectStore &store, SiblingSender &routers, Post post,
-                                   Holds holds, std::uint64_t seed, LogSink &log,
-                                   Counters &counters, OnOwnWrite onOwnWrite)
+PlacementControl::PlacementControl(ObjectStore &store, BackendLink &backends,
+                                   SiblingSender &routers, Clock clock, Holds holds,
+                                   std::uint64_t seed, LogSink &log, Counters &counters,
+                                   OnOwnWrite onOwnWrite)
     : store_(store)
+    , backends_(backends)
     , routers_(routers)
-    , post_(std::move(post))
+    , clock_(std::move(clock))
     , holds_(std::move(holds))
     , seed_(seed)
     , log_(log)
@@ -53,7 +42,7 @@
     , grantFailures_(
           counters.counter("pimento_grant_failures_total", "Grants that got no usable reply."))
     , moves_(counters.counter("pimento_unit_moves_total", "Moves of shards and hot keys begun."))
-    , loop_(loopOptions())
+
 { }
 
 RoleName PlacementControl::roleOf(const ServiceName &service)
@@ -188,7 +177,7 @@
 {
     store_.get(refOf(service), [this, service](const Reply<StoredObject> &reply) {
         ShardCoordinator *coordinator = find(service);
-        const TimePoint now = BootClock::now();
+        const TimePoint now = clock_();
         if (!coordinator || !holds_(roleOf(service), now))
             return;
         const auto *object = std::get_if<StoredObject>(&reply);
@@ -223,7 +212,7 @@
 void PlacementControl::onWriteReply(const ServiceName &service, const Placement &placement,
                                     const Reply<WriteResult> &reply)
 {
-    const TimePoint now = BootClock::now();
+    const TimePoint now = clock_();
     const auto *result = std::get_if<WriteResult>(&reply);
     if (result && result->written_)
         onOwnWrite_(
@@ -247,31 +236,20 @@
     if (address == addresses.end())
         return;
     grants_.add();
-    HttpRequest request;
-    request.method_ = "POST";
-    request.url_ = "http://" + address->second.str() + kGrantPath;
-    request.body_ = formatGrant(send.grant_);
-    request.timeout_ = kGrantTimeout;
-    request.expectedId_ = "grant-" + std::to_string(send.grant_.sequence_);
-    request.headers_.push_back({ kRequestIdHeader, request.expectedId_ });
-    loop_.post([this, service, backend = send.backend_, request = std::move(request)] {
-        loop_.start(request, [this, service, backend](HttpResult result) {
-            post_([this, service, backend, result = std::move(result)] {
-                onGrantResult(service, backend, result);
-            });
-        });
-    });
+    backends_.grant(address->second, send.grant_,
+                    [this, service, backend = send.backend_](const auto &reply) {
+                        onGrantReply(service, backend, reply);
+                    });
 }
 
-void PlacementControl::onGrantResult(const ServiceName &service, const BackendName &backend,
-                                     const HttpResult &result)
+void PlacementControl::onGrantReply(const ServiceName &service, const BackendName &backend,
+                                    const std::optional<GrantReply> &reply)
 {
     ShardCoordinator *coordinator = find(service);
-    const TimePoint now = BootClock::now();
+    const TimePoint now = clock_();
     if (!coordinator || !holds_(roleOf(service), now))
         return;
-    const bool isAnswer = result.answer_ && result.answer_->status_ == kOk;
-    const auto reply = isAnswer ? parseGrantReply(result.answer_->body_) : std::nullopt;
+
     if (!reply) {
         grantFailures_.add();
         return;
@@ -302,24 +280,17 @@
     const auto address = addresses.find(probe.backend_);
     if (address == addresses.end())
         return;
-    HttpRequest request;
-    request.url_ = "http://" + address->second.str() + kLoadPath;
-    request.timeout_ = kGrantTimeout;
-    loop_.post([this, service, backend = probe.backend_, request = std::move(request)] {
-        loop_.start(request, [this, service, backend](HttpResult result) {
-            post_([this, service, backend, result = std::move(result)] {
-                onProbeResult(service, backend, result);
-            });
-        });
+    backends_.probe(address->second, [this, service, backend = probe.backend_](bool isAnswered) {
+        if (isAnswered)
+            onProbeReply(service, backend);
     });
 }
 
-void PlacementControl::onProbeResult(const ServiceName &service, const BackendName &backend,
-                                     const HttpResult &result)
+void PlacementControl::onProbeReply(const ServiceName &service, const BackendName &backend)
 {
     ShardCoordinator *coordinator = find(service);
-    const TimePoint now = BootClock::now();
-    if (!coordinator || !result.answer_ || !holds_(roleOf(service), now))
+    const TimePoint now = clock_();
+    if (!coordinator || !holds_(roleOf(service), now))
         return;
     coordinator->onProbeReply(backend, now);
 }
--- a/src/daemon/PlacementControl.h
+++ b/src/daemon/PlacementControl.h
@@ -1,13 +1,14 @@
 #pragma once
 
+#include "pimentostage/backend/BackendLink.h"
 #include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/backend/ShardCoordinator.h"
+#include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Counters.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/platform/Configuration.h"
 #include "pimentostage/platform/ObjectStore.h"
 #include "pimentostage/sibling/Messages.h"
-#include "src/base/HttpLoop.h"
 
 #include <functional>
 #include <map>
@@ -23,16 +24,15 @@
 class PlacementControl
 {
 public:
-    /// Runs a function on the control thread.
-    using Post = std::function<void(std::function<void()>)>;
     /// Passes on an object that this host has written itself.
     using OnOwnWrite = std::function<void(const StoredObject &)>;
     /// @return whether this host may act in a role at a time.
     using Holds = std::function<bool(const RoleName &, TimePoint)>;
 
     /// @param routers takes grants to entry hosts, this one included.
-    PlacementControl(ObjectStore &store, SiblingSender &routers, Post post, Holds holds,
-                     std::uint64_t seed, LogSink &log, Counters &counters, OnOwnWrite onOwnWrite);
+    PlacementControl(ObjectStore &store, BackendLink &backends, SiblingSender &routers, Clock clock,
+                     Holds holds, std::uint64_t seed, LogSink &log, Counters &counters,
+                     OnOwnWrite onOwnWrite);
 
     /// @return the roles of the coordinators of all keyed services.
     static std::set<RoleName> rolesFor(const Configuration &configuration);
@@ -75,17 +75,17 @@
     void perform(const ServiceName &service, const ProbeBackend &probe);
     void perform(const ServiceName &service, const MoveDecided &move);
     void updateCoordinator(Coordinated &coordinated, const Service &service, TimePoint now);
-    void onProbeResult(const ServiceName &service, const BackendName &backend,
-                       const HttpResult &result);
+    void onProbeReply(const ServiceName &service, const BackendName &backend);
     void onWriteReply(const ServiceName &service, const Placement &placement,
                       const Reply<WriteResult> &reply);
-    void onGrantResult(const ServiceName &service, const BackendName &backend,
-                       const HttpResult &result);
+    void onGrantReply(const ServiceName &service, const BackendName &backend,
+                      const std::optional<GrantReply> &reply);
     ShardCoordinator *find(const ServiceName &service);
 
     ObjectStore &store_;
+    BackendLink &backends_;
     SiblingSender &routers_;
-    const Post post_;
+    const Clock clock_;
     const Holds holds_;
     const std::uint64_t seed_;
     LogSink &log_;
@@ -95,7 +95,6 @@
     Counter &moves_;
     std::set<Member> runningRouters_;
     std::map<ServiceName, Coordinated> services_;
-    HttpLoop loop_;
 };
 
 } // namespace pimentostage
--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -39,7 +39,7 @@
 
 RoleControl::RoleControl(const Member &self, Random random, ObjectStore &store,
                          SiblingSender &sender, MemberControl &members, const ConfigState &config,
-                         RoleListener &listener, LogSink &log, OnOwnWrite onOwnWrite)
+                         RoleListener &listener, Clock clock, LogSink &log, OnOwnWrite onOwnWrite)
     : self_(self)
     , random_(random)
     , store_(store)
@@ -47,6 +47,7 @@
     , members_(members)
     , config_(config)
     , listener_(listener)
+    , clock_(std::move(clock))
     , log_(log)
     , onOwnWrite_(std::move(onOwnWrite))
 { }
@@ -156,7 +157,7 @@
             asked->onReadFailed();
             return;
         }
-        const TimePoint now = BootClock::now();
+        const TimePoint now = clock_();
         perform(*asked, asked->onRecordRead(recordIn(*object), object->version_, sentAt, now), now);
     });
 }
@@ -178,7 +179,7 @@
     RoleKeeper *keeper = find(role);
     if (!keeper)
         return;
-    const TimePoint now = BootClock::now();
+    const TimePoint now = clock_();
     const std::string &nonce = write.record_.nonce_;
     const auto *result = std::get_if<WriteResult>(&reply);
     if (!result || (result->current_ && !isReadable(*result->current_))) {
--- a/src/daemon/RoleControl.h
+++ b/src/daemon/RoleControl.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/platform/Configuration.h"
 #include "pimentostage/platform/ObjectStore.h"
@@ -37,7 +38,7 @@
 
     RoleControl(const Member &self, Random random, ObjectStore &store, SiblingSender &sender,
                 MemberControl &members, const ConfigState &config, RoleListener &listener,
-                LogSink &log, OnOwnWrite onOwnWrite);
+                Clock clock, LogSink &log, OnOwnWrite onOwnWrite);
 
     /// Keeps exactly @p roles.
     void setRoles(const std::set<RoleName> &roles);
@@ -88,6 +89,7 @@
     MemberControl &members_;
     const ConfigState &config_;
     RoleListener &listener_;
+    const Clock clock_;
     LogSink &log_;
     const OnOwnWrite onOwnWrite_;
     std::map<RoleName, std::unique_ptr<RoleKeeper>> keepers_;
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -11,11 +11,12 @@
 
 } // namespace
 
-ConfigWatcher::ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter,
+ConfigWatcher::ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Clock clock,
                              Random random, LogSink &log, std::function<void()> onChange)
     : store_(store)
     , state_(state)
     , runAfter_(std::move(runAfter))
+    , clock_(std::move(clock))
     , random_(random)
     , log_(log)
     , onChange_(std::move(onChange))
@@ -29,13 +30,13 @@
 
 void ConfigWatcher::list()
 {
-    const TimePoint sentAt = BootClock::now();
+    const TimePoint sentAt = clock_();
     store_.list([this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
 }
 
 void ConfigWatcher::watch()
 {
-    const TimePoint sentAt = BootClock::now();
+    const TimePoint sentAt = clock_();
     store_.watch(state_.revision(), kWatchWait,
                  [this, sentAt](const Reply<StoreListing> &reply) { onChanges(reply, sentAt); });
 }
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Random.h"
 #include "pimentostage/platform/Backoff.h"
@@ -10,9 +11,6 @@
 
 namespace pimentostage {
 
-/// Runs a function on the control thread after a delay.
-using RunAfter = std::function<void(Duration, std::function<void()>)>;
-
 /// Keeps a ConfigState up to date with the store: one listing, then one watch after the other.
 ///
 /// Lives on the control thread.
@@ -20,8 +18,8 @@
 {
 public:
     /// @param onChange called after objects changed or the state was confirmed.
-    ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Random random,
-                  LogSink &log, std::function<void()> onChange);
+    ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Clock clock,
+                  Random random, LogSink &log, std::function<void()> onChange);
 
     /// Starts with a listing; runs until the process ends.
     void start();
@@ -43,6 +41,7 @@
     ObjectStore &store_;
     ConfigState &state_;
     const RunAfter runAfter_;
+    const Clock clock_;
     Random random_;
     LogSink &log_;
     const std::function<void()> onChange_;
