Membership: tell a host believed dead so, each time

Cause: found by the fuzz of the whole core. After a cut longer than the time in which news is passed on, both sides believed the other dead, had used up their passings, and nobody told the others that they had to deny it: the fleet stayed split for good. Ruled out: dead hosts are probed and do answer. Change: newsToPassOn(receiver) always holds what is believed of the receiver if that is not alive. Conclusion: costs one entry in a message to a host believed dead.

--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -73,7 +73,7 @@
     void merge(const MemberUpdate &update, TimePoint now);
 
     /// @return news worth passing on with the next message; each call counts as one passing on.
-    std::vector<MemberUpdate> newsToPassOn();
+    std::vector<MemberUpdate> newsToPassOn(const HostName &receiver);
 
     /// Marks this host as leaving; the news travels with the next messages.
     void leave();
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -49,7 +49,7 @@
         probe.origin_ = self_.member_.host_;
         probe.target_ = order.target_;
         probe.sequence_ = order.sequence_;
-        probe.news_ = membership_.newsToPassOn();
+        probe.news_ = membership_.newsToPassOn(order.via_);
         probe.config_ = summary(now);
         sender_.send(order.via_, probe);
     }
@@ -72,7 +72,7 @@
     ack.origin_ = probe.origin_;
     ack.responder_ = self_.member_.host_;
     ack.sequence_ = probe.sequence_;
-    ack.news_ = membership_.newsToPassOn();
+    ack.news_ = membership_.newsToPassOn(from);
     ack.config_ = summary(now);
     sender_.send(from, ack);
 }
@@ -124,7 +124,7 @@
         Probe farewell;
         farewell.origin_ = self_.member_.host_;
         farewell.target_ = member.host_;
-        farewell.news_ = membership_.newsToPassOn();
+        farewell.news_ = membership_.newsToPassOn(member.host_);
         sender_.send(member.host_, farewell);
     }
 }
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -217,13 +217,21 @@
     viewNumber_ += changesView ? 1 : 0;
 }
 
-std::vector<MemberUpdate> Membership::newsToPassOn()
+std::vector<MemberUpdate> Membership::newsToPassOn(const HostName &receiver)
 {
     const std::size_t mostPasses
         = kPassesPerDoubling * static_cast<std::size_t>(std::bit_width(others_.size() + 1));
     // This host always tells of itself: a receiver that lost track of it learns it again.
     std::vector<MemberUpdate> news { self_ };
     ++timesSelfPassedOn_;
+    // A host believed not to be alive is told so each time, for only it can deny it. After a long
+    // cut both sides have passed on their news in vain.
+    const auto known = others_.find(receiver);
+    const bool isDoubted = known != others_.end()
+                           && known->second.update_.liveness_ != Liveness::Alive
+                           && known->second.update_.member_.incarnation_ != Incarnation {};
+    if (isDoubted)
+        news.push_back(known->second.update_);
     for (auto &[host, tracked] : others_) {
         const bool isNews = tracked.timesPassedOn_ < mostPasses
                             && tracked.update_.member_.incarnation_ != Incarnation {};
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -48,6 +48,9 @@
 
     void kill(std::size_t index) { dead_[index] = true; }
 
+    /// Messages between the first @p size hosts and the others get lost; 0 ends it.
+    void split(std::size_t size) { split_ = size; }
+
     /// Messages between the two get lost, both ways.
     void cutPair(std::size_t a, std::size_t b) { cut_ = { a, b }; }
 
@@ -62,7 +65,8 @@
     {
         const bool isCut
             = (a == cut_.first && b == cut_.second) || (b == cut_.first && a == cut_.second);
-        return dead_[a] || dead_[b] || isCut;
+        const bool isSplit = split_ > 0 && (a < split_) != (b < split_);
+        return dead_[a] || dead_[b] || isCut || isSplit;
     }
 
     void tick(std::size_t index)
@@ -78,13 +82,13 @@
     {
         const std::size_t via = indexOf(order.via_);
         const std::size_t target = indexOf(order.target_);
-        const auto news = hosts_[from]->newsToPassOn();
+        const auto news = hosts_[from]->newsToPassOn(name(target));
         events_.after(1ms, [this, from, via, target, order, news] {
             if (isBlocked(from, via) || (via != target && isBlocked(via, target)))
                 return;
             for (const MemberUpdate &update : news)
                 hosts_[target]->merge(update, now());
-            const auto answer = hosts_[target]->newsToPassOn();
+            const auto answer = hosts_[target]->newsToPassOn(name(from));
             events_.after(1ms, [this, from, order, answer] {
                 for (const MemberUpdate &update : answer)
                     hosts_[from]->merge(update, now());
@@ -96,6 +100,7 @@
     EventQueue events_;
     std::vector<std::unique_ptr<Membership>> hosts_;
     std::vector<bool> dead_;
+    std::size_t split_ = 0; ///< hosts on the one side of a cut
     std::pair<std::size_t, std::size_t> cut_ { 1000, 1000 };
     std::uint64_t lastIncarnation_ = 0;
 };
@@ -173,9 +178,23 @@
     MemberUpdate rumour = self;
     rumour.liveness_ = Liveness::Dead;
     membership.merge(rumour, TimePoint(1h));
-    const MemberUpdate told = membership.newsToPassOn().front();
+    const MemberUpdate told = membership.newsToPassOn(HostName("host-1")).front();
     EXPECT_EQ(told.liveness_, Liveness::Alive);
     EXPECT_GT(told.refutation_, rumour.refutation_);
 }
 
+TEST(Membership, TheSidesOfALongCutFindEachOtherAfterIt)
+{
+    ProbeWorld world(4);
+    world.run(2s);
+    world.split(2);
+    world.run(20s);
+    ASSERT_EQ(world[0].view().size(), 2U);
+    ASSERT_EQ(world[3].view().size(), 2U);
+    world.split(0);
+    world.run(2s);
+    for (std::size_t i = 0; i < 4; ++i)
+        EXPECT_EQ(world[i].view().size(), 4U) << i;
+}
+
 } // namespace
