An owner that takes no new work serves for two seconds more, not for good

Cause: found by the fuzz of the whole core. The keys of a back end that leaves, or whose data centre is out, stayed with it for as long as no other back end could take them, and got new work there. Change: routers send to such an owner, and coordinators lease its units, for kHandoverTime only; a host that learns of it at its start does not begin to count anew. Named tests for router and coordinator. Conclusion: such keys are then refused with no-backend until a back end may take them.

--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -24,6 +24,7 @@
     std::shared_ptr<BackendStats> stats_;
     std::uint32_t limit_ = 0; ///< requests this host may have in flight there
     bool takesNewWork_ = true; ///< neither leaving nor in a data centre that is out
+    TimePoint withdrawnAt_ {}; ///< since when it takes no new work, if it takes none
     TimePoint rampStart_ {}; ///< when its data centre came back
     Duration ramp_ {}; ///< time over which it regains its share; zero if none
 
@@ -35,6 +36,10 @@
         return stats_->concurrency().limit(limit_);
     }
 
+    /// @return whether it may get requests for what it owns: it takes new work, or is handing
+    ///         over what it owned.
+    [[nodiscard]] bool mayServeAsOwner(TimePoint now) const;
+
     /// @return the share of its usual traffic that it may get at @p now, from 0 to 1.
     [[nodiscard]] double share(TimePoint now) const;
 };
@@ -71,9 +76,9 @@
 class RoutingTableBuilder
 {
 public:
-    /// @return a table for @p configuration; stats of known back ends are carried over.
+    /// @return a table for @p configuration at @p now; stats of known back ends are carried over.
     std::shared_ptr<const RoutingTable> build(const Configuration &configuration,
-                                              const FleetFacts &facts);
+                                              const FleetFacts &facts, TimePoint now);
 
     /// @return the observations of @p backend, or nullptr.
     [[nodiscard]] std::shared_ptr<BackendStats> stats(const BackendName &backend) const;
@@ -84,6 +89,7 @@
 private:
     std::map<BackendName, std::shared_ptr<BackendStats>> stats_;
     std::map<ServiceName, std::shared_ptr<RoutingFence>> fences_;
+    std::map<BackendName, TimePoint> withdrawnAt_; ///< back ends that take no new work
 };
 
 /// @return the shard of @p key among @p shardCount.
--- a/include/pimentostage/backend/ShardCoordinator.h
+++ b/include/pimentostage/backend/ShardCoordinator.h
@@ -111,7 +111,9 @@
                                         const std::set<UnitName> &released) const;
     void sendGrants(TimePoint now, CoordinatorActions &actions);
     [[nodiscard]] bool isHot(const std::string &key) const;
-    [[nodiscard]] std::map<BackendName, GrantedUnits> grantedUnits() const;
+    [[nodiscard]] std::map<BackendName, GrantedUnits> grantedUnits(TimePoint now) const;
+    [[nodiscard]] bool hasHandedOver(const BackendName &owner, TimePoint now) const;
+    void noteWithdrawn(TimePoint now);
     [[nodiscard]] MoveReason reasonToLeave(const BackendName &owner) const;
     [[nodiscard]] std::vector<PlacementBackend> placementBackends(TimePoint now) const;
     [[nodiscard]] BackendName leastBurdened(TimePoint now) const;
@@ -128,6 +130,7 @@
     Version version_;
     std::optional<Placement> writing_; ///< written, its outcome not known yet
     std::map<BackendName, CoordinatedBackend> backends_;
+    std::map<BackendName, TimePoint> withdrawnAt_; ///< back ends that take no new work
     const std::unique_ptr<UnitFence> fence_;
     std::set<UnitName> writingUnits_; ///< units whose move writing_ contains
     std::map<UnitName, Move> moves_;
--- a/include/pimentostage/backend/Units.h
+++ b/include/pimentostage/backend/Units.h
@@ -7,6 +7,10 @@
 
 namespace pimentostage {
 
+/// An owner that takes no new work keeps serving for this long while its units move. If they have
+/// nowhere to go they are not served after it.
+inline constexpr Duration kHandoverTime = std::chrono::seconds(2);
+
 /// @return the name of the unit that is shard @p shard.
 UnitName shardUnit(ShardId shard);
 /// @return the name of the unit that is the hot key @p key.
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -12,6 +12,7 @@
 
 // At most this share of a service's back ends is passed over because of ejection.
 constexpr double kMostEjectedShare = 0.5;
+
 // Share of its traffic that a back end gets as soon as its data centre is back.
 constexpr double kLeastRampShare = 0.1;
 
@@ -28,6 +29,11 @@
 
 } // namespace
 
+bool Candidate::mayServeAsOwner(TimePoint now) const
+{
+    return takesNewWork_ || now < withdrawnAt_ + kHandoverTime;
+}
+
 double Candidate::share(TimePoint now) const
 {
     if (ramp_ <= Duration::zero() || now >= rampStart_ + ramp_)
@@ -43,7 +49,8 @@
 }
 
 std::shared_ptr<const RoutingTable> RoutingTableBuilder::build(const Configuration &configuration,
-                                                               const FleetFacts &facts)
+                                                               const FleetFacts &facts,
+                                                               TimePoint now)
 {
     auto table = std::make_shared<RoutingTable>();
     for (const auto &[name, service] : configuration.services_) {
@@ -66,12 +73,19 @@
         Candidate candidate;
         candidate.backend_ = backend;
         std::shared_ptr<BackendStats> &stats = stats_[name];
-        if (!stats)
+        const bool isKnown = stats != nullptr;
+        if (!isKnown)
             stats = std::make_shared<BackendStats>();
         candidate.stats_ = stats;
         candidate.limit_ = hostLimit(backend, facts.entryHosts_);
         candidate.takesNewWork_
             = configuration.isZoneIn(backend.zone_) && !facts.leavingHosts_.contains(name.str());
+        // One that was withdrawn before this host knew it has had its time.
+        if (candidate.takesNewWork_)
+            withdrawnAt_.erase(name);
+        else
+            candidate.withdrawnAt_
+                = withdrawnAt_.try_emplace(name, isKnown ? now : TimePoint {}).first->second;
         const auto returned = facts.zoneReturnedAt_.find(backend.zone_);
         if (returned != facts.zoneReturnedAt_.end()) {
             candidate.rampStart_ = returned->second;
@@ -136,7 +150,9 @@
         return {};
     const ShardOwner &owner = ownerOf(*routes.placement_, key);
     const Candidate *candidate = routes.find(owner.backend_);
-    if (!candidate)
+    // An owner that takes no new work serves until its keys have moved, but not for long: they may
+    // have nowhere to go.
+    if (!candidate || !candidate->mayServeAsOwner(now))
         return {};
     // Nobody else can run the request: a cold owner gets one at a time from each host.
     const std::uint32_t limit = std::max(1U, candidate->presentLimit());
--- a/src/backend/ShardCoordinator.cpp
+++ b/src/backend/ShardCoordinator.cpp
@@ -422,17 +422,43 @@
     }
 }
 
-std::map<BackendName, GrantedUnits> ShardCoordinator::grantedUnits() const
+// A back end that takes no new work may keep its units while they move, but not for long.
+void ShardCoordinator::noteWithdrawn(TimePoint now)
+{
+    for (const auto &[name, facts] : backends_) {
+        if (facts.takesNewWork_) {
+            withdrawnAt_.erase(name);
+            continue;
+        }
+        const auto [entry, isNew] = withdrawnAt_.try_emplace(name, now);
+        const bool isOver
+            = !isNew && entry->second > TimePoint {} && now >= entry->second + kHandoverTime;
+        if (!isOver)
+            continue;
+        // Over once and for all, until it takes work again.
+        entry->second = TimePoint {};
+        unitsChanged_ = true;
+    }
+}
+
+bool ShardCoordinator::hasHandedOver(const BackendName &owner, TimePoint now) const
+{
+    const auto found = withdrawnAt_.find(owner);
+    return found != withdrawnAt_.end() && now >= found->second + kHandoverTime;
+}
+
+std::map<BackendName, GrantedUnits> ShardCoordinator::grantedUnits(TimePoint now) const
 {
     std::map<BackendName, GrantedUnits> units;
     for (std::size_t shard = 0; shard < placement_->shards_.size(); ++shard) {
         const UnitName unit = shardUnit(ShardId { shard });
-        if (!moves_.contains(unit))
-            units[placement_->shards_[shard].backend_][unit] = placement_->shards_[shard].epoch_;
+        const ShardOwner &owner = placement_->shards_[shard];
+        if (!moves_.contains(unit) && !hasHandedOver(owner.backend_, now))
+            units[owner.backend_][unit] = owner.epoch_;
     }
     for (const HotKey &hotKey : placement_->hotKeys_) {
         const UnitName unit = hotKeyUnit(hotKey.key_);
-        if (!moves_.contains(unit))
+        if (!moves_.contains(unit) && !hasHandedOver(hotKey.owner_.backend_, now))
             units[hotKey.owner_.backend_][unit] = hotKey.owner_.epoch_;
     }
     return units;
@@ -440,8 +466,9 @@
 
 void ShardCoordinator::sendGrants(TimePoint now, CoordinatorActions &actions)
 {
+    noteWithdrawn(now);
     if (unitsChanged_)
-        fence_->setUnits(grantedUnits());
+        fence_->setUnits(grantedUnits(now));
     unitsChanged_ = false;
     fence_->takeDue(now, actions);
 }
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -261,7 +261,7 @@
 {
     auto view = std::make_shared<TrafficView>();
     view->configuration_ = config_.configuration();
-    view->routing_ = tableBuilder_.build(*view->configuration_, facts_);
+    view->routing_ = tableBuilder_.build(*view->configuration_, facts_, clock_());
     view->purses_ = purses_.purses();
     view->readiness_ = readinessAt(clock_());
     publishedReadiness_ = view->readiness_;
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -30,7 +30,7 @@
         rebuild();
     }
 
-    void rebuild() { table_ = builder_.build(configuration_, facts_); }
+    void rebuild() { table_ = builder_.build(configuration_, facts_, now_); }
 
     const ServiceRoutes &routes() const { return table_->services_.at("plain"); }
 
@@ -130,4 +130,29 @@
     EXPECT_EQ(shareOf("worker-2"), 1);
 }
 
+TEST_F(BackendSelectorTest, AnOwnerThatTakesNoNewWorkServesOnlyWhileItHandsOver)
+{
+    Service &service = configuration_.services_.begin()->second;
+    service.keyed_ = true;
+    auto placement = std::make_shared<Placement>();
+    placement->shards_.resize(1, ShardOwner { BackendName("worker-2"), Epoch { 4 } });
+    configuration_.placements_[service.name_] = placement;
+    facts_.leavingHosts_ = { "worker-2" };
+    rebuild();
+    const auto owner
+        = [&] { return BackendSelector::select(routes(), "k", {}, random_, now_).candidate_; };
+    EXPECT_NE(owner(), nullptr);
+    now_ += 3s;
+    rebuild();
+    EXPECT_EQ(owner(), nullptr) << "its keys have nowhere to go";
+    facts_.leavingHosts_.clear();
+    rebuild();
+    EXPECT_NE(owner(), nullptr);
+    // A host that starts later does not count the time anew.
+    facts_.leavingHosts_ = { "worker-2" };
+    builder_ = RoutingTableBuilder();
+    rebuild();
+    EXPECT_EQ(owner(), nullptr);
+}
+
 } // namespace
--- a/tests/RequestRouterTest.cpp
+++ b/tests/RequestRouterTest.cpp
@@ -41,7 +41,7 @@
         = TeamKey { "caxias-1", contract.team_, sha256Hex(kSecret) };
     auto view = std::make_shared<TrafficView>();
     RoutingTableBuilder builder;
-    view->routing_ = builder.build(*configuration, FleetFacts {});
+    view->routing_ = builder.build(*configuration, FleetFacts {}, TimePoint(1h));
     view->configuration_ = configuration;
     view->readiness_ = readiness;
     return view;
--- a/tests/RouterFenceTest.cpp
+++ b/tests/RouterFenceTest.cpp
@@ -520,7 +520,7 @@
     placement->shards_.resize(1, ShardOwner { backend.name_, Epoch { 4 } });
     configuration.placements_[service.name_] = placement;
     RoutingTableBuilder builder;
-    const auto table = builder.build(configuration, FleetFacts {});
+    const auto table = builder.build(configuration, FleetFacts {}, now);
     const ServiceRoutes &routes = table->services_.at("lots");
     Random random(1);
     const auto select = [&] { return BackendSelector::select(routes, "k", {}, random, now); };
--- a/tests/ShardCoordinatorTest.cpp
+++ b/tests/ShardCoordinatorTest.cpp
@@ -300,6 +300,22 @@
     }
 }
 
+TEST(ShardCoordinator, AServerThatTakesNoNewWorkLosesItsUnitsEvenIfNoneCanTakeThem)
+{
+    ShardWorld world(1);
+    world.run(1s);
+    ASSERT_TRUE(world.areAllServed());
+    world.setTakesNewWork(0, false);
+    world.run(kHandoverTime - 100ms);
+    EXPECT_TRUE(world.areAllServed());
+    world.run(300ms);
+    for (const std::string &key : world.keys_)
+        EXPECT_FALSE(world.isServed(key));
+    world.setTakesNewWork(0, true);
+    world.run(200ms);
+    EXPECT_TRUE(world.areAllServed());
+}
+
 TEST(ShardCoordinator, RecognisesItsOwnWriteAfterALostAnswer)
 {
     ShardWorld world(3);
