Fuzz of the whole core under an oracle; hosts tell each other of leaving back ends

Change: CoreFleet runs several ControlCores with the traffic decisions against a store, links and back ends that fail, in simulated time; CoreFuzz plays random courses of 22 commands; nine rules are checked after each event. Mended with it: a host that cannot read the host list asks the others for leaving back ends (LeavingHostsPull, LeavingHosts), a host publishes nothing before it has asked for the list, and coordinators count the time of a handover from when they hear of it, also while another host acts. Conclusion: cold starts, whole answers and planned stops are outside this oracle and have tests of their own.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -224,7 +224,7 @@
         std::map<BackendName, CoordinatedBackend> backends;
         for (std::size_t i = 0; i < servers; ++i)
             backends[BackendName("permits-" + std::to_string(i))] = CoordinatedBackend {};
-        coordinator_.setBackends(backends);
+        coordinator_.setBackends(backends, now_);
         std::set<Member> members;
         for (std::size_t i = 0; i < routers; ++i)
             members.insert({ HostName("entry-" + std::to_string(i)), Incarnation { 1 } });
--- a/include/pimentostage/backend/ShardCoordinator.h
+++ b/include/pimentostage/backend/ShardCoordinator.h
@@ -46,8 +46,9 @@
     void end();
     [[nodiscard]] bool isActive() const { return roleEpoch_.has_value(); }
 
-    /// Replaces what is known of the service's back ends.
-    void setBackends(const std::map<BackendName, CoordinatedBackend> &backends);
+    /// Replaces what is known of the service's back ends. To be told also while another host
+    /// coordinates: what one that takes no new work owns is served for kHandoverTime from then.
+    void setBackends(const std::map<BackendName, CoordinatedBackend> &backends, TimePoint now);
 
     /// Replaces the entry hosts that are believed to run. They matter to a service whose back ends
     /// check no fence: then its routers hold the leases.
@@ -113,7 +114,7 @@
     [[nodiscard]] bool isHot(const std::string &key) const;
     [[nodiscard]] std::map<BackendName, GrantedUnits> grantedUnits(TimePoint now) const;
     [[nodiscard]] bool hasHandedOver(const BackendName &owner, TimePoint now) const;
-    void noteWithdrawn(TimePoint now);
+    void expireHandovers(TimePoint now);
     [[nodiscard]] MoveReason reasonToLeave(const BackendName &owner) const;
     [[nodiscard]] std::vector<PlacementBackend> placementBackends(TimePoint now) const;
     [[nodiscard]] BackendName leastBurdened(TimePoint now) const;
@@ -131,6 +132,7 @@
     std::optional<Placement> writing_; ///< written, its outcome not known yet
     std::map<BackendName, CoordinatedBackend> backends_;
     std::map<BackendName, TimePoint> withdrawnAt_; ///< back ends that take no new work
+    std::set<BackendName> handedOver_; ///< of those: their units are not granted any more
     const std::unique_ptr<UnitFence> fence_;
     std::set<UnitName> writingUnits_; ///< units whose move writing_ contains
     std::map<UnitName, Move> moves_;
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -7,6 +7,7 @@
 #include "pimentostage/sibling/Membership.h"
 
 #include <optional>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -137,11 +138,21 @@
     GrantReply reply_;
 };
 
+/// Asks for LeavingHosts, since the sender cannot read the platform's host list.
+struct LeavingHostsPull
+{ };
+
+/// Names that the platform's host list says to be leaving, as the sender read it lately.
+struct LeavingHosts
+{
+    std::vector<std::string> names_;
+};
+
 /// Any message between entry hosts. The index is the message's number on the wire.
-using SiblingMessage
-    = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
-                   ReleaseRequest, ReleaseReply, StepDown, LoanRequests, LoanReplies, LoanRecall,
-                   BackendWarmth, KeyLoad, RouterGrant, RouterGrantReply>;
+using SiblingMessage = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest,
+                                    PromiseReply, ReleaseRequest, ReleaseReply, StepDown,
+                                    LoanRequests, LoanReplies, LoanRecall, BackendWarmth, KeyLoad,
+                                    RouterGrant, RouterGrantReply, LeavingHostsPull, LeavingHosts>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/src/backend/ShardCoordinator.cpp
+++ b/src/backend/ShardCoordinator.cpp
@@ -66,8 +66,17 @@
     fence_->end();
 }
 
-void ShardCoordinator::setBackends(const std::map<BackendName, CoordinatedBackend> &backends)
+void ShardCoordinator::setBackends(const std::map<BackendName, CoordinatedBackend> &backends,
+                                   TimePoint now)
 {
+    for (const auto &[name, facts] : backends) {
+        // One that was withdrawn before this host knew it has had its time.
+        const bool isKnown = backends_.contains(name);
+        if (facts.takesNewWork_)
+            withdrawnAt_.erase(name);
+        else
+            withdrawnAt_.try_emplace(name, isKnown ? now : TimePoint {});
+    }
     backends_ = backends;
     std::set<BackendName> names;
     for (const auto &[name, facts] : backends)
@@ -423,22 +432,15 @@
 }
 
 // A back end that takes no new work may keep its units while they move, but not for long.
-void ShardCoordinator::noteWithdrawn(TimePoint now)
+void ShardCoordinator::expireHandovers(TimePoint now)
 {
-    for (const auto &[name, facts] : backends_) {
-        if (facts.takesNewWork_) {
-            withdrawnAt_.erase(name);
-            continue;
-        }
-        const auto [entry, isNew] = withdrawnAt_.try_emplace(name, now);
-        const bool isOver
-            = !isNew && entry->second > TimePoint {} && now >= entry->second + kHandoverTime;
-        if (!isOver)
-            continue;
-        // Over once and for all, until it takes work again.
-        entry->second = TimePoint {};
-        unitsChanged_ = true;
+    std::set<BackendName> handedOver;
+    for (const auto &[name, at] : withdrawnAt_) {
+        if (hasHandedOver(name, now))
+            handedOver.insert(name);
     }
+    unitsChanged_ = unitsChanged_ || handedOver != handedOver_;
+    handedOver_ = std::move(handedOver);
 }
 
 bool ShardCoordinator::hasHandedOver(const BackendName &owner, TimePoint now) const
@@ -466,7 +468,7 @@
 
 void ShardCoordinator::sendGrants(TimePoint now, CoordinatorActions &actions)
 {
-    noteWithdrawn(now);
+    expireHandovers(now);
     if (unitsChanged_)
         fence_->setUnits(grantedUnits(now));
     unitsChanged_ = false;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration kHostPollPeriod = std::chrono::seconds(1);
+// A host list read longer ago than this is not passed on.
+constexpr Duration kListLife = 2 * kHostPollPeriod;
 // A configuration that neither the store nor a sibling has confirmed for this long may be stale.
 constexpr Duration kMostConfigAge = std::chrono::seconds(3);
 
@@ -80,8 +82,22 @@
 void ControlCore::pollHosts()
 {
     store_.hosts([this](const Reply<std::vector<ListedHost>> &reply) {
-        if (const auto *hosts = std::get_if<std::vector<ListedHost>>(&reply))
+        const auto *hosts = std::get_if<std::vector<ListedHost>>(&reply);
+        const bool isBack = hosts && !isListReadable_;
+        isListReadable_ = hosts != nullptr;
+        const bool isFirst = !hasAskedForList_;
+        hasAskedForList_ = true;
+        if (!hosts) {
+            askForLeavingHosts();
+        } else {
+            listReadAt_ = clock_();
+            // What siblings told meanwhile gives way to the list, even if that has not changed.
+            if (isBack)
+                hosts_.clear();
             onHosts(*hosts);
+        }
+        if (isFirst)
+            onConfigChange();
         runAfter_(kHostPollPeriod, [this] { pollHosts(); });
     });
 }
@@ -96,6 +112,44 @@
     onConfigChange();
 }
 
+void ControlCore::askForLeavingHosts()
+{
+    for (const Member &member : members_.membership().view()) {
+        if (member != self_.member_)
+            siblings_.send(member.host_, LeavingHostsPull {});
+    }
+}
+
+void ControlCore::onLeavingHostsPull(const HostName &from)
+{
+    const bool isFresh = listReadAt_ && clock_() < *listReadAt_ + kListLife;
+    if (!isFresh)
+        return;
+    LeavingHosts answer;
+    for (const ListedHost &host : hosts_) {
+        if (host.state_ == HostState::Leaving)
+            answer.names_.push_back(host.name_);
+    }
+    siblings_.send(from, answer);
+}
+
+void ControlCore::onLeavingHosts(const LeavingHosts &message)
+{
+    if (isListReadable_)
+        return;
+    const std::set<std::string> leaving { message.names_.begin(), message.names_.end() };
+    bool isNews = false;
+    for (ListedHost &host : hosts_) {
+        const HostState state = leaving.contains(host.name_) ? HostState::Leaving : HostState::Live;
+        isNews = isNews || state != host.state_;
+        host.state_ = state;
+    }
+    if (!isNews)
+        return;
+    publishedDigest_ = 0;
+    onConfigChange();
+}
+
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
     watcher_.apply(push.objects_);
@@ -169,6 +223,8 @@
     {
         core_.placement_.onMessage(from_.member_, message, now_);
     }
+    void operator()(const LeavingHostsPull &) const { core_.onLeavingHostsPull(host()); }
+    void operator()(const LeavingHosts &message) const { core_.onLeavingHosts(message); }
     void operator()(const LoanRecall &message) const
     {
         core_.allowance_.onMessage(host(), message, now_);
@@ -220,7 +276,8 @@
 
 void ControlCore::onConfigChange()
 {
-    if (config_.digest() == publishedDigest_)
+    // Without the host list a back end that leaves would pass for one that has just begun to.
+    if (!hasAskedForList_ || config_.digest() == publishedDigest_)
         return;
     publishedDigest_ = config_.digest();
     const TimePoint now = clock_();
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -80,6 +80,9 @@
 
     void pollHosts();
     void onHosts(const std::vector<ListedHost> &hosts);
+    void askForLeavingHosts();
+    void onLeavingHostsPull(const HostName &from);
+    void onLeavingHosts(const LeavingHosts &message);
     void onConfigPush(const ConfigPush &push);
     void onOwnWrite(const StoredObject &object);
     void onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now);
@@ -114,6 +117,9 @@
     std::map<ZoneName, ZoneState> zoneStates_;
     PurseBook purses_;
     std::vector<ListedHost> hosts_;
+    std::optional<TimePoint> listReadAt_; ///< when the host list was last read
+    bool isListReadable_ = false; ///< it was read by the last call
+    bool hasAskedForList_ = false; ///< it was read, or could not be
     std::map<ServiceName, KeyLoad> keyLoads_; ///< of all traffic threads since the last telling
     TimePoint nextKeyLoads_ {};
 
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -84,7 +84,7 @@
             backends[backendName] = facts;
             coordinated.addresses_[backendName] = backend.address_;
         }
-        coordinated.coordinator_->setBackends(backends);
+        coordinated.coordinator_->setBackends(backends, now);
     }
 }
 
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -235,6 +235,18 @@
     archive(message.service_, message.reply_);
 }
 
+template <typename Archive>
+void fields(Archive &archive, LeavingHostsPull &)
+{
+    archive();
+}
+
+template <typename Archive>
+void fields(Archive &archive, LeavingHosts &message)
+{
+    archive(message.names_);
+}
+
 /// Appends fields to a JSON array.
 class Writer
 {
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -81,7 +81,9 @@
              BackendWarmth { BackendName("permits-1"), true },
              KeyLoad { ServiceName("permits"), 20, { { "k1", 4.5 } } },
              RouterGrant { grant },
-             RouterGrantReply { grant.service_, reply } };
+             RouterGrantReply { grant.service_, reply },
+             LeavingHostsPull {},
+             LeavingHosts { { "permits-1" } } };
 }
 
 TEST(FrameCodec, EveryMessageComesBackAsItWas)
--- a/tests/fakes/CoordinatorWorld.cpp
+++ b/tests/fakes/CoordinatorWorld.cpp
@@ -43,7 +43,7 @@
     const std::int64_t kDrift = roleEpoch_.value_ % 2 == 0 ? 400 : -400;
     clock_ = DriftingClock(std::chrono::seconds(500 * roleEpoch_.value_), kDrift);
     coordinator_ = std::make_unique<ShardCoordinator>(service_, roleEpoch_.value_);
-    coordinator_->setBackends(facts_);
+    coordinator_->setBackends(facts_, now());
     coordinator_->setRouters(routers_);
     coordinator_->setHotKeys(hotKeys_);
     performAll(coordinator_->begin(roleEpoch_, now()));
@@ -53,7 +53,7 @@
 {
     facts_[backend] = facts;
     if (coordinator_)
-        coordinator_->setBackends(facts_);
+        coordinator_->setBackends(facts_, now());
 }
 
 void CoordinatorWorld::setRouters(const std::set<Member> &routers)
--- /dev/null
+++ b/tests/fakes/CoreFleet.cpp
@@ -0,0 +1,864 @@
+#include "tests/fakes/CoreFleet.h"
+
+#include "pimentostage/base/Hash.h"
+#include "pimentostage/platform/ObjectCodec.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration kRouteTimeout = 400ms;
+constexpr Duration kResumeDelay = 25ms;
+constexpr Duration kNetworkDelay = 1ms;
+constexpr Duration kSlowNetworkDelay = 900ms;
+// A change must be in force everywhere within this time.
+constexpr Duration kMostSpread = 6s;
+constexpr double kRate = 40;
+constexpr double kBurst = 20;
+constexpr std::uint32_t kShards = 4;
+constexpr std::size_t kKeys = 5;
+constexpr const char *kServices[] = { "permits", "lots", "plain" };
+constexpr std::size_t kBackendsPerService = 2;
+
+/// A log that keeps nothing.
+class Silence : public LogSink
+{
+public:
+    void write(const LogLine &) override { }
+};
+
+Silence silence;
+
+Service serviceAt(std::size_t index)
+{
+    Service service;
+    service.name_ = ServiceName(kServices[index]);
+    service.keyed_ = index < 2;
+    service.keySegment_ = 1;
+    service.shardCount_ = kShards;
+    service.fencing_ = index == 1 ? Fencing::Unchecked : Fencing::Checked;
+    for (const bool isRead : { true, false }) {
+        Route route;
+        route.name_ = RouteName(isRead ? "read" : "write");
+        route.method_ = isRead ? "GET" : "POST";
+        route.prefix_ = "/items";
+        route.idempotent_ = isRead;
+        route.kind_ = route.name_.str();
+        route.timeout_ = kRouteTimeout;
+        service.routes_.push_back(route);
+    }
+    return service;
+}
+
+std::string teamName(std::size_t team)
+{
+    return "team-" + std::to_string(team);
+}
+
+std::string secretOf(std::size_t team)
+{
+    return "secret-of-" + teamName(team);
+}
+
+std::string zoneName(std::size_t zone)
+{
+    return "zone-" + std::to_string(zone);
+}
+
+std::shared_ptr<const TrafficView> emptyView()
+{
+    auto view = std::make_shared<TrafficView>();
+    view->configuration_ = std::make_shared<Configuration>();
+    view->routing_ = std::make_shared<RoutingTable>();
+    return view;
+}
+
+/// @return whether all shards of the keyed services have owners.
+bool isServing(const TrafficView &view)
+{
+    if (view.readiness_ != Readiness::Ready || view.purses_.empty())
+        return false;
+    const auto isOwned = [](const ShardOwner &owner) { return !owner.backend_.isEmpty(); };
+    for (const auto &[name, routes] : view.routing_->services_) {
+        const bool isPlaced = routes.placement_
+                              && std::all_of(routes.placement_->shards_.begin(),
+                                             routes.placement_->shards_.end(), isOwned);
+        if (routes.service_.keyed_ && !isPlaced)
+            return false;
+    }
+    return true;
+}
+
+} // namespace
+
+/// A request on its way to and at a back end.
+struct CoreFleet::Work
+{
+    std::size_t request_ = 0;
+    std::size_t team_ = 0;
+    ServiceName service_;
+    std::string key_;
+    UnitName unit_;
+    Epoch epoch_;
+    Duration length_ {};
+    Duration deadline_ {}; ///< true time, counted by the back end from the request's arrival
+    std::uint64_t term_ = 0;
+};
+
+/// A host's way to the other hosts.
+class CoreFleet::Links : public SiblingSender
+{
+public:
+    Links(CoreFleet &fleet, Host &host)
+        : fleet_(fleet)
+        , host_(host)
+    { }
+
+    void send(const HostName &host, const SiblingMessage &message) override
+    {
+        fleet_.deliver(host_, host, message);
+    }
+
+private:
+    CoreFleet &fleet_;
+    Host &host_;
+};
+
+/// A host's way to the back ends, for grants and probes.
+class CoreFleet::Servers : public BackendLink
+{
+public:
+    Servers(CoreFleet &fleet, Host &host)
+        : fleet_(fleet)
+        , host_(host)
+    { }
+
+    void grant(const Address &address, const Grant &grant, OnGrantReply done) override;
+    void probe(const Address &address, OnProbeReply done) override;
+
+private:
+    void reply(std::function<void()> task);
+
+    CoreFleet &fleet_;
+    Host &host_;
+};
+
+struct CoreFleet::Host : public std::enable_shared_from_this<Host>
+{
+    Host()
+        : routing_(std::make_shared<RoutingTable>())
+        , views_(emptyView())
+    { }
+
+    MemberUpdate self_;
+    std::size_t index_ = 0;
+    DriftingClock clock_ { Duration::zero(), 0 };
+    Counters counters_;
+    SnapshotPublisher<RoutingTable> routing_;
+    SnapshotPublisher<TrafficView> views_;
+    std::unique_ptr<FleetStore::Port> store_;
+    std::unique_ptr<Links> links_;
+    std::unique_ptr<Servers> servers_;
+    std::unique_ptr<ControlCore> core_;
+    std::shared_ptr<const TrafficView> firstView_; ///< the first that served
+    ShareBudget retries_ { 0.1, 10 };
+    ShareBudget hedges_ { 0.05, 10 };
+    std::map<ObjectRef, Version> seen_;
+    bool paused_ = false;
+    bool isCut_ = false;
+    bool isDead_ = false;
+};
+
+void CoreFleet::Servers::reply(std::function<void()> task)
+{
+    fleet_.events_.after(kNetworkDelay, [this, task = std::move(task)] {
+        fleet_.atHost(host_.shared_from_this(), task);
+    });
+}
+
+void CoreFleet::Servers::grant(const Address &address, const Grant &grant, OnGrantReply done)
+{
+    const Duration delay
+        = fleet_.losesMessages_ && ++fleet_.messages_ % 7 == 0 ? kSlowNetworkDelay : kNetworkDelay;
+    fleet_.events_.after(delay, [this, address, grant, done] {
+        Backend *backend = fleet_.find(address);
+        if (!backend || backend->paused_)
+            return;
+        GrantReply answer = backend->lease_->apply(grant, backend->clock_.at(fleet_.events_.now()));
+        for (const auto &work : backend->work_) {
+            if (!backend->lease_->units().contains(work->unit_))
+                answer.draining_.push_back(work->unit_);
+        }
+        reply([done, answer] { done(answer); });
+    });
+}
+
+void CoreFleet::Servers::probe(const Address &address, OnProbeReply done)
+{
+    fleet_.events_.after(kNetworkDelay, [this, address, done] {
+        const Backend *backend = fleet_.find(address);
+        if (backend && !backend->paused_)
+            reply([done] { done(true); });
+    });
+}
+
+/// One request at a host; performs what its RequestExecution decides.
+class CoreFleet::Run : public std::enable_shared_from_this<Run>
+{
+public:
+    Run(CoreFleet &fleet, std::shared_ptr<Host> host, std::shared_ptr<const TrafficView> view,
+        RoutedRequest routed, const Work &work)
+        : fleet_(fleet)
+        , host_(std::move(host))
+        , view_(std::move(view))
+        , routed_(std::move(routed))
+        , work_(work)
+        , execution_(policy(), host_->retries_, host_->hedges_)
+    { }
+
+    void start() { perform(execution_.start(now())); }
+
+private:
+    TimePoint now() const { return host_->clock_.at(fleet_.events_.now()); }
+
+    ExecutionPolicy policy() const
+    {
+        ExecutionPolicy policy;
+        policy.idempotent_ = routed_.route_->idempotent_;
+        policy.waitsForOwner_ = !routed_.key_.empty();
+        policy.deadline_ = routed_.deadline_;
+        policy.hedgeAfter_ = 20ms;
+        return policy;
+    }
+
+    void perform(const ExecutionActions &actions)
+    {
+        for (const ExecutionAction &action : actions)
+            std::visit([this](const auto &step) { perform(step); }, action);
+    }
+
+    void perform(const SendAttempt &send)
+    {
+        const std::shared_ptr<const TrafficView> view
+            = fleet_.sabotage_.usesNewestView(host_->index_) ? host_->views_.load() : view_;
+        const auto routes = view->routing_->services_.find(work_.service_.str());
+        BackendChoice choice;
+        if (routes != view->routing_->services_.end()) {
+            choice
+                = BackendSelector::select(routes->second, routed_.key_, {}, fleet_.random_, now());
+        }
+        if (!choice.candidate_) {
+            perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now())
+                                   : execution_.onNoBackend(send.attempt_, now()));
+            return;
+        }
+        auto flight = std::make_shared<Flight>();
+        flight->attempt_ = send.attempt_;
+        flight->backend_ = choice.candidate_->backend_.name_;
+        flight->stats_ = choice.candidate_->stats_;
+        flight->fence_ = routes->second.fence_;
+        flight->unit_ = choice.unit_;
+        flight->epoch_ = choice.epoch_;
+        flight->begunAt_ = now();
+        const Duration connecting = std::chrono::milliseconds(fleet_.random_.below(30));
+        fleet_.events_.after(connecting, [self = shared_from_this(), flight] {
+            self->fleet_.atHost(self->host_, [self, flight] { self->sendFirstByte(flight); });
+        });
+    }
+
+    void perform(const CancelAttempt &) { }
+    void perform(const WakeAt &wake)
+    {
+        fleet_.events_.after(std::max<Duration>(1ms, wake.at_ - now()),
+                             [self = shared_from_this()] {
+                                 self->fleet_.atHost(self->host_, [self] {
+                                     self->perform(self->execution_.onWake(self->now()));
+                                 });
+                             });
+    }
+    void perform(const AwaitRoom &)
+    {
+        fleet_.events_.after(10ms, [self = shared_from_this()] {
+            self->fleet_.atHost(self->host_,
+                                [self] { self->perform(self->execution_.onRoom(self->now())); });
+        });
+    }
+    void perform(const DeliverAnswer &) { ++fleet_.answered_; }
+    void perform(const GiveUp &giveUp)
+    {
+        if (giveUp.outcome_ != Outcome::NotRun)
+            return;
+        Fate &fate = fleet_.fates_[work_.request_];
+        fate.toldNotRun_ = true;
+        if (fate.executions_ > 0)
+            fleet_.breakRule(Rule::TrueNotRun);
+    }
+
+    struct Flight
+    {
+        AttemptNumber attempt_ = 0;
+        BackendName backend_;
+        std::shared_ptr<BackendStats> stats_;
+        std::shared_ptr<RoutingFence> fence_;
+        UnitName unit_;
+        Epoch epoch_;
+        TimePoint begunAt_;
+        bool isEnded_ = false;
+    };
+
+    void sendFirstByte(const std::shared_ptr<Flight> &flight)
+    {
+        const bool maySend = now() < routed_.deadline_
+                             && (!flight->fence_
+                                 || flight->fence_->maySend(flight->unit_, flight->epoch_,
+                                                            flight->begunAt_, now()));
+        if (!maySend) {
+            end(flight, AttemptState::NotSent, AttemptFailure::StaleEpoch);
+            return;
+        }
+        auto work = std::make_shared<Work>(work_);
+        work->unit_ = flight->unit_;
+        work->epoch_ = flight->epoch_;
+        work->length_ = std::chrono::milliseconds(1 + fleet_.random_.below(60));
+        // The back end counts from the arrival; the time was written when the owner was chosen.
+        work->deadline_
+            = fleet_.events_.now() + kNetworkDelay + (routed_.deadline_ - flight->begunAt_);
+        const bool isLost = fleet_.random_.below(30) == 0;
+        const bool isAnswerLost = fleet_.random_.below(30) == 0;
+        if (!isLost) {
+            fleet_.events_.after(
+                kNetworkDelay, [self = shared_from_this(), work, flight, isAnswerLost] {
+                    self->fleet_.take(self->fleet_.find(flight->backend_), work,
+                                      [self, flight, isAnswerLost](AttemptState state) {
+                                          if (!isAnswerLost)
+                                              self->onEnd(flight, state);
+                                      });
+                });
+        }
+        const bool isBroken = fleet_.random_.below(30) == 0;
+        if (isBroken) {
+            fleet_.events_.after(5ms, [self = shared_from_this(), flight] {
+                self->fleet_.atHost(self->host_, [self, flight] {
+                    self->end(flight, AttemptState::Sent, AttemptFailure::Broken);
+                });
+            });
+        }
+        fleet_.events_.after(std::max<Duration>(1ms, routed_.deadline_ - now()),
+                             [self = shared_from_this(), flight] {
+                                 self->fleet_.atHost(self->host_, [self, flight] {
+                                     self->end(flight, AttemptState::Sent,
+                                               AttemptFailure::TimedOut);
+                                 });
+                             });
+    }
+
+    void onEnd(const std::shared_ptr<Flight> &flight, AttemptState state)
+    {
+        fleet_.events_.after(kNetworkDelay, [self = shared_from_this(), flight, state] {
+            self->fleet_.atHost(self->host_, [self, flight, state] {
+                self->end(flight, state, AttemptFailure::StaleEpoch);
+            });
+        });
+    }
+
+    void end(const std::shared_ptr<Flight> &flight, AttemptState state, AttemptFailure failure)
+    {
+        if (flight->isEnded_)
+            return;
+        flight->isEnded_ = true;
+        flight->stats_->end();
+        if (flight->fence_)
+            flight->fence_->end(flight->unit_, mayRunUntil(state, routed_.deadline_, now()), now());
+        const AttemptState believed = fleet_.sabotage_.believed(state);
+        if (believed == AttemptState::Answered)
+            perform(execution_.onAnswered(flight->attempt_, now()));
+        else
+            perform(execution_.onFailed(flight->attempt_, believed, failure, now()));
+    }
+
+    CoreFleet &fleet_;
+    const std::shared_ptr<Host> host_;
+    const std::shared_ptr<const TrafficView> view_; ///< keeps what routed_ points to
+    const RoutedRequest routed_;
+    const Work work_;
+    RequestExecution execution_;
+};
+
+CoreFleet::CoreFleet(std::size_t hosts, std::uint64_t seed, const Sabotage &sabotage)
+    : sabotage_(sabotage)
+    , random_(seed)
+    , store_(events_)
+{
+    store_.onWrite_ = [this](const StoredObject &object) { noteWrite(object); };
+    writeObjects();
+    hosts_.resize(hosts);
+    for (std::size_t i = 0; i < hosts; ++i)
+        store_.hosts_.push_back(ListedHost { "entry-" + std::to_string(i), HostKind::Entry,
+                                             HostState::Live, ZoneName(zoneName(i % kZones)),
+                                             Address { "10.0.0.1", 1 } });
+    for (std::size_t i = 0; i < hosts; ++i)
+        startHost(i);
+}
+
+CoreFleet::~CoreFleet() = default;
+
+void CoreFleet::writeObjects()
+{
+    for (std::size_t zone = 0; zone < kZones; ++zone)
+        setZoneOut(zone, false);
+    for (std::size_t i = 0; i < std::size(kServices); ++i) {
+        const Service service = serviceAt(i);
+        store_.set({ ObjectKind::Service, service.name_.str() }, formatService(service));
+        for (std::size_t j = 0; j < kBackendsPerService; ++j) {
+            Backend backend;
+            backend.service_ = service.name_;
+            backend.name_ = BackendName(service.name_.str() + '-' + std::to_string(j));
+            backend.zone_ = j % kZones;
+            backend.address_
+                = Address { "10.0.1.1", static_cast<std::uint16_t>(100 + backends_.size()) };
+            pimentostage::Backend object;
+            object.name_ = backend.name_;
+            object.service_ = service.name_;
+            object.zone_ = ZoneName(zoneName(backend.zone_));
+            object.address_ = backend.address_;
+            object.slots_ = 6;
+            object.connections_ = 110;
+            store_.set({ ObjectKind::Backend, backend.name_.str() }, formatBackend(object));
+            store_.hosts_.push_back(ListedHost {
+                backend.name_.str(), HostKind::Backend, HostState::Live, object.zone_, {} });
+            startBackend(backend);
+            backends_.push_back(std::move(backend));
+        }
+    }
+    for (std::size_t team = 0; team < kTeams; ++team) {
+        Contract contract;
+        contract.team_ = TeamName(teamName(team));
+        contract.rate_ = kRate;
+        contract.burst_ = kBurst;
+        contract.connections_ = 10;
+        store_.set({ ObjectKind::Contract, teamName(team) }, formatContract(contract));
+        setKeyGranted(team, true);
+    }
+}
+
+void CoreFleet::startHost(std::size_t index)
+{
+    auto host = std::make_shared<Host>();
+    host->index_ = index;
+    host->self_.member_
+        = Member { HostName("entry-" + std::to_string(index)), Incarnation { ++lastIncarnation_ } };
+    host->self_.address_ = Address { "10.0.0.1", 1 };
+    host->self_.zone_ = ZoneName(zoneName(index % kZones));
+    const std::int64_t kDrift = 400;
+    host->clock_ = DriftingClock(
+        std::chrono::seconds(1000 + 77 * static_cast<std::int64_t>(lastIncarnation_)),
+        index % 2 == 0 ? kDrift : -kDrift);
+    Host *raw = host.get();
+    host->store_ = std::make_unique<FleetStore::Port>(
+        store_, [this, raw](auto task) { atHost(raw->shared_from_this(), std::move(task)); });
+    host->links_ = std::make_unique<Links>(*this, *raw);
+    host->servers_ = std::make_unique<Servers>(*this, *raw);
+    const ControlPorts ports {
+        *host->store_,
+        *host->links_,
+        *host->servers_,
+        [this, raw](Duration delay, std::function<void()> task) {
+            events_.after(delay, [this, raw, task = std::move(task)] {
+                atHost(raw->shared_from_this(), task);
+            });
+        },
+        [this, raw] { return raw->clock_.at(events_.now()); },
+        lastIncarnation_,
+    };
+    host->core_ = std::make_unique<ControlCore>(host->self_, ports, host->routing_, host->views_,
+                                                silence, host->counters_);
+    if (hosts_[index]) {
+        hosts_[index]->isDead_ = true;
+        retired_.push_back(hosts_[index]);
+    }
+    hosts_[index] = host;
+    host->core_->start();
+    scheduleTick(host);
+}
+
+void CoreFleet::pauseHost(std::size_t host, bool paused)
+{
+    hosts_[host]->paused_ = paused;
+}
+
+void CoreFleet::cutHost(std::size_t host, bool isCut)
+{
+    hosts_[host]->isCut_ = isCut;
+}
+
+void CoreFleet::cutHostFromStore(std::size_t host, bool isCut)
+{
+    hosts_[host]->store_->isCut_ = isCut;
+}
+
+void CoreFleet::restartHost(std::size_t host)
+{
+    startHost(host);
+}
+
+void CoreFleet::scheduleTick(const std::shared_ptr<Host> &host)
+{
+    events_.after(ControlCore::kTick, [this, host] {
+        if (host->isDead_)
+            return;
+        if (!host->paused_)
+            host->core_->tick();
+        scheduleTick(host);
+    });
+}
+
+void CoreFleet::atHost(const std::shared_ptr<Host> &host, std::function<void()> task)
+{
+    if (host->isDead_)
+        return;
+    if (host->paused_)
+        events_.after(kResumeDelay, [this, host, task = std::move(task)] { atHost(host, task); });
+    else
+        task();
+}
+
+void CoreFleet::deliver(Host &from, const HostName &to, const SiblingMessage &message)
+{
+    ++messages_;
+    const bool isLost = losesMessages_ && messages_ % 5 == 0;
+    const bool isSlow = losesMessages_ && messages_ % 7 == 0;
+    if (isLost || from.isCut_)
+        return;
+    events_.after(isSlow ? kSlowNetworkDelay : kNetworkDelay, [this, self = from.self_, to,
+                                                               message] {
+        for (const auto &host : hosts_) {
+            if (host->self_.member_.host_ != to || host->isCut_)
+                continue;
+            atHost(host, [host, self, message] { host->core_->onSiblingMessage(self, message); });
+        }
+    });
+}
+
+void CoreFleet::startBackend(Backend &backend)
+{
+    ++lastIncarnation_;
+    backend.clock_ = DriftingClock(
+        std::chrono::seconds(9000 + 13 * static_cast<std::int64_t>(lastIncarnation_)), 400);
+    backend.lease_ = std::make_unique<ServerLease>(Incarnation { lastIncarnation_ });
+    backend.work_.clear();
+}
+
+void CoreFleet::restartBackend(std::size_t backend)
+{
+    startBackend(backends_[backend]);
+    backends_[backend].paused_ = false;
+}
+
+CoreFleet::Backend *CoreFleet::find(const Address &address)
+{
+    for (Backend &backend : backends_) {
+        if (backend.address_ == address)
+            return &backend;
+    }
+    return nullptr;
+}
+
+CoreFleet::Backend &CoreFleet::find(const BackendName &name)
+{
+    return *std::find_if(backends_.begin(), backends_.end(),
+                         [&](const Backend &backend) { return backend.name_ == name; });
+}
+
+void CoreFleet::setBackendLeaving(std::size_t index, bool isLeaving)
+{
+    const BackendName &name = backends_[index].name_;
+    for (ListedHost &listed : store_.hosts_) {
+        if (listed.name_ == name.str())
+            listed.state_ = isLeaving ? HostState::Leaving : HostState::Live;
+    }
+    if (isLeaving)
+        leavingSince_.try_emplace(name, events_.now());
+    else
+        leavingSince_.erase(name);
+}
+
+void CoreFleet::setZoneOut(std::size_t zone, bool isOut)
+{
+    store_.set({ ObjectKind::Zone, zoneName(zone) },
+               formatZone(Zone { ZoneName(zoneName(zone)), isOut ? ZoneState::Out : ZoneState::In,
+                                 Duration::zero() }));
+    if (isOut)
+        zoneOutSince_.try_emplace(zone, events_.now());
+    else
+        zoneOutSince_.erase(zone);
+}
+
+void CoreFleet::setKeyGranted(std::size_t team, bool isGranted)
+{
+    const ObjectRef ref { ObjectKind::TeamKey, teamName(team) };
+    if (isGranted) {
+        store_.set(ref, formatTeamKey(TeamKey { teamName(team), TeamName(teamName(team)),
+                                                sha256Hex(secretOf(team)) }));
+        keyWithdrawnSince_.erase(team);
+        return;
+    }
+    store_.erase(ref);
+    keyWithdrawnSince_.try_emplace(team, events_.now());
+}
+
+void CoreFleet::heal()
+{
+    store_.faults_ = {};
+    losesMessages_ = false;
+    for (std::size_t i = 0; i < hosts_.size(); ++i) {
+        pauseHost(i, false);
+        cutHost(i, false);
+        cutHostFromStore(i, false);
+    }
+    for (std::size_t i = 0; i < backends_.size(); ++i) {
+        pauseBackend(i, false);
+        setBackendLeaving(i, false);
+    }
+    for (std::size_t zone = 0; zone < kZones; ++zone)
+        setZoneOut(zone, false);
+    for (std::size_t team = 0; team < kTeams; ++team)
+        setKeyGranted(team, true);
+}
+
+void CoreFleet::run(Duration duration)
+{
+    events_.runUntil(events_.now() + duration, [this] { check(); });
+}
+
+void CoreFleet::request(std::size_t index, std::size_t number)
+{
+    const std::shared_ptr<Host> host = hosts_[index];
+    if (host->isDead_ || host->paused_)
+        return;
+    std::shared_ptr<const TrafficView> view = host->views_.load();
+    if (!host->firstView_ && isServing(*view))
+        host->firstView_ = view;
+    if (!sabotage_.usesNewestView(index) && host->firstView_)
+        view = host->firstView_;
+    Work work;
+    work.team_ = number % kTeams;
+    work.service_ = ServiceName(kServices[number / kTeams % std::size(kServices)]);
+    work.key_ = 'k' + std::to_string(number / 7 % kKeys);
+    CallerRequest request;
+    request.method_ = number % 5 < 2 ? "POST" : "GET";
+    request.path_ = '/' + work.service_.str() + "/items/" + work.key_;
+    request.teamKey_ = secretOf(work.team_);
+    const TimePoint now = host->clock_.at(events_.now());
+    RouteDecision decision = RequestRouter::route(*view, request, now);
+    if (!std::holds_alternative<RoutedRequest>(decision))
+        return;
+    auto routed = std::get<RoutedRequest>(std::move(decision));
+    work.request_ = fates_.size();
+    fates_.push_back(Fate { routed.route_->idempotent_, 0, false });
+    const auto run = std::make_shared<Run>(*this, host, view, std::move(routed), work);
+    if (!sabotage_.spendsTokens()) {
+        noteSpent();
+        run->start();
+        return;
+    }
+    const auto purse = view->purses_.find(TeamName(teamName(work.team_)));
+    if (purse == view->purses_.end())
+        return;
+    const auto decided = [this, run, isCounted = work.team_ == 0](SpendResult result) {
+        if (result != SpendResult::Spent)
+            return;
+        if (isCounted)
+            noteSpent();
+        run->start();
+    };
+    const SpendResult result = purse->second->spend(1, now, decided);
+    if (result == SpendResult::Waiting)
+        host->core_->onTokensWanted(purse->second->account());
+    else
+        decided(result);
+}
+
+void CoreFleet::take(Backend &backend, const std::shared_ptr<Work> &work, const OnEnd &done)
+{
+    if (backend.paused_) {
+        events_.after(kResumeDelay, [this, &backend, work, done] { take(backend, work, done); });
+        return;
+    }
+    const bool isChecked = backend.service_ == ServiceName("permits");
+    const TimePoint now = backend.clock_.at(events_.now());
+    const bool isCovered = !isChecked || !sabotage_.checksLease()
+                           || backend.lease_->covers(work->unit_, work->epoch_, now);
+    if (!isCovered || events_.now() >= work->deadline_) {
+        done(AttemptState::DeclaredNotRun);
+        return;
+    }
+    work->term_ = backend.lease_->term();
+    backend.work_.push_back(work);
+    noteBegin(backend, *work);
+    events_.after(work->length_, [this, &backend, work, done] { finish(backend, work, done); });
+}
+
+void CoreFleet::finish(Backend &backend, const std::shared_ptr<Work> &work, const OnEnd &done)
+{
+    if (backend.paused_) {
+        events_.after(kResumeDelay, [this, &backend, work, done] { finish(backend, work, done); });
+        return;
+    }
+    const auto running = std::find(backend.work_.begin(), backend.work_.end(), work);
+    if (running == backend.work_.end())
+        return;
+    backend.work_.erase(running);
+    const bool isChecked = backend.service_ == ServiceName("permits");
+    const TimePoint now = backend.clock_.at(events_.now());
+    const bool mayFinish
+        = !isChecked || !sabotage_.checksLease() || backend.lease_->mayFinish(work->term_, now);
+    if (!mayFinish || events_.now() >= work->deadline_) {
+        done(AttemptState::DeclaredNotRun);
+        return;
+    }
+    noteExecution(*work);
+    done(AttemptState::Answered);
+}
+
+void CoreFleet::noteExecution(const Work &work)
+{
+    Fate &fate = fates_[work.request_];
+    ++fate.executions_;
+    if (fate.toldNotRun_)
+        breakRule(Rule::TrueNotRun);
+    if (!fate.idempotent_ && fate.executions_ > 1)
+        breakRule(Rule::AtMostOnce);
+}
+
+void CoreFleet::noteBegin(const Backend &backend, const Work &work)
+{
+    const auto isLate = [&](const auto &changes, const auto &name) {
+        const auto found = changes.find(name);
+        return found != changes.end() && isOverdue(found->second);
+    };
+    if (isLate(zoneOutSince_, backend.zone_))
+        breakRule(Rule::ZoneOut);
+    if (isLate(leavingSince_, backend.name_))
+        breakRule(Rule::LeavingBackend);
+    if (isLate(keyWithdrawnSince_, work.team_))
+        breakRule(Rule::OnlyTheKeysTeam);
+}
+
+// While nobody can read the store nobody can learn of a change; all else is no excuse.
+bool CoreFleet::isOverdue(Duration since) const
+{
+    return events_.now() > std::max(since, storeFailedAt_) + kMostSpread;
+}
+
+// The smallest bucket that would have allowed all that was spent.
+void CoreFleet::noteSpent()
+{
+    owed_ = std::max(0.0, owed_ - kRate * toSeconds(events_.now() - spentAt_));
+    spentAt_ = events_.now();
+    owed_ += 1;
+    if (owed_ > kBurst + 1e-6)
+        breakRule(Rule::RateAndBurst);
+}
+
+// An assignment once written is replaced only by one of a higher epoch.
+void CoreFleet::noteWrite(const StoredObject &object)
+{
+    if (object.ref_.kind_ != ObjectKind::Placement)
+        return;
+    const ServiceName service(object.ref_.name_);
+    const auto next = valueOr(
+        [&]() -> leaf::result<std::optional<Placement>> {
+            BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
+            return std::optional<Placement>(std::move(placement));
+        },
+        [](const Error &) { return std::optional<Placement>(); });
+    const auto known = placements_.find(service);
+    if (known != placements_.end()) {
+        bool survives = next.has_value() && next->roleEpoch_ >= known->second.roleEpoch_;
+        for (std::size_t i = 0; survives && i < next->shards_.size(); ++i)
+            survives = next->shards_[i] == known->second.shards_[i]
+                       || next->shards_[i].epoch_ > known->second.shards_[i].epoch_;
+        if (!survives)
+            breakRule(Rule::AssignmentSurvives);
+    }
+    if (!next)
+        return;
+    placements_[service] = *next;
+}
+
+void CoreFleet::check()
+{
+    const bool isUseless = store_.faults_.down_ || store_.faults_.delay_ > 300ms;
+    const bool isRead = std::any_of(hosts_.begin(), hosts_.end(), [](const auto &host) {
+        return !host->paused_ && !host->isCut_ && !host->store_->isCut_;
+    });
+    if (isUseless || !isRead)
+        storeFailedAt_ = events_.now();
+    if (!sabotage_.keepsPlacements() && placements_.contains(ServiceName("permits"))
+        && random_.below(2000) == 0) {
+        Placement lost = placements_[ServiceName("permits")];
+        lost.shards_.assign(lost.shards_.size(), ShardOwner {});
+        store_.set({ ObjectKind::Placement, "permits" }, formatPlacement(lost));
+    }
+    checkOwners();
+    checkVersions();
+}
+
+void CoreFleet::checkOwners()
+{
+    std::map<std::string, std::set<BackendName>> owners;
+    for (const Backend &backend : backends_) {
+        if (backend.paused_ || backend.service_ == ServiceName("plain"))
+            continue;
+        const bool isChecked = backend.service_ == ServiceName("permits");
+        const TimePoint now = backend.clock_.at(events_.now());
+        for (const auto &work : backend.work_) {
+            const bool isStopped = isChecked && sabotage_.checksLease()
+                                   && !backend.lease_->mayFinish(work->term_, now);
+            if (!isStopped && events_.now() < work->deadline_)
+                owners[backend.service_.str() + '/' + work->key_].insert(backend.name_);
+        }
+    }
+    for (const auto &[key, names] : owners) {
+        if (names.size() > 1)
+            breakRule(Rule::OneOwner);
+    }
+}
+
+void CoreFleet::checkVersions()
+{
+    for (const auto &host : hosts_) {
+        for (std::size_t zone = 0; zone < kZones; ++zone) {
+            const ObjectRef ref { ObjectKind::Zone, zoneName(zone) };
+            const Version version = sabotage_.inForce(host->core_->config().versionOf(ref));
+            if (version < host->seen_[ref])
+                breakRule(Rule::NeverReverts);
+            host->seen_[ref] = version;
+        }
+    }
+}
+
+void CoreFleet::breakRule(Rule rule)
+{
+    ++broken_[rule];
+}
+
+std::size_t CoreFleet::broken(Rule rule) const
+{
+    const auto found = broken_.find(rule);
+    return found == broken_.end() ? 0 : found->second;
+}
+
+std::string CoreFleet::brokenRules() const
+{
+    std::string rules;
+    for (const auto &[rule, count] : broken_)
+        rules += std::string(toString(rule)) + " x" + std::to_string(count) + ' ';
+    return rules;
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/tests/fakes/FleetStore.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "pimentostage/platform/ObjectStore.h"
+#include "tests/fakes/EventQueue.h"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace pimentostage {
+
+/// The platform's store as many hosts share it: versions, watches, the host list, outages, delays
+/// and lost answers. Every change is kept.
+class FleetStore
+{
+public:
+    /// How the store behaves.
+    struct Faults
+    {
+        bool down_ = false;
+        bool losesAnswers_ = false; ///< writes take effect, their answers are lost
+        Duration delay_ = std::chrono::milliseconds(2); ///< each way
+    };
+
+    explicit FleetStore(EventQueue &events)
+        : events_(events)
+    { }
+
+    Faults faults_;
+    std::vector<ListedHost> hosts_;
+    /// Called with each object written.
+    std::function<void(const StoredObject &)> onWrite_;
+
+    /// Writes as an operator whose call gets through.
+    Version set(const ObjectRef &ref, const std::string &value);
+    /// Deletes as an operator whose call gets through.
+    Version erase(const ObjectRef &ref);
+    [[nodiscard]] StoredObject find(const ObjectRef &ref) const;
+    [[nodiscard]] bool isDown() const { return faults_.down_; }
+
+    /// One host's connection to the store.
+    class Port : public ObjectStore
+    {
+    public:
+        /// Runs a function at the host: later while it is paused, never once it is dead.
+        using AtHost = std::function<void(std::function<void()>)>;
+
+        Port(FleetStore &store, AtHost atHost)
+            : store_(store)
+            , atHost_(std::move(atHost))
+        { }
+
+        bool isCut_ = false;
+
+        void list(Done<StoreListing> done) override;
+        void watch(Version since, Duration wait, Done<StoreListing> done) override;
+        void get(const ObjectRef &ref, Done<StoredObject> done) override;
+        void put(const ObjectRef &ref, const std::string &value, Version expected,
+                 Done<WriteResult> done) override;
+        void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) override;
+        void hosts(Done<std::vector<ListedHost>> done) override;
+
+    private:
+        template <typename T>
+        void call(std::function<Reply<T>()> act, Done<T> done);
+        void poll(Version since, Duration left, const Done<StoreListing> &done);
+        void write(StoredObject next, Version expected, const Done<WriteResult> &done);
+
+        FleetStore &store_;
+        const AtHost atHost_;
+    };
+
+private:
+    StoreListing changesSince(Version since) const;
+    void write(StoredObject next);
+
+    EventQueue &events_;
+    std::map<ObjectRef, StoredObject> objects_; ///< deleted ones included
+    Version revision_;
+};
+
+} // namespace pimentostage
