Fuzz: the oracle in a class of its own

Change: FleetOracle keeps what really happened and counts broken rules; no rule is checked less strictly. Conclusion: none beyond the change.

--- a/tests/CoreFuzzTest.cpp
+++ b/tests/CoreFuzzTest.cpp
@@ -125,10 +125,10 @@
                            rc::gen::inRange<std::size_t>(0, 1000), rc::gen::inRange(50, 2500)));
     CoreFleet fleet(hosts, seed, none);
     play(fleet, steps);
-    if (!fleet.brokenRules().empty()) {
+    if (!fleet.oracle().brokenRules().empty()) {
         for (const auto &[command, draw, wait] : steps)
             RC_LOG() << kCommands[command].name_ << ' ' << draw << " then " << wait << " ms\n";
-        RC_FAIL(fleet.brokenRules());
+        RC_FAIL(fleet.oracle().brokenRules());
     }
     // Once the failures end, everything is served again.
     fleet.heal();
@@ -137,7 +137,7 @@
     const std::size_t before = fleet.answered();
     runWithTraffic(fleet, 2s, number);
     RC_ASSERT(fleet.answered() > before + 20);
-    RC_ASSERT(fleet.brokenRules().empty());
+    RC_ASSERT(fleet.oracle().brokenRules().empty());
 }
 
 TEST(CoreFleet, AnswersWhileNothingFails)
@@ -149,7 +149,7 @@
     const std::size_t before = fleet.answered();
     runWithTraffic(fleet, 5s, number);
     EXPECT_GT(fleet.answered(), before + 160) << "of 200, some of which the network loses";
-    EXPECT_EQ(fleet.brokenRules(), "");
+    EXPECT_EQ(fleet.oracle().brokenRules(), "");
 }
 
 TEST(CoreFleet, AHostThatCannotReadTheHostListHearsOfLeavingBackEnds)
@@ -162,7 +162,7 @@
     runWithTraffic(fleet, 1s, number);
     fleet.setBackendLeaving(4, true);
     runWithTraffic(fleet, 12s, number);
-    EXPECT_EQ(fleet.brokenRules(), "");
+    EXPECT_EQ(fleet.oracle().brokenRules(), "");
 }
 
 TEST(CoreFleet, AZoneThatIsOutGetsNothingThoughNobodyElseCanServe)
@@ -178,7 +178,7 @@
     runWithTraffic(fleet, 5s, number);
     fleet.restartHost(2);
     runWithTraffic(fleet, 5s, number);
-    EXPECT_EQ(fleet.brokenRules(), "");
+    EXPECT_EQ(fleet.oracle().brokenRules(), "");
 }
 
 /// A fault built in on purpose, and the rule that it breaks.
@@ -268,11 +268,11 @@
     for (const SabotageCase &row : cases) {
         CoreFleet fleet(3, 7, row.sabotage_);
         playCourse(fleet);
-        EXPECT_GT(fleet.broken(row.rule_), 0U) << toString(row.rule_);
+        EXPECT_GT(fleet.oracle().broken(row.rule_), 0U) << toString(row.rule_);
     }
     CoreFleet sound(3, 7, none);
     playCourse(sound);
-    EXPECT_EQ(sound.brokenRules(), "");
+    EXPECT_EQ(sound.oracle().brokenRules(), "");
 }
 
 } // namespace
--- a/tests/fakes/CoreFleet.cpp
+++ b/tests/fakes/CoreFleet.cpp
@@ -15,8 +15,6 @@
 constexpr Duration kResumeDelay = 25ms;
 constexpr Duration kNetworkDelay = 1ms;
 constexpr Duration kSlowNetworkDelay = 900ms;
-// A change must be in force everywhere within this time.
-constexpr Duration kMostSpread = 6s;
 constexpr double kRate = 40;
 constexpr double kBurst = 20;
 constexpr std::uint32_t kShards = 4;
@@ -292,10 +290,7 @@
     {
         if (giveUp.outcome_ != Outcome::NotRun)
             return;
-        Fate &fate = fleet_.fates_[work_.request_];
-        fate.toldNotRun_ = true;
-        if (fate.executions_ > 0)
-            fleet_.breakRule(Rule::TrueNotRun);
+        fleet_.oracle_.onToldNotRun(work_.request_);
     }
 
     struct Flight
@@ -391,9 +386,10 @@
 CoreFleet::CoreFleet(std::size_t hosts, std::uint64_t seed, const Sabotage &sabotage)
     : sabotage_(sabotage)
     , random_(seed)
+    , oracle_(kRate, kBurst)
     , store_(events_)
 {
-    store_.onWrite_ = [this](const StoredObject &object) { noteWrite(object); };
+    store_.onWrite_ = [this](const StoredObject &object) { oracle_.onWrite(object); };
     writeObjects();
     hosts_.resize(hosts);
     for (std::size_t i = 0; i < hosts; ++i)
@@ -580,10 +576,7 @@
         if (listed.name_ == name.str())
             listed.state_ = isLeaving ? HostState::Leaving : HostState::Live;
     }
-    if (isLeaving)
-        leavingSince_.try_emplace(name, events_.now());
-    else
-        leavingSince_.erase(name);
+    oracle_.onWithdrawn(Rule::LeavingBackend, name.str(), isLeaving, events_.now());
 }
 
 void CoreFleet::setZoneOut(std::size_t zone, bool isOut)
@@ -591,10 +584,7 @@
     store_.set({ ObjectKind::Zone, zoneName(zone) },
                formatZone(Zone { ZoneName(zoneName(zone)), isOut ? ZoneState::Out : ZoneState::In,
                                  Duration::zero() }));
-    if (isOut)
-        zoneOutSince_.try_emplace(zone, events_.now());
-    else
-        zoneOutSince_.erase(zone);
+    oracle_.onWithdrawn(Rule::ZoneOut, zoneName(zone), isOut, events_.now());
 }
 
 void CoreFleet::setKeyGranted(std::size_t team, bool isGranted)
@@ -603,11 +593,10 @@
     if (isGranted) {
         store_.set(ref, formatTeamKey(TeamKey { teamName(team), TeamName(teamName(team)),
                                                 sha256Hex(secretOf(team)) }));
-        keyWithdrawnSince_.erase(team);
-        return;
+    } else {
+        store_.erase(ref);
     }
-    store_.erase(ref);
-    keyWithdrawnSince_.try_emplace(team, events_.now());
+    oracle_.onWithdrawn(Rule::OnlyTheKeysTeam, teamName(team), !isGranted, events_.now());
 }
 
 void CoreFleet::heal()
@@ -657,11 +646,10 @@
     if (!std::holds_alternative<RoutedRequest>(decision))
         return;
     auto routed = std::get<RoutedRequest>(std::move(decision));
-    work.request_ = fates_.size();
-    fates_.push_back(Fate { routed.route_->idempotent_, 0, false });
+    work.request_ = oracle_.onRequest(routed.route_->idempotent_);
     const auto run = std::make_shared<Run>(*this, host, view, std::move(routed), work);
     if (!sabotage_.spendsTokens()) {
-        noteSpent();
+        oracle_.onSpent(events_.now());
         run->start();
         return;
     }
@@ -672,7 +660,7 @@
         if (result != SpendResult::Spent)
             return;
         if (isCounted)
-            noteSpent();
+            oracle_.onSpent(events_.now());
         run->start();
     };
     const SpendResult result = purse->second->spend(1, now, decided);
@@ -698,7 +686,8 @@
     }
     work->term_ = backend.lease_->term();
     backend.work_.push_back(work);
-    noteBegin(backend, *work);
+    oracle_.onBegin(zoneName(backend.zone_), backend.name_.str(), teamName(work->team_),
+                    events_.now());
     events_.after(work->length_, [this, &backend, work, done] { finish(backend, work, done); });
 }
 
@@ -720,76 +709,10 @@
         done(AttemptState::DeclaredNotRun);
         return;
     }
-    noteExecution(*work);
+    oracle_.onExecuted(work->request_);
     done(AttemptState::Answered);
 }
 
-void CoreFleet::noteExecution(const Work &work)
-{
-    Fate &fate = fates_[work.request_];
-    ++fate.executions_;
-    if (fate.toldNotRun_)
-        breakRule(Rule::TrueNotRun);
-    if (!fate.idempotent_ && fate.executions_ > 1)
-        breakRule(Rule::AtMostOnce);
-}
-
-void CoreFleet::noteBegin(const Backend &backend, const Work &work)
-{
-    const auto isLate = [&](const auto &changes, const auto &name) {
-        const auto found = changes.find(name);
-        return found != changes.end() && isOverdue(found->second);
-    };
-    if (isLate(zoneOutSince_, backend.zone_))
-        breakRule(Rule::ZoneOut);
-    if (isLate(leavingSince_, backend.name_))
-        breakRule(Rule::LeavingBackend);
-    if (isLate(keyWithdrawnSince_, work.team_))
-        breakRule(Rule::OnlyTheKeysTeam);
-}
-
-// While nobody can read the store nobody can learn of a change; all else is no excuse.
-bool CoreFleet::isOverdue(Duration since) const
-{
-    return events_.now() > std::max(since, storeFailedAt_) + kMostSpread;
-}
-
-// The smallest bucket that would have allowed all that was spent.
-void CoreFleet::noteSpent()
-{
-    owed_ = std::max(0.0, owed_ - kRate * toSeconds(events_.now() - spentAt_));
-    spentAt_ = events_.now();
-    owed_ += 1;
-    if (owed_ > kBurst + 1e-6)
-        breakRule(Rule::RateAndBurst);
-}
-
-// An assignment once written is replaced only by one of a higher epoch.
-void CoreFleet::noteWrite(const StoredObject &object)
-{
-    if (object.ref_.kind_ != ObjectKind::Placement)
-        return;
-    const ServiceName service(object.ref_.name_);
-    const auto next = valueOr(
-        [&]() -> leaf::result<std::optional<Placement>> {
-            BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
-            return std::optional<Placement>(std::move(placement));
-        },
-        [](const Error &) { return std::optional<Placement>(); });
-    const auto known = placements_.find(service);
-    if (known != placements_.end()) {
-        bool survives = next.has_value() && next->roleEpoch_ >= known->second.roleEpoch_;
-        for (std::size_t i = 0; survives && i < next->shards_.size(); ++i)
-            survives = next->shards_[i] == known->second.shards_[i]
-                       || next->shards_[i].epoch_ > known->second.shards_[i].epoch_;
-        if (!survives)
-            breakRule(Rule::AssignmentSurvives);
-    }
-    if (!next)
-        return;
-    placements_[service] = *next;
-}
-
 void CoreFleet::check()
 {
     const bool isUseless = store_.faults_.down_ || store_.faults_.delay_ > 300ms;
@@ -797,10 +720,10 @@
         return !host->paused_ && !host->isCut_ && !host->store_->isCut_;
     });
     if (isUseless || !isRead)
-        storeFailedAt_ = events_.now();
-    if (!sabotage_.keepsPlacements() && placements_.contains(ServiceName("permits"))
-        && random_.below(2000) == 0) {
-        Placement lost = placements_[ServiceName("permits")];
+        oracle_.onStoreFailed(events_.now());
+    const Placement *placement = oracle_.placement(ServiceName("permits"));
+    if (!sabotage_.keepsPlacements() && placement && random_.below(2000) == 0) {
+        Placement lost = *placement;
         lost.shards_.assign(lost.shards_.size(), ShardOwner {});
         store_.set({ ObjectKind::Placement, "permits" }, formatPlacement(lost));
     }
@@ -823,10 +746,8 @@
                 owners[backend.service_.str() + '/' + work->key_].insert(backend.name_);
         }
     }
-    for (const auto &[key, names] : owners) {
-        if (names.size() > 1)
-            breakRule(Rule::OneOwner);
-    }
+    for (const auto &[key, names] : owners)
+        oracle_.onOwners(names.size());
 }
 
 void CoreFleet::checkVersions()
@@ -835,30 +756,10 @@
         for (std::size_t zone = 0; zone < kZones; ++zone) {
             const ObjectRef ref { ObjectKind::Zone, zoneName(zone) };
             const Version version = sabotage_.inForce(host->core_->config().versionOf(ref));
-            if (version < host->seen_[ref])
-                breakRule(Rule::NeverReverts);
+            oracle_.onInForce(host->seen_[ref], version);
             host->seen_[ref] = version;
         }
     }
 }
 
-void CoreFleet::breakRule(Rule rule)
-{
-    ++broken_[rule];
-}
-
-std::size_t CoreFleet::broken(Rule rule) const
-{
-    const auto found = broken_.find(rule);
-    return found == broken_.end() ? 0 : found->second;
-}
-
-std::string CoreFleet::brokenRules() const
-{
-    std::string rules;
-    for (const auto &[rule, count] : broken_)
-        rules += std::string(toString(rule)) + " x" + std::to_string(count) + ' ';
-    return rules;
-}
-
 } // namespace pimentostage
--- a/tests/fakes/CoreFleet.h
+++ b/tests/fakes/CoreFleet.h
@@ -7,6 +7,7 @@
 #include "src/daemon/ControlCore.h"
 #include "tests/fakes/DriftingClock.h"
 #include "tests/fakes/EventQueue.h"
+#include "tests/fakes/FleetOracle.h"
 #include "tests/fakes/FleetStore.h"
 
 #include <map>
@@ -17,35 +18,6 @@
 
 namespace pimentostage {
 
-/// What must always hold; a CoreFleet counts how often each was broken.
-enum class Rule {
-    OneOwner,
-    AssignmentSurvives,
-    ZoneOut,
-    OnlyTheKeysTeam,
-    RateAndBurst,
-    TrueNotRun,
-    AtMostOnce,
-    LeavingBackend,
-    NeverReverts,
-};
-
-template <>
-struct EnumTable<Rule>
-{
-    static constexpr std::array kRows {
-        EnumName<Rule> { Rule::OneOwner, "one-owner" },
-        EnumName<Rule> { Rule::AssignmentSurvives, "assignment-survives" },
-        EnumName<Rule> { Rule::ZoneOut, "zone-out" },
-        EnumName<Rule> { Rule::OnlyTheKeysTeam, "only-the-keys-team" },
-        EnumName<Rule> { Rule::RateAndBurst, "rate-and-burst" },
-        EnumName<Rule> { Rule::TrueNotRun, "true-not-run" },
-        EnumName<Rule> { Rule::AtMostOnce, "at-most-once" },
-        EnumName<Rule> { Rule::LeavingBackend, "leaving-backend" },
-        EnumName<Rule> { Rule::NeverReverts, "never-reverts" },
-    };
-};
-
 /// Faults built in on purpose, to show that the oracle finds them. Without overrides there is none.
 class Sabotage
 {
@@ -67,7 +39,7 @@
 
 /// Several hosts' whole decision core with store, links and back ends, all of which fail.
 ///
-/// Time is true time; clocks drift. A simple oracle counts broken rules.
+/// Time is true time; clocks drift. The oracle is told what really happens.
 class CoreFleet
 {
 public:
@@ -94,10 +66,7 @@
 
     [[nodiscard]] std::size_t hostCount() const { return hosts_.size(); }
     [[nodiscard]] std::size_t backendCount() const { return backends_.size(); }
-    /// @return how often @p rule was broken.
-    [[nodiscard]] std::size_t broken(Rule rule) const;
-    /// @return the names of broken rules.
-    [[nodiscard]] std::string brokenRules() const;
+    [[nodiscard]] const FleetOracle &oracle() const { return oracle_; }
     /// @return requests answered.
     [[nodiscard]] std::size_t answered() const { return answered_; }
 
@@ -124,14 +93,6 @@
         std::vector<std::shared_ptr<Work>> work_;
         bool paused_ = false;
     };
-    /// What really became of a request, and what its caller was told.
-    struct Fate
-    {
-        bool idempotent_ = false;
-        std::size_t executions_ = 0;
-        bool toldNotRun_ = false;
-    };
-
     void writeObjects();
     void startHost(std::size_t index);
     void startBackend(Backend &backend);
@@ -143,36 +104,21 @@
     using OnEnd = std::function<void(AttemptState)>;
     void take(Backend &backend, const std::shared_ptr<Work> &work, const OnEnd &done);
     void finish(Backend &backend, const std::shared_ptr<Work> &work, const OnEnd &done);
-    void noteWrite(const StoredObject &object);
-    void noteBegin(const Backend &backend, const Work &work);
-    void noteExecution(const Work &work);
-    void noteSpent();
     void check();
     void checkOwners();
     void checkVersions();
-    void breakRule(Rule rule);
-    /// @return whether a change made at @p since must be in force everywhere.
-    [[nodiscard]] bool isOverdue(Duration since) const;
 
     EventQueue events_;
     const Sabotage &sabotage_;
     Random random_;
+    FleetOracle oracle_;
     FleetStore store_;
     std::vector<std::shared_ptr<Host>> hosts_;
     std::vector<std::shared_ptr<Host>> retired_;
     std::vector<Backend> backends_;
     std::uint64_t lastIncarnation_ = 0;
-    std::vector<Fate> fates_; ///< by request number
     std::uint64_t messages_ = 0;
     std::size_t answered_ = 0;
-    std::map<std::size_t, Duration> zoneOutSince_;
-    std::map<std::size_t, Duration> keyWithdrawnSince_;
-    std::map<BackendName, Duration> leavingSince_;
-    Duration storeFailedAt_ {}; ///< the last moment at which nobody could read the store
-    std::map<ServiceName, Placement> placements_;
-    double owed_ = 0;
-    Duration spentAt_ {};
-    std::map<Rule, std::size_t> broken_;
 };
 
 } // namespace pimentostage
