Succession: one way to say that a process has stopped

Cause: onVouchedLost only called onStopped, and RoleKeeper asked for a vouched loss in two places. Change: onVouchedLost is gone; hasStopped() in RoleKeeper answers both. Measured: RoleKeeper and CoreFleet tests pass, 400 cases of the property. Conclusion: none beyond the change.

--- a/src/sibling/RoleKeeper.cpp
+++ b/src/sibling/RoleKeeper.cpp
@@ -23,6 +23,15 @@
                    std::make_move_iterator(more.end()));
 }
 
+/// @return whether @p member is known to have stopped, or an operator vouches that it has.
+bool hasStopped(const RoleSurroundings &surroundings, const Member &member)
+{
+    const auto vouched = surroundings.vouchedLost_.find(member.host_);
+    const bool isVouchedLost
+        = vouched != surroundings.vouchedLost_.end() && member.incarnation_ <= vouched->second;
+    return isVouchedLost || surroundings.stopped_.contains(member);
+}
+
 } // namespace
 
 std::vector<Member> rankedFor(const RoleName &role, std::vector<Member> members)
@@ -125,11 +134,8 @@
 {
     const auto isReachable = [&](const Member &member) {
         const auto &view = surroundings.view_;
-        const auto vouched = surroundings.vouchedLost_.find(member.host_);
         return std::find(view.begin(), view.end(), member) != view.end()
-               || surroundings.stopped_.contains(member)
-               || (vouched != surroundings.vouchedLost_.end()
-                   && member.incarnation_ <= vouched->second);
+               || hasStopped(surroundings, member);
     };
     std::vector<Member> missing;
     for (const RoleTerm &term : Succession::openTerms(record_)) {
@@ -362,13 +368,8 @@
     RoleActions actions;
     confirm(actions, now);
     for (const Member &member : succession_->unreleased()) {
-        if (surroundings.stopped_.contains(member))
+        if (hasStopped(surroundings, member))
             succession_->onStopped(member, now);
-        const auto vouched = surroundings.vouchedLost_.find(member.host_);
-        const bool isVouchedLost
-            = vouched != surroundings.vouchedLost_.end() && member.incarnation_ <= vouched->second;
-        if (isVouchedLost)
-            succession_->onVouchedLost(member, now);
     }
     if (now >= nextReleases_) {
         nextReleases_ = now + kReleasePeriod;
--- a/src/sibling/Succession.cpp
+++ b/src/sibling/Succession.cpp
@@ -57,11 +57,6 @@
     });
 }
 
-void Succession::onVouchedLost(const Member &member, TimePoint now)
-{
-    onStopped(member, now);
-}
-
 bool Succession::mayAct(TimePoint now) const
 {
     if (terms_.empty())
