--- a/include/pimentostage/sibling/Succession.h
+++ b/include/pimentostage/sibling/Succession.h
@@ -28,15 +28,14 @@
     /// @p member released all earlier epochs; an earlier promise binds for another @p remaining.
     void onReleased(const Member &member, Duration remaining, TimePoint now);
 
-    /// The process @p member is known to have stopped: it said that it leaves, its host runs a newer
-    /// incarnation, or an operator vouches for it. A promise outlives the process that gave it.
+    /// The process @p member is known to have stopped: it said that it leaves, its host runs a
+    /// newer incarnation, or an operator vouches for it. A promise outlives the process that gave
+    /// it.
     void onStopped(const Member &member, TimePoint now);
 
     /// @p holder says that it acts no more under epochs up to @p epoch.
     void onStepDown(const Member &holder, Epoch epoch);
 
-    
-
     /// @return whether the new holder may act at @p now.
     [[nodiscard]] bool mayAct(TimePoint now) const;
 
