Leaving back ends: ask three hosts, not all

While the store is down every host's list is unreadable, so each asked all others every second: messages grew with the square of the fleet. Change: each asks three at random. Conclusion: constant load by host, as for probes.

--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -10,11 +10,13 @@
 constexpr Duration kHostPollPeriod = std::chrono::seconds(1);
 // A host list read longer ago than this is not passed on.
 constexpr Duration kListLife = 2 * kHostPollPeriod;
+// Hosts asked at once for what the list says; when the store is down all ask.
+constexpr std::size_t kHostsAsked = 3;
 // A configuration that neither the store nor a sibling has confirmed for this long may be stale.
 constexpr Duration kMostConfigAge = std::chrono::seconds(3);
 
 /// Parts of the core that choose at random, each with a stream of its own.
-enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement };
+enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement, Hosts };
 
 std::uint64_t seedFor(std::uint64_t seed, RandomUse use)
 {
@@ -36,6 +38,7 @@
     , views_(views)
     , log_(log)
     , counters_(counters)
+    , random_(seedFor(ports.seed_, RandomUse::Hosts))
     , routers_(self_.member_.host_, siblings_,
                [this](const SiblingMessage &message) {
                    runAfter_(Duration::zero(),
@@ -114,10 +117,12 @@
 
 void ControlCore::askForLeavingHosts()
 {
-    for (const Member &member : members_.membership().view()) {
-        if (member != self_.member_)
-            siblings_.send(member.host_, LeavingHostsPull {});
-    }
+    std::vector<Member> others = members_.membership().view();
+    std::erase(others, self_.member_);
+    std::shuffle(others.begin(), others.end(), random_.engine());
+    others.resize(std::min(others.size(), kHostsAsked));
+    for (const Member &member : others)
+        siblings_.send(member.host_, LeavingHostsPull {});
 }
 
 void ControlCore::onLeavingHostsPull(const HostName &from)
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -116,6 +116,7 @@
     FleetFacts facts_;
     std::map<ZoneName, ZoneState> zoneStates_;
     PurseBook purses_;
+    Random random_;
     std::vector<ListedHost> hosts_;
     std::optional<TimePoint> listReadAt_; ///< when the host list was last read
     bool isListReadable_ = false; ///< it was read by the last call
