A queue's turn ends when the request finds no owner

A request whose turn had come and that then found no owner kept its turn while it asked again, and so went past those who wait for the next owner. Change: the turn ends with the choice, whatever it gives. No test of its own: it needs an owner lost between two steps of one thread.

--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -262,6 +262,7 @@
             choice = BackendSelector::select(routes->second, request_.key_, tried_, worker_.random_,
                                              now);
         if (!choice.candidate_) {
+            isAdmitted_ = false;
             perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now)
                                    : execution_.onNoBackend(send.attempt_, now));
             return;
@@ -299,7 +300,6 @@
                       [self, admission, request] { self->onAdmission(admission, request); });
               };
         // One whose turn came in vain, or that was shed, keeps its place.
-        isAdmitted_ = false;
         if (place_ && placeQueue_ == queue_) {
             queue_->putBack(*place_, done, now);
         } else if (!queue_->push(waitingRequest(now), done, now)) {
