--- a/bench/BenchFleet.cpp
+++ b/bench/BenchFleet.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Hash.h"
 #include "pimentostage/platform/ObjectCodec.h"
+#include "src/daemon/OwnParts.h"
 
 #include <cstdio>
 #include <cstdlib>
@@ -205,7 +206,7 @@
               host.dump(), "");
     }
     for (std::size_t i = 0; i < options_.hosts_; ++i) {
-        hosts_.push_back(std::make_unique<Node>(settingsFor(i), log_));
+        hosts_.push_back(std::make_unique<Node>(settingsFor(i), ownParts(settingsFor(i)), log_));
         startOrAbandon([&] { return hosts_.back()->start(); });
     }
 }
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -75,7 +75,8 @@
                                     false,
                                     "{\"state\":\"in\"}" };
         host.config_.apply(object);
-        host.config_.confirm(Version { version }, now());
+        host.config_.confirm(now());
+        host.config_.adoptRevision(Version { version });
     }
 
     std::size_t hostsWith(std::uint64_t version) const
@@ -117,13 +118,13 @@
         host->self_.address_ = Address { "10.0.0.1", 7350 };
         host->self_.zone_ = ZoneName("serra-a");
         Host *raw = host.get();
-        host->control_
-            = std::make_unique<MemberControl>(host->self_, Random(index + 1), host->config_, *host,
-                                              log_, [raw](const ConfigPush &push) {
-                                                  for (const StoredObject &object : push.objects_)
-                                                      raw->config_.apply(object);
-                                                  raw->config_.adoptRevision(push.revision_);
-                                              });
+        host->control_ = std::make_unique<MemberControl>(
+            host->self_, Random(index + 1), MembershipTiming {}, host->config_, *host, log_,
+            [raw](const ConfigPush &push) {
+                for (const StoredObject &object : push.objects_)
+                    raw->config_.apply(object);
+                raw->config_.adoptRevision(push.revision_);
+            });
         indexOf_[host->self_.member_.host_] = index;
         hosts_.push_back(std::move(host));
     }
--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -81,7 +81,7 @@
     const ServiceRoutes &routes = view->routing_->services_.at("availability");
     Random random(1);
     for (auto _ : state) {
-        const auto choice = BackendSelector::select(routes, "", {}, random, TimePoint(1h));
+        const auto choice = BackendSelector::select(routes, { "", {} }, {}, random, TimePoint(1h));
         choice.candidate_->stats_->end();
     }
 }
@@ -93,7 +93,8 @@
     const ServiceRoutes &routes = view->routing_->services_.at("permits");
     Random random(1);
     for (auto _ : state) {
-        const auto choice = BackendSelector::select(routes, "k7", {}, random, TimePoint(1h));
+        const auto choice
+            = BackendSelector::select(routes, { "k7", {} }, {}, random, TimePoint(1h));
         choice.candidate_->stats_->end();
     }
 }
--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/ColdStart.h"
 #include "pimentostage/backend/ConcurrencyLimit.h"
 #include "pimentostage/backend/Warmup.h"
 #include "pimentostage/base/Time.h"
@@ -9,6 +10,14 @@
 
 namespace pimentostage {
 
+/// What a back end says of its load.
+struct LoadReport
+{
+    std::uint32_t running_ = 0; ///< requests that it runs for all hosts
+    std::uint32_t waiting_ = 0; ///< requests that wait in it
+    double pace_ = 1; ///< how long work takes now, against its usual time
+};
+
 /// What this host has observed of one back end. Written by traffic threads, read by all.
 class BackendStats
 {
@@ -24,8 +33,8 @@
     void onAnswer(Duration latency, TimePoint now);
     /// Records a failure that speaks against the back end.
     void onFailure(TimePoint now);
-    /// Records a load report. @param inFlight requests it runs for all hosts.
-    void onLoadReport(std::uint32_t inFlight, TimePoint now);
+    /// Records a load report.
+    void onLoadReport(const LoadReport &report, TimePoint now);
 
     [[nodiscard]] std::uint32_t inFlight() const
     {
@@ -52,6 +61,10 @@
     [[nodiscard]] Warmup &warmup() { return warmup_; }
     [[nodiscard]] const Warmup &warmup() const { return warmup_; }
 
+    /// @return its cold start, for services that state how long it lasts and what it bears.
+    [[nodiscard]] ColdStart &coldStart() { return coldStart_; }
+    [[nodiscard]] const ColdStart &coldStart() const { return coldStart_; }
+
     /// @return what it bears from this host, as learned from sheds.
     [[nodiscard]] ConcurrencyLimit &concurrency() { return concurrency_; }
     [[nodiscard]] const ConcurrencyLimit &concurrency() const { return concurrency_; }
@@ -71,9 +84,11 @@
     std::atomic<std::uint32_t> failuresInRow_ { 0 };
     std::atomic<Duration::rep> ejectedUntil_ { 0 };
     std::atomic<std::uint32_t> reported_ { 0 };
+    std::atomic<double> pace_ { 1 };
     std::atomic<Duration::rep> reportedAt_ { 0 };
     std::atomic<std::uint64_t> incarnation_ { 0 };
     Warmup warmup_;
+    ColdStart coldStart_;
     ConcurrencyLimit concurrency_;
 };
 
--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -23,10 +23,18 @@
     TimePoint deadline_;
     std::optional<Duration> hedgeAfter_; ///< no hedging if empty
     std::uint32_t mostAttempts_ = 3;
+    Duration target_ {}; ///< latency objective; zero if none was stated
 };
 
 /// Why a request was given up.
-enum class GiveUpReason { DeadlinePassed, NoBackend, AttemptsFailed, AnswerBroken, Overloaded };
+enum class GiveUpReason {
+    DeadlinePassed,
+    NoBackend,
+    AttemptsFailed,
+    AnswerBroken,
+    Overloaded,
+    CallerLeft,
+};
 
 template <>
 struct EnumTable<GiveUpReason>
@@ -37,6 +45,7 @@
         EnumName<GiveUpReason> { GiveUpReason::AttemptsFailed, "attempts-failed" },
         EnumName<GiveUpReason> { GiveUpReason::AnswerBroken, "answer-broken" },
         EnumName<GiveUpReason> { GiveUpReason::Overloaded, "overloaded" },
+        EnumName<GiveUpReason> { GiveUpReason::CallerLeft, "caller-left" },
     };
 };
 
@@ -113,6 +122,10 @@
     /// Reports that the time asked for by WakeAt has come.
     ExecutionActions onWake(TimePoint now);
 
+    /// Reports that the caller has left. What may be repeated is cancelled; a request that may not
+    /// goes on once it was sent, so that its outcome is known.
+    ExecutionActions onCallerLeft(TimePoint now);
+
     [[nodiscard]] bool isFinished() const { return finished_; }
     [[nodiscard]] std::size_t attemptCount() const { return attempts_.size(); }
 
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -23,6 +24,7 @@
     Backend backend_;
     std::shared_ptr<BackendStats> stats_;
     std::uint32_t limit_ = 0; ///< requests this host may have in flight there
+    bool isNear_ = true; ///< in this host's data centre
     bool takesNewWork_ = true; ///< neither leaving nor in a data centre that is out
     TimePoint withdrawnAt_ {}; ///< since when it takes no new work, if it takes none
     TimePoint rampStart_ {}; ///< when its data centre came back
@@ -51,6 +53,7 @@
     std::vector<Candidate> candidates_;
     std::unordered_map<std::string, std::size_t> indexByName_;
     std::shared_ptr<const Placement> placement_;
+    std::shared_ptr<const RangePlacement> ranges_; ///< of a service with ordered keys
     std::shared_ptr<RoutingFence> fence_; ///< nullptr if the back ends check the fence
 
     /// @return the candidate called @p name, or nullptr.
@@ -70,6 +73,7 @@
     std::map<ZoneName, TimePoint> zoneReturnedAt_;
     Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< entry hosts that share the back ends' connections
+    ZoneName zone_; ///< of this entry host
 };
 
 /// Builds routing tables and keeps the observations of back ends across them.
@@ -87,7 +91,18 @@
     [[nodiscard]] std::shared_ptr<RoutingFence> fence(const ServiceName &service) const;
 
 private:
-    std::map<BackendName, std::shared_ptr<BackendStats>> stats_;
+    /// What is kept of one back end across tables.
+    struct Known
+    {
+        std::shared_ptr<BackendStats> stats_;
+        Incarnation incarnation_;
+        Duration coldFor_ {};
+    };
+
+    const Known &updateKnown(const Backend &backend, const Service &service,
+                             const FleetFacts &facts, TimePoint now);
+
+    std::map<BackendName, Known> known_;
     std::map<ServiceName, std::shared_ptr<RoutingFence>> fences_;
     std::map<BackendName, TimePoint> withdrawnAt_; ///< back ends that take no new work
 };
@@ -107,6 +122,13 @@
     bool isBusy_ = false; ///< there is none now, but back ends that had no room
 };
 
+/// The key of a request, in the form that its service divides keys by.
+struct RequestKey
+{
+    std::string_view text_; ///< empty for services that are not keyed
+    std::optional<std::uint32_t> ordered_;
+};
+
 /// Chooses back ends for the attempts of one request.
 class BackendSelector
 {
@@ -114,7 +136,7 @@
     /// @param tried back ends that earlier attempts used; avoided while others are left.
     /// @return a candidate whose stats count the request already, as does the service's fence, or
     ///         none.
-    static BackendChoice select(const ServiceRoutes &routes, std::string_view key,
+    static BackendChoice select(const ServiceRoutes &routes, const RequestKey &key,
                                 const std::vector<BackendName> &tried, Random &random,
                                 TimePoint now);
 
@@ -134,6 +156,8 @@
                                   TimePoint now);
     static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key,
                                      TimePoint now);
+    static BackendChoice selectRangeOwner(const ServiceRoutes &routes, std::uint32_t key,
+                                          TimePoint now);
     static const Candidate *selectBalanced(const ServiceRoutes &routes,
                                            const std::vector<BackendName> &tried, Random &random,
                                            TimePoint now);
--- a/include/pimentostage/caller/Refusal.h
+++ b/include/pimentostage/caller/Refusal.h
@@ -31,6 +31,7 @@
     AnswerBroken,
     ConfigurationStale,
     Stopping,
+    CallerLeft,
 };
 
 template <>
@@ -56,6 +57,7 @@
         EnumName<RefusalReason> { RefusalReason::AnswerBroken, "answer-broken" },
         EnumName<RefusalReason> { RefusalReason::ConfigurationStale, "configuration-stale" },
         EnumName<RefusalReason> { RefusalReason::Stopping, "stopping" },
+        EnumName<RefusalReason> { RefusalReason::CallerLeft, "caller-left" },
     };
 };
 
--- a/include/pimentostage/caller/RequestRouter.h
+++ b/include/pimentostage/caller/RequestRouter.h
@@ -19,6 +19,7 @@
     const Route *route_ = nullptr;
     const Contract *contract_ = nullptr; ///< nullptr on open routes
     std::string key_; ///< empty for services that are not keyed
+    std::optional<std::uint32_t> orderedKey_; ///< key_ of a service with ordered keys
     std::string backendPath_; ///< path below the service, with the query
     TimePoint deadline_;
 };
@@ -33,6 +34,10 @@
     /// @return the routed request, or why it is refused.
     static RouteDecision route(const TrafficView &view, const CallerRequest &request,
                                TimePoint now);
+
+private:
+    static RouteDecision routeVirtualHost(const TrafficView &view, const CallerRequest &request,
+                                          TimePoint now);
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -24,11 +24,23 @@
     Duration callerHeaderTimeout_ = std::chrono::seconds(30);
     Duration callerBodyTimeout_ = std::chrono::seconds(30);
     Duration callerKeepAlive_ = std::chrono::seconds(120);
+    bool callerSharedThread_ = false;
+    bool callerAbandonOnHalfClose_ = false;
     Duration callerDrainNotice_ = std::chrono::milliseconds(500);
     Duration callerDrainLimit_ = std::chrono::seconds(30);
 
     Address operatorAddress_;
+    Address operatorReadyAddress_;
+    std::string operatorReadyPath_;
     Address siblingAddress_;
+    Duration siblingProbePeriod_ = std::chrono::milliseconds(100);
+    Duration siblingProbeWait_ = std::chrono::milliseconds(100);
+    Duration siblingSuspicion_ = std::chrono::milliseconds(200);
+
+    Duration controlTick_ = std::chrono::milliseconds(10);
+    std::int64_t controlAccountGroups_ = 4;
+    Duration controlMostConfigAge_ = std::chrono::seconds(3);
+    bool controlMajorityVouches_ = true;
 
     std::string platformUrl_;
     Duration platformTimeout_ = std::chrono::seconds(1);
--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -42,18 +42,21 @@
 
     /// Offers a complete listing of the store; objects it lacks were deleted.
     /// @param revision the store's revision at which the listing was taken.
+    /// @param kinds the kinds that were listed; empty for all.
     /// @return how many objects changed.
-    std::size_t applyListing(const std::vector<StoredObject> &objects, Version revision);
+    std::size_t applyListing(const std::vector<StoredObject> &objects, Version revision,
+                             const std::set<ObjectKind> &kinds = {});
 
-    /// Notes that the store confirmed this host's state.
+    /// Notes that the store confirmed what decides on requests in this host's state.
     /// @param sentAt when the confirming request was sent.
-    void confirm(Version revision, TimePoint sentAt);
+    void confirm(TimePoint sentAt);
 
     /// Notes that every change up to @p revision was applied, without a word of the store.
     void adoptRevision(Version revision);
 
-    /// Notes that a sibling's state, confirmed by the store @p age before @p now, equals ours.
-    void confirmThroughSibling(Version revision, Duration age, TimePoint now);
+    /// Notes that the store confirmed a sibling's state @p age before @p now; without effect unless
+    /// that state, known by its digest, equals ours.
+    void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint now);
 
     /// @return the time since the store's last confirmation, or nothing if there was none.
     [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace pimentostage {
 
@@ -20,6 +21,10 @@
     std::map<HostName, LostHost> lostHosts_;
     std::map<ServiceName, std::shared_ptr<const Placement>> placements_;
     std::map<RoleName, RoleRecord> roles_;
+    std::map<ServiceName, std::shared_ptr<const RangePlacement>> ranges_;
+    std::map<HostName, EntryHost> entryHosts_;
+    std::unordered_map<std::string, std::vector<Route>> virtualHosts_; ///< longest prefix first
+    bool hasCatalogue_ = false; ///< services and contracts come from one object
     Version revision_; ///< the highest object version applied
 
     /// @return whether data centre @p zone takes new work; an unknown one does.
--- a/include/pimentostage/platform/ObjectStore.h
+++ b/include/pimentostage/platform/ObjectStore.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -34,6 +35,14 @@
     std::optional<StoredObject> current_; ///< what is in the store if not written
 };
 
+/// Kinds of objects that are read and watched together.
+struct StoreFeed
+{
+    std::set<ObjectKind> kinds_; ///< empty for all
+    Duration watchWait_ = std::chrono::seconds(1); ///< longest wait of one watch
+    bool confirms_ = true; ///< whether an answer confirms what decides on requests
+};
+
 /// The platform's object store: versions, conditional updates, watches.
 ///
 /// Calls return at once; results come on the thread that the implementation names.
@@ -42,6 +51,16 @@
 public:
     virtual ~ObjectStore() = default;
 
+    /// @return the feeds that together hold all objects; they do not change.
+    [[nodiscard]] virtual std::vector<StoreFeed> feeds() const { return { StoreFeed {} }; }
+    /// As list(), for the objects of feed number @p feed.
+    virtual void listFeed(std::size_t, Done<StoreListing> done) { list(std::move(done)); }
+    /// As watch(), for the objects of feed number @p feed.
+    virtual void watchFeed(std::size_t, Version since, Duration wait, Done<StoreListing> done)
+    {
+        watch(since, wait, std::move(done));
+    }
+
     /// Reads all objects.
     virtual void list(Done<StoreListing> done) = 0;
     /// Waits up to @p wait for changes after @p since. Deleted objects are reported as such.
@@ -54,6 +73,8 @@
         = 0;
     /// Deletes the object if its version is @p expected.
     virtual void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) = 0;
+    /// @return whether the platform keeps a list of hosts; if not, entry hosts register themselves.
+    [[nodiscard]] virtual bool hasHostList() const { return true; }
     /// Reads the platform's lagging list of hosts.
     virtual void hosts(Done<std::vector<ListedHost>> done) = 0;
 };
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -5,13 +5,26 @@
 #include "pimentostage/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace pimentostage {
 
 /// Kinds of objects in the platform's store.
-enum class ObjectKind { Service, Contract, TeamKey, Zone, Backend, LostHost, Role, Placement };
+enum class ObjectKind {
+    Service,
+    Contract,
+    TeamKey,
+    Zone,
+    Backend,
+    LostHost,
+    Role,
+    Placement,
+    Catalogue,
+    RangePlacement,
+    EntryHost,
+};
 
 template <>
 struct EnumTable<ObjectKind>
@@ -25,6 +38,9 @@
         EnumName<ObjectKind> { ObjectKind::LostHost, "lost-host" },
         EnumName<ObjectKind> { ObjectKind::Role, "role" },
         EnumName<ObjectKind> { ObjectKind::Placement, "placement" },
+        EnumName<ObjectKind> { ObjectKind::Catalogue, "catalogue" },
+        EnumName<ObjectKind> { ObjectKind::RangePlacement, "ranges" },
+        EnumName<ObjectKind> { ObjectKind::EntryHost, "host" },
     };
 };
 
@@ -100,12 +116,48 @@
     };
 };
 
-/// One route of a service: the requests whose path starts with a prefix.
+/// How the keys of a keyed service are divided among its back ends.
+enum class KeyDivision { Hashed, Ordered };
+
+template <>
+struct EnumTable<KeyDivision>
+{
+    static constexpr std::array kRows {
+        EnumName<KeyDivision> { KeyDivision::Hashed, "hashed" },
+        EnumName<KeyDivision> { KeyDivision::Ordered, "ordered" },
+    };
+};
+
+/// Whether a back end takes new work, in its own words.
+enum class BackendState { Ready, Draining };
+
+template <>
+struct EnumTable<BackendState>
+{
+    static constexpr std::array kRows {
+        EnumName<BackendState> { BackendState::Ready, "ready" },
+        EnumName<BackendState> { BackendState::Draining, "draining" },
+    };
+};
+
+/// One service's part of a route's requests.
+struct ServiceShare
+{
+    ServiceName service_;
+    double weight_ = 1; ///< against the weights of the route's other services
+};
+
+/// One route: the requests whose path starts with a prefix, below a service or at a virtual host.
 struct Route
 {
     RouteName name_;
-    std::string method_; ///< HTTP method in upper case
-    std::string prefix_; ///< path below the service, starting with '/'
+    std::string host_; ///< of a catalogue's route: the virtual host
+    std::string method_; ///< HTTP method in upper case; empty allows all
+    std::string prefix_; ///< path, starting with '/'; below the service if it has no host
+    std::vector<ServiceShare> services_; ///< of a catalogue's route; not empty there
+    std::uint32_t priority_ = 0; ///< 0 goes first when capacity is short
+    std::uint32_t mostAttempts_ = 3; ///< back ends that one request may be sent to
+    Duration target_ {}; ///< latency objective; zero if none was stated
     Access access_ = Access::Team;
     bool idempotent_ = false;
     std::string kind_; ///< request kind named by contracts
@@ -118,11 +170,16 @@
 {
     ServiceName name_;
     bool keyed_ = false;
+    KeyDivision division_ = KeyDivision::Hashed;
     std::uint32_t keySegment_ = 0; ///< index of the path segment that holds the key
     std::uint32_t shardCount_ = 0;
     Fencing fencing_ = Fencing::Checked;
     Balancing balancing_ = Balancing::LowestCost;
     std::vector<Route> routes_;
+    std::string healthPath_; ///< where its back ends tell their health; empty if nowhere
+    std::uint32_t connections_ = 0; ///< that each back end accepts from all hosts; 0 if unstated
+    Duration coldTime_ {}; ///< how long a started back end stays cold
+    double coldRate_ = 0; ///< requests a second that a cold back end bears; 0 if unstated
 };
 
 /// What one team may request across all hosts.
@@ -131,7 +188,9 @@
     TeamName team_;
     double rate_ = 0; ///< tokens per second
     double burst_ = 0; ///< tokens
+    bool isLimited_ = true; ///< whether rate_ and burst_ apply
     double share_ = 1; ///< weight when capacity is short
+    std::optional<std::uint32_t> priority_; ///< takes the place of the route's
     std::uint32_t connections_ = 0; ///< open connections per entry host
     std::vector<std::string> kinds_; ///< request kinds allowed; empty allows all
 };
@@ -161,6 +220,75 @@
     Address address_;
     std::uint32_t slots_ = 0; ///< requests it runs at once
     std::uint32_t connections_ = 0; ///< connections it accepts from all hosts
+    BackendState state_ = BackendState::Ready;
+    Incarnation incarnation_; ///< start of its process; zero if it does not tell
+    Duration coldFor_ {}; ///< how long it stays cold, counted from when this was read
+};
+
+/// All services, routes and contracts in one object, so that they change together.
+struct Catalogue
+{
+    std::vector<Service> services_;
+    std::vector<Route> routes_;
+    std::vector<Contract> contracts_;
+    std::vector<TeamKey> keys_;
+};
+
+/// Keys of an ordered key space, both ends included.
+struct KeyRange
+{
+    std::uint32_t from_ = 0;
+    std::uint32_t to_ = 0;
+
+    auto operator<=>(const KeyRange &) const = default;
+    [[nodiscard]] bool contains(std::uint32_t key) const { return from_ <= key && key <= to_; }
+    [[nodiscard]] std::uint32_t size() const { return to_ - from_ + 1; }
+};
+
+/// Highest key of an ordered key space.
+inline constexpr std::uint32_t kLastOrderedKey = 65535;
+
+/// One process of a back end.
+struct BackendProcess
+{
+    BackendName name_; ///< empty for nobody
+    Incarnation incarnation_;
+
+    auto operator<=>(const BackendProcess &) const = default;
+    [[nodiscard]] bool isNobody() const { return name_.isEmpty(); }
+};
+
+/// Who owns a range of keys.
+struct RangeOwner
+{
+    KeyRange range_;
+    BackendProcess owner_; ///< nobody while no back end may own it
+    Epoch epoch_; ///< fence under which it was given to its owner
+    BackendProcess previous_; ///< may still hold it; the owner gets it once it does not
+
+    auto operator<=>(const RangeOwner &) const = default;
+};
+
+/// The placement of a service with ordered keys: its ranges in order, without gaps.
+struct RangePlacement
+{
+    ServiceName service_;
+    Epoch epoch_; ///< the highest epoch in use
+    Epoch roleEpoch_; ///< epoch of the coordinator that wrote it
+    std::string nonce_;
+    std::vector<RangeOwner> ranges_;
+
+    /// @return the range that holds @p key, or nullptr.
+    [[nodiscard]] const RangeOwner *find(std::uint32_t key) const;
+};
+
+/// An entry host as it registered itself in the store.
+struct EntryHost
+{
+    HostName name_;
+    Incarnation incarnation_;
+    ZoneName zone_;
+    Address siblingAddress_;
 };
 
 /// An operator's word that a process of an entry host is lost for good.
--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -47,6 +47,23 @@
     std::uint64_t sequence_ = 0;
 };
 
+/// How often and how patiently entry hosts probe each other.
+struct MembershipTiming
+{
+    Duration probePeriod_ = std::chrono::milliseconds(100);
+    std::size_t probesPerPeriod_ = 2;
+    Duration directWait_ = std::chrono::milliseconds(100); ///< for the answer of a probe
+    Duration indirectWait_ = std::chrono::milliseconds(100); ///< for one through another host
+    Duration suspicion_ = std::chrono::milliseconds(200); ///< before a suspect counts as dead
+
+    /// @return the longest time from the loss of a host to its declaration as dead, once it is
+    ///         probed.
+    [[nodiscard]] constexpr Duration detection() const
+    {
+        return probePeriod_ + directWait_ + indirectWait_ + suspicion_;
+    }
+};
+
 /// Liveness of the entry hosts by probing a few of them at a time.
 ///
 /// Each host sends a constant number of probes in each period, whatever the size of the fleet. A
@@ -55,7 +72,7 @@
 class Membership
 {
 public:
-    Membership(const MemberUpdate &self, Random random);
+    Membership(const MemberUpdate &self, Random random, const MembershipTiming &timing = {});
 
     /// Adds hosts named by the platform's list that are not known yet.
     void addListed(const HostName &host, const Address &address, const ZoneName &zone);
@@ -90,14 +107,7 @@
     /// @return hosts, this one included, that answered within @p period before @p now.
     [[nodiscard]] std::size_t heardWithin(Duration period, TimePoint now) const;
 
-    static constexpr Duration kProbePeriod = std::chrono::milliseconds(100);
-    static constexpr std::size_t kProbesPerPeriod = 2;
     static constexpr std::size_t kIndirectProbes = 2;
-    static constexpr Duration kDirectWait = std::chrono::milliseconds(100);
-    static constexpr Duration kIndirectWait = std::chrono::milliseconds(100);
-    static constexpr Duration kSuspicion = std::chrono::milliseconds(200);
-    /// Longest time from the loss of a host to its declaration as dead, once it is probed.
-    static constexpr Duration kDetection = kProbePeriod + kDirectWait + kIndirectWait + kSuspicion;
 
 private:
     struct Tracked
@@ -126,6 +136,7 @@
 
     MemberUpdate self_;
     Random random_;
+    const MembershipTiming timing_;
     std::map<HostName, Tracked> others_;
     std::map<std::uint64_t, Outstanding> outstanding_;
     std::vector<HostName> round_; ///< hosts still to be probed in this round
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/HeavyHitters.h"
 #include "pimentostage/backend/LatencyQuantile.h"
+#include "pimentostage/backend/RangePlanner.h"
 #include "pimentostage/backend/ShareBudget.h"
 #include "pimentostage/base/Hash.h"
 #include "src/backend/AdmissionQueue.h"
@@ -83,12 +84,13 @@
         , log_(log)
         , counters_(counters)
         , random_(std::random_device {}())
-        , loop_(loopOptions(options, index))
+        , loop_(makeLoop(options, index))
     {
-        loop_.post([this] { reportKeyLoadLater(); });
+        loop_->post([this] { reportKeyLoadLater(); });
     }
 
-    void forward(ForwardRequest request, ForwardDone done);
+    void forward(ForwardRequest request, std::shared_ptr<Abandonment> abandonment,
+                 ForwardDone done);
 
 private:
     class Run;
@@ -97,39 +99,61 @@
     {
         HttpLoopOptions loop;
         loop.threadName_ = "backend-" + std::to_string(index);
-        const auto threads = static_cast<long>(options.threads_);
+        const auto threads = static_cast<long>(options.loop_ ? 1 : options.threads_);
         loop.connectionsPerPeer_ = std::max(1L, options.connectionsPerBackend_ / threads);
         loop.mostIdleAge_ = options.mostIdleAge_;
         return loop;
     }
 
+    static std::unique_ptr<HttpLoop> makeLoop(const BackendClientOptions &options,
+                                              std::size_t index)
+    {
+        const HttpLoopOptions loop = loopOptions(options, index);
+        return options.loop_ ? std::make_unique<HttpLoop>(loop, *options.loop_)
+                             : std::make_unique<HttpLoop>(loop);
+    }
+
     void countKey(const ForwardRequest &request)
     {
         if (request.key_.empty())
             return;
-        hitters_.try_emplace(request.service_, kKeysCounted).first->second.add(request.key_);
+        KeyCounts &counts = keyCounts_[request.service_];
+        counts.isOrdered_ = request.orderedKey_.has_value();
+        if (counts.isOrdered_)
+            counts.hitters_.add(std::to_string(*request.orderedKey_ / RangeLoad::kKeysPerBucket));
+        else
+            counts.hitters_.add(request.key_);
     }
 
     void reportKeyLoadLater()
     {
-        loop_.runAt(BootClock::now() + kKeyLoadPeriod, [this] {
-            for (auto &[service, hitters] : hitters_) {
-                if (hitters.total() > 0)
-                    listener_.onKeyLoad(keyLoad(service, hitters));
+        loop_->runAt(BootClock::now() + kKeyLoadPeriod, [this] {
+            for (auto &[service, counts] : keyCounts_) {
+                if (counts.hitters_.total() > 0)
+                    listener_.onKeyLoad(keyLoad(service, counts));
             }
             reportKeyLoadLater();
         });
     }
 
-    static KeyLoad keyLoad(const ServiceName &service, HeavyHitters &hitters)
+    /// Keys of one service counted in one period; of ordered keys, buckets of them.
+    struct KeyCounts
     {
+        HeavyHitters hitters_ { kKeysCounted };
+        bool isOrdered_ = false;
+    };
+
+    static KeyLoad keyLoad(const ServiceName &service, KeyCounts &counts)
+    {
+        HeavyHitters &hitters = counts.hitters_;
         const double perSecond = 1 / toSeconds(kKeyLoadPeriod);
         KeyLoad load;
         load.service_ = service;
         load.total_ = perSecond * static_cast<double>(hitters.total());
         for (const KeyCount &key : hitters.take()) {
             const double rate = perSecond * static_cast<double>(key.count_);
-            if (load.keys_.size() < kKeysReported && rate >= kLeastRateReported)
+            const bool isFrequent = counts.isOrdered_ || rate >= kLeastRateReported;
+            if (load.keys_.size() < kKeysReported && isFrequent)
                 load.keys_.push_back({ key.key_, rate });
         }
         return load;
@@ -155,7 +179,7 @@
     void watchLater()
     {
         isWatching_ = true;
-        loop_.runAt(BootClock::now() + kQueuePeriod, [this] {
+        loop_->runAt(BootClock::now() + kQueuePeriod, [this] {
             const TimePoint now = BootClock::now();
             for (const auto &queue : watched_) {
                 queue->expire(now);
@@ -192,11 +216,11 @@
     BackendCounters counters_;
     Random random_;
     std::map<RouteKey, std::unique_ptr<RouteState>> routeStates_;
-    std::map<ServiceName, HeavyHitters> hitters_;
+    std::map<ServiceName, KeyCounts> keyCounts_;
     std::unordered_map<std::string, std::shared_ptr<AdmissionQueue>> knownQueues_;
     std::set<std::shared_ptr<AdmissionQueue>> watched_;
     bool isWatching_ = false;
-    HttpLoop loop_;
+    std::unique_ptr<HttpLoop> loop_;
 };
 
 /// One request on its way; performs what its RequestExecution decides.
@@ -211,7 +235,16 @@
         , execution_(policy(), route_.retries_, route_.hedges_)
     { }
 
-    void start() { perform(execution_.start(BootClock::now())); }
+    void start(const std::shared_ptr<Abandonment> &abandonment)
+    {
+        abandonment->then([run = weak_from_this(), &worker = worker_] {
+            worker.loop_->post([run] {
+                if (const auto self = run.lock())
+                    self->perform(self->execution_.onCallerLeft(BootClock::now()));
+            });
+        });
+        perform(execution_.start(BootClock::now()));
+    }
 
 private:
     struct InFlight
@@ -231,6 +264,8 @@
         policy.idempotent_ = request_.idempotent_;
         policy.waitsForOwner_ = !request_.key_.empty();
         policy.deadline_ = request_.deadline_;
+        policy.mostAttempts_ = request_.mostAttempts_;
+        policy.target_ = request_.target_;
         const Duration quantile = route_.latency_.value();
         if (worker_.options_.hedging_ && quantile > Duration::zero())
             policy.hedgeAfter_ = std::max(kLeastHedgeDelay, quantile);
@@ -259,8 +294,9 @@
         if (mustWait)
             choice.isBusy_ = true;
         else
-            choice = BackendSelector::select(routes->second, request_.key_, tried_, worker_.random_,
-                                             now);
+            choice
+                = BackendSelector::select(routes->second, { request_.key_, request_.orderedKey_ },
+                                          tried_, worker_.random_, now);
         if (!choice.candidate_) {
             isAdmitted_ = false;
             perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now)
@@ -275,6 +311,11 @@
     // A keyed service has a queue for each owner, so that one does not hold up the others.
     std::string queueName(const ServiceRoutes &routes) const
     {
+        if (request_.orderedKey_) {
+            const RangeOwner *row
+                = routes.ranges_ ? routes.ranges_->find(*request_.orderedKey_) : nullptr;
+            return request_.service_.str() + '/' + (row ? row->owner_.name_.str() : "");
+        }
         if (!routes.placement_ || request_.key_.empty())
             return request_.service_.str();
         return request_.service_.str() + '/'
@@ -296,7 +337,7 @@
         const TimePoint now = BootClock::now();
         const auto done
             = [self = shared_from_this()](Admission admission, const WaitingRequest &request) {
-                  self->worker_.loop_.post(
+                  self->worker_.loop_->post(
                       [self, admission, request] { self->onAdmission(admission, request); });
               };
         // One whose turn came in vain, or that was shed, keeps its place.
@@ -343,7 +384,8 @@
         worker_.counters_.attempts_.add();
         if (send.isHedge_)
             worker_.counters_.hedges_.add();
-        HttpRequest http = encodeAttempt(request_, send.attempt_, choice, now);
+        HttpRequest http
+            = worker_.options_.protocol_->encodeAttempt_(request_, send.attempt_, choice, now);
         InFlight &flight = inFlight_[send.attempt_];
         flight.stats_ = choice.candidate_->stats_;
         flight.backend_ = choice.candidate_->backend_.name_;
@@ -356,8 +398,8 @@
                              now] { return fence->maySend(unit, epoch, now, BootClock::now()); };
         }
         flight.transfer_
-            = worker_.loop_.start(std::move(http), [self = shared_from_this(),
-                                                    attempt = send.attempt_](HttpResult result) {
+            = worker_.loop_->start(std::move(http), [self = shared_from_this(),
+                                                     attempt = send.attempt_](HttpResult result) {
                   self->onResult(attempt, std::move(result));
               });
     }
@@ -367,14 +409,14 @@
         const auto found = inFlight_.find(cancel.attempt_);
         if (found == inFlight_.end())
             return;
-        worker_.loop_.cancel(found->second.transfer_);
+        worker_.loop_->cancel(found->second.transfer_);
         end(found->second, AttemptState::Sent, BootClock::now());
         inFlight_.erase(found);
     }
 
     void perform(const WakeAt &wake)
     {
-        worker_.loop_.runAt(wake.at_, [self = shared_from_this()] {
+        worker_.loop_->runAt(wake.at_, [self = shared_from_this()] {
             self->perform(self->execution_.onWake(BootClock::now()));
         });
     }
@@ -388,7 +430,7 @@
         const TimePoint now = BootClock::now();
         const InFlight flight = std::move(inFlight_.at(attempt));
         inFlight_.erase(attempt);
-        const AttemptVerdict verdict = judge(result);
+        const AttemptVerdict verdict = worker_.options_.protocol_->judge_(result);
         learnLimit(flight, verdict, now);
         end(flight, verdict.state_, now);
         if (verdict.load_)
@@ -431,7 +473,8 @@
         const bool isShed = verdict.failure_ == AttemptFailure::Shed;
         const bool isGone = verdict.failure_ == AttemptFailure::ConnectFailed;
         // A warm back end sheds only once all of its slots are taken.
-        const bool isShedCold = isShed && (!verdict.load_ || *verdict.load_ < flight.slots_);
+        const bool isShedCold
+            = isShed && (!verdict.load_ || verdict.load_->running_ < flight.slots_);
         if (isShed)
             flight.stats_->warmup().onShed(now);
         const bool isCold = isNewProcess || isShedCold || isGone;
@@ -507,12 +550,14 @@
     HttpAnswer answer_;
 };
 
-void BackendClient::Worker::forward(ForwardRequest request, ForwardDone done)
+void BackendClient::Worker::forward(ForwardRequest request,
+                                    std::shared_ptr<Abandonment> abandonment, ForwardDone done)
 {
-    loop_.post([this, request = std::move(request), done = std::move(done)]() mutable {
+    loop_->post([this, request = std::move(request), abandonment = std::move(abandonment),
+                 done = std::move(done)]() mutable {
         countKey(request);
         auto run = std::make_shared<Run>(*this, std::move(request), std::move(done));
-        run->start();
+        run->start(abandonment);
     });
 }
 
@@ -521,7 +566,8 @@
                              TrafficListener &listener, LogSink &log, Counters &counters)
     : queues_(std::make_unique<AdmissionQueues>(options.queue_))
 {
-    for (std::size_t i = 0; i < options.threads_; ++i) {
+    const std::size_t threads = options.loop_ ? 1 : options.threads_;
+    for (std::size_t i = 0; i < threads; ++i) {
         workers_.push_back(
             std::make_unique<Worker>(options, i, *queues_, routing, listener, log, counters));
     }
@@ -529,10 +575,11 @@
 
 BackendClient::~BackendClient() = default;
 
-void BackendClient::forward(ForwardRequest request, ForwardDone done)
+void BackendClient::forward(ForwardRequest request, std::shared_ptr<Abandonment> abandonment,
+                            ForwardDone done)
 {
     const std::size_t index = next_.fetch_add(1, std::memory_order_relaxed) % workers_.size();
-    workers_[index]->forward(std::move(request), std::move(done));
+    workers_[index]->forward(std::move(request), std::move(abandonment), std::move(done));
 }
 
 } // namespace pimentostage
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -8,11 +8,13 @@
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Snapshot.h"
+#include "pimentostage/caller/Abandonment.h"
 #include "src/base/HttpLoop.h"
 
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -30,14 +32,18 @@
     RouteName route_;
     TeamName team_; ///< empty on open routes
     std::string key_; ///< empty for services that are not keyed
+    std::optional<std::uint32_t> orderedKey_; ///< key_ of a service with ordered keys
     std::string method_;
     std::string path_;
-    std::string contentType_;
-    std::string accept_;
+    std::string host_; ///< virtual host that the caller named; empty if none
+    std::vector<HttpHeader> headers_; ///< of the request itself
     std::string body_;
     bool idempotent_ = false;
     double share_ = 1; ///< the team's weight when capacity is short
     double cost_ = 1; ///< weight of the request's kind
+    std::uint32_t priority_ = 0; ///< 0 goes first when capacity is short
+    std::uint32_t mostAttempts_ = 3;
+    Duration target_ {}; ///< latency objective; zero if none was stated
     TimePoint deadline_;
 };
 
@@ -45,9 +51,14 @@
 using ForwardResult = std::variant<HttpAnswer, GiveUp>;
 using ForwardDone = std::function<void(ForwardResult)>;
 
+class EventLoop;
+struct BackendProtocol;
+
 /// Settings of a BackendClient.
 struct BackendClientOptions
 {
+    const BackendProtocol *protocol_ = nullptr; ///< how requests and answers are encoded
+    EventLoop *loop_ = nullptr; ///< if set, the one thread to run on
     std::size_t threads_ = 2;
     long connectionsPerBackend_ = 13; ///< of all threads together
     Duration mostIdleAge_ = std::chrono::seconds(15);
@@ -79,8 +90,11 @@
                   LogSink &log, Counters &counters);
     ~BackendClient();
 
-    /// Runs @p request. @param done called once, on one of this client's threads.
-    void forward(ForwardRequest request, ForwardDone done);
+    /// Runs @p request.
+    /// @param abandonment tells when the caller leaves.
+    /// @param done called once, on one of this client's threads.
+    void forward(ForwardRequest request, std::shared_ptr<Abandonment> abandonment,
+                 ForwardDone done);
 
 private:
     class Worker;
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -51,10 +51,7 @@
         http.headers_.push_back(
             { kFenceHeader, choice.unit_.str() + ' ' + std::to_string(choice.epoch_.value_) });
     }
-    if (!request.contentType_.empty())
-        http.headers_.push_back({ "Content-Type", request.contentType_ });
-    if (!request.accept_.empty())
-        http.headers_.push_back({ "Accept", request.accept_ });
+    http.headers_.insert(http.headers_.end(), request.headers_.begin(), request.headers_.end());
     return http;
 }
 
@@ -66,7 +63,8 @@
         verdict.failure_ = failureOf(*result.error_);
         return verdict;
     }
-    verdict.load_ = parseNumber<std::uint32_t>(result.answer_->header(kLoadHeader));
+    if (const auto running = parseNumber<std::uint32_t>(result.answer_->header(kLoadHeader)))
+        verdict.load_ = LoadReport { *running, 0, 1 };
     verdict.incarnation_ = parseNumber<std::uint64_t>(result.answer_->header(kIncarnationHeader));
     const bool didNotRun = result.answer_->header(kOutcomeHeader) == toString(Outcome::NotRun);
     if (!didNotRun)
@@ -80,4 +78,10 @@
     return verdict;
 }
 
+const BackendProtocol &ownBackendProtocol()
+{
+    static const BackendProtocol protocol { &encodeAttempt, &judge };
+    return protocol;
+}
+
 } // namespace pimentostage
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -27,9 +27,20 @@
     AttemptState state_ = AttemptState::NotSent;
     std::optional<AttemptFailure> failure_; ///< empty if the answer may go to the caller
     std::optional<std::uint64_t> incarnation_; ///< start of the back end's process
-    std::optional<std::uint32_t> load_; ///< requests that the back end says it runs
+    std::optional<LoadReport> load_;
 };
 
+/// How requests to back ends are encoded, and their answers read.
+struct BackendProtocol
+{
+    HttpRequest (*encodeAttempt_)(const ForwardRequest &, AttemptNumber, const BackendChoice &,
+                                  TimePoint now);
+    AttemptVerdict (*judge_)(const HttpResult &);
+};
+
+/// @return the protocol of this project's own back ends.
+const BackendProtocol &ownBackendProtocol();
+
 /// @return the HTTP request for one attempt. The team's key is no part of it.
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, TimePoint now);
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -59,9 +59,10 @@
     ejectedUntil_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
-void BackendStats::onLoadReport(std::uint32_t inFlight, TimePoint now)
+void BackendStats::onLoadReport(const LoadReport &report, TimePoint now)
 {
-    reported_.store(inFlight, std::memory_order_relaxed);
+    reported_.store(report.running_ + report.waiting_, std::memory_order_relaxed);
+    pace_.store(report.pace_, std::memory_order_relaxed);
     reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
--- /dev/null
+++ b/src/backend/ColdStart.cpp
@@ -0,0 +1,52 @@
+#include "pimentostage/backend/ColdStart.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+// One request at once: more hosts than the rate would otherwise all send their burst together.
+constexpr double kBurst = 1;
+
+} // namespace
+
+void ColdStart::begin(TimePoint until, double rate)
+{
+    const std::lock_guard lock(mutex_);
+    // A start that is announced again goes on with the tokens that it has.
+    until_ = until;
+    rate_ = rate;
+}
+
+bool ColdStart::isCold(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return now < until_;
+}
+
+double ColdStart::tokens(TimePoint now) const
+{
+    return std::min(kBurst, tokens_ + rate_ * toSeconds(now - countedAt_));
+}
+
+bool ColdStart::hasRoom(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return now >= until_ || tokens(now) >= 1;
+}
+
+bool ColdStart::take(TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    if (now >= until_)
+        return true;
+    const double left = tokens(now);
+    if (left < 1)
+        return false;
+    tokens_ = left - 1;
+    countedAt_ = now;
+    return true;
+}
+
+} // namespace pimentostage
--- a/src/backend/HttpBackendLink.cpp
+++ b/src/backend/HttpBackendLink.cpp
@@ -21,19 +21,14 @@
 
 } // namespace
 
-HttpBackendLink::HttpBackendLink(Post post)
-    : post_(std::move(post))
-    , loop_(loopOptions())
+HttpBackendLink::HttpBackendLink(EventLoop &loop)
+    : http_(loopOptions(), loop)
 { }
 
 void HttpBackendLink::send(HttpRequest request, std::function<void(const HttpResult &)> done)
 {
     request.timeout_ = kTimeout;
-    loop_.post([this, request = std::move(request), done = std::move(done)] {
-        loop_.start(request, [this, done](HttpResult result) {
-            post_([done, result = std::move(result)] { done(result); });
-        });
-    });
+    http_.start(std::move(request), std::move(done));
 }
 
 void HttpBackendLink::grant(const Address &backend, const Grant &grant, OnGrantReply done)
--- a/src/backend/HttpBackendLink.h
+++ b/src/backend/HttpBackendLink.h
@@ -3,26 +3,23 @@
 #include "pimentostage/backend/BackendLink.h"
 #include "src/base/HttpLoop.h"
 
+#include <functional>
+
 namespace pimentostage {
 
-/// A BackendLink over HTTP, on a thread of its own.
+/// BackendLink over HTTP. Lives on the thread of its loop.
 class HttpBackendLink : public BackendLink
 {
 public:
-    /// Runs a function on the control thread.
-    using Post = std::function<void(std::function<void()>)>;
-
-    explicit HttpBackendLink(Post post);
+    explicit HttpBackendLink(EventLoop &loop);
 
     void grant(const Address &backend, const Grant &grant, OnGrantReply done) override;
     void probe(const Address &backend, OnProbeReply done) override;
 
 private:
-    /// Sends @p request and passes the end of the transfer to @p done on the control thread.
     void send(HttpRequest request, std::function<void(const HttpResult &)> done);
 
-    const Post post_;
-    HttpLoop loop_;
+    HttpLoop http_;
 };
 
 } // namespace pimentostage
--- /dev/null
+++ b/src/backend/HttpRangeLink.cpp
@@ -0,0 +1,102 @@
+#include "src/backend/HttpRangeLink.h"
+
+#include <nlohmann/json.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kConflict = 409;
+// A grant that takes longer has probably met a back end that does not answer.
+constexpr Duration kGrantTimeout = std::chrono::milliseconds(450);
+// The work that runs on the keys has to end before a release is answered.
+constexpr Duration kReleaseTimeout = std::chrono::milliseconds(3000);
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
+
+constexpr const char *kGrantPath = "/.pimento/ranges/grant";
+constexpr const char *kReleasePath = "/.pimento/ranges/release";
+
+HttpLoopOptions loopOptions()
+{
+    HttpLoopOptions options;
+    options.threadName_ = "ranges";
+    options.connectionsPerPeer_ = 4;
+    options.connectTimeout_ = kConnectTimeout;
+    return options;
+}
+
+HttpRequest encodeGrant(const RangeGrantOrder &order)
+{
+    HttpRequest request;
+    request.url_ = kGrantPath;
+    request.body_ = nlohmann::json({ { "from", order.range_.from_ },
+                                     { "to", order.range_.to_ },
+                                     { "epoch", order.epoch_.value_ },
+                                     { "hold_ms", toMilliseconds(order.hold_) },
+                                     { "handover", order.handover_ } })
+                        .dump();
+    return request;
+}
+
+HttpRequest encodeRelease(const RangeReleaseOrder &order)
+{
+    HttpRequest request;
+    request.url_ = kReleasePath;
+    request.body_ = nlohmann::json({ { "from", order.range_.from_ },
+                                     { "to", order.range_.to_ },
+                                     { "epoch", order.epoch_.value_ } })
+                        .dump();
+    return request;
+}
+
+RangeOutcome outcomeOf(const HttpResult &result)
+{
+    if (result.answer_) {
+        if (result.answer_->status_ == kOk)
+            return RangeOutcome::Accepted;
+        return result.answer_->status_ == kConflict ? RangeOutcome::StaleEpoch
+                                                    : RangeOutcome::Malformed;
+    }
+    const bool isTimeout = result.error_->code_ == ErrorCode::Timeout;
+    if (result.state_ == AttemptState::NotSent)
+        return isTimeout ? RangeOutcome::NotDelivered : RangeOutcome::ProcessGone;
+    return isTimeout ? RangeOutcome::Unanswered : RangeOutcome::Broken;
+}
+
+} // namespace
+
+const RangeProtocol &ownRangeProtocol()
+{
+    static const RangeProtocol protocol { &encodeGrant, &encodeRelease, "Pimento-Handover" };
+    return protocol;
+}
+
+HttpRangeLink::HttpRangeLink(EventLoop &loop, const RangeProtocol &protocol)
+    : protocol_(protocol)
+    , http_(loopOptions(), loop)
+{ }
+
+void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnGranted done)
+{
+    HttpRequest request = protocol_.encodeGrant_(order);
+    request.method_ = "POST";
+    request.url_ = "http://" + backend.str() + request.url_;
+    request.timeout_ = kGrantTimeout;
+    http_.start(std::move(request),
+                [done = std::move(done)](const HttpResult &result) { done(outcomeOf(result)); });
+}
+
+void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReleased done)
+{
+    HttpRequest request = protocol_.encodeRelease_(order);
+    request.method_ = "POST";
+    request.url_ = "http://" + backend.str() + request.url_;
+    request.timeout_ = kReleaseTimeout;
+    http_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
+        done(outcomeOf(result),
+             result.answer_ ? result.answer_->header(protocol_.handoverHeader_) : "");
+    });
+}
+
+} // namespace pimentostage
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -179,6 +179,23 @@
     return mayHedge ? send(true, now) : ExecutionActions {};
 }
 
+ExecutionActions RequestExecution::onCallerLeft(TimePoint)
+{
+    if (finished_ || (isRunning() && !policy_.idempotent_))
+        return {};
+    ExecutionActions actions;
+    for (AttemptNumber attempt = 0; attempt < attempts_.size(); ++attempt) {
+        if (!attempts_[attempt].running_)
+            continue;
+        attempts_[attempt].running_ = false;
+        attempts_[attempt].state_ = AttemptState::Sent;
+        actions.emplace_back(CancelAttempt { attempt });
+    }
+    const ExecutionActions end = giveUp(GiveUpReason::CallerLeft);
+    actions.insert(actions.end(), end.begin(), end.end());
+    return actions;
+}
+
 ExecutionActions RequestExecution::giveUp(GiveUpReason reason)
 {
     finished_ = true;
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -21,10 +21,12 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-std::uint32_t hostLimit(const Backend &backend, std::size_t entryHosts)
+std::uint32_t hostLimit(const Backend &backend, const Service &service, std::size_t entryHosts)
 {
     const auto hosts = static_cast<std::uint32_t>(std::max<std::size_t>(1, entryHosts));
-    return std::max(1U, backend.connections_ / hosts);
+    const std::uint32_t most
+        = service.connections_ > 0 ? service.connections_ : backend.connections_;
+    return std::max(1U, most / hosts);
 }
 
 } // namespace
@@ -59,7 +61,11 @@
         const auto placement = configuration.placements_.find(name);
         if (placement != configuration.placements_.end())
             routes.placement_ = placement->second;
-        if (!service.keyed_ || service.fencing_ == Fencing::Checked)
+        const auto ranges = configuration.ranges_.find(name);
+        if (ranges != configuration.ranges_.end())
+            routes.ranges_ = ranges->second;
+        const bool isOrdered = service.division_ == KeyDivision::Ordered;
+        if (isOrdered || !service.keyed_ || service.fencing_ == Fencing::Checked)
             continue;
         std::shared_ptr<RoutingFence> &fence = fences_[name];
         if (!fence)
@@ -72,14 +78,14 @@
             continue;
         Candidate candidate;
         candidate.backend_ = backend;
-        std::shared_ptr<BackendStats> &stats = stats_[name];
-        const bool isKnown = stats != nullptr;
-        if (!isKnown)
-            stats = std::make_shared<BackendStats>();
-        candidate.stats_ = stats;
-        candidate.limit_ = hostLimit(backend, facts.entryHosts_);
-        candidate.takesNewWork_
-            = configuration.isZoneIn(backend.zone_) && !facts.leavingHosts_.contains(name.str());
+        const bool isKnown = known_.contains(name);
+        const Service &service = routes->second.service_;
+        candidate.stats_ = updateKnown(backend, service, facts, now).stats_;
+        candidate.limit_ = hostLimit(backend, service, facts.entryHosts_);
+        candidate.isNear_ = backend.zone_ == facts.zone_;
+        candidate.takesNewWork_ = configuration.isZoneIn(backend.zone_)
+                                  && !facts.leavingHosts_.contains(name.str())
+                                  && backend.state_ == BackendState::Ready;
         // One that was withdrawn before this host knew it has had its time.
         if (candidate.takesNewWork_)
             withdrawnAt_.erase(name);
@@ -89,20 +95,43 @@
         const auto returned = facts.zoneReturnedAt_.find(backend.zone_);
         if (returned != facts.zoneReturnedAt_.end()) {
             candidate.rampStart_ = returned->second;
-            candidate.ramp_ = configuration.zones_.at(backend.zone_).ramp_;
+            const auto zone = configuration.zones_.find(backend.zone_);
+            candidate.ramp_
+                = zone == configuration.zones_.end() ? Duration::zero() : zone->second.ramp_;
         }
         routes->second.indexByName_[name.str()] = routes->second.candidates_.size();
         routes->second.candidates_.push_back(std::move(candidate));
     }
     std::erase_if(
-        stats_, [&](const auto &entry) { return !configuration.backends_.contains(entry.first); });
+        known_, [&](const auto &entry) { return !configuration.backends_.contains(entry.first); });
     return table;
 }
 
+// Of a new process nothing is known, whatever its predecessor was like.
+const RoutingTableBuilder::Known &RoutingTableBuilder::updateKnown(const Backend &backend,
+                                                                   const Service &service,
+                                                                   const FleetFacts &facts,
+                                                                   TimePoint now)
+{
+    Known &known = known_[backend.name_];
+    const bool isNewProcess = !known.stats_ || known.incarnation_ != backend.incarnation_;
+    if (isNewProcess)
+        known.stats_ = std::make_shared<BackendStats>();
+    const bool isColdNews = backend.coldFor_ > Duration::zero()
+                            && (isNewProcess || known.coldFor_ != backend.coldFor_);
+    if (isColdNews && service.coldRate_ > 0) {
+        const double rate = service.coldRate_ / static_cast<double>(facts.entryHosts_);
+        known.stats_->coldStart().begin(now + backend.coldFor_, rate);
+    }
+    known.incarnation_ = backend.incarnation_;
+    known.coldFor_ = backend.coldFor_;
+    return known;
+}
+
 std::shared_ptr<BackendStats> RoutingTableBuilder::stats(const BackendName &backend) const
 {
-    const auto found = stats_.find(backend);
-    return found == stats_.end() ? nullptr : found->second;
+    const auto found = known_.find(backend);
+    return found == known_.end() ? nullptr : found->second.stats_;
 }
 
 std::shared_ptr<RoutingFence> RoutingTableBuilder::fence(const ServiceName &service) const
@@ -126,12 +155,14 @@
     return placement.shards_[shardOf(key, placement.shards_.size()).value_];
 }
 
-BackendChoice BackendSelector::select(const ServiceRoutes &routes, std::string_view key,
+BackendChoice BackendSelector::select(const ServiceRoutes &routes, const RequestKey &key,
                                       const std::vector<BackendName> &tried, Random &random,
                                       TimePoint now)
 {
+    if (key.ordered_)
+        return selectRangeOwner(routes, *key.ordered_, now);
     if (routes.service_.keyed_)
-        return selectOwner(routes, key, now);
+        return selectOwner(routes, key.text_, now);
     BackendChoice choice;
     choice.candidate_ = selectBalanced(routes, tried, random, now);
     choice.isBusy_ = !choice.candidate_
@@ -170,6 +201,28 @@
     return choice;
 }
 
+BackendChoice BackendSelector::selectRangeOwner(const ServiceRoutes &routes, std::uint32_t key,
+                                                TimePoint now)
+{
+    BackendChoice choice;
+    const RangeOwner *row = routes.ranges_ ? routes.ranges_->find(key) : nullptr;
+    if (!row || row->owner_.isNobody() || !row->previous_.isNobody())
+        return choice;
+    const Candidate *candidate = routes.find(row->owner_.name_);
+    const bool isOwner = candidate && candidate->backend_.incarnation_ == row->owner_.incarnation_;
+    if (!isOwner || !candidate->takesNewWork_)
+        return choice;
+    BackendStats &stats = *candidate->stats_;
+    const std::uint32_t limit = std::max(1U, candidate->presentLimit());
+    choice.isBusy_ = !stats.coldStart().hasRoom(now) || !stats.tryBegin(limit);
+    if (choice.isBusy_)
+        return choice;
+    stats.coldStart().take(now);
+    choice.candidate_ = candidate;
+    choice.epoch_ = row->epoch_;
+    return choice;
+}
+
 const Candidate *BackendSelector::selectBalanced(const ServiceRoutes &routes,
                                                  const std::vector<BackendName> &tried,
                                                  Random &random, TimePoint now)
@@ -189,9 +242,12 @@
     const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
     while (!usable.empty()) {
         const std::size_t index = strategy.pick(usable, random, now);
+        BackendStats &stats = *usable[index]->stats_;
         const std::uint32_t limit = std::max(1U, usable[index]->presentLimit());
-        if (usable[index]->stats_->tryBegin(limit))
+        if (stats.coldStart().hasRoom(now) && stats.tryBegin(limit)) {
+            stats.coldStart().take(now);
             return usable[index];
+        }
         usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
     }
     return nullptr;
@@ -207,7 +263,8 @@
             continue;
         const std::uint32_t limit = candidate.presentLimit();
         choices.hasOwn_ = choices.hasOwn_ || limit > 0;
-        const bool isFull = candidate.stats_->inFlight() >= std::max(1U, limit);
+        const bool isFull = candidate.stats_->inFlight() >= std::max(1U, limit)
+                            || !candidate.stats_->coldStart().hasRoom(now);
         if (isFull)
             continue;
         if (limit == 0)
--- a/src/daemon/ControlLoop.cpp
+++ b/src/base/EventLoop.cpp
@@ -1,4 +1,4 @@
-#include "src/daemon/ControlLoop.h"
+#include "src/base/EventLoop.h"
 
 #include <future>
 #include <memory>
@@ -40,29 +40,31 @@
 
 } // namespace
 
-ControlLoop::ControlLoop()
+EventLoop::EventLoop(const std::string &threadName)
     : work_(boost::asio::make_work_guard(context_))
     , thread_([this] { context_.run(); })
 {
-    pthread_setname_np(thread_.native_handle(), "control");
+    // The system's limit on a thread's name.
+    const std::size_t longestName = 15;
+    pthread_setname_np(thread_.native_handle(), threadName.substr(0, longestName).c_str());
 }
 
-ControlLoop::~ControlLoop()
+EventLoop::~EventLoop()
 {
     stop();
 }
 
-void ControlLoop::post(std::function<void()> task)
+void EventLoop::post(std::function<void()> task)
 {
     boost::asio::post(context_, std::move(task));
 }
 
-void ControlLoop::every(Duration period, std::function<void()> task)
+void EventLoop::every(Duration period, std::function<void()> task)
 {
     std::make_shared<Repeater>(context_, period, std::move(task))->arm();
 }
 
-void ControlLoop::after(Duration delay, std::function<void()> task)
+void EventLoop::after(Duration delay, std::function<void()> task)
 {
     auto timer = std::make_shared<boost::asio::steady_timer>(context_, delay);
     timer->async_wait([timer, task = std::move(task)](const boost::system::error_code &error) {
@@ -71,8 +73,12 @@
     });
 }
 
-void ControlLoop::run(const std::function<void()> &task)
+void EventLoop::run(const std::function<void()> &task)
 {
+    if (std::this_thread::get_id() == thread_.get_id()) {
+        task();
+        return;
+    }
     std::promise<void> done;
     post([&] {
         task();
@@ -81,7 +87,7 @@
     done.get_future().wait();
 }
 
-void ControlLoop::stop()
+void EventLoop::stop()
 {
     context_.stop();
     if (thread_.joinable())
--- a/src/daemon/ControlLoop.h
+++ b/src/base/EventLoop.h
@@ -3,6 +3,7 @@
 #include "pimentostage/base/Time.h"
 
 #include <functional>
+#include <string>
 #include <thread>
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -10,26 +11,27 @@
 
 namespace pimentostage {
 
-/// The control thread: runs posted functions and timers one after the other.
-class ControlLoop
+/// One thread that runs posted functions, timers and the sockets of its context; it waits in epoll.
+class EventLoop
 {
 public:
-    ControlLoop();
-    ~ControlLoop();
+    /// @param threadName name of the thread, cut to what the system allows.
+    explicit EventLoop(const std::string &threadName);
+    ~EventLoop();
 
-    ControlLoop(const ControlLoop &) = delete;
-    ControlLoop &operator=(const ControlLoop &) = delete;
+    EventLoop(const EventLoop &) = delete;
+    EventLoop &operator=(const EventLoop &) = delete;
 
-    /// Runs @p task on the control thread. Any thread may call this.
+    /// Runs @p task on the loop's thread. Any thread may call this.
     void post(std::function<void()> task);
 
-    /// Runs @p task on the control thread every @p period until the loop stops.
+    /// Runs @p task on the loop's thread every @p period until the loop stops.
     void every(Duration period, std::function<void()> task);
 
-    /// Runs @p task on the control thread after @p delay.
+    /// Runs @p task on the loop's thread after @p delay.
     void after(Duration delay, std::function<void()> task);
 
-    /// Runs @p task on the control thread and waits until it is done. Not on that thread.
+    /// Runs @p task on the loop's thread and waits until it is done.
     void run(const std::function<void()> &task);
 
     /// Ends the thread; posted functions that did not run are dropped.
--- a/src/base/HttpLoop.cpp
+++ b/src/base/HttpLoop.cpp
@@ -1,76 +1,89 @@
 #include "src/base/HttpLoop.h"
 
+#include "src/base/EventLoop.h"
+
 #include <algorithm>
+#include <charconv>
+#include <deque>
 #include <future>
-#include <map>
-#include <mutex>
-#include <thread>
+#include <list>
 #include <unordered_map>
 
-#include <curl/curl.h>
-#include <pthread.h>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <strings.h>
 
 namespace pimentostage {
 
 namespace {
 
-constexpr int kHttpContinue = 100;
-constexpr int kHttpOk = 200;
-constexpr Duration kLongestPoll = std::chrono::seconds(1);
-constexpr long kMostIdleConnections = 4096;
-
-struct EasyDeleter
-{
-    void operator()(CURL *easy) const { curl_easy_cleanup(easy); }
-};
-using EasyHandle = std::unique_ptr<CURL, EasyDeleter>;
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
 
-struct ListDeleter
-{
-    void operator()(curl_slist *list) const { curl_slist_free_all(list); }
-};
-using HeaderList = std::unique_ptr<curl_slist, ListDeleter>;
+constexpr std::size_t kReadSize = 8192; // bytes; most answers fit into one read
+constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+constexpr std::string_view kScheme = "http://";
+// A connection is not reused in the last part of the idle time that its peer announced.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 
 bool equalsIgnoringCase(std::string_view a, std::string_view b)
 {
     return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
 }
 
-std::string_view trimmed(std::string_view text)
+/// The parts of a URL "http://ip:port/target".
+struct SplitUrl
 {
-    static constexpr std::string_view kSpace = " \t\r\n";
-    const std::size_t first = text.find_first_not_of(kSpace);
-    if (first == std::string_view::npos)
-        return {};
-    return text.substr(first, text.find_last_not_of(kSpace) - first + 1);
-}
+    std::string peer_; ///< "ip:port"
+    std::string target_;
+    std::optional<tcp::endpoint> endpoint_; ///< nothing if the URL is not one
+};
 
-void initialiseCurlOnce()
+SplitUrl splitUrl(std::string_view url)
 {
-    static const CURLcode result = curl_global_init(CURL_GLOBAL_DEFAULT);
-    (void)result;
+    SplitUrl split;
+    if (url.substr(0, kScheme.size()) != kScheme)
+        return split;
+    url.remove_prefix(kScheme.size());
+    const std::size_t slash = std::min(url.find('/'), url.size());
+    split.peer_ = url.substr(0, slash);
+    split.target_ = slash < url.size() ? url.substr(slash) : "/";
+    const std::size_t colon = split.peer_.find(':');
+    if (colon == std::string::npos)
+        return split;
+    std::uint16_t port = 0;
+    const char *end = split.peer_.data() + split.peer_.size();
+    const auto [rest, fault] = std::from_chars(split.peer_.data() + colon + 1, end, port);
+    error_code error;
+    const auto ip = asio::ip::make_address_v4(split.peer_.substr(0, colon), error);
+    if (fault == std::errc() && rest == end && !error)
+        split.endpoint_ = tcp::endpoint(ip, port);
+    return split;
 }
 
-struct FailureRow
+/// @return the idle time that an answer's Keep-Alive header announces, or nothing.
+std::optional<Duration> announcedIdleTime(const HttpAnswer &answer)
 {
-    CURLcode code_;
-    Step step_;
-    ErrorCode error_;
-};
-
-constexpr FailureRow kFailures[] = {
-    { CURLE_COULDNT_CONNECT, Step::Connect, ErrorCode::Unreachable },
-    { CURLE_OPERATION_TIMEDOUT, Step::ReadAnswer, ErrorCode::Timeout },
-    { CURLE_SEND_ERROR, Step::SendRequest, ErrorCode::Unreachable },
-    { CURLE_RECV_ERROR, Step::ReadAnswer, ErrorCode::Unreachable },
-    { CURLE_GOT_NOTHING, Step::ReadAnswer, ErrorCode::Unreachable },
-    { CURLE_PARTIAL_FILE, Step::CheckAnswer, ErrorCode::Mismatch },
-    { CURLE_WRITE_ERROR, Step::CheckAnswer, ErrorCode::Mismatch },
-    { CURLE_WEIRD_SERVER_REPLY, Step::ReadAnswer, ErrorCode::Malformed },
-    { CURLE_UNSUPPORTED_PROTOCOL, Step::ReadAnswer, ErrorCode::Malformed },
-    { CURLE_ABORTED_BY_CALLBACK, Step::ReadAnswer, ErrorCode::Unreachable },
-};
+    static constexpr std::string_view kTimeout = "timeout=";
+    const std::string &value = answer.header("Keep-Alive");
+    const std::size_t at = value.find(kTimeout);
+    if (at == std::string::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *begin = value.data() + at + kTimeout.size();
+    const auto [end, fault] = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (fault != std::errc() || end == begin)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
 
 } // namespace
 
@@ -84,365 +97,540 @@
     return none;
 }
 
-class HttpLoop::Impl
+class HttpLoop::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
-    explicit Impl(const HttpLoopOptions &options)
+    Impl(const HttpLoopOptions &options, EventLoop &loop)
         : options_(options)
-    {
-        initialiseCurlOnce();
-        multi_ = curl_multi_init();
-        curl_multi_setopt(multi_, CURLMOPT_MAX_HOST_CONNECTIONS, options_.connectionsPerPeer_);
-        curl_multi_setopt(multi_, CURLMOPT_MAXCONNECTS, kMostIdleConnections);
-        curl_multi_setopt(multi_, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
-        thread_ = std::thread([this] { run(); });
-        const std::size_t kLongestThreadName = 15;
-        pthread_setname_np(thread_.native_handle(),
-                           options_.threadName_.substr(0, kLongestThreadName).c_str());
-    }
-
-    ~Impl()
-    {
-        {
-            const std::lock_guard lock(mutex_);
-            stopping_ = true;
-        }
-        curl_multi_wakeup(multi_);
-        thread_.join();
-        for (auto &[id, transfer] : transfers_)
-            curl_multi_remove_handle(multi_, transfer->easy_.get());
-        transfers_.clear();
-        idle_.clear();
-        curl_multi_cleanup(multi_);
-    }
-
-    Impl(const Impl &) = delete;
-    Impl &operator=(const Impl &) = delete;
+        , context_(loop.context())
+    { }
 
     void post(Task task)
     {
-        {
-            const std::lock_guard lock(mutex_);
-            tasks_.push_back(std::move(task));
-        }
-        curl_multi_wakeup(multi_);
+        asio::post(context_, [self = shared_from_this(), task = std::move(task)] {
+            if (!self->closed_)
+                task();
+        });
     }
 
-    TransferId start(HttpRequest request, Done done)
-    {
-        auto transfer = std::make_unique<Transfer>();
-        transfer->id_ = ++lastId_;
-        transfer->request_ = std::move(request);
-        transfer->done_ = std::move(done);
-        transfer->mostAnswerBytes_ = options_.mostAnswerBytes_;
-        transfer->startedAt_ = BootClock::now();
-        transfer->easy_ = takeEasy();
-        prepare(*transfer);
-        const TransferId id = transfer->id_;
-        CURL *easy = transfer->easy_.get();
-        transfers_.emplace(id, std::move(transfer));
-        curl_multi_add_handle(multi_, easy);
-        return id;
-    }
+    TransferId start(HttpRequest request, Done done);
+    void cancel(TransferId id);
 
-    void cancel(TransferId id)
+    void runAt(TimePoint at, Task task)
     {
-        const auto found = transfers_.find(id);
-        if (found == transfers_.end())
-            return;
-        // Removing a handle in mid-transfer closes its connection.
-        curl_multi_remove_handle(multi_, found->second->easy_.get());
-        giveBack(std::move(found->second->easy_));
-        transfers_.erase(found);
+        auto timer = std::make_shared<asio::steady_timer>(context_);
+        timer->expires_after(std::max(Duration::zero(), at - BootClock::now()));
+        timer->async_wait(
+            [self = shared_from_this(), timer, task = std::move(task)](const error_code &error) {
+                if (!error && !self->closed_)
+                    task();
+            });
     }
 
-    void runAt(TimePoint at, Task task) { timers_.emplace(at, std::move(task)); }
+    /// Closes everything; nothing is called any more.
+    void close();
 
 private:
+    class Connection;
+    struct PeerState;
+
     struct Transfer
     {
+        Transfer(asio::io_context &context, HttpRequest request, Done done)
+            : request_(std::move(request))
+            , done_(std::move(done))
+            , timer_(context)
+            , startedAt_(BootClock::now())
+        { }
+
         TransferId id_ = 0;
         HttpRequest request_;
+        SplitUrl url_;
         Done done_;
-        EasyHandle easy_;
-        HeaderList headers_;
-        HttpAnswer answer_;
+        asio::steady_timer timer_;
         TimePoint startedAt_;
-        std::size_t mostAnswerBytes_ = 0;
-        int sends_ = 0; ///< how often curl was about to write the request to a connection
-        bool headersComplete_ = false;
-        bool isMismatched_ = false;
-        bool isForbidden_ = false; ///< HttpRequest::maySend_ was false
+        AttemptState state_ = AttemptState::NotSent;
+        bool isReused_ = false;
+        std::weak_ptr<Connection> connection_; ///< while it has one
     };
 
-    EasyHandle takeEasy()
+    struct PeerState
     {
-        if (idle_.empty())
-            return EasyHandle(curl_easy_init());
-        EasyHandle easy = std::move(idle_.back());
-        idle_.pop_back();
-        curl_easy_reset(easy.get());
-        return easy;
-    }
+        std::list<std::shared_ptr<Connection>> idle_; ///< the one used last first
+        std::deque<TransferId> waiting_; ///< for a connection
+        long open_ = 0;
+    };
 
-    void giveBack(EasyHandle easy)
-    {
-        const std::size_t kMostIdleHandles = 256;
-        if (idle_.size() < kMostIdleHandles)
-            idle_.push_back(std::move(easy));
-    }
+    void assign(const std::shared_ptr<Transfer> &transfer);
+    void assignNext(const std::string &peer);
+    std::shared_ptr<Connection> takeIdle(PeerState &peer);
+    void onTimeout(TransferId id);
+    void finish(Transfer &transfer, HttpResult result);
+    void fail(Transfer &transfer, Step step, ErrorCode code, std::string detail);
 
-    void prepare(Transfer &transfer)
+    const HttpLoopOptions options_;
+    asio::io_context &context_;
+    std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
+    std::unordered_map<std::string, PeerState> peers_;
+    TransferId lastId_ = 0;
+    bool closed_ = false;
+};
+
+/// One TCP connection to a peer. Always reads, so that it learns of its end at once.
+class HttpLoop::Impl::Connection : public std::enable_shared_from_this<Connection>
+{
+public:
+    Connection(std::shared_ptr<Impl> loop, std::string peer)
+        : loop_(std::move(loop))
+        , peer_(std::move(peer))
+        , socket_(loop_->context_)
+        , timer_(loop_->context_)
+    { }
+
+    void connect(const std::shared_ptr<Transfer> &transfer)
     {
-        CURL *easy = transfer.easy_.get();
-        const HttpRequest &request = transfer.request_;
-        curl_easy_setopt(easy, CURLOPT_URL, request.url_.c_str());
-        curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
-        curl_easy_setopt(easy, CURLOPT_NOPROXY, "*");
-        curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
-        curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-        curl_easy_setopt(easy, CURLOPT_PATH_AS_IS, 1L);
-        curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS, millisecondsUp(request.timeout_));
-        curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                         millisecondsUp(std::min(options_.connectTimeout_, request.timeout_)));
-        curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN, idleSeconds());
-        curl_easy_setopt(easy, CURLOPT_PRIVATE, &transfer);
-        curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Impl::onAboutToSend);
-        curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
-        curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Impl::onHeader);
-        curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
-        curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Impl::onBody);
-        curl_easy_setopt(easy, CURLOPT_WRITEDATA, &transfer);
-        if (request.method_ == "HEAD")
-            curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
-        const bool hasBody
-            = !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT";
-        if (hasBody) {
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                             static_cast<curl_off_t>(request.body_.size()));
-            curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body_.data());
-        }
-        curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method_.c_str());
-        transfer.headers_ = headerList(request);
-        curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer.headers_.get());
+        transfer_ = transfer;
+        transfer->connection_ = weak_from_this();
+        timer_.expires_after(loop_->options_.connectTimeout_);
+        timer_.async_wait([self = shared_from_this()](const error_code &error) {
+            if (!error && !self->isConnected_)
+                self->fail(Step::Connect, ErrorCode::Timeout, "no connection in time");
+        });
+        socket_.async_connect(
+            *transfer->url_.endpoint_,
+            [self = shared_from_this()](const error_code &error) { self->onConnected(error); });
     }
 
-    static HeaderList headerList(const HttpRequest &request)
+    /// Sends @p transfer on this idle connection.
+    void send(const std::shared_ptr<Transfer> &transfer)
     {
-        // An empty Expect header keeps curl from waiting for "100 Continue".
-        curl_slist *list = curl_slist_append(nullptr, "Expect:");
-        for (const HttpHeader &header : request.headers_) {
-            const std::string line = header.name_ + ": " + header.value_;
-            list = curl_slist_append(list, line.c_str());
+        transfer_ = transfer;
+        transfer->connection_ = weak_from_this();
+        transfer->isReused_ = served_ > 0;
+        const auto &maySend = transfer->request_.maySend_;
+        if (maySend && !maySend()) {
+            const std::shared_ptr<Transfer> refused = std::move(transfer_);
+            refused->connection_.reset();
+            becomeIdle();
+            loop_->fail(*refused, Step::Connect, ErrorCode::Stale,
+                        "the lease under which it was to be sent has ended");
+            return;
         }
-        return HeaderList(list);
+        newParser();
+        writeRequest();
     }
 
-    long idleSeconds() const
+    [[nodiscard]] bool isReusable(TimePoint now) const
     {
-        const auto seconds
-            = std::chrono::duration_cast<std::chrono::seconds>(options_.mostIdleAge_);
-        return std::max<long>(1, seconds.count());
+        return isConnected_ && now - idleSince_ < idleLimit_;
     }
+    [[nodiscard]] TimePoint heardAt() const { return heardAt_; }
 
-    static long millisecondsUp(Duration duration)
+    /// Closes it; a transfer on it ends as @p step and @p code say.
+    void fail(Step step, ErrorCode code, const std::string &detail)
     {
-        const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(duration);
-        return std::max<long>(1, rounded.count());
+        const std::shared_ptr<Transfer> transfer = std::move(transfer_);
+        close();
+        if (transfer) {
+            transfer->connection_.reset();
+            loop_->fail(*transfer, step, code, detail);
+        }
     }
 
-    // curl writes a request again by itself when a reused connection breaks before an answer.
-    // That decision belongs to RequestExecution, so a second write is prevented here.
-    static int onAboutToSend(void *context, char *, char *, int, int)
+    void close()
     {
-        auto &transfer = *static_cast<Transfer *>(context);
-        if (transfer.sends_ > 0)
-            return CURL_PREREQFUNC_ABORT;
-        const auto &maySend = transfer.request_.maySend_;
-        transfer.isForbidden_ = maySend && !maySend();
-        if (transfer.isForbidden_)
-            return CURL_PREREQFUNC_ABORT;
-        ++transfer.sends_;
-        return CURL_PREREQFUNC_OK;
+        if (isClosed_)
+            return;
+        isClosed_ = true;
+        transfer_.reset();
+        timer_.cancel();
+        error_code ignored;
+        socket_.close(ignored);
+        const auto found = loop_->peers_.find(peer_);
+        if (found == loop_->peers_.end())
+            return;
+        found->second.idle_.remove(shared_from_this());
+        --found->second.open_;
+        asio::post(loop_->context_, [loop = loop_, peer = peer_] { loop->assignNext(peer); });
     }
 
-    static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
+private:
+    void onConnected(const error_code &error)
     {
-        auto &transfer = *static_cast<Transfer *>(context);
-        const std::string_view line = trimmed({ data, size * count });
-        if (line.empty())
-            return endHeaders(transfer) ? size * count : 0;
-        if (line.substr(0, 5) == "HTTP/") {
-            transfer.answer_.headers_.clear();
-            return size * count;
-        }
-        const std::size_t colon = line.find(':');
-        if (colon != std::string_view::npos) {
-            transfer.answer_.headers_.push_back(HttpHeader {
-                std::string(line.substr(0, colon)), std::string(trimmed(line.substr(colon + 1))) });
+        if (isClosed_)
+            return;
+        timer_.cancel();
+        if (error) {
+            fail(Step::Connect, ErrorCode::Unreachable, error.message());
+            return;
         }
-        return size * count;
-    }
-
-    static bool endHeaders(Transfer &transfer)
-    {
-        long status = 0;
-        curl_easy_getinfo(transfer.easy_.get(), CURLINFO_RESPONSE_CODE, &status);
-        if (status >= kHttpContinue && status < kHttpOk)
-            return true;
-        transfer.headersComplete_ = true;
-        transfer.answer_.status_ = static_cast<int>(status);
-        const std::string &expected = transfer.request_.expectedId_;
-        transfer.isMismatched_
-            = !expected.empty() && transfer.answer_.header(kRequestIdHeader) != expected;
-        return !transfer.isMismatched_;
+        isConnected_ = true;
+        heardAt_ = BootClock::now();
+        error_code ignored;
+        socket_.set_option(tcp::no_delay(true), ignored);
+        read();
+        send(std::move(transfer_));
     }
 
-    static std::size_t onBody(char *data, std::size_t size, std::size_t count, void *context)
+    void newParser()
     {
-        auto &transfer = *static_cast<Transfer *>(context);
-        std::string &body = transfer.answer_.body_;
-        if (body.size() + size * count > transfer.mostAnswerBytes_)
-            return 0;
-        body.append(data, size * count);
-        return size * count;
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(kMostHeaderBytes);
+        parser_->body_limit(loop_->options_.mostAnswerBytes_);
+        parser_->skip(transfer_->request_.method_ == "HEAD");
     }
 
-    void run()
+    void writeRequest()
     {
-        while (true) {
-            const std::vector<Task> tasks = takeTasks();
-            for (const Task &task : tasks)
-                task();
-            runTimers();
-            int running = 0;
-            curl_multi_perform(multi_, &running);
-            finishTransfers();
-            if (isStopping())
-                return;
-            curl_multi_poll(multi_, nullptr, 0, pollMilliseconds(), nullptr);
+        const HttpRequest &request = transfer_->request_;
+        std::string &out = outgoing_;
+        out.clear();
+        out.append(request.method_).append(" ").append(transfer_->url_.target_);
+        out.append(" HTTP/1.1\r\n");
+        bool hasHost = false;
+        for (const HttpHeader &header : request.headers_) {
+            hasHost = hasHost || equalsIgnoringCase(header.name_, "Host");
+            out.append(header.name_).append(": ").append(header.value_).append("\r\n");
         }
+        if (!hasHost)
+            out.append("Host: ").append(peer_).append("\r\n");
+        const bool hasBody
+            = !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT";
+        if (hasBody)
+            out.append("Content-Length: ")
+                .append(std::to_string(request.body_.size()))
+                .append("\r\n");
+        out.append("\r\n");
+        out.append(request.body_);
+        isWriting_ = true;
+        transfer_->state_ = AttemptState::PartlySent;
+        asio::async_write(socket_, asio::buffer(outgoing_),
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              self->onWritten(error);
+                          });
     }
 
-    std::vector<Task> takeTasks()
+    void onWritten(const error_code &error)
     {
-        const std::lock_guard lock(mutex_);
-        return std::exchange(tasks_, {});
+        isWriting_ = false;
+        if (isClosed_)
+            return;
+        // A failed write shows in the pending read too, which knows what came before it.
+        if (!error && transfer_)
+            transfer_->state_ = AttemptState::Sent;
     }
 
-    bool isStopping()
+    void read()
     {
-        const std::lock_guard lock(mutex_);
-        return stopping_;
+        socket_.async_read_some(
+            buffer_.prepare(kReadSize),
+            [self = shared_from_this()](const error_code &error, std::size_t size) {
+                self->onRead(error, size);
+            });
     }
 
-    void runTimers()
+    void onRead(const error_code &error, std::size_t size)
     {
-        const TimePoint now = BootClock::now();
-        while (!timers_.empty() && timers_.begin()->first <= now) {
-            const Task task = std::move(timers_.begin()->second);
-            timers_.erase(timers_.begin());
-            task();
+        if (isClosed_)
+            return;
+        buffer_.commit(size);
+        if (!transfer_) {
+            // The peer closed it, or sent what nobody asked for.
+            close();
+            return;
+        }
+        heardAt_ = BootClock::now();
+        if (error) {
+            onEnd(error);
+            return;
         }
+        if (parse() && !isClosed_)
+            read();
     }
 
-    int pollMilliseconds() const
+    void onEnd(const error_code &error)
     {
-        Duration wait = kLongestPoll;
-        if (!timers_.empty())
-            wait = std::min(wait, timers_.begin()->first - BootClock::now());
-        if (wait <= Duration::zero())
-            return 0;
-        return static_cast<int>(std::chrono::ceil<std::chrono::milliseconds>(wait).count());
+        error_code fault;
+        if (error == asio::error::eof && parser_->got_some())
+            parser_->put_eof(fault);
+        const bool isWhole
+            = error == asio::error::eof && parser_->got_some() && !fault && parser_->is_done();
+        if (isWhole) {
+            mustClose_ = true;
+            complete();
+            return;
+        }
+        const bool isShort = error == asio::error::eof && parser_->got_some();
+        fail(isShort ? Step::CheckAnswer : Step::ReadAnswer,
+             isShort ? ErrorCode::Mismatch : ErrorCode::Unreachable, error.message());
     }
 
-    void finishTransfers()
+    /// @return whether the connection reads on.
+    bool parse()
     {
-        int left = 0;
-        while (CURLMsg *message = curl_multi_info_read(multi_, &left)) {
-            if (message->msg != CURLMSG_DONE)
+        while (buffer_.size() > 0) {
+            error_code error;
+            buffer_.consume(parser_->put(buffer_.data(), error));
+            if (error == http::error::need_more)
+                return true;
+            if (error) {
+                const bool isTooLarge = error == http::error::body_limit;
+                fail(isTooLarge ? Step::CheckAnswer : Step::ReadAnswer,
+                     isTooLarge ? ErrorCode::Mismatch : ErrorCode::Malformed, error.message());
+                return false;
+            }
+            if (!parser_->is_done())
                 continue;
-            Transfer *finished = nullptr;
-            curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &finished);
-            finish(*finished, message->data.result);
+            const bool isInterim = parser_->get().result_int() < 200;
+            if (isInterim) {
+                newParser();
+                continue;
+            }
+            // Bytes behind a whole answer belong to nobody.
+            mustClose_ = buffer_.size() > 0;
+            return complete();
         }
+        return true;
     }
 
-    void finish(Transfer &finished, CURLcode code)
+    /// Hands the parsed answer over. @return whether the connection reads on.
+    bool complete()
     {
-        const auto found = transfers_.find(finished.id_);
-        const std::unique_ptr<Transfer> transfer = std::move(found->second);
-        transfers_.erase(found);
-        HttpResult result = resultOf(*transfer, code);
-        curl_multi_remove_handle(multi_, transfer->easy_.get());
-        giveBack(std::move(transfer->easy_));
-        transfer->done_(std::move(result));
+        const std::shared_ptr<Transfer> transfer = std::move(transfer_);
+        transfer->connection_.reset();
+        // An answer before the whole request was written: the rest must not be taken for another.
+        mustClose_ = mustClose_ || isWriting_ || !parser_->keep_alive();
+        auto message = parser_->release();
+        HttpAnswer answer;
+        answer.status_ = static_cast<int>(message.result_int());
+        for (const auto &field : message) {
+            answer.headers_.push_back(
+                { std::string(field.name_string()), std::string(field.value()) });
+        }
+        answer.body_ = std::move(message.body());
+        const HttpRequest &request = transfer->request_;
+        const bool isMismatched = !request.expectedId_.empty()
+                                  && answer.header(request.idHeader_) != request.expectedId_;
+        if (isMismatched) {
+            close();
+            loop_->fail(*transfer, Step::CheckAnswer, ErrorCode::Mismatch,
+                        "the answer carries another request's id");
+            return false;
+        }
+        ++served_;
+        if (const auto announced = announcedIdleTime(answer))
+            idleLimit_ = std::min(loop_->options_.mostIdleAge_, *announced - kIdleMargin);
+        else
+            idleLimit_ = loop_->options_.mostIdleAge_;
+        if (mustClose_)
+            close();
+        else
+            becomeIdle();
+        HttpResult result;
+        result.state_ = AttemptState::Answered;
+        result.answer_ = std::move(answer);
+        loop_->finish(*transfer, std::move(result));
+        return !isClosed_;
     }
 
-    HttpResult resultOf(Transfer &transfer, CURLcode code) const
+    void becomeIdle()
     {
-        HttpResult result;
-        result.elapsed_ = BootClock::now() - transfer.startedAt_;
-        if (code == CURLE_OK && transfer.headersComplete_) {
-            result.state_ = AttemptState::Answered;
-            result.answer_ = std::move(transfer.answer_);
-            return result;
-        }
-        result.state_ = sendStateOf(transfer);
-        result.error_ = errorOf(transfer, code);
-        return result;
+        idleSince_ = BootClock::now();
+        loop_->peers_[peer_].idle_.push_front(shared_from_this());
+        asio::post(loop_->context_, [loop = loop_, peer = peer_] { loop->assignNext(peer); });
     }
 
-    static AttemptState sendStateOf(const Transfer &transfer)
-    {
-        if (transfer.sends_ == 0)
-            return AttemptState::NotSent;
-        curl_off_t uploaded = 0;
-        curl_easy_getinfo(transfer.easy_.get(), CURLINFO_SIZE_UPLOAD_T, &uploaded);
-        const bool isWhole = transfer.headersComplete_
-                             || uploaded >= static_cast<curl_off_t>(transfer.request_.body_.size());
-        return isWhole ? AttemptState::Sent : AttemptState::PartlySent;
+    const std::shared_ptr<Impl> loop_;
+    const std::string peer_;
+    tcp::socket socket_;
+    asio::steady_timer timer_;
+    beast::flat_buffer buffer_;
+    std::optional<http::response_parser<http::string_body>> parser_;
+    std::shared_ptr<Transfer> transfer_; ///< nullptr while idle
+    std::string outgoing_;
+    TimePoint idleSince_ {};
+    TimePoint heardAt_ {};
+    Duration idleLimit_ = std::chrono::hours(1); // until an answer tells more
+    std::size_t served_ = 0;
+    bool isConnected_ = false;
+    bool isWriting_ = false;
+    bool mustClose_ = false;
+    bool isClosed_ = false;
+};
+
+HttpLoop::TransferId HttpLoop::Impl::start(HttpRequest request, Done done)
+{
+    auto transfer = std::make_shared<Transfer>(context_, std::move(request), std::move(done));
+    transfer->id_ = ++lastId_;
+    transfer->url_ = splitUrl(transfer->request_.url_);
+    transfers_.emplace(transfer->id_, transfer);
+    transfer->timer_.expires_after(std::max(Duration::zero(), transfer->request_.timeout_));
+    transfer->timer_.async_wait(
+        [self = shared_from_this(), id = transfer->id_](const error_code &error) {
+            if (!error)
+                self->onTimeout(id);
+        });
+    // Later, so that the caller knows the transfer's id before its function is called.
+    asio::post(context_, [self = shared_from_this(), id = transfer->id_] {
+        const auto found = self->transfers_.find(id);
+        if (found != self->transfers_.end())
+            self->assign(found->second);
+    });
+    return transfer->id_;
+}
+
+void HttpLoop::Impl::assign(const std::shared_ptr<Transfer> &transfer)
+{
+    if (!transfer->url_.endpoint_) {
+        fail(*transfer, Step::Connect, ErrorCode::InvalidValue,
+             "not a URL of the form http://ip:port");
+        return;
+    }
+    PeerState &peer = peers_[transfer->url_.peer_];
+    if (const std::shared_ptr<Connection> idle = takeIdle(peer)) {
+        idle->send(transfer);
+        return;
+    }
+    if (peer.open_ >= options_.connectionsPerPeer_) {
+        peer.waiting_.push_back(transfer->id_);
+        return;
     }
+    ++peer.open_;
+    std::make_shared<Connection>(shared_from_this(), transfer->url_.peer_)->connect(transfer);
+}
 
-    Error errorOf(const Transfer &transfer, CURLcode code) const
-    {
-        Error error { Step::ReadAnswer, Peer { options_.peerKind_, transfer.request_.url_ },
-                      ErrorCode::Unreachable, curl_easy_strerror(code) };
-        const auto *row
-            = std::find_if(std::begin(kFailures), std::end(kFailures),
-                           [&](const FailureRow &known) { return known.code_ == code; });
-        if (row != std::end(kFailures)) {
-            error.step_ = row->step_;
-            error.code_ = row->error_;
+std::shared_ptr<HttpLoop::Impl::Connection> HttpLoop::Impl::takeIdle(PeerState &peer)
+{
+    const TimePoint now = BootClock::now();
+    while (!peer.idle_.empty()) {
+        const std::shared_ptr<Connection> connection = peer.idle_.front();
+        peer.idle_.pop_front();
+        if (connection->isReusable(now))
+            return connection;
+        connection->close();
+    }
+    return nullptr;
+}
+
+void HttpLoop::Impl::assignNext(const std::string &peerName)
+{
+    const auto peer = peers_.find(peerName);
+    if (closed_ || peer == peers_.end())
+        return;
+    while (!peer->second.waiting_.empty()) {
+        const TransferId id = peer->second.waiting_.front();
+        const auto found = transfers_.find(id);
+        if (found == transfers_.end()) {
+            peer->second.waiting_.pop_front();
+            continue;
         }
-        if (transfer.sends_ == 0)
-            error.step_ = Step::Connect;
-        if (transfer.isForbidden_) {
-            error.code_ = ErrorCode::Stale;
-            error.detail_ = "the lease under which it was to be sent has ended";
+        const bool hasRoom
+            = !peer->second.idle_.empty() || peer->second.open_ < options_.connectionsPerPeer_;
+        if (!hasRoom)
+            return;
+        peer->second.waiting_.pop_front();
+        assign(found->second);
+    }
+}
+
+void HttpLoop::Impl::onTimeout(TransferId id)
+{
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end())
+        return;
+    const std::shared_ptr<Transfer> transfer = found->second;
+    const std::shared_ptr<Connection> connection = transfer->connection_.lock();
+    if (!connection) {
+        fail(*transfer, Step::Connect, ErrorCode::Timeout, "no connection in time");
+        return;
+    }
+    const bool wasSilent = connection->heardAt() < transfer->startedAt_;
+    if (wasSilent) {
+        // Others that were opened before may have gone silent with it.
+        PeerState &peer = peers_[transfer->url_.peer_];
+        const std::list<std::shared_ptr<Connection>> idle = peer.idle_;
+        for (const auto &other : idle) {
+            if (other->heardAt() < transfer->startedAt_)
+                other->close();
         }
-        if (transfer.isMismatched_)
-            error.detail_ = "the answer carries another request's id";
-        return error;
     }
+    const bool isSent = transfer->state_ != AttemptState::NotSent;
+    connection->fail(isSent ? Step::ReadAnswer : Step::Connect, ErrorCode::Timeout,
+                     "no whole answer in time");
+}
 
-    const HttpLoopOptions options_;
-    CURLM *multi_ = nullptr;
-    std::unordered_map<TransferId, std::unique_ptr<Transfer>> transfers_;
-    std::vector<EasyHandle> idle_;
-    std::multimap<TimePoint, Task> timers_;
-    TransferId lastId_ = 0;
-    std::mutex mutex_;
-    std::vector<Task> tasks_;
-    bool stopping_ = false;
-    std::thread thread_;
-};
+void HttpLoop::Impl::cancel(TransferId id)
+{
+    const auto found = transfers_.find(id);
+    if (found == transfers_.end())
+        return;
+    const std::shared_ptr<Transfer> transfer = std::move(found->second);
+    transfers_.erase(found);
+    transfer->timer_.cancel();
+    if (const std::shared_ptr<Connection> connection = transfer->connection_.lock())
+        connection->close();
+}
+
+void HttpLoop::Impl::fail(Transfer &transfer, Step step, ErrorCode code, std::string detail)
+{
+    HttpResult result;
+    result.state_ = transfer.state_;
+    result.error_
+        = Error { transfer.state_ == AttemptState::NotSent ? Step::Connect : step,
+                  Peer { options_.peerKind_, transfer.request_.url_ }, code, std::move(detail) };
+    finish(transfer, std::move(result));
+}
+
+void HttpLoop::Impl::finish(Transfer &transfer, HttpResult result)
+{
+    const auto found = transfers_.find(transfer.id_);
+    if (closed_ || found == transfers_.end())
+        return;
+    const std::shared_ptr<Transfer> finished = std::move(found->second);
+    transfers_.erase(found);
+    finished->timer_.cancel();
+    result.elapsed_ = BootClock::now() - finished->startedAt_;
+    result.isReused_ = finished->isReused_;
+    finished->done_(std::move(result));
+}
+
+void HttpLoop::Impl::close()
+{
+    closed_ = true;
+    for (auto &[id, transfer] : transfers_)
+        transfer->timer_.cancel();
+    std::vector<std::shared_ptr<Connection>> open;
+    for (const auto &[name, peer] : peers_)
+        open.insert(open.end(), peer.idle_.begin(), peer.idle_.end());
+    for (const auto &[id, transfer] : transfers_) {
+        if (auto connection = transfer->connection_.lock())
+            open.push_back(std::move(connection));
+    }
+    transfers_.clear();
+    for (const auto &connection : open)
+        connection->close();
+    peers_.clear();
+}
 
 HttpLoop::HttpLoop(const HttpLoopOptions &options)
-    : impl_(std::make_unique<Impl>(options))
+    : ownLoop_(std::make_unique<EventLoop>(options.threadName_))
+    , impl_(std::make_shared<Impl>(options, *ownLoop_))
+{ }
+
+HttpLoop::HttpLoop(const HttpLoopOptions &options, EventLoop &loop)
+    : impl_(std::make_shared<Impl>(options, loop))
 { }
 
-HttpLoop::~HttpLoop() = default;
+HttpLoop::~HttpLoop()
+{
+    if (ownLoop_) {
+        ownLoop_->run([this] { impl_->close(); });
+        ownLoop_->stop();
+        return;
+    }
+    impl_->post([impl = impl_] { impl->close(); });
+}
 
 void HttpLoop::post(Task task)
 {
--- a/src/base/HttpLoop.h
+++ b/src/base/HttpLoop.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Attempt.h"
 #include "pimentostage/base/Error.h"
+#include "pimentostage/base/HttpHeader.h"
 #include "pimentostage/base/Time.h"
 
 #include <cstddef>
@@ -14,12 +15,10 @@
 
 namespace pimentostage {
 
-/// One HTTP header.
-struct HttpHeader
-{
-    std::string name_;
-    std::string value_;
-};
+class EventLoop;
+
+/// Header that carries the id of a request and of its answer.
+inline constexpr const char *kRequestIdHeader = "Pimento-Request-Id";
 
 /// A request to send.
 struct HttpRequest
@@ -29,7 +28,8 @@
     std::vector<HttpHeader> headers_;
     std::string body_;
     Duration timeout_ = std::chrono::seconds(1);
-    std::string expectedId_; ///< if set, an answer must repeat it in kRequestIdHeader
+    std::string expectedId_; ///< if set, an answer must repeat it in idHeader_
+    const char *idHeader_ = kRequestIdHeader; ///< header of an answer that repeats the id
     /// If set, asked right before the first byte is sent; if false, the request ends as Stale.
     std::function<bool()> maySend_;
 };
@@ -52,6 +52,7 @@
     std::optional<HttpAnswer> answer_;
     std::optional<Error> error_;
     Duration elapsed_ {};
+    bool isReused_ = false; ///< sent on a connection that had served requests before
 };
 
 /// Settings of an HttpLoop.
@@ -65,10 +66,10 @@
     PeerKind peerKind_ = PeerKind::Backend;
 };
 
-/// Header that carries the id of a request and of its answer.
-inline constexpr const char *kRequestIdHeader = "Pimento-Request-Id";
-
-/// One thread that runs HTTP transfers, timers and posted functions; it waits in poll.
+/// HTTP/1.1 transfers over kept connections, on one thread, with timers and posted functions.
+///
+/// A connection is read also while it is idle: one that its peer closes, or that brings bytes which
+/// no request asked for, is closed and never used again.
 class HttpLoop
 {
 public:
@@ -76,9 +77,15 @@
     using Done = std::function<void(HttpResult)>;
     using Task = std::function<void()>;
 
+    /// Runs on a thread of its own.
     explicit HttpLoop(const HttpLoopOptions &options);
+    /// Runs on the thread of @p loop, which outlives it.
+    HttpLoop(const HttpLoopOptions &options, EventLoop &loop);
     ~HttpLoop();
 
+    HttpLoop(const HttpLoop &) = delete;
+    HttpLoop &operator=(const HttpLoop &) = delete;
+
     /// Runs @p task on the loop's thread. Any thread may call this.
     void post(Task task);
 
@@ -98,7 +105,8 @@
 
 private:
     class Impl;
-    std::unique_ptr<Impl> impl_;
+    std::unique_ptr<EventLoop> ownLoop_; ///< nullptr if the thread is another's
+    std::shared_ptr<Impl> impl_;
 };
 
 } // namespace pimentostage
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -1,214 +1,54 @@
 #include "src/base/HttpServer.h"
 
-#include <pistache/endpoint.h>
-#include <pistache/peer.h>
+#include <algorithm>
+
+#include <strings.h>
 
 namespace pimentostage {
 
 namespace {
 
-namespace http = Pistache::Http;
-
-constexpr int kInternalError = 500;
-constexpr int kListenBacklog = 1024;
-constexpr const char *kConnectionData = "pimentostage.connection";
-
-/// A header with any name; Pistache writes only headers of typed classes.
-class TextHeader : public http::Header::Header
-{
-public:
-    TextHeader(std::string name, std::string value)
-        : name_(std::move(name))
-        , value_(std::move(value))
-    { }
-
-    const char *name() const override { return name_.c_str(); }
-    void write(std::ostream &out) const override { out << value_; }
-    std::uint64_t hash() const override { return std::hash<std::string> {}(name_); }
-
-private:
-    const std::string name_;
-    const std::string value_;
-};
-
-void setHeader(http::ResponseWriter &writer, const std::string &name, const std::string &value)
-{
-    writer.headers().remove(name);
-    writer.headers().add(std::make_shared<TextHeader>(name, value));
-}
-
-// Pistache closes a connection unless the request names keep-alive, which is HTTP/1.0's rule.
-void keepAliveByDefault(const http::Request &request, http::ResponseWriter &writer)
-{
-    const bool isDefault = request.version() == http::Version::Http11
-                           && !request.headers().has<http::Header::Connection>();
-    if (isDefault)
-        setHeader(writer, "Connection", "Keep-Alive");
-}
-
-// Pistache keeps the data with the peer and lets it go when the peer is gone.
-std::shared_ptr<HttpConnection> connectionOf(const http::ResponseWriter &writer)
+std::size_t queryStart(const std::string &target)
 {
-    const std::shared_ptr<Pistache::Tcp::Peer> peer = writer.getPeer();
-    auto known = std::static_pointer_cast<HttpConnection>(peer->tryGetData(kConnectionData));
-    if (known)
-        return known;
-    auto connection = std::make_shared<HttpConnection>();
-    peer->putData(kConnectionData, connection);
-    return connection;
+    return std::min(target.find('?'), target.size());
 }
 
 } // namespace
 
-std::string ServerRequest::method() const
+std::string ServerRequest::path() const
 {
-    return http::methodString(request_.method());
-}
-
-const std::string &ServerRequest::path() const
-{
-    return request_.resource();
+    return target_.substr(0, queryStart(target_));
 }
 
 std::string ServerRequest::query() const
 {
-    return request_.query().as_str();
-}
-
-std::string ServerRequest::parameter(const std::string &name) const
-{
-    return request_.query().get(name).value_or("");
-}
-
-std::optional<std::string> ServerRequest::header(const std::string &name) const
-{
-    const auto raw = request_.headers().tryGetRaw(name);
-    if (!raw)
-        return std::nullopt;
-    return raw->value();
-}
-
-const std::string &ServerRequest::body() const
-{
-    return request_.body();
-}
-
-HttpResponder::HttpResponder(http::ResponseWriter writer)
-    : writer_(std::make_unique<http::ResponseWriter>(std::move(writer)))
-{ }
-
-HttpResponder::~HttpResponder()
-{
-    if (!sent_)
-        send(ServerAnswer { kInternalError, "", {}, "" });
+    return target_.substr(queryStart(target_));
 }
 
-void HttpResponder::send(const ServerAnswer &answer)
+std::string ServerRequest::parameter(std::string_view name) const
 {
-    if (sent_)
-        return;
-    sent_ = true;
-    if (!answer.contentType_.empty())
-        setHeader(*writer_, "Content-Type", answer.contentType_);
-    for (const HttpHeader &header : answer.headers_)
-        setHeader(*writer_, header.name_, header.value_);
-    try {
-        writer_->send(static_cast<http::Code>(answer.status_), answer.body_);
-    } catch (const std::exception &) {
-        // The peer has gone; nobody is left to read the answer.
+    std::string_view rest = std::string_view(target_).substr(queryStart(target_));
+    while (!rest.empty()) {
+        rest.remove_prefix(1);
+        const std::size_t end = std::min(rest.find('&'), rest.size());
+        const std::string_view pair = rest.substr(0, end);
+        const std::size_t equals = std::min(pair.find('='), pair.size());
+        if (pair.substr(0, equals) == name)
+            return std::string(pair.substr(std::min(equals + 1, pair.size())));
+        rest.remove_prefix(end);
     }
+    return "";
 }
 
-namespace {
-
-class ServerHandler : public http::Handler
-{
-public:
-    HTTP_PROTOTYPE(ServerHandler)
-
-    explicit ServerHandler(std::shared_ptr<HttpServer::HandlerFactory> factory)
-        : factory_(std::move(factory))
-        , handler_((*factory_)())
-    { }
-
-    // Pistache copies the prototype once for each of its threads.
-    ServerHandler(const ServerHandler &other)
-        : http::Handler(other)
-        , factory_(other.factory_)
-        , handler_((*factory_)())
-    { }
-
-    void onRequest(const http::Request &request, http::ResponseWriter writer) override
-    {
-        keepAliveByDefault(request, writer);
-        const std::shared_ptr<HttpConnection> connection = connectionOf(writer);
-        handler_(ServerRequest(request, *connection),
-                 std::make_shared<HttpResponder>(std::move(writer)));
-    }
-
-private:
-    std::shared_ptr<HttpServer::HandlerFactory> factory_;
-    HttpServer::Handler handler_;
-};
-
-} // namespace
-
-class HttpServer::Impl
-{
-public:
-    std::unique_ptr<http::Endpoint> endpoint_;
-};
-
-HttpServer::HttpServer()
-    : impl_(std::make_unique<Impl>())
-{ }
-
-HttpServer::~HttpServer()
-{
-    stop();
-}
-
-leaf::result<void> HttpServer::start(const HttpServerOptions &options, HandlerFactory factory)
+std::optional<std::string> ServerRequest::header(std::string_view name) const
 {
-    try {
-        const Pistache::Address address(options.address_.ip_,
-                                        Pistache::Port(options.address_.port_));
-        impl_->endpoint_ = std::make_unique<http::Endpoint>(address);
-        http::Endpoint::Options endpointOptions = http::Endpoint::options();
-        endpointOptions.threads(options.threads_)
-            .threadsName(options.threadName_)
-            .backlog(kListenBacklog)
-            .maxRequestSize(options.mostRequestBytes_)
-            .maxResponseSize(options.mostAnswerBytes_)
-            .headerTimeout(options.headerTimeout_)
-            .bodyTimeout(options.bodyTimeout_)
-            .keepaliveTimeout(options.keepAliveTimeout_);
-        endpointOptions.flags(
-            Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr)
-            | Pistache::Tcp::Options::NoDelay | Pistache::Tcp::Options::CloseOnExec);
-        impl_->endpoint_->init(endpointOptions);
-        impl_->endpoint_->setHandler(
-            std::make_shared<ServerHandler>(std::make_shared<HandlerFactory>(std::move(factory))));
-        impl_->endpoint_->serveThreaded();
-    } catch (const std::exception &failure) {
-        impl_->endpoint_.reset();
-        return fail(Error { Step::Listen, Peer { PeerKind::Caller, options.address_.str() },
-                            ErrorCode::Unavailable, failure.what() });
+    for (const HttpHeader &header : headers_) {
+        const bool isWanted = header.name_.size() == name.size()
+                              && strncasecmp(header.name_.data(), name.data(), name.size()) == 0;
+        if (isWanted)
+            return header.value_;
     }
-    return {};
-}
-
-std::uint16_t HttpServer::port() const
-{
-    return impl_->endpoint_ ? static_cast<std::uint16_t>(impl_->endpoint_->getPort()) : 0;
-}
-
-void HttpServer::stop()
-{
-    if (!impl_->endpoint_)
-        return;
-    impl_->endpoint_->shutdown();
-    impl_->endpoint_.reset();
+    return std::nullopt;
 }
 
 } // namespace pimentostage
--- a/src/caller/CallerCodec.cpp
+++ b/src/caller/CallerCodec.cpp
@@ -58,17 +58,19 @@
 
 } // namespace
 
-std::variant<CallerRequest, Refusal> decodeCallerRequest(const ServerRequest &request,
+std::variant<CallerRequest, Refusal> decodeCallerRequest(ServerRequest request,
                                                          const RequestId &fallbackId)
 {
     CallerRequest decoded;
     decoded.id_ = fallbackId;
-    decoded.method_ = request.method();
+    decoded.method_ = request.method_;
     decoded.path_ = request.path();
     decoded.query_ = request.query();
-    decoded.body_ = request.body();
-    decoded.contentType_ = request.header("Content-Type").value_or("");
-    decoded.accept_ = request.header("Accept").value_or("");
+    decoded.body_ = std::move(request.body_);
+    for (const char *name : { "Content-Type", "Accept" }) {
+        if (const auto value = request.header(name))
+            decoded.headers_.push_back({ name, *value });
+    }
     if (const auto id = request.header(kCallerRequestIdHeader)) {
         if (!isRequestId(*id))
             return malformed("X-Request-Id must be 1 to 128 letters, digits or any of -_.:");
@@ -90,6 +92,12 @@
     return decoded;
 }
 
+const CallerProtocol &ownCallerProtocol()
+{
+    static const CallerProtocol protocol { &decodeCallerRequest, &encodeRefusal, &encodeAnswer };
+    return protocol;
+}
+
 ServerAnswer encodeRefusal(const Refusal &refusal, const RequestId &id)
 {
     ServerAnswer answer;
--- a/src/caller/CallerCodec.h
+++ b/src/caller/CallerCodec.h
@@ -14,9 +14,21 @@
 /// Header in which callers may give a request an id; answers repeat it.
 inline constexpr const char *kCallerRequestIdHeader = "X-Request-Id";
 
+/// How callers' requests and their answers are encoded.
+struct CallerProtocol
+{
+    std::variant<CallerRequest, Refusal> (*decode_)(ServerRequest request,
+                                                    const RequestId &fallbackId);
+    ServerAnswer (*encodeRefusal_)(const Refusal &, const RequestId &);
+    ServerAnswer (*encodeAnswer_)(HttpAnswer, const RequestId &);
+};
+
+/// @return the protocol of the product's own interface.
+const CallerProtocol &ownCallerProtocol();
+
 /// @param fallbackId id of the request if the caller gave none.
 /// @return the request, or why it is malformed.
-std::variant<CallerRequest, Refusal> decodeCallerRequest(const ServerRequest &request,
+std::variant<CallerRequest, Refusal> decodeCallerRequest(ServerRequest request,
                                                          const RequestId &fallbackId);
 
 /// @return the RFC 9457 problem answer for @p refusal.
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -1,7 +1,5 @@
 #include "src/caller/CallerServer.h"
 
-#include "src/caller/CallerCodec.h"
-
 namespace pimentostage {
 
 namespace {
@@ -14,47 +12,57 @@
 
 } // namespace
 
-CallerServer::CallerServer(CallerService &service, std::string idPrefix,
+CallerServer::CallerServer(std::unique_ptr<BeastServer> server, CallerService &service,
+                           const CallerProtocol &protocol, std::string idPrefix,
                            std::size_t mostConnections)
     : service_(service)
+    , protocol_(protocol)
     , idPrefix_(std::move(idPrefix))
     , limits_(mostConnections)
+    , server_(std::move(server))
 { }
 
 leaf::result<void> CallerServer::start(const HttpServerOptions &options)
 {
-    return server_.start(options, [this] { return makeHandler(); });
+    return server_->start(options, [this] { return makeHandler(); });
 }
 
 HttpServer::Handler CallerServer::makeHandler()
 {
     auto entrance = std::make_shared<CallerService::Entrance>(service_);
-    return [this, entrance](const ServerRequest &request,
-                            const std::shared_ptr<HttpResponder> &responder) {
-        auto decoded = decodeCallerRequest(request, nextId());
-        if (const auto *refusal = std::get_if<Refusal>(&decoded)) {
-            responder->send(encodeRefusal(*refusal, nextId()));
-            return;
-        }
-        auto &callerRequest = std::get<CallerRequest>(decoded);
-        std::shared_ptr<void> &context = request.connection().context_;
-        if (!context)
-            context = limits_.open();
-        callerRequest.connection_ = std::static_pointer_cast<CallerConnection>(context);
-        const RequestId id = callerRequest.id_;
-        entrance->handle(std::move(callerRequest), [this, id, responder](CallerAnswer answer) {
-            ServerAnswer encoded;
-            if (const auto *refusal = std::get_if<Refusal>(&answer))
-                encoded = encodeRefusal(*refusal, id);
-            else
-                encoded = encodeAnswer(std::move(std::get<HttpAnswer>(answer)), id);
-            const bool mustClose
-                = draining_.load(std::memory_order_relaxed) || isConnectionRefused(answer);
-            if (mustClose)
-                encoded.headers_.push_back({ "Connection", "close" });
-            responder->send(encoded);
-        });
-    };
+    return
+        [this, entrance](ServerRequest request, const std::shared_ptr<HttpResponder> &responder) {
+            const std::shared_ptr<HttpConnection> connection = request.connection_;
+            auto decoded = protocol_.decode_(std::move(request), nextId());
+            if (const auto *refusal = std::get_if<Refusal>(&decoded)) {
+                responder->send(protocol_.encodeRefusal_(*refusal, nextId()));
+                return;
+            }
+            auto &callerRequest = std::get<CallerRequest>(decoded);
+            if (!connection->context_)
+                connection->context_ = limits_.open();
+            callerRequest.connection_
+                = std::static_pointer_cast<CallerConnection>(connection->context_);
+            const RequestId id = callerRequest.id_;
+            const auto abandonment = std::make_shared<Abandonment>();
+            responder->onAbandoned([abandonment] { abandonment->abandon(); });
+            entrance->handle(std::move(callerRequest), abandonment,
+                             [this, id, responder](CallerAnswer answer) {
+                                 responder->send(encode(std::move(answer), id));
+                             });
+        };
+}
+
+ServerAnswer CallerServer::encode(CallerAnswer answer, const RequestId &id) const
+{
+    const bool mustClose = isConnectionRefused(answer);
+    ServerAnswer encoded;
+    if (const auto *refusal = std::get_if<Refusal>(&answer))
+        encoded = protocol_.encodeRefusal_(*refusal, id);
+    else
+        encoded = protocol_.encodeAnswer_(std::move(std::get<HttpAnswer>(answer)), id);
+    encoded.closes_ = encoded.closes_ || mustClose;
+    return encoded;
 }
 
 RequestId CallerServer::nextId()
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -1,7 +1,8 @@
 #pragma once
 
 #include "pimentostage/caller/ConnectionLimits.h"
-#include "src/base/HttpServer.h"
+#include "src/base/BeastServer.h"
+#include "src/caller/CallerCodec.h"
 #include "src/caller/CallerService.h"
 
 #include <atomic>
@@ -14,28 +15,32 @@
 class CallerServer
 {
 public:
+    /// @param server serves the callers; not started yet.
+    /// @param protocol outlives this.
     /// @param idPrefix start of the ids of requests that come without one.
     /// @param mostConnections connections that may send requests at once.
-    CallerServer(CallerService &service, std::string idPrefix, std::size_t mostConnections);
+    CallerServer(std::unique_ptr<BeastServer> server, CallerService &service,
+                 const CallerProtocol &protocol, std::string idPrefix, std::size_t mostConnections);
 
     /// @return nothing, or an Error of step Listen.
     leaf::result<void> start(const HttpServerOptions &options);
 
     /// Asks callers to close their connections after the next answer.
-    void drain() { draining_.store(true, std::memory_order_relaxed); }
+    void drain() { server_->drain(); }
 
-    void stop() { server_.stop(); }
+    void stop() { server_->stop(); }
 
 private:
     HttpServer::Handler makeHandler();
+    [[nodiscard]] ServerAnswer encode(CallerAnswer answer, const RequestId &id) const;
     RequestId nextId();
 
     CallerService &service_;
+    const CallerProtocol &protocol_;
     const std::string idPrefix_;
     std::atomic<std::uint64_t> lastId_ { 0 };
-    std::atomic<bool> draining_ { false };
     ConnectionLimits limits_;
-    HttpServer server_;
+    const std::unique_ptr<BeastServer> server_;
 };
 
 } // namespace pimentostage
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -9,23 +9,33 @@
 constexpr Duration kRetryAfterOverRate = std::chrono::seconds(1);
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
+std::uint32_t priorityOf(const RoutedRequest &routed)
+{
+    const bool isTeams = routed.contract_ && routed.contract_->priority_;
+    return isTeams ? *routed.contract_->priority_ : routed.route_->priority_;
+}
+
 // Takes all of the request but its id, which a refusal still needs.
 ForwardRequest forwardRequest(CallerRequest &request, const RoutedRequest &routed)
 {
     ForwardRequest forward;
     forward.id_ = request.id_;
     forward.service_ = routed.routes_->service_.name_;
+    forward.host_ = request.host_;
     forward.route_ = routed.route_->name_;
     if (routed.contract_) {
         forward.team_ = routed.contract_->team_;
         forward.share_ = routed.contract_->share_;
     }
+    forward.priority_ = priorityOf(routed);
+    forward.mostAttempts_ = routed.route_->mostAttempts_;
+    forward.target_ = routed.route_->target_;
     forward.cost_ = routed.route_->weight_;
     forward.key_ = routed.key_;
+    forward.orderedKey_ = routed.orderedKey_;
     forward.method_ = std::move(request.method_);
     forward.path_ = routed.backendPath_;
-    forward.contentType_ = std::move(request.contentType_);
-    forward.accept_ = std::move(request.accept_);
+    forward.headers_ = std::move(request.headers_);
     forward.body_ = std::move(request.body_);
     forward.idempotent_ = routed.route_->idempotent_;
     forward.deadline_ = routed.deadline_;
@@ -42,6 +52,7 @@
     std::shared_ptr<const TrafficView> view_; ///< keeps what routed_ points to
     TimePoint arrivedAt_;
     bool isAdmitted_ = false; ///< within its team's contract
+    std::shared_ptr<Abandonment> abandonment_;
     CallerDone done_;
 };
 
@@ -73,7 +84,8 @@
     , view_(service.views_)
 { }
 
-void CallerService::Entrance::handle(CallerRequest request, CallerDone done)
+void CallerService::Entrance::handle(CallerRequest request,
+                                     std::shared_ptr<Abandonment> abandonment, CallerDone done)
 {
     const TimePoint now = BootClock::now();
     service_.inFlight_.fetch_add(1, std::memory_order_acq_rel);
@@ -82,6 +94,7 @@
     pending->request_ = std::move(request);
     pending->view_ = view_.get();
     pending->arrivedAt_ = now;
+    pending->abandonment_ = std::move(abandonment);
     pending->done_ = std::move(done);
     RouteDecision decision = RequestRouter::route(*pending->view_, pending->request_, now);
     // The key has served its purpose; nothing behind this line may see it.
@@ -112,7 +125,7 @@
 void CallerService::admit(const std::shared_ptr<Pending> &pending)
 {
     const Contract *contract = pending->routed_.contract_;
-    if (!contract) {
+    if (!contract || !contract->isLimited_) {
         forward(pending);
         return;
     }
@@ -143,7 +156,7 @@
 void CallerService::forward(const std::shared_ptr<Pending> &pending)
 {
     pending->isAdmitted_ = true;
-    backends_.forward(forwardRequest(pending->request_, pending->routed_),
+    backends_.forward(forwardRequest(pending->request_, pending->routed_), pending->abandonment_,
                       [this, pending](ForwardResult result) {
                           if (const auto *giveUp = std::get_if<GiveUp>(&result)) {
                               refuse(pending, refusalFor(*giveUp));
--- a/src/caller/CallerService.h
+++ b/src/caller/CallerService.h
@@ -3,6 +3,7 @@
 #include "pimentostage/base/Counters.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Snapshot.h"
+#include "pimentostage/caller/Abandonment.h"
 #include "pimentostage/caller/RequestRouter.h"
 #include "pimentostage/caller/ServedShares.h"
 #include "pimentostage/caller/TrafficView.h"
@@ -42,8 +43,11 @@
     {
     public:
         explicit Entrance(CallerService &service);
-        /// Handles @p request. @param done called once, on any thread.
-        void handle(CallerRequest request, CallerDone done);
+        /// Handles @p request.
+        /// @param abandonment tells when the caller leaves.
+        /// @param done called once, on any thread.
+        void handle(CallerRequest request, std::shared_ptr<Abandonment> abandonment,
+                    CallerDone done);
 
     private:
         CallerService &service_;
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -33,6 +33,7 @@
     { 502, "The back end's answer was not usable." },
     { 503, "This host's configuration may be out of date." },
     { 503, "This host is stopping." },
+    { 503, "The caller left before the answer." },
 } };
 
 const RefusalRow &rowOf(RefusalReason reason)
@@ -45,7 +46,7 @@
 // One row for each GiveUpReason, in its order.
 constexpr std::array<RefusalReason, kEnumCount<GiveUpReason>> kRefusalOf {
     RefusalReason::DeadlinePassed, RefusalReason::NoBackend,  RefusalReason::BackendFailed,
-    RefusalReason::AnswerBroken,   RefusalReason::Overloaded,
+    RefusalReason::AnswerBroken,   RefusalReason::Overloaded, RefusalReason::CallerLeft,
 };
 
 } // namespace
--- a/src/caller/RequestRouter.cpp
+++ b/src/caller/RequestRouter.cpp
@@ -3,6 +3,8 @@
 #include "pimentostage/base/Hash.h"
 
 #include <algorithm>
+#include <charconv>
+#include <cmath>
 #include <string_view>
 
 namespace pimentostage {
@@ -100,13 +102,90 @@
     return &contract->second;
 }
 
+/// @return the route of a virtual host that takes @p request, or nullptr.
+const Route *matchVirtualHost(const Configuration &configuration, const CallerRequest &request)
+{
+    const auto host = configuration.virtualHosts_.find(request.host_);
+    if (host == configuration.virtualHosts_.end())
+        return nullptr;
+    const auto matches = [&](const Route &route) {
+        return (route.method_.empty() || route.method_ == request.method_)
+               && request.path_.compare(0, route.prefix_.size(), route.prefix_) == 0;
+    };
+    const auto route = std::find_if(host->second.begin(), host->second.end(), matches);
+    return route == host->second.end() ? nullptr : &*route;
+}
+
+/// @return the service that takes @p request of @p route: each gets its weight's share, and the
+///         same request always the same service.
+const ServiceName &chooseService(const Route &route, const RequestId &request)
+{
+    double total = 0;
+    for (const ServiceShare &share : route.services_)
+        total += share.weight_;
+    const double unit = std::ldexp(static_cast<double>(hash64(request.str())), -64);
+    double left = unit * total;
+    for (const ServiceShare &share : route.services_) {
+        left -= share.weight_;
+        if (left < 0)
+            return share.service_;
+    }
+    return route.services_.back().service_;
+}
+
+std::optional<std::uint32_t> orderedKey(const CallerRequest &request)
+{
+    if (!request.key_)
+        return std::nullopt;
+    std::uint32_t key = 0;
+    const char *end = request.key_->data() + request.key_->size();
+    const auto [last, error] = std::from_chars(request.key_->data(), end, key);
+    const bool isKey = error == std::errc() && last == end && key <= kLastOrderedKey;
+    return isKey ? std::optional(key) : std::nullopt;
+}
+
 } // namespace
 
+RouteDecision RequestRouter::routeVirtualHost(const TrafficView &view, const CallerRequest &request,
+                                              TimePoint now)
+{
+    const Route *route = matchVirtualHost(*view.configuration_, request);
+    if (!route)
+        return refuse(RefusalReason::UnknownRoute);
+    if (route->access_ == Access::Team && view.readiness_ == Readiness::Stale)
+        return refuse(RefusalReason::ConfigurationStale);
+    const Authentication authentication = authenticate(*view.configuration_, request, *route);
+    if (const auto *refusal = std::get_if<Refusal>(&authentication))
+        return *refusal;
+    const ServiceName &service = chooseService(*route, request.id_);
+    const auto routes = view.routing_->services_.find(service.str());
+    if (routes == view.routing_->services_.end())
+        return refuse(RefusalReason::NoBackend, service.str());
+    RoutedRequest routed;
+    routed.routes_ = &routes->second;
+    routed.route_ = route;
+    routed.contract_ = std::get<const Contract *>(authentication);
+    routed.backendPath_ = request.path_ + request.query_;
+    if (routes->second.service_.division_ == KeyDivision::Ordered) {
+        routed.orderedKey_ = orderedKey(request);
+        if (!routed.orderedKey_)
+            return refuse(RefusalReason::MissingKey);
+        routed.key_ = *request.key_;
+    }
+    const Duration budget = std::min(request.budget_.value_or(route->timeout_), route->timeout_);
+    if (budget <= Duration::zero())
+        return refuse(RefusalReason::DeadlinePassed);
+    routed.deadline_ = now + budget;
+    return routed;
+}
+
 RouteDecision RequestRouter::route(const TrafficView &view, const CallerRequest &request,
                                    TimePoint now)
 {
     if (view.readiness_ == Readiness::Starting)
         return refuse(RefusalReason::ConfigurationStale, "starting");
+    if (view.configuration_->hasCatalogue_)
+        return routeVirtualHost(view, request, now);
     const SplitPath path = split(request.path_);
     const auto found = view.routing_->services_.find(std::string(path.service_));
     if (found == view.routing_->services_.end())
--- a/src/daemon/AllowanceControl.cpp
+++ b/src/daemon/AllowanceControl.cpp
@@ -22,10 +22,11 @@
 } // namespace
 
 AllowanceControl::AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender,
-                                   Holds holds, Counters &counters)
+                                   std::uint64_t groups, Holds holds, Counters &counters)
     : self_(self)
     , purses_(purses)
     , sender_(sender)
+    , groups_(groups)
     , holds_(std::move(holds))
     , configuration_(std::make_shared<Configuration>())
     , requests_(counters.counter("pimento_allowance_requests_total",
@@ -36,17 +37,17 @@
                                     "Requests for loans that got no reply in time."))
 { }
 
-std::set<RoleName> AllowanceControl::roles()
+std::set<RoleName> AllowanceControl::roles() const
 {
     std::set<RoleName> roles;
-    for (std::uint64_t group = 0; group < kGroups; ++group)
+    for (std::uint64_t group = 0; group < groups_; ++group)
         roles.insert(roleOfGroup(group));
     return roles;
 }
 
-RoleName AllowanceControl::roleOf(const AccountName &account)
+RoleName AllowanceControl::roleOf(const AccountName &account) const
 {
-    return roleOfGroup(hash64(account.str()) % kGroups);
+    return roleOfGroup(hash64(account.str()) % groups_);
 }
 
 void AllowanceControl::onConfig(std::shared_ptr<const Configuration> configuration)
--- a/src/daemon/AllowanceControl.h
+++ b/src/daemon/AllowanceControl.h
@@ -25,13 +25,14 @@
     /// @return whether this host may act in a role at a time.
     using Holds = std::function<bool(const RoleName &, TimePoint)>;
 
-    AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender, Holds holds,
-                     Counters &counters);
+    /// @param groups groups of accounts, each with a holder of its own; equal on all hosts.
+    AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender,
+                     std::uint64_t groups, Holds holds, Counters &counters);
 
     /// @return the roles of the holders of all groups.
-    static std::set<RoleName> roles();
+    [[nodiscard]] std::set<RoleName> roles() const;
     /// @return the role of the holder of @p account.
-    static RoleName roleOf(const AccountName &account);
+    [[nodiscard]] RoleName roleOf(const AccountName &account) const;
 
     void onConfig(std::shared_ptr<const Configuration> configuration);
     void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now);
@@ -46,8 +47,6 @@
     void onMessage(const LoanReplies &replies, TimePoint now);
     void onMessage(const HostName &from, const LoanRecall &recall, TimePoint now);
 
-    static constexpr std::uint64_t kGroups = 4;
-
 private:
     /// A group of accounts that this host holds.
     struct Held
@@ -77,6 +76,7 @@
     const HostName self_;
     PurseBook &purses_;
     SiblingSender &sender_;
+    const std::uint64_t groups_;
     const Holds holds_;
     std::shared_ptr<const Configuration> configuration_;
     std::map<AccountName, AllowanceTerms> terms_;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -12,11 +12,10 @@
 constexpr Duration kListLife = 2 * kHostPollPeriod;
 // Hosts asked at once for what the list says; when the store is down all ask.
 constexpr std::size_t kHostsAsked = 3;
-// A configuration that neither the store nor a sibling has confirmed for this long may be stale.
-constexpr Duration kMostConfigAge = std::chrono::seconds(3);
+constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 /// Parts of the core that choose at random, each with a stream of its own.
-enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement, Hosts };
+enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement, Hosts, Ranges };
 
 std::uint64_t seedFor(std::uint64_t seed, RandomUse use)
 {
@@ -26,10 +25,11 @@
 
 } // namespace
 
-ControlCore::ControlCore(const MemberUpdate &self, const ControlPorts &ports,
-                         SnapshotPublisher<RoutingTable> &routing,
+ControlCore::ControlCore(const MemberUpdate &self, const ControlOptions &options,
+                         const ControlPorts &ports, SnapshotPublisher<RoutingTable> &routing,
                          SnapshotPublisher<TrafficView> &views, LogSink &log, Counters &counters)
     : self_(self)
+    , options_(options)
     , store_(ports.store_)
     , siblings_(ports.siblings_)
     , runAfter_(ports.runAfter_)
@@ -44,10 +44,11 @@
                    runAfter_(Duration::zero(),
                              [this, message] { onSiblingMessage(self_, message); });
                })
-    , watcher_(store_, config_, runAfter_, clock_, Random(seedFor(ports.seed_, RandomUse::Watcher)),
-               log, [this] { onConfigChange(); })
-    , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), config_, siblings_, log,
-               [this](const ConfigPush &push) { onConfigPush(push); })
+    , registrar_(self_, store_, config_, runAfter_,
+                 Random(seedFor(ports.seed_, RandomUse::Watcher)), log,
+                 [this](const StoredObject &object) { onOwnWrite(object); })
+    , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), options.membership_,
+               config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomUse::Roles)), store_, siblings_,
              members_, config_, *this, clock_, log,
              [this](const StoredObject &object) { onOwnWrite(object); })
@@ -56,17 +57,72 @@
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
           seedFor(ports.seed_, RandomUse::Placement), log, counters,
           [this](const StoredObject &object) { onOwnWrite(object); })
+    , ranges_(
+          store_, ports.ranges_, options.ranges_, clock_,
+          [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
+          seedFor(ports.seed_, RandomUse::Ranges), log, counters,
+          [this](const StoredObject &object) { onOwnWrite(object); })
     , allowance_(
-          self_.member_.host_, purses_, siblings_,
+          self_.member_.host_, purses_, siblings_, options.accountGroups_,
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); }, counters)
 {
     facts_.router_ = self_.member_.incarnation_;
+    facts_.zone_ = self_.zone_;
+    const std::size_t feeds = store_.feeds().size();
+    for (std::size_t feed = 0; feed < feeds; ++feed) {
+        watchers_.push_back(
+            std::make_unique<ConfigWatcher>(store_, feed, config_, runAfter_, clock_,
+                                            Random(seedFor(ports.seed_, RandomUse::Watcher) + feed),
+                                            log, [this] { onFeedRead(); }));
+    }
 }
 
 void ControlCore::start()
 {
-    watcher_.start();
-    pollHosts();
+    for (const auto &watcher : watchers_)
+        watcher->start();
+    if (store_.hasHostList())
+        pollHosts();
+}
+
+bool ControlCore::isStoreConnected() const
+{
+    return std::all_of(watchers_.begin(), watchers_.end(),
+                       [](const auto &watcher) { return watcher->isConnected(); });
+}
+
+void ControlCore::onFeedRead()
+{
+    Version complete = watchers_.front()->revision();
+    for (const auto &watcher : watchers_)
+        complete = std::min(complete, watcher->revision());
+    config_.adoptRevision(complete);
+    const bool isFirst = !areFeedsRead_ && complete > Version {};
+    if (isFirst) {
+        areFeedsRead_ = true;
+        if (!store_.hasHostList())
+            registrar_.start();
+    }
+    onConfigChange();
+}
+
+// Objects that came by another way than the watches; which watcher applies them does not matter.
+void ControlCore::applyObjects(const std::vector<StoredObject> &objects)
+{
+    watchers_.front()->apply(objects);
+}
+
+void ControlCore::readEntryHosts(const Configuration &configuration)
+{
+    std::vector<ListedHost> hosts;
+    for (const auto &[name, entry] : configuration.entryHosts_) {
+        hosts.push_back(ListedHost { name.str(), HostKind::Entry, HostState::Live, entry.zone_,
+                                     entry.siblingAddress_ });
+    }
+    if (hosts == hosts_)
+        return;
+    hosts_ = hosts;
+    members_.updateListed(hosts_);
 }
 
 void ControlCore::leave()
@@ -157,26 +213,28 @@
 
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
-    watcher_.apply(push.objects_);
+    applyObjects(push.objects_);
     config_.adoptRevision(push.revision_);
     onConfigChange();
 }
 
 void ControlCore::onOwnWrite(const StoredObject &object)
 {
-    watcher_.apply({ object });
+    applyObjects({ object });
     onConfigChange();
 }
 
 void ControlCore::onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now)
 {
     placement_.onRoleGained(role, gained.epoch_, now);
+    ranges_.onRoleGained(role, gained.epoch_, now);
     allowance_.onRoleGained(role, gained, now);
 }
 
 void ControlCore::onRoleLost(const RoleName &role)
 {
     placement_.onRoleLost(role);
+    ranges_.onRoleLost(role);
     allowance_.onRoleLost(role);
 }
 
@@ -222,6 +280,7 @@
     void operator()(const KeyLoad &message) const
     {
         core_.placement_.onKeyLoad(host(), message, now_);
+        core_.ranges_.onKeyLoad(message);
     }
     void operator()(const RouterGrant &message) const { core_.onRouterGrant(from_, message, now_); }
     void operator()(const RouterGrantReply &message) const
@@ -259,12 +318,16 @@
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
+    ranges_.tick(now);
     allowance_.tick(now);
     expireWarmups(now);
     tellKeyLoads(now);
     if (readinessAt(now) != publishedReadiness_)
         publish();
-    updateGauges(now);
+    if (now >= nextGauges_) {
+        nextGauges_ = now + kGaugePeriod;
+        updateGauges(now);
+    }
 }
 
 Readiness ControlCore::readinessAt(TimePoint now) const
@@ -275,18 +338,23 @@
     if (!age)
         return Readiness::Starting;
     // Alone, this host cannot tell an outage of the store from a cut; with a majority it can.
-    const bool isTrusted = *age < kMostConfigAge || members_.hearsMajority(now);
+    const bool isTrusted = *age < options_.mostConfigAge_
+                           || (options_.majorityVouches_ && members_.hearsMajority(now));
     return isTrusted ? Readiness::Ready : Readiness::Stale;
 }
 
 void ControlCore::onConfigChange()
 {
-    // Without the host list a back end that leaves would pass for one that has just begun to.
-    if (!hasAskedForList_ || config_.digest() == publishedDigest_)
+    // Without the host list a back end that leaves would pass for one that has just begun to, and
+    // without all feeds services would lack their back ends.
+    const bool isKnown = store_.hasHostList() ? hasAskedForList_ : areFeedsRead_;
+    if (!isKnown || config_.digest() == publishedDigest_)
         return;
     publishedDigest_ = config_.digest();
     const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    if (!store_.hasHostList())
+        readEntryHosts(*configuration);
     trackZones(*configuration);
     facts_.leavingHosts_.clear();
     std::size_t entryHosts = 0;
@@ -297,11 +365,12 @@
     }
     facts_.entryHosts_ = std::max<std::size_t>(1, entryHosts);
     purses_.update(*configuration);
-    std::set<RoleName> roles = AllowanceControl::roles();
+    std::set<RoleName> roles = allowance_.roles();
     roles.merge(PlacementControl::rolesFor(*configuration));
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
     placement_.onConfig(*configuration, facts_.leavingHosts_, now);
+    ranges_.onConfig(*configuration, facts_.leavingHosts_);
     allowance_.onConfig(configuration);
     publish();
 }
@@ -317,6 +386,13 @@
             facts_.zoneReturnedAt_[name] = now;
         zoneStates_[name] = zone.state_;
     }
+    // A decision that was withdrawn leaves the data centre in.
+    for (auto &[name, state] : zoneStates_) {
+        if (state == ZoneState::In || configuration.zones_.contains(name))
+            continue;
+        facts_.zoneReturnedAt_[name] = now;
+        state = ZoneState::In;
+    }
 }
 
 void ControlCore::publish()
@@ -350,6 +426,8 @@
         .set(static_cast<double>(held));
     counters_.gauge("pimento_units_moving", "Shards and hot keys on their way between owners.")
         .set(static_cast<double>(placement_.movingUnits()));
+    counters_.gauge("pimento_ranges_moving", "Key ranges on their way between owners.")
+        .set(static_cast<double>(ranges_.movingRanges()));
 }
 
 void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isNews)
@@ -405,10 +483,12 @@
         if (role == configuration->roles_.end())
             continue;
         const HostName &holder = role->second.holder_.host_;
-        if (holder == self_.member_.host_)
-            placement_.onKeyLoad(holder, load, now);
-        else
+        if (holder != self_.member_.host_) {
             siblings_.send(holder, load);
+            continue;
+        }
+        placement_.onKeyLoad(holder, load, now);
+        ranges_.onKeyLoad(load);
     }
     keyLoads_.clear();
 }
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/BackendLink.h"
+#include "pimentostage/backend/RangeLink.h"
 #include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Counters.h"
 #include "pimentostage/base/Log.h"
@@ -9,10 +10,13 @@
 #include "pimentostage/platform/ConfigState.h"
 #include "pimentostage/platform/ObjectStore.h"
 #include "src/daemon/AllowanceControl.h"
+#include "src/daemon/ControlOptions.h"
+#include "src/daemon/HostRegistrar.h"
 #include "src/daemon/LocalSender.h"
 #include "src/daemon/MemberControl.h"
 #include "src/daemon/PlacementControl.h"
 #include "src/daemon/PurseBook.h"
+#include "src/daemon/RangeControl.h"
 #include "src/daemon/RoleControl.h"
 #include "src/platform/ConfigWatcher.h"
 
@@ -28,6 +32,7 @@
     ObjectStore &store_;
     SiblingSender &siblings_; ///< reaches all entry hosts but this one
     BackendLink &backends_;
+    RangeLink &ranges_;
     RunAfter runAfter_;
     Clock clock_;
     std::uint64_t seed_ = 0; ///< of random choices and nonces; differs between processes
@@ -40,16 +45,13 @@
 class ControlCore : private RoleListener
 {
 public:
-    /// Time between two calls of tick().
-    static constexpr Duration kTick = std::chrono::milliseconds(10);
-
-    ControlCore(const MemberUpdate &self, const ControlPorts &ports,
+    ControlCore(const MemberUpdate &self, const ControlOptions &options, const ControlPorts &ports,
                 SnapshotPublisher<RoutingTable> &routing, SnapshotPublisher<TrafficView> &views,
                 LogSink &log, Counters &counters);
 
     /// Starts to read the configuration and the host list.
     void start();
-    /// Must be called every kTick.
+    /// Must be called every ControlOptions::tick_.
     void tick();
     /// Takes a message of a sibling.
     void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
@@ -72,12 +74,16 @@
     [[nodiscard]] Membership &membership() { return members_.membership(); }
     [[nodiscard]] const RoleControl &roles() const { return roles_; }
     /// @return whether the last call to the store succeeded.
-    [[nodiscard]] bool isStoreConnected() const { return watcher_.isConnected(); }
+    [[nodiscard]] bool isStoreConnected() const;
 
 private:
     void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now) override;
     void onRoleLost(const RoleName &role) override;
 
+    void startHosts();
+    void onFeedRead();
+    void readEntryHosts(const Configuration &configuration);
+    void applyObjects(const std::vector<StoredObject> &objects);
     void pollHosts();
     void onHosts(const std::vector<ListedHost> &hosts);
     void askForLeavingHosts();
@@ -98,6 +104,7 @@
     struct Dispatcher;
 
     const MemberUpdate self_;
+    const ControlOptions options_;
     ObjectStore &store_;
     SiblingSender &siblings_;
     const RunAfter runAfter_;
@@ -125,10 +132,14 @@
     TimePoint nextKeyLoads_ {};
 
     LocalSender routers_; ///< reaches all entry hosts, this one included
-    ConfigWatcher watcher_;
+    std::vector<std::unique_ptr<ConfigWatcher>> watchers_; ///< one for each feed of the store
+    bool areFeedsRead_ = false; ///< each of them at least once
+    HostRegistrar registrar_;
+    TimePoint nextGauges_ {};
     MemberControl members_;
     RoleControl roles_;
     PlacementControl placement_;
+    RangeControl ranges_;
     AllowanceControl allowance_;
 };
 
--- /dev/null
+++ b/src/daemon/ControlOptions.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "pimentostage/backend/RangeCoordinator.h"
+#include "pimentostage/sibling/Membership.h"
+
+namespace pimentostage {
+
+/// Settings of a host's control state.
+struct ControlOptions
+{
+    Duration tick_ = std::chrono::milliseconds(10); ///< between two looks at what is due
+    std::uint64_t accountGroups_ = 4; ///< groups of accounts, each with a holder of its own
+    /// A configuration that neither the store nor a sibling has confirmed for this long is not
+    /// trusted with requests that need a team's key.
+    Duration mostConfigAge_ = std::chrono::seconds(3);
+    /// Whether a majority of the entry hosts vouches for an older configuration, as it may where
+    /// the store serves either all hosts or none.
+    bool majorityVouches_ = true;
+    MembershipTiming membership_;
+    RangeCoordinatorOptions ranges_;
+};
+
+} // namespace pimentostage
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -12,13 +12,17 @@
 constexpr Duration kLeavePoll = std::chrono::milliseconds(10);
 constexpr Duration kMostLeaveTime = std::chrono::seconds(1);
 
-StoreClientOptions storeOptions(const Settings &settings)
+ControlOptions controlOptions(const Settings &settings)
 {
-    StoreClientOptions options;
-    options.baseUrl_ = settings.platformUrl_;
-    options.timeout_ = settings.platformTimeout_;
-    options.callsPerSecond_ = settings.platformCallsPerSecond_;
-    options.callBurst_ = settings.platformCallsPerSecond_;
+    ControlOptions options;
+    options.tick_ = settings.controlTick_;
+    options.accountGroups_ = static_cast<std::uint64_t>(settings.controlAccountGroups_);
+    options.mostConfigAge_ = settings.controlMostConfigAge_;
+    options.majorityVouches_ = settings.controlMajorityVouches_;
+    options.membership_.probePeriod_ = settings.siblingProbePeriod_;
+    options.membership_.directWait_ = settings.siblingProbeWait_;
+    options.membership_.indirectWait_ = settings.siblingProbeWait_;
+    options.membership_.suspicion_ = settings.siblingSuspicion_;
     return options;
 }
 
@@ -41,14 +45,14 @@
 
 } // namespace
 
-ControlPlane::ControlPlane(const Settings &settings, SnapshotPublisher<RoutingTable> &routing,
+ControlPlane::ControlPlane(const Settings &settings, const NodeParts &parts,
+                           SnapshotPublisher<RoutingTable> &routing,
                            SnapshotPublisher<TrafficView> &views, LogSink &log, Counters &counters)
     : settings_(settings)
     , self_(makeSelf(settings))
-    , store_(
-          storeOptions(settings),
-          [this](std::function<void()> task) { loop_.post(std::move(task)); }, counters)
-    , backends_([this](std::function<void()> task) { loop_.post(std::move(task)); })
+    , store_(parts.makeStore_(loop_, counters))
+    , backends_(parts.makeBackendLink_(loop_))
+    , ranges_(parts.makeRangeLink_(loop_))
     , links_(
           loop_.context(), self_,
           [this](const HostName &host) -> std::optional<Address> {
@@ -61,7 +65,7 @@
               core_.onSiblingMessage(from, message);
           },
           log, counters)
-    , core_(self_, ports(), routing, views, log, counters)
+    , core_(self_, controlOptions(settings), ports(), routing, views, log, counters)
 { }
 
 ControlPlane::~ControlPlane()
@@ -71,9 +75,10 @@
 
 ControlPorts ControlPlane::ports()
 {
-    return ControlPorts { store_,
+    return ControlPorts { *store_,
                           links_,
-                          backends_,
+                          *backends_,
+                          *ranges_,
                           [this](Duration delay, std::function<void()> task) {
                               loop_.after(delay, std::move(task));
                           },
@@ -86,7 +91,7 @@
     BOOST_LEAF_CHECK(links_.listen(settings_.siblingAddress_));
     loop_.run([this] {
         core_.start();
-        loop_.every(ControlCore::kTick, [this] { core_.tick(); });
+        loop_.every(settings_.controlTick_, [this] { core_.tick(); });
     });
     return {};
 }
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -2,10 +2,9 @@
 
 #include "pimentostage/base/Error.h"
 #include "pimentostage/operator/Settings.h"
-#include "src/backend/HttpBackendLink.h"
+#include "src/base/EventLoop.h"
 #include "src/daemon/ControlCore.h"
-#include "src/daemon/ControlLoop.h"
-#include "src/platform/StoreClient.h"
+#include "src/daemon/NodeParts.h"
 #include "src/sibling/SiblingLinks.h"
 
 #include <string>
@@ -19,8 +18,9 @@
 class ControlPlane
 {
 public:
-    ControlPlane(const Settings &settings, SnapshotPublisher<RoutingTable> &routing,
-                 SnapshotPublisher<TrafficView> &views, LogSink &log, Counters &counters);
+    ControlPlane(const Settings &settings, const NodeParts &parts,
+                 SnapshotPublisher<RoutingTable> &routing, SnapshotPublisher<TrafficView> &views,
+                 LogSink &log, Counters &counters);
     ~ControlPlane();
 
     /// Starts the thread's work and listens for siblings.
@@ -39,6 +39,9 @@
     /// What a traffic thread measured of a keyed service. Returns at once.
     void keyLoad(const KeyLoad &load);
 
+    /// @return the loop of the control thread.
+    [[nodiscard]] EventLoop &loop() { return loop_; }
+
     [[nodiscard]] Readiness readiness() const { return core_.readiness(); }
     /// @return a JSON object about this host.
     [[nodiscard]] std::string statusJson();
@@ -48,9 +51,10 @@
 
     const Settings settings_;
     const MemberUpdate self_;
-    ControlLoop loop_;
-    StoreClient store_;
-    HttpBackendLink backends_;
+    EventLoop loop_ { "control" };
+    const std::unique_ptr<ObjectStore> store_;
+    const std::unique_ptr<BackendLink> backends_;
+    const std::unique_ptr<RangeLink> ranges_;
     SiblingLinks links_;
     ControlCore core_;
 };
--- /dev/null
+++ b/src/daemon/HostRegistrar.cpp
@@ -0,0 +1,70 @@
+#include "src/daemon/HostRegistrar.h"
+
+#include "pimentostage/platform/ObjectCodec.h"
+
+namespace pimentostage {
+
+namespace {
+
+constexpr Duration kFirstDelay = std::chrono::milliseconds(100);
+constexpr Duration kMostDelay = std::chrono::seconds(2);
+
+ObjectRef refOf(const EntryHost &entry)
+{
+    return ObjectRef { ObjectKind::EntryHost, entry.name_.str() };
+}
+
+EntryHost entryOf(const MemberUpdate &self)
+{
+    return EntryHost { self.member_.host_, self.member_.incarnation_, self.zone_, self.address_ };
+}
+
+} // namespace
+
+HostRegistrar::HostRegistrar(const MemberUpdate &self, ObjectStore &store,
+                             const ConfigState &config, RunAfter runAfter, Random random,
+                             LogSink &log, std::function<void(const StoredObject &)> onWritten)
+    : entry_(entryOf(self))
+    , store_(store)
+    , config_(config)
+    , runAfter_(std::move(runAfter))
+    , random_(random)
+    , log_(log)
+    , onWritten_(std::move(onWritten))
+    , backoff_(kFirstDelay, kMostDelay)
+{ }
+
+void HostRegistrar::start()
+{
+    const StoredObject *known = config_.find(refOf(entry_));
+    const bool exists = known && !known->deleted_;
+    write(exists ? known->version_ : Version {});
+}
+
+void HostRegistrar::write(Version expected)
+{
+    store_.put(refOf(entry_), formatEntryHost(entry_), expected,
+               [this](const Reply<WriteResult> &reply) { onReply(reply); });
+}
+
+void HostRegistrar::onReply(const Reply<WriteResult> &reply)
+{
+    const auto *result = std::get_if<WriteResult>(&reply);
+    if (result && result->written_) {
+        log_.write(LogLine(Severity::Info, "registered").add("version", result->version_.value_));
+        onWritten_(
+            StoredObject { refOf(entry_), result->version_, false, formatEntryHost(entry_) });
+        return;
+    }
+    // A write whose answer was lost may be there already.
+    const bool isThere
+        = result && result->current_ && result->current_->value_ == formatEntryHost(entry_);
+    if (isThere) {
+        onWritten_(*result->current_);
+        return;
+    }
+    const Version expected = result && result->current_ ? result->current_->version_ : Version {};
+    runAfter_(backoff_.next(random_), [this, expected] { write(expected); });
+}
+
+} // namespace pimentostage
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -16,10 +16,11 @@
 
 } // namespace
 
-MemberControl::MemberControl(const MemberUpdate &self, Random random, ConfigState &config,
+MemberControl::MemberControl(const MemberUpdate &self, Random random,
+                             const MembershipTiming &timing, ConfigState &config,
                              SiblingSender &sender, LogSink &log, OnConfig onConfig)
     : self_(self)
-    , membership_(self, random)
+    , membership_(self, random, timing)
     , config_(config)
     , sender_(sender)
     , log_(log)
@@ -92,13 +93,10 @@
     for (const MemberUpdate &update : news)
         membership_.merge(update, now);
     heard_[from] = Heard { now, config.age_ };
-    const bool isEqual
-        = config.revision_ == config_.revision() && config.digest_ == config_.digest();
-    if (isEqual && config.age_)
-        config_.confirmThroughSibling(config.revision_, *config.age_, now);
-    const bool isBehind
-        = config.revision_ > config_.revision()
-          || (config.revision_ == config_.revision() && config.digest_ != config_.digest());
+    if (config.age_)
+        config_.confirmThroughSibling(config.digest_, *config.age_, now);
+    const bool isBehind = config.digest_ != config_.digest()
+                          && (config.revision_ >= config_.revision() || !config_.age(now));
     if (isBehind && now >= nextPull_) {
         nextPull_ = now + kPullPeriod;
         // Equal revisions with different objects: something was missed, so all of it is asked for.
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -19,8 +19,8 @@
     /// @param onConfig called after objects arrived from a sibling, with what they are.
     using OnConfig = std::function<void(const ConfigPush &)>;
 
-    MemberControl(const MemberUpdate &self, Random random, ConfigState &config,
-                  SiblingSender &sender, LogSink &log, OnConfig onConfig);
+    MemberControl(const MemberUpdate &self, Random random, const MembershipTiming &timing,
+                  ConfigState &config, SiblingSender &sender, LogSink &log, OnConfig onConfig);
 
     /// Adds the entry hosts of the platform's list and forgets those it no longer names.
     void updateListed(const std::vector<ListedHost> &hosts);
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -11,9 +11,17 @@
 
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 
-BackendClientOptions backendOptions(const Settings &settings)
+std::unique_ptr<EventLoop> makeTrafficLoop(const Settings &settings)
+{
+    return settings.callerSharedThread_ ? std::make_unique<EventLoop>("traffic") : nullptr;
+}
+
+BackendClientOptions backendOptions(const Settings &settings, const NodeParts &parts,
+                                    EventLoop *loop)
 {
     BackendClientOptions options;
+    options.protocol_ = parts.backendProtocol_;
+    options.loop_ = loop;
     options.threads_ = static_cast<std::size_t>(settings.backendThreads_);
     options.mostIdleAge_ = settings.backendIdleAge_;
     options.retryShare_ = settings.backendRetryShare_;
@@ -37,6 +45,14 @@
     return options;
 }
 
+std::unique_ptr<BeastServer> makeCallerServer(const Settings &settings, EventLoop *loop)
+{
+    auto server = loop ? std::make_unique<BeastServer>(*loop) : std::make_unique<BeastServer>();
+    if (settings.callerAbandonOnHalfClose_)
+        server->setHalfClose(BeastServer::HalfClose::Abandon);
+    return server;
+}
+
 std::string idPrefix(const Settings &settings)
 {
     return settings.hostName_ + '-' + std::to_string(std::random_device {}()) + '-';
@@ -52,29 +68,51 @@
 
 } // namespace
 
-Node::Node(const Settings &settings, LogSink &log)
+Node::Node(const Settings &settings, const NodeParts &parts, LogSink &log)
     : settings_(settings)
     , log_(log)
     , routing_(std::make_shared<RoutingTable>())
     , views_(emptyView())
-    , control_(settings, routing_, views_, log, counters_)
-    , backends_(backendOptions(settings), routing_, *this, log, counters_)
+    , trafficLoop_(makeTrafficLoop(settings))
+    , control_(settings, parts, routing_, views_, log, counters_)
+    , backends_(backendOptions(settings, parts, trafficLoop_.get()), routing_, *this, log,
+                counters_)
     , callers_(views_, backends_, *this, log, counters_)
-    , callerServer_(callers_, idPrefix(settings),
+    , callerServer_(makeCallerServer(settings, trafficLoop_.get()), callers_,
+                    *parts.callerProtocol_, idPrefix(settings),
                     static_cast<std::size_t>(settings.callerMostConnections_))
-    , operatorServer_(*this, counters_)
+    , operatorServer_(parts.makeOperatorServer_(control_.loop()), *this, counters_)
+    , readyServer_(
+          settings.operatorReadyAddress_.port_ == 0
+              ? nullptr
+              : std::make_unique<OperatorServer>(parts.makeOperatorServer_(control_.loop()),
+                                                 static_cast<HostStatus &>(*this), counters_))
 { }
 
 Node::~Node()
+{
+    stopThreads();
+}
+
+void Node::stopThreads()
 {
     callerServer_.stop();
+    if (readyServer_)
+        readyServer_->stop();
     operatorServer_.stop();
     control_.stop();
+    if (trafficLoop_)
+        trafficLoop_->stop();
 }
 
 leaf::result<void> Node::start()
 {
-    BOOST_LEAF_CHECK(operatorServer_.start(settings_.operatorAddress_));
+    BOOST_LEAF_CHECK(
+        operatorServer_.start(settings_.operatorAddress_, settings_.operatorReadyPath_));
+    if (readyServer_) {
+        BOOST_LEAF_CHECK(
+            readyServer_->start(settings_.operatorReadyAddress_, settings_.operatorReadyPath_));
+    }
     BOOST_LEAF_CHECK(control_.start());
     BOOST_LEAF_CHECK(callerServer_.start(callerOptions(settings_)));
     log_.write(LogLine(Severity::Info, "started")
@@ -93,9 +131,7 @@
     const TimePoint limit = BootClock::now() + settings_.callerDrainLimit_;
     while (callers_.inFlight() > 0 && BootClock::now() < limit)
         std::this_thread::sleep_for(kDrainPoll);
-    callerServer_.stop();
-    operatorServer_.stop();
-    control_.stop();
+    stopThreads();
     log_.write(LogLine(Severity::Info, "stopped").add("host", settings_.hostName_));
 }
 
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -22,7 +22,7 @@
     , private HostStatus
 {
 public:
-    Node(const Settings &settings, LogSink &log);
+    Node(const Settings &settings, const NodeParts &parts, LogSink &log);
     ~Node() override;
 
     /// Starts all threads and listeners.
@@ -33,6 +33,7 @@
     void stop();
 
 private:
+    void stopThreads();
     void tokensWanted(const AccountName &account) override;
     void onBackendCold(const BackendName &backend) override;
     void onBackendWarm(const BackendName &backend) override;
@@ -47,11 +48,14 @@
     Counters counters_;
     SnapshotPublisher<RoutingTable> routing_;
     SnapshotPublisher<TrafficView> views_;
+    /// The one thread of callers and back ends; nullptr if they have threads of their own.
+    const std::unique_ptr<EventLoop> trafficLoop_;
     ControlPlane control_;
     BackendClient backends_;
     CallerService callers_;
     CallerServer callerServer_;
     OperatorServer operatorServer_;
+    const std::unique_ptr<OperatorServer> readyServer_; ///< nullptr if there is no address for it
 };
 
 } // namespace pimentostage
--- /dev/null
+++ b/src/daemon/OwnParts.cpp
@@ -0,0 +1,41 @@
+#include "src/daemon/OwnParts.h"
+
+#include "src/backend/HttpBackendLink.h"
+#include "src/backend/HttpRangeLink.h"
+#include "src/base/PistacheServer.h"
+#include "src/platform/StoreClient.h"
+
+namespace pimentostage {
+
+namespace {
+
+StoreClientOptions storeOptions(const Settings &settings)
+{
+    StoreClientOptions options;
+    options.baseUrl_ = settings.platformUrl_;
+    options.timeout_ = settings.platformTimeout_;
+    options.callsPerSecond_ = settings.platformCallsPerSecond_;
+    options.callBurst_ = settings.platformCallsPerSecond_;
+    return options;
+}
+
+} // namespace
+
+NodeParts ownParts(const Settings &settings)
+{
+    NodeParts parts;
+    parts.callerProtocol_ = &ownCallerProtocol();
+    parts.backendProtocol_ = &ownBackendProtocol();
+    parts.makeStore_ = [options = storeOptions(settings)](EventLoop &loop, Counters &counters) {
+        return std::make_unique<StoreClient>(
+            options, [&loop](std::function<void()> task) { loop.post(std::move(task)); }, counters);
+    };
+    parts.makeBackendLink_
+        = [](EventLoop &loop) { return std::make_unique<HttpBackendLink>(loop); };
+    parts.makeRangeLink_
+        = [](EventLoop &loop) { return std::make_unique<HttpRangeLink>(loop, ownRangeProtocol()); };
+    parts.makeOperatorServer_ = [](EventLoop &) { return std::make_unique<PistacheServer>(); };
+    return parts;
+}
+
+} // namespace pimentostage
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -24,6 +24,11 @@
     return std::optional<Placement>(std::move(placement));
 }
 
+bool isHashed(const Service &service)
+{
+    return service.keyed_ && service.division_ == KeyDivision::Hashed;
+}
+
 } // namespace
 
 PlacementControl::PlacementControl(ObjectStore &store, BackendLink &backends,
@@ -65,10 +70,10 @@
 {
     std::erase_if(services_, [&](const auto &entry) {
         const auto found = configuration.services_.find(entry.first);
-        return found == configuration.services_.end() || !found->second.keyed_;
+        return found == configuration.services_.end() || !isHashed(found->second);
     });
     for (const auto &[name, service] : configuration.services_) {
-        if (!service.keyed_)
+        if (!isHashed(service))
             continue;
         Coordinated &coordinated = services_[name];
         updateCoordinator(coordinated, service, now);
--- /dev/null
+++ b/src/daemon/RangeControl.cpp
@@ -0,0 +1,273 @@
+#include "src/daemon/RangeControl.h"
+
+#include "pimentostage/platform/ObjectCodec.h"
+#include "src/daemon/PlacementControl.h"
+
+namespace pimentostage {
+
+namespace {
+
+ObjectRef refOf(const ServiceName &service)
+{
+    return ObjectRef { ObjectKind::RangePlacement, service.str() };
+}
+
+/// @return the placement in @p object, nothing if it does not exist, or the Error in it.
+leaf::result<std::optional<RangePlacement>> rangesIn(const StoredObject &object)
+{
+    if (object.deleted_)
+        return std::optional<RangePlacement>();
+    BOOST_LEAF_AUTO(placement, parseRangePlacement(object.ref_.name_, object.value_));
+    return std::optional<RangePlacement>(std::move(placement));
+}
+
+} // namespace
+
+RangeControl::RangeControl(ObjectStore &store, RangeLink &backends,
+                           const RangeCoordinatorOptions &options, Clock clock, Holds holds,
+                           std::uint64_t seed, LogSink &log, Counters &counters,
+                           OnOwnWrite onOwnWrite)
+    : store_(store)
+    , backends_(backends)
+    , options_(options)
+    , clock_(std::move(clock))
+    , holds_(std::move(holds))
+    , seed_(seed)
+    , log_(log)
+    , onOwnWrite_(std::move(onOwnWrite))
+    , orders_(counters.counter("pimento_range_orders_total",
+                               "Grants and releases of key ranges sent to back ends."))
+    , failures_(counters.counter("pimento_range_order_failures_total",
+                                 "Grants and releases of key ranges that were not accepted."))
+    , moves_(counters.counter("pimento_range_moves_total", "Moves of key ranges begun."))
+{ }
+
+void RangeControl::onConfig(const Configuration &configuration,
+                            const std::set<std::string> &leavingHosts)
+{
+    const auto isOrdered = [&](const ServiceName &name) {
+        const auto found = configuration.services_.find(name);
+        return found != configuration.services_.end() && found->second.keyed_
+               && found->second.division_ == KeyDivision::Ordered;
+    };
+    std::erase_if(services_, [&](const auto &entry) { return !isOrdered(entry.first); });
+    for (const auto &[name, service] : configuration.services_) {
+        if (!isOrdered(name))
+            continue;
+        Coordinated &coordinated = services_[name];
+        if (!coordinated.coordinator_) {
+            coordinated.coordinator_
+                = std::make_unique<RangeCoordinator>(name, options_, Random(seed_));
+        }
+        RangeCoordinator::Backends backends;
+        for (const auto &[backendName, backend] : configuration.backends_) {
+            if (backend.service_ != name)
+                continue;
+            const BackendProcess process { backendName, backend.incarnation_ };
+            PlannedBackend &facts = backends[process];
+            facts.capacity_ = backend.slots_;
+            facts.takesNewWork_ = configuration.isZoneIn(backend.zone_)
+                                  && backend.state_ == BackendState::Ready
+                                  && !leavingHosts.contains(backendName.str());
+            coordinated.addresses_[process] = backend.address_;
+        }
+        coordinated.coordinator_->setBackends(backends);
+    }
+}
+
+RangeCoordinator *RangeControl::acting(const ServiceName &service, TimePoint now)
+{
+    const auto found = services_.find(service);
+    const bool mayAct = found != services_.end() && found->second.isOurs_
+                        && holds_(PlacementControl::roleOf(service), now);
+    return mayAct ? found->second.coordinator_.get() : nullptr;
+}
+
+const Address *RangeControl::addressOf(const ServiceName &service,
+                                       const BackendProcess &process) const
+{
+    const Coordinated &coordinated = services_.at(service);
+    const auto found = coordinated.addresses_.find(process);
+    return found == coordinated.addresses_.end() ? nullptr : &found->second;
+}
+
+void RangeControl::onRoleGained(const RoleName &role, Epoch epoch, TimePoint now)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (PlacementControl::roleOf(name) != role)
+            continue;
+        coordinated.isOurs_ = true;
+        perform(name, coordinated.coordinator_->begin(epoch, now));
+    }
+}
+
+void RangeControl::onRoleLost(const RoleName &role)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (PlacementControl::roleOf(name) != role)
+            continue;
+        coordinated.isOurs_ = false;
+        coordinated.coordinator_->end();
+    }
+}
+
+void RangeControl::tick(TimePoint now)
+{
+    for (auto &[name, coordinated] : services_) {
+        if (RangeCoordinator *coordinator = acting(name, now))
+            perform(name, coordinator->tick(now));
+    }
+}
+
+void RangeControl::onKeyLoad(const KeyLoad &load)
+{
+    const auto found = services_.find(load.service_);
+    if (found == services_.end())
+        return;
+    for (const KeyRate &bucket : load.keys_) {
+        found->second.coordinator_->addLoad(
+            static_cast<std::uint32_t>(std::strtoul(bucket.key_.c_str(), nullptr, 10)),
+            bucket.rate_ * toSeconds(kKeyLoadPeriod));
+    }
+}
+
+std::size_t RangeControl::movingRanges() const
+{
+    std::size_t moving = 0;
+    for (const auto &[name, coordinated] : services_)
+        moving += coordinated.coordinator_->movingRanges();
+    return moving;
+}
+
+void RangeControl::perform(const ServiceName &service, const RangeActions &actions)
+{
+    for (const RangeAction &action : actions)
+        std::visit([&](const auto &step) { perform(service, step); }, action);
+}
+
+void RangeControl::perform(const ServiceName &service, const ReadRanges &)
+{
+    store_.get(refOf(service),
+               [this, service](const Reply<StoredObject> &reply) { onReadReply(service, reply); });
+}
+
+void RangeControl::onReadReply(const ServiceName &service, const Reply<StoredObject> &reply)
+{
+    const TimePoint now = clock_();
+    RangeCoordinator *coordinator = acting(service, now);
+    if (!coordinator)
+        return;
+    const auto *object = std::get_if<StoredObject>(&reply);
+    if (!object) {
+        coordinator->onReadFailed(now);
+        return;
+    }
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(placement, rangesIn(*object));
+            const Version version = object->deleted_ ? Version {} : object->version_;
+            perform(service, coordinator->onRead(placement, version, now));
+            return {};
+        },
+        [&](const Error &error) {
+            // A placement that does not parse is never acted on.
+            log_.write(
+                LogLine(Severity::Error, "ranges-unreadable").add("error", error.describe()));
+            coordinator->onReadFailed(now);
+        },
+        [&] { coordinator->onReadFailed(now); });
+}
+
+void RangeControl::perform(const ServiceName &service, const WriteRanges &write)
+{
+    store_.put(refOf(service), formatRangePlacement(write.placement_), write.expected_,
+               [this, service, placement = write.placement_](const Reply<WriteResult> &reply) {
+                   onWriteReply(service, placement, reply);
+               });
+}
+
+void RangeControl::onWriteReply(const ServiceName &service, const RangePlacement &placement,
+                                const Reply<WriteResult> &reply)
+{
+    const TimePoint now = clock_();
+    const auto *result = std::get_if<WriteResult>(&reply);
+    if (result && result->written_) {
+        onOwnWrite_(StoredObject { refOf(service), result->version_, false,
+                                   formatRangePlacement(placement) });
+    }
+    RangeCoordinator *coordinator = acting(service, now);
+    if (!coordinator)
+        return;
+    if (!result)
+        coordinator->onWriteFailed(now);
+    else if (result->written_)
+        perform(service, coordinator->onWritten(result->version_, now));
+    else
+        perform(service, coordinator->onConflict(now));
+}
+
+// The authority to act was checked in the call that decided on the order.
+void RangeControl::perform(const ServiceName &service, const SendRangeGrant &grant)
+{
+    const auto done = [this, service, grant](RangeOutcome outcome) {
+        const TimePoint now = clock_();
+        if (outcome != RangeOutcome::Accepted)
+            logOutcome(service, "grant", grant.to_, grant.order_.range_, outcome);
+        if (RangeCoordinator *coordinator = acting(service, now))
+            perform(service, coordinator->onGranted(grant, outcome, now));
+    };
+    const Address *address = addressOf(service, grant.to_);
+    if (!address) {
+        done(RangeOutcome::NotDelivered);
+        return;
+    }
+    orders_.add();
+    backends_.grant(*address, grant.order_, done);
+}
+
+void RangeControl::perform(const ServiceName &service, const SendRangeRelease &release)
+{
+    const auto done = [this, service, release](RangeOutcome outcome, const std::string &handover) {
+        const TimePoint now = clock_();
+        logOutcome(service, "release", release.to_, release.order_.range_, outcome);
+        if (RangeCoordinator *coordinator = acting(service, now))
+            perform(service, coordinator->onReleased(release, outcome, handover, now));
+    };
+    const Address *address = addressOf(service, release.to_);
+    if (!address) {
+        done(RangeOutcome::NotDelivered, "");
+        return;
+    }
+    orders_.add();
+    backends_.release(*address, release.order_, done);
+}
+
+void RangeControl::perform(const ServiceName &service, const RangeMoveDecided &move)
+{
+    moves_.add();
+    log_.write(LogLine(Severity::Info, "placement")
+                   .add("service", service.str())
+                   .add("from_key", static_cast<std::uint64_t>(move.range_.from_))
+                   .add("to_key", static_cast<std::uint64_t>(move.range_.to_))
+                   .add("from", move.from_.name_.str())
+                   .add("to", move.to_.name_.str())
+                   .add("epoch", move.epoch_.value_));
+}
+
+void RangeControl::logOutcome(const ServiceName &service, const char *order,
+                              const BackendProcess &process, const KeyRange &range,
+                              RangeOutcome outcome)
+{
+    const bool isAccepted = outcome == RangeOutcome::Accepted;
+    if (!isAccepted)
+        failures_.add();
+    log_.write(LogLine(isAccepted ? Severity::Info : Severity::Warning, "range-order")
+                   .add("service", service.str())
+                   .add("order", order)
+                   .add("backend", process.name_.str())
+                   .add("from_key", static_cast<std::uint64_t>(range.from_))
+                   .add("to_key", static_cast<std::uint64_t>(range.to_))
+                   .add("outcome", toString(outcome)));
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/daemon/RangeControl.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "pimentostage/backend/HotKeyTracker.h"
+#include "pimentostage/backend/RangeCoordinator.h"
+#include "pimentostage/base/Clock.h"
+#include "pimentostage/base/Counters.h"
+#include "pimentostage/base/Log.h"
+#include "pimentostage/platform/Configuration.h"
+#include "pimentostage/platform/ObjectStore.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace pimentostage {
+
+/// Runs a RangeCoordinator for each service with ordered keys that this host coordinates.
+///
+/// Lives on the control thread.
+class RangeControl
+{
+public:
+    /// Passes on an object that this host has written itself.
+    using OnOwnWrite = std::function<void(const StoredObject &)>;
+    /// @return whether this host may act in a role at a time.
+    using Holds = std::function<bool(const RoleName &, TimePoint)>;
+
+    RangeControl(ObjectStore &store, RangeLink &backends, const RangeCoordinatorOptions &options,
+                 Clock clock, Holds holds, std::uint64_t seed, LogSink &log, Counters &counters,
+                 OnOwnWrite onOwnWrite);
+
+    /// Takes services and back ends from the configuration in force.
+    void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts);
+    void onRoleGained(const RoleName &role, Epoch epoch, TimePoint now);
+    void onRoleLost(const RoleName &role);
+    void tick(TimePoint now);
+    /// Takes what an entry host measured of a service.
+    void onKeyLoad(const KeyLoad &load);
+
+    /// @return how many ranges are on their way between owners.
+    [[nodiscard]] std::size_t movingRanges() const;
+
+private:
+    struct Coordinated
+    {
+        bool isOurs_ = false; ///< while this host has the role
+        std::unique_ptr<RangeCoordinator> coordinator_;
+        std::map<BackendProcess, Address> addresses_; ///< also of processes that are gone
+    };
+
+    void perform(const ServiceName &service, const RangeActions &actions);
+    void perform(const ServiceName &service, const ReadRanges &read);
+    void perform(const ServiceName &service, const WriteRanges &write);
+    void perform(const ServiceName &service, const SendRangeGrant &grant);
+    void perform(const ServiceName &service, const SendRangeRelease &release);
+    void perform(const ServiceName &service, const RangeMoveDecided &move);
+    void onReadReply(const ServiceName &service, const Reply<StoredObject> &reply);
+    void onWriteReply(const ServiceName &service, const RangePlacement &placement,
+                      const Reply<WriteResult> &reply);
+    void logOutcome(const ServiceName &service, const char *order, const BackendProcess &process,
+                    const KeyRange &range, RangeOutcome outcome);
+    /// @return the coordinator of @p service if this host may act in its role now, else nullptr.
+    RangeCoordinator *acting(const ServiceName &service, TimePoint now);
+    [[nodiscard]] const Address *addressOf(const ServiceName &service,
+                                           const BackendProcess &process) const;
+
+    ObjectStore &store_;
+    RangeLink &backends_;
+    const RangeCoordinatorOptions options_;
+    const Clock clock_;
+    const Holds holds_;
+    const std::uint64_t seed_;
+    LogSink &log_;
+    const OnOwnWrite onOwnWrite_;
+    Counter &orders_;
+    Counter &failures_;
+    Counter &moves_;
+    std::map<ServiceName, Coordinated> services_;
+};
+
+} // namespace pimentostage
--- a/src/daemon/RecoveryBudget.h
+++ b/src/daemon/RecoveryBudget.h
@@ -18,12 +18,14 @@
 static_assert(kClockDrift.stretched(kServerLease) + kTakeoverWork <= kRecoveryTarget);
 // Coordinator and owner lost at once: the new coordinator has to wait for the old one's authority
 // and then for the lease that the old one may have granted at its very end.
-static_assert(kClockDrift.stretched(Membership::kDetection + kStoreAuthority + kServerLease)
+static_assert(kClockDrift.stretched(MembershipTiming {}.detection() + kStoreAuthority
+                                    + kServerLease)
                   + kTakeoverWork
               <= kRecoveryTarget);
 // Coordinator lost alone: a server's lease, granted up to a period ago with a stamp up to a period
 // old, outlasts the takeover.
-static_assert(kClockDrift.stretched(Membership::kDetection + kStoreAuthority) + kTakeoverWork
+static_assert(kClockDrift.stretched(MembershipTiming {}.detection() + kStoreAuthority)
+                  + kTakeoverWork
               <= kServerLease - 2 * kGrantPeriod);
 
 /// Longest timeout of the routes of a service whose back ends check no fence, if its keys are to be
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -17,18 +17,21 @@
     { "/owner", &OperatorServer::owner },
 };
 
-OperatorServer::OperatorServer(HostStatus &status, Counters &counters)
+OperatorServer::OperatorServer(std::unique_ptr<HttpServer> server, HostStatus &status,
+                               Counters &counters)
     : status_(status)
     , counters_(counters)
+    , server_(std::move(server))
 { }
 
-leaf::result<void> OperatorServer::start(const Address &address)
+leaf::result<void> OperatorServer::start(const Address &address, const std::string &readyPath)
 {
+    readyPath_ = readyPath;
     HttpServerOptions options;
     options.address_ = address;
     options.threads_ = 1;
     options.threadName_ = "operator";
-    return server_.start(options, [this] {
+    return server_->start(options, [this] {
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                 responder->send(answer(request));
@@ -38,8 +41,11 @@
 
 ServerAnswer OperatorServer::answer(const ServerRequest &request)
 {
+    const std::string path = request.path();
+    if (!readyPath_.empty() && path == readyPath_)
+        return readiness(request);
     for (const Page &page : kPages) {
-        if (request.path() == page.path_)
+        if (path == page.path_)
             return (this->*page.answer_)(request);
     }
     return ServerAnswer { kNotFound, kText, {}, "no such page\n" };
--- a/src/operator/OperatorServer.h
+++ b/src/operator/OperatorServer.h
@@ -4,6 +4,7 @@
 #include "src/base/HttpServer.h"
 
 #include <functional>
+#include <memory>
 #include <string>
 
 namespace pimentostage {
@@ -26,11 +27,13 @@
 class OperatorServer
 {
 public:
-    OperatorServer(HostStatus &status, Counters &counters);
+    /// @param server serves the pages; not started yet.
+    OperatorServer(std::unique_ptr<HttpServer> server, HostStatus &status, Counters &counters);
 
+    /// @param readyPath a further path of the readiness page, or "".
     /// @return nothing, or an Error of step Listen.
-    leaf::result<void> start(const Address &address);
-    void stop() { server_.stop(); }
+    leaf::result<void> start(const Address &address, const std::string &readyPath);
+    void stop() { server_->stop(); }
 
 private:
     ServerAnswer answer(const ServerRequest &request);
@@ -49,7 +52,8 @@
 
     HostStatus &status_;
     Counters &counters_;
-    HttpServer server_;
+    const std::unique_ptr<HttpServer> server_;
+    std::string readyPath_;
 };
 
 } // namespace pimentostage
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -13,7 +13,8 @@
 
 std::uint64_t digestOf(const StoredObject &object)
 {
-    return hash64(object.ref_.str(), object.version_.value_);
+    // Hosts may learn of a deletion by different revisions, so it leaves no trace here.
+    return object.deleted_ ? 0 : hash64(object.ref_.str(), object.version_.value_);
 }
 
 /// Puts an object into a configuration and takes it out again.
@@ -87,6 +88,63 @@
     configuration.placements_.erase(ServiceName(name));
 }
 
+void clearCatalogue(const std::string &, Configuration &configuration)
+{
+    configuration.services_.clear();
+    configuration.contracts_.clear();
+    configuration.keysByHash_.clear();
+    configuration.virtualHosts_.clear();
+    configuration.hasCatalogue_ = false;
+}
+
+void setCatalogue(Catalogue catalogue, Configuration &configuration)
+{
+    clearCatalogue("", configuration);
+    configuration.hasCatalogue_ = true;
+    for (Service &service : catalogue.services_)
+        configuration.services_.insert_or_assign(service.name_, std::move(service));
+    for (Contract &contract : catalogue.contracts_)
+        configuration.contracts_.insert_or_assign(contract.team_, std::move(contract));
+    for (TeamKey &key : catalogue.keys_)
+        configuration.keysByHash_.insert_or_assign(key.sha256_, std::move(key));
+    for (Route &route : catalogue.routes_)
+        configuration.virtualHosts_[route.host_].push_back(std::move(route));
+    for (auto &[host, routes] : configuration.virtualHosts_) {
+        std::stable_sort(routes.begin(), routes.end(), [](const Route &a, const Route &b) {
+            return a.prefix_.size() > b.prefix_.size();
+        });
+    }
+}
+
+void addCatalogue(const StoredObject &object, Configuration &configuration)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(catalogue, parseCatalogue(object.ref_.name_, object.value_));
+            setCatalogue(std::move(catalogue), configuration);
+            return {};
+        },
+        [] {});
+}
+
+void addRanges(const StoredObject &object, Configuration &configuration)
+{
+    leaf::try_handle_all(
+        [&]() -> leaf::result<void> {
+            BOOST_LEAF_AUTO(ranges, parseRangePlacement(object.ref_.name_, object.value_));
+            const ServiceName service = ranges.service_;
+            configuration.ranges_[service]
+                = std::make_shared<const RangePlacement>(std::move(ranges));
+            return {};
+        },
+        [] {});
+}
+
+void removeRanges(const std::string &name, Configuration &configuration)
+{
+    configuration.ranges_.erase(ServiceName(name));
+}
+
 // One row for each ObjectKind, in its order.
 constexpr std::array<KindHandler, kEnumCount<ObjectKind>> kHandlers {
     ByName<&parseService, &Configuration::services_>::kHandler,
@@ -97,6 +155,9 @@
     ByName<&parseLostHost, &Configuration::lostHosts_>::kHandler,
     ByName<&parseRoleRecord, &Configuration::roles_>::kHandler,
     KindHandler { &addPlacement, &removePlacement },
+    KindHandler { &addCatalogue, &clearCatalogue },
+    KindHandler { &addRanges, &removeRanges },
+    ByName<&parseEntryHost, &Configuration::entryHosts_>::kHandler,
 };
 
 } // namespace
@@ -108,6 +169,14 @@
 ApplyResult ConfigState::apply(const StoredObject &object, std::string *error)
 {
     const Version known = versionOf(object.ref_);
+    const StoredObject *present = find(object.ref_);
+    // Some stores report a deletion with the version of what was deleted.
+    const bool endsKnown
+        = object.deleted_ && present && !present->deleted_ && object.version_ == known;
+    if (endsKnown) {
+        accept(StoredObject { object.ref_, known.next(), true, {} });
+        return ApplyResult::Applied;
+    }
     if (object.version_ == known)
         return ApplyResult::Unchanged;
     if (object.version_ < known)
@@ -140,7 +209,8 @@
     changed_.insert(object.ref_);
 }
 
-std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision)
+std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision,
+                                      const std::set<ObjectKind> &kinds)
 {
     std::size_t changes = 0;
     std::set<ObjectRef> listed;
@@ -150,19 +220,19 @@
     }
     std::vector<StoredObject> removed;
     for (const auto &[ref, object] : objects_) {
-        const bool isGone = !object.deleted_ && object.version_ < revision && !listed.contains(ref);
+        const bool isOfKind = kinds.empty() || kinds.contains(ref.kind_);
+        const bool isGone
+            = isOfKind && !object.deleted_ && object.version_ < revision && !listed.contains(ref);
         if (isGone)
             removed.push_back(StoredObject { ref, revision, true, {} });
     }
     for (const StoredObject &object : removed)
         accept(object);
-    revision_ = std::max(revision_, revision);
     return changes + removed.size();
 }
 
-void ConfigState::confirm(Version revision, TimePoint sentAt)
+void ConfigState::confirm(TimePoint sentAt)
 {
-    revision_ = std::max(revision_, revision);
     if (!confirmedAt_ || *confirmedAt_ < sentAt)
         confirmedAt_ = sentAt;
 }
@@ -172,11 +242,10 @@
     revision_ = std::max(revision_, revision);
 }
 
-void ConfigState::confirmThroughSibling(Version revision, Duration age, TimePoint now)
+void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint now)
 {
-    if (revision < revision_)
-        return;
-    confirm(revision, now - kClockDrift.stretched(age));
+    if (digest == digest_)
+        confirm(now - kClockDrift.stretched(age));
 }
 
 std::optional<Duration> ConfigState::age(TimePoint now) const
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -4,16 +4,17 @@
 
 namespace {
 
-// Short enough that each watch's end confirms the state well within the limit on its age.
-constexpr Duration kWatchWait = std::chrono::seconds(1);
 constexpr Duration kFirstDelay = std::chrono::milliseconds(50);
 constexpr Duration kMostDelay = std::chrono::seconds(2);
 
 } // namespace
 
-ConfigWatcher::ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Clock clock,
-                             Random random, LogSink &log, std::function<void()> onChange)
+ConfigWatcher::ConfigWatcher(ObjectStore &store, std::size_t feed, ConfigState &state,
+                             RunAfter runAfter, Clock clock, Random random, LogSink &log,
+                             std::function<void()> onChange)
     : store_(store)
+    , feed_(feed)
+    , facts_(store.feeds().at(feed))
     , state_(state)
     , runAfter_(std::move(runAfter))
     , clock_(std::move(clock))
@@ -31,14 +32,16 @@
 void ConfigWatcher::list()
 {
     const TimePoint sentAt = clock_();
-    store_.list([this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
+    store_.listFeed(feed_,
+                    [this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
 }
 
 void ConfigWatcher::watch()
 {
     const TimePoint sentAt = clock_();
-    store_.watch(state_.revision(), kWatchWait,
-                 [this, sentAt](const Reply<StoreListing> &reply) { onChanges(reply, sentAt); });
+    store_.watchFeed(
+        feed_, revision_, facts_.watchWait_,
+        [this, sentAt](const Reply<StoreListing> &reply) { onChanges(reply, sentAt); });
 }
 
 void ConfigWatcher::onListing(const Reply<StoreListing> &reply, TimePoint sentAt)
@@ -47,14 +50,10 @@
         fail(*error, &ConfigWatcher::list);
         return;
     }
-    connected_ = true;
-    backoff_.reset();
     const auto &listing = std::get<StoreListing>(reply);
     apply(listing.objects_);
-    state_.applyListing(listing.objects_, listing.revision_);
-    state_.confirm(listing.revision_, sentAt);
-    onChange_();
-    watch();
+    state_.applyListing(listing.objects_, listing.revision_, facts_.kinds_);
+    succeed(listing.revision_, sentAt);
 }
 
 void ConfigWatcher::onChanges(const Reply<StoreListing> &reply, TimePoint sentAt)
@@ -63,16 +62,27 @@
         fail(*error, &ConfigWatcher::watch);
         return;
     }
-    connected_ = true;
-    backoff_.reset();
     const auto &changes = std::get<StoreListing>(reply);
-    if (changes.revision_ < state_.revision()) {
+    if (changes.revision_ < revision_) {
         // The store has fewer changes than it had: read all of it again.
         list();
         return;
     }
     apply(changes.objects_);
-    state_.confirm(changes.revision_, sentAt);
+    succeed(changes.revision_, sentAt);
+}
+
+void ConfigWatcher::succeed(Version revision, TimePoint sentAt)
+{
+    if (!connected_)
+        log_.write(LogLine(Severity::Info, "store-connected")
+                       .add("feed", static_cast<std::uint64_t>(feed_))
+                       .add("revision", revision.value_));
+    connected_ = true;
+    backoff_.reset();
+    revision_ = std::max(revision_, revision);
+    if (facts_.confirms_)
+        state_.confirm(sentAt);
     onChange_();
     watch();
 }
@@ -102,8 +112,15 @@
 void ConfigWatcher::fail(const Error &error, void (ConfigWatcher::*again)())
 {
     connected_ = false;
-    log_.write(LogLine(Severity::Warning, "store-failed").add("error", error.describe()));
+    log_.write(LogLine(Severity::Warning, "store-failed")
+                   .add("feed", static_cast<std::uint64_t>(feed_))
+                   .add("error", error.describe()));
     onChange_();
+    // The history since the last watch is gone: only a listing shows what was missed.
+    if (error.code_ == ErrorCode::Stale) {
+        list();
+        return;
+    }
     runAfter_(backoff_.next(random_), [this, again] { (this->*again)(); });
 }
 
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -11,15 +11,16 @@
 
 namespace pimentostage {
 
-/// Keeps a ConfigState up to date with the store: one listing, then one watch after the other.
+/// Keeps a ConfigState up to date with one feed of the store: one listing, then one watch after
+/// the other.
 ///
 /// Lives on the control thread.
 class ConfigWatcher
 {
 public:
     /// @param onChange called after objects changed or the state was confirmed.
-    ConfigWatcher(ObjectStore &store, ConfigState &state, RunAfter runAfter, Clock clock,
-                  Random random, LogSink &log, std::function<void()> onChange);
+    ConfigWatcher(ObjectStore &store, std::size_t feed, ConfigState &state, RunAfter runAfter,
+                  Clock clock, Random random, LogSink &log, std::function<void()> onChange);
 
     /// Starts with a listing; runs until the process ends.
     void start();
@@ -30,15 +31,21 @@
 
     /// @return whether the last call to the store succeeded.
     [[nodiscard]] bool isConnected() const { return connected_; }
+    /// @return the revision up to which the feed was read; zero before the first listing.
+    [[nodiscard]] Version revision() const { return revision_; }
 
 private:
     void list();
     void watch();
     void onListing(const Reply<StoreListing> &reply, TimePoint sentAt);
     void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
+    void succeed(Version revision, TimePoint sentAt);
     void fail(const Error &error, void (ConfigWatcher::*again)());
 
     ObjectStore &store_;
+    const std::size_t feed_;
+    const StoreFeed facts_;
+    Version revision_;
     ConfigState &state_;
     const RunAfter runAfter_;
     const Clock clock_;
