--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -22,11 +22,37 @@
 constexpr double kMaxRampMs = 3'600'000;
 constexpr std::size_t kSha256HexLength = 64;
 
+std::vector<ServiceShare> readShares(ObjectReader &reader)
+{
+    const double kMostShare = 1e6;
+    std::vector<ServiceShare> shares;
+    std::size_t index = 0;
+    for (const Json &item : reader.array("services")) {
+        ObjectReader row = reader.child(item, "services", index++);
+        ServiceShare share;
+        share.service_ = ServiceName(row.requiredText("name"));
+        share.weight_ = row.number("weight", 1, 0, kMostShare);
+        row.checkNoOtherFields();
+        shares.push_back(share);
+    }
+    return shares;
+}
+
 Route readRoute(ObjectReader reader)
 {
     Route route;
     route.name_ = RouteName(reader.requiredText("name"));
-    route.method_ = reader.text("method", "GET");
+    route.host_ = reader.text("host");
+    route.services_ = readShares(reader);
+    if (!route.host_.empty() && route.services_.empty())
+        reader.addFault("services", "must name at least one service");
+    route.method_ = reader.text("method", route.host_.empty() ? "GET" : "");
+    const std::uint32_t kMostAttempts = 100;
+    const std::uint32_t kDefaultAttempts = 3;
+    route.mostAttempts_ = reader.count("attempts", kDefaultAttempts, 1, kMostAttempts);
+    const std::uint32_t kMostPriority = 1'000'000;
+    route.priority_ = reader.count("priority", 0, 0, kMostPriority);
+    route.target_ = reader.milliseconds("target_ms", 0, 0, kMaxTimeoutMs);
     route.prefix_ = reader.text("prefix", "/");
     if (route.prefix_.empty() || route.prefix_.front() != '/')
         reader.addFault("prefix", "must start with /");
@@ -166,12 +192,27 @@
     return address;
 }
 
+namespace {
+
+/// Reads the fields that a service has in an object of its own and in a catalogue.
+void readServiceFields(ObjectReader &reader, Service &service)
+{
+    service.keyed_ = reader.flag("keyed", false);
+    service.division_ = reader.choice("division", KeyDivision::Hashed);
+    service.healthPath_ = reader.text("health_path");
+    service.connections_ = reader.count("connections", 0, 0, kMaxSlots);
+    service.coldTime_ = reader.milliseconds("cold_ms", 0, 0, kMaxTimeoutMs);
+    service.coldRate_ = reader.number("cold_rate", 0, 0, kMaxRate);
+}
+
+} // namespace
+
 leaf::result<Service> parseService(const std::string &name, const std::string &value)
 {
     ObjectReader reader({ ObjectKind::Service, name }, value);
     Service service;
     service.name_ = ServiceName(name);
-    service.keyed_ = reader.flag("keyed", false);
+    readServiceFields(reader, service);
     service.keySegment_ = reader.count("key_segment", 0, 0, kMaxKeySegment);
     const std::uint32_t kDefaultShards = 256;
     service.shardCount_ = reader.count("shards", kDefaultShards, 1, kMaxShards);
@@ -246,6 +287,9 @@
     backend.slots_ = reader.count("slots", kDefaultSlots, 1, kMaxSlots);
     const std::uint32_t kDefaultConnections = 110;
     backend.connections_ = reader.count("connections", kDefaultConnections, 1, kMaxSlots);
+    backend.state_ = reader.choice("state", BackendState::Ready);
+    backend.incarnation_ = Incarnation { reader.sequence("incarnation", 0) };
+    backend.coldFor_ = reader.milliseconds("cold_ms", 0, 0, kMaxTimeoutMs);
     reader.checkNoOtherFields();
     BOOST_LEAF_CHECK(reader.result());
     return backend;
@@ -305,6 +349,106 @@
     return placement;
 }
 
+namespace {
+
+void readTeam(ObjectReader reader, Catalogue &catalogue)
+{
+    Contract contract;
+    contract.team_ = TeamName(reader.requiredText("name"));
+    contract.rate_ = reader.number("rate_per_second", 0, 0, kMaxRate);
+    contract.burst_ = reader.number("burst", contract.rate_, 0, kMaxRate);
+    contract.isLimited_ = contract.rate_ > 0;
+    const std::uint32_t kMostPriority = 1'000'000;
+    const std::uint32_t unstated = kMostPriority + 1;
+    const std::uint32_t priority = reader.count("priority", unstated, 0, kMostPriority);
+    if (priority != unstated)
+        contract.priority_ = priority;
+    contract.connections_ = kMaxSlots;
+    for (const std::string &hash : reader.texts("key_sha256")) {
+        TeamKey key;
+        key.name_ = contract.team_.str();
+        key.team_ = contract.team_;
+        key.sha256_ = hash;
+        catalogue.keys_.push_back(key);
+    }
+    reader.checkNoOtherFields();
+    catalogue.contracts_.push_back(contract);
+}
+
+} // namespace
+
+leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Catalogue, name }, value);
+    Catalogue catalogue;
+    std::size_t index = 0;
+    for (const Json &item : reader.array("services")) {
+        ObjectReader row = reader.child(item, "services", index++);
+        Service service;
+        service.name_ = ServiceName(row.requiredText("name"));
+        readServiceFields(row, service);
+        row.checkNoOtherFields();
+        catalogue.services_.push_back(service);
+    }
+    index = 0;
+    for (const Json &item : reader.array("routes"))
+        catalogue.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
+    index = 0;
+    for (const Json &item : reader.array("teams"))
+        readTeam(reader.child(item, "teams", index++), catalogue);
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return catalogue;
+}
+
+leaf::result<RangePlacement> parseRangePlacement(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::RangePlacement, name }, value);
+    RangePlacement placement;
+    placement.service_ = ServiceName(name);
+    placement.epoch_ = Epoch { reader.sequence("epoch") };
+    placement.roleEpoch_ = Epoch { reader.sequence("role_epoch") };
+    placement.nonce_ = reader.text("nonce");
+    std::uint32_t next = 0;
+    std::size_t index = 0;
+    for (const Json &item : reader.array("ranges")) {
+        ObjectReader row = reader.child(item, "ranges", index++);
+        RangeOwner owner;
+        owner.range_.from_ = row.count("from", 0, 0, kLastOrderedKey);
+        owner.range_.to_ = row.count("to", 0, 0, kLastOrderedKey);
+        owner.owner_
+            = { BackendName(row.text("owner")), Incarnation { row.sequence("incarnation", 0) } };
+        owner.epoch_ = Epoch { row.sequence("epoch") };
+        owner.previous_ = { BackendName(row.text("previous")),
+                            Incarnation { row.sequence("previous_incarnation", 0) } };
+        const bool isInOrder = owner.range_.from_ == next && owner.range_.to_ >= next
+                               && owner.epoch_ <= placement.epoch_;
+        if (!isInOrder)
+            row.addFault("from", "must follow the range before it, with an epoch in use");
+        next = owner.range_.to_ + 1;
+        row.checkNoOtherFields();
+        placement.ranges_.push_back(owner);
+    }
+    if (next != kLastOrderedKey + 1)
+        reader.addFault("ranges", "must cover all keys");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return placement;
+}
+
+leaf::result<EntryHost> parseEntryHost(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::EntryHost, name }, value);
+    EntryHost host;
+    host.name_ = HostName(name);
+    host.incarnation_ = Incarnation { reader.sequence("incarnation") };
+    host.zone_ = ZoneName(reader.requiredText("zone"));
+    host.siblingAddress_ = reader.address("sibling");
+    reader.checkNoOtherFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return host;
+}
+
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value)
 {
     ObjectReader reader({ ObjectKind::Backend, "host list" }, value);
@@ -338,9 +482,10 @@
 
 // One row for each ObjectKind, in its order.
 constexpr std::array<CheckObject, kEnumCount<ObjectKind>> kCheckObject {
-    &check<&parseService>,    &check<&parseContract>,  &check<&parseTeamKey>,
-    &check<&parseZone>,       &check<&parseBackend>,   &check<&parseLostHost>,
-    &check<&parseRoleRecord>, &check<&parsePlacement>,
+    &check<&parseService>,        &check<&parseContract>,  &check<&parseTeamKey>,
+    &check<&parseZone>,           &check<&parseBackend>,   &check<&parseLostHost>,
+    &check<&parseRoleRecord>,     &check<&parsePlacement>, &check<&parseCatalogue>,
+    &check<&parseRangePlacement>, &check<&parseEntryHost>,
 };
 
 } // namespace
@@ -353,25 +498,118 @@
     return kCheckObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
 }
 
+namespace {
+
+Json toJson(const Route &route)
+{
+    Json json { { "name", route.name_.str() },
+                { "method", route.method_ },
+                { "prefix", route.prefix_ },
+                { "access", toString(route.access_) },
+                { "idempotent", route.idempotent_ },
+                { "kind", route.kind_ },
+                { "weight", route.weight_ },
+                { "attempts", route.mostAttempts_ },
+                { "priority", route.priority_ },
+                { "target_ms", milliseconds(route.target_) },
+                { "timeout_ms", milliseconds(route.timeout_) } };
+    if (route.host_.empty())
+        return json;
+    json["host"] = route.host_;
+    for (const ServiceShare &share : route.services_) {
+        json["services"].push_back(
+            { { "name", share.service_.str() }, { "weight", share.weight_ } });
+    }
+    return json;
+}
+
+/// @return the fields that a service has in an object of its own and in a catalogue.
+Json serviceFields(const Service &service)
+{
+    return { { "keyed", service.keyed_ },
+             { "division", toString(service.division_) },
+             { "health_path", service.healthPath_ },
+             { "connections", service.connections_ },
+             { "cold_ms", milliseconds(service.coldTime_) },
+             { "cold_rate", service.coldRate_ } };
+}
+
+Json toJson(const Contract &contract, const std::vector<TeamKey> &keys)
+{
+    Json json { { "name", contract.team_.str() },
+                { "rate_per_second", contract.isLimited_ ? contract.rate_ : 0 },
+                { "burst", contract.burst_ },
+                { "key_sha256", Json::array() } };
+    if (contract.priority_)
+        json["priority"] = *contract.priority_;
+    for (const TeamKey &key : keys) {
+        if (key.team_ == contract.team_)
+            json["key_sha256"].push_back(key.sha256_);
+    }
+    return json;
+}
+
+} // namespace
+
 std::string formatService(const Service &service)
 {
+    Json json = serviceFields(service);
+    json["key_segment"] = service.keySegment_;
+    json["shards"] = service.shardCount_;
+    json["fencing"] = toString(service.fencing_);
+    json["balancing"] = toString(service.balancing_);
+    json["routes"] = Json::array();
+    for (const Route &route : service.routes_)
+        json["routes"].push_back(toJson(route));
+    return json.dump();
+}
+
+std::string formatCatalogue(const Catalogue &catalogue)
+{
+    Json services = Json::array();
+    for (const Service &service : catalogue.services_) {
+        Json json = serviceFields(service);
+        json["name"] = service.name_.str();
+        services.push_back(std::move(json));
+    }
     Json routes = Json::array();
-    for (const Route &route : service.routes_) {
-        routes.push_back({ { "name", route.name_.str() },
-                           { "method", route.method_ },
-                           { "prefix", route.prefix_ },
-                           { "access", toString(route.access_) },
-                           { "idempotent", route.idempotent_ },
-                           { "kind", route.kind_ },
-                           { "weight", route.weight_ },
-                           { "timeout_ms", milliseconds(route.timeout_) } });
+    for (const Route &route : catalogue.routes_)
+        routes.push_back(toJson(route));
+    Json teams = Json::array();
+    for (const Contract &contract : catalogue.contracts_)
+        teams.push_back(toJson(contract, catalogue.keys_));
+    return Json({ { "services", services }, { "routes", routes }, { "teams", teams } }).dump();
+}
+
+std::string formatRangePlacement(const RangePlacement &placement)
+{
+    Json ranges = Json::array();
+    for (const RangeOwner &row : placement.ranges_) {
+        Json json { { "from", row.range_.from_ },
+                    { "to", row.range_.to_ },
+                    { "epoch", row.epoch_.value_ } };
+        if (!row.owner_.isNobody()) {
+            json["owner"] = row.owner_.name_.str();
+            json["incarnation"] = row.owner_.incarnation_.value_;
+        }
+        if (!row.previous_.isNobody()) {
+            json["previous"] = row.previous_.name_.str();
+            json["previous_incarnation"] = row.previous_.incarnation_.value_;
+        }
+        ranges.push_back(std::move(json));
     }
-    return Json({ { "keyed", service.keyed_ },
-                  { "key_segment", service.keySegment_ },
-                  { "shards", service.shardCount_ },
-                  { "fencing", toString(service.fencing_) },
-                  { "balancing", toString(service.balancing_) },
-                  { "routes", routes } })
+    return Json({ { "epoch", placement.epoch_.value_ },
+                  { "role_epoch", placement.roleEpoch_.value_ },
+                  { "nonce", placement.nonce_ },
+                  { "ranges", ranges } })
+        .dump();
+}
+
+std::string formatEntryHost(const EntryHost &host)
+{
+    return Json({ { "incarnation", host.incarnation_.value_ },
+                  { "zone", host.zone_.str() },
+                  { "sibling", host.siblingAddress_.str() } })
         .dump();
 }
 
@@ -402,7 +640,10 @@
                   { "zone", backend.zone_.str() },
                   { "address", backend.address_.str() },
                   { "slots", backend.slots_ },
-                  { "connections", backend.connections_ } })
+                  { "connections", backend.connections_ },
+                  { "state", toString(backend.state_) },
+                  { "incarnation", backend.incarnation_.value_ },
+                  { "cold_ms", milliseconds(backend.coldFor_) } })
         .dump();
 }
 
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -78,9 +79,12 @@
         return static_cast<std::uint32_t>(number(field, fallback, least, most));
     }
 
-    std::uint64_t sequence(const char *field)
+    /// @param fallback value of a missing field; without one the field is required.
+    std::uint64_t sequence(const char *field, std::optional<std::uint64_t> fallback = {})
     {
         const nlohmann::json *value = find(field);
+        if (!value && fallback)
+            return *fallback;
         if (!value || !value->is_number_unsigned()) {
             addFault(field, "must be a whole number that is not negative");
             return 0;
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -19,9 +19,10 @@
 
 } // namespace
 
-Membership::Membership(const MemberUpdate &self, Random random)
+Membership::Membership(const MemberUpdate &self, Random random, const MembershipTiming &timing)
     : self_(self)
     , random_(random)
+    , timing_(timing)
 { }
 
 void Membership::addListed(const HostName &host, const Address &address, const ZoneName &zone)
@@ -48,7 +49,7 @@
     expireProbes(now, orders);
     declareDead(now);
     if (now >= nextProbes_) {
-        nextProbes_ = now + kProbePeriod;
+        nextProbes_ = now + timing_.probePeriod_;
         startProbes(now, orders);
     }
     return orders;
@@ -56,7 +57,7 @@
 
 void Membership::startProbes(TimePoint now, std::vector<ProbeOrder> &orders)
 {
-    const std::size_t count = std::min(kProbesPerPeriod, others_.size());
+    const std::size_t count = std::min(timing_.probesPerPeriod_, others_.size());
     for (std::size_t i = 0; i < count; ++i) {
         const auto target = nextTarget();
         if (!target)
@@ -91,7 +92,8 @@
 {
     std::vector<ProbeOrder> indirect;
     for (auto probe = outstanding_.begin(); probe != outstanding_.end();) {
-        const Duration wait = probe->second.isIndirect_ ? kIndirectWait : kDirectWait;
+        const Duration wait
+            = probe->second.isIndirect_ ? timing_.indirectWait_ : timing_.directWait_;
         if (now < probe->second.sentAt_ + wait) {
             ++probe;
             continue;
@@ -145,7 +147,7 @@
 {
     for (auto &[host, tracked] : others_) {
         const bool isOver = tracked.update_.liveness_ == Liveness::Suspect
-                            && now >= tracked.suspectSince_ + kSuspicion;
+                            && now >= tracked.suspectSince_ + timing_.suspicion_;
         if (!isOver)
             continue;
         MemberUpdate update = tracked.update_;
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -41,7 +41,8 @@
 
     std::string pick(const std::vector<BackendName> &tried = {})
     {
-        const BackendChoice choice = BackendSelector::select(routes(), "", tried, random_, now_);
+        const BackendChoice choice
+            = BackendSelector::select(routes(), { "", {} }, tried, random_, now_);
         return choice.candidate_ ? choice.candidate_->backend_.name_.str() : "";
     }
 
@@ -139,8 +140,9 @@
     configuration_.placements_[service.name_] = placement;
     facts_.leavingHosts_ = { "worker-2" };
     rebuild();
-    const auto owner
-        = [&] { return BackendSelector::select(routes(), "k", {}, random_, now_).candidate_; };
+    const auto owner = [&] {
+        return BackendSelector::select(routes(), { "k", {} }, {}, random_, now_).candidate_;
+    };
     EXPECT_NE(owner(), nullptr);
     now_ += 3s;
     rebuild();
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -89,8 +89,8 @@
 {
     ConfigState state;
     EXPECT_FALSE(state.age(TimePoint(1h)).has_value());
-    state.confirm(Version { 3 }, TimePoint(1h));
-    state.confirm(Version { 3 }, TimePoint(1h) - 1s);
+    state.confirm(TimePoint(1h));
+    state.confirm(TimePoint(1h) - 1s);
     EXPECT_EQ(state.age(TimePoint(1h) + 2s), 2s);
 }
 
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -1,6 +1,7 @@
 #include "src/backend/BackendProtocol.h"
+#include "src/base/BeastServer.h"
 #include "src/base/HttpLoop.h"
-#include "src/base/HttpServer.h"
+#include "src/base/PistacheServer.h"
 #include "tests/fakes/RawServer.h"
 
 #include <gtest/gtest.h>
@@ -115,10 +116,12 @@
 }
 
 /// A server that answers with the path.
+template <typename Server>
 class HttpServerTest : public testing::Test
 {
 protected:
     void SetUp() override { ASSERT_TRUE(start(server_, kAnyPort)); }
+    void TearDown() override { server_.stop(); }
 
     static bool start(HttpServer &server, std::uint16_t port, std::string *error = nullptr)
     {
@@ -131,7 +134,7 @@
                 BOOST_LEAF_CHECK(server.start(options, [] {
                     return [](const ServerRequest &request,
                               const std::shared_ptr<HttpResponder> &responder) {
-                        std::shared_ptr<void> &context = request.connection().context_;
+                        std::shared_ptr<void> &context = request.connection_->context_;
                         if (!context)
                             context = std::make_shared<int>(0);
                         int &count = *std::static_pointer_cast<int>(context);
@@ -185,10 +188,13 @@
         return result.answer_ && result.answer_->body_ == "/ok";
     }
 
-    HttpServer server_;
+    Server server_;
 };
 
-TEST_F(HttpServerTest, AnswersBadRequestsAndGoesOn)
+using Servers = testing::Types<BeastServer, PistacheServer>;
+TYPED_TEST_SUITE(HttpServerTest, Servers);
+
+TYPED_TEST(HttpServerTest, AnswersBadRequestsAndGoesOn)
 {
     for (const std::string &bytes :
          { std::string("NONSENSE\r\n\r\n"), std::string("GET\r\n\r\n"),
@@ -197,32 +203,32 @@
            "GET / HTTP/1.1\r\nX: " + std::string(8000, 'x') + "\r\n\r\n",
            std::string("POST / HTTP/1.1\r\nContent-Length: 100\r\n\r\nhalf"),
            std::string("GET /half"), std::string(3000, '\0') }) {
-        send(bytes);
-        ASSERT_TRUE(isServing()) << bytes.substr(0, 40);
+        this->send(bytes);
+        ASSERT_TRUE(this->isServing()) << bytes.substr(0, 40);
     }
 }
 
-TEST_F(HttpServerTest, SaysThatARequestIsTooLarge)
+TYPED_TEST(HttpServerTest, SaysThatARequestIsTooLarge)
 {
     const std::string answer
-        = ask("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(20'000, 'x'));
+        = this->ask("POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(20'000, 'x'));
     EXPECT_NE(answer.find(" 413 "), std::string::npos) << answer.substr(0, 60);
 }
 
-TEST_F(HttpServerTest, NamesTheAddressThatIsInUse)
+TYPED_TEST(HttpServerTest, NamesTheAddressThatIsInUse)
 {
-    HttpServer second;
+    TypeParam second;
     std::string error;
-    EXPECT_FALSE(start(second, server_.port(), &error));
+    EXPECT_FALSE(this->start(second, this->server_.port(), &error));
     EXPECT_NE(error.find("listen"), std::string::npos);
-    EXPECT_NE(error.find("127.0.0.1:" + std::to_string(server_.port())), std::string::npos);
+    EXPECT_NE(error.find("127.0.0.1:" + std::to_string(this->server_.port())), std::string::npos);
 }
 
-TEST_F(HttpServerTest, KeepsWhatBelongsToAConnectionWithIt)
+TYPED_TEST(HttpServerTest, KeepsWhatBelongsToAConnectionWithIt)
 {
     const auto count = [this](HttpLoop &loop) {
         HttpRequest request;
-        request.url_ = "http://127.0.0.1:" + std::to_string(server_.port()) + "/count";
+        request.url_ = "http://127.0.0.1:" + std::to_string(this->server_.port()) + "/count";
         const HttpResult result = loop.fetch(request);
         return result.answer_ ? result.answer_->body_ : "";
     };
@@ -233,20 +239,20 @@
     EXPECT_EQ(count(second), "1");
 }
 
-TEST_F(HttpServerTest, TakesAFreePortBesideAnotherServer)
+TYPED_TEST(HttpServerTest, TakesAFreePortBesideAnotherServer)
 {
-    HttpServer second;
-    ASSERT_TRUE(start(second, kAnyPort));
+    TypeParam second;
+    ASSERT_TRUE(this->start(second, kAnyPort));
     EXPECT_NE(second.port(), 0);
-    EXPECT_NE(second.port(), server_.port());
+    EXPECT_NE(second.port(), this->server_.port());
     second.stop();
     EXPECT_EQ(second.port(), 0);
 }
 
-TEST_F(HttpServerTest, KeepsConnectionsOpen)
+TYPED_TEST(HttpServerTest, KeepsConnectionsOpen)
 {
     const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\n\r\n";
-    const std::string answer = ask(request);
+    const std::string answer = this->ask(request);
     EXPECT_EQ(answer.find("Connection: Close"), std::string::npos);
     EXPECT_NE(answer.find("Keep-Alive"), std::string::npos);
 }
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -119,7 +119,7 @@
     world.run(1s);
     world.kill(3);
     // Every host notices by itself or by the others' news.
-    world.run(Membership::kDetection + 200ms);
+    world.run(MembershipTiming {}.detection() + 200ms);
     for (std::size_t i = 0; i < 8; ++i) {
         if (i != 3) {
             EXPECT_EQ(world[i].view().size(), 7U) << i;
@@ -165,7 +165,7 @@
             other.member_ = Member { HostName("host-" + std::to_string(i)), Incarnation { 1 } };
             membership.merge(other, TimePoint(1h));
         }
-        EXPECT_EQ(membership.tick(TimePoint(1h)).size(), Membership::kProbesPerPeriod);
+        EXPECT_EQ(membership.tick(TimePoint(1h)).size(), MembershipTiming {}.probesPerPeriod_);
         EXPECT_TRUE(membership.tick(TimePoint(1h) + 1ms).empty());
     }
 }
--- a/tests/RouterFenceTest.cpp
+++ b/tests/RouterFenceTest.cpp
@@ -525,7 +525,9 @@
     const auto table = builder.build(configuration, FleetFacts {}, now);
     const ServiceRoutes &routes = table->services_.at("lots");
     Random random(1);
-    const auto select = [&] { return BackendSelector::select(routes, "k", {}, random, now); };
+    const auto select = [&] {
+        return BackendSelector::select(routes, { "k", {} }, {}, random, now);
+    };
     EXPECT_EQ(select().candidate_, nullptr);
     EXPECT_EQ(builder.stats(backend.name_)->inFlight(), 0U);
     grantUnits(*builder.fence(service.name_), { { UnitName("s0"), Epoch { 4 } } }, now);
--- a/tests/fakes/AllowanceFleet.cpp
+++ b/tests/fakes/AllowanceFleet.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr Duration kTick = std::chrono::milliseconds(10);
+constexpr std::uint64_t kAccountGroups = 4;
 
 } // namespace
 
@@ -41,7 +42,7 @@
                                      i % 2 == 0 ? kDrift : -kDrift);
         host->sender_ = std::make_unique<Sender>(*this, i);
         host->control_ = std::make_unique<AllowanceControl>(
-            host->name_, host->purses_, *host->sender_,
+            host->name_, host->purses_, *host->sender_, kAccountGroups,
             [this, i](const RoleName &, TimePoint) { return hasHolder_ && holder_ == i; },
             counters_);
         hosts_.push_back(std::move(host));
@@ -71,7 +72,7 @@
     contract.burst_ = terms_.burst_;
     configuration->contracts_[team_] = contract;
     RoleRecord record;
-    record.role_ = AllowanceControl::roleOf(PurseBook::accountOf(team_));
+    record.role_ = hosts_.front()->control_->roleOf(PurseBook::accountOf(team_));
     record.epoch_ = epoch_;
     record.holder_.host_ = hosts_[holder_]->name_;
     configuration->roles_[record.role_] = record;
@@ -83,7 +84,7 @@
 
 void AllowanceFleet::changeHolder(std::size_t host, Duration gap)
 {
-    const RoleName role = AllowanceControl::roleOf(PurseBook::accountOf(team_));
+    const RoleName role = hosts_.front()->control_->roleOf(PurseBook::accountOf(team_));
     hosts_[holder_]->control_->onRoleLost(role);
     hasHolder_ = false;
     events_.after(gap, [this, host, role] {
--- a/tests/fakes/CoreFleet.cpp
+++ b/tests/fakes/CoreFleet.cpp
@@ -237,8 +237,8 @@
         const auto routes = view->routing_->services_.find(work_.service_.str());
         BackendChoice choice;
         if (routes != view->routing_->services_.end()) {
-            choice
-                = BackendSelector::select(routes->second, routed_.key_, {}, fleet_.random_, now());
+            choice = BackendSelector::select(routes->second, { routed_.key_, {} }, {},
+                                             fleet_.random_, now());
         }
         if (!choice.candidate_) {
             perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now())
@@ -453,6 +453,7 @@
         *host->store_,
         *host->links_,
         *host->servers_,
+        ranges_,
         [this, raw](Duration delay, std::function<void()> task) {
             events_.after(delay, [this, raw, task = std::move(task)] {
                 atHost(raw->shared_from_this(), task);
@@ -461,8 +462,8 @@
         [this, raw] { return raw->clock_.at(events_.now()); },
         lastIncarnation_,
     };
-    host->core_ = std::make_unique<ControlCore>(host->self_, ports, host->routing_, host->views_,
-                                                log_, host->counters_);
+    host->core_ = std::make_unique<ControlCore>(
+        host->self_, ControlOptions {}, ports, host->routing_, host->views_, log_, host->counters_);
     if (hosts_[index]) {
         hosts_[index]->isDead_ = true;
         retired_.push_back(hosts_[index]);
@@ -494,7 +495,7 @@
 
 void CoreFleet::scheduleTick(const std::shared_ptr<Host> &host)
 {
-    events_.after(ControlCore::kTick, [this, host] {
+    events_.after(ControlOptions {}.tick_, [this, host] {
         if (host->isDead_)
             return;
         if (!host->paused_)
--- a/tests/fakes/CoreFleet.h
+++ b/tests/fakes/CoreFleet.h
@@ -9,6 +9,7 @@
 #include "tests/fakes/EventQueue.h"
 #include "tests/fakes/FleetOracle.h"
 #include "tests/fakes/FleetStore.h"
+#include "tests/fakes/NoRanges.h"
 #include "tests/fakes/NullLog.h"
 
 #include <map>
@@ -115,6 +116,7 @@
     FleetOracle oracle_;
     NullLog log_;
     FleetStore store_;
+    NoRanges ranges_;
     std::vector<std::shared_ptr<Host>> hosts_;
     std::vector<std::shared_ptr<Host>> retired_;
     std::vector<Backend> backends_;
--- a/tools/BackendStandin.cpp
+++ b/tools/BackendStandin.cpp
@@ -91,10 +91,10 @@
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                 auto work = std::make_shared<Work>();
-                work->method_ = request.method();
+                work->method_ = request.method_;
                 work->path_ = request.path();
                 work->query_ = request.query();
-                work->body_ = request.body();
+                work->body_ = request.body_;
                 work->id_ = request.header(kRequestIdHeader).value_or("");
                 work->team_ = request.header(kTeamHeader).value_or("");
                 work->hasTeamKey_ = request.header("Authorization").has_value();
--- a/tools/BackendStandin.h
+++ b/tools/BackendStandin.h
@@ -2,8 +2,8 @@
 
 #include "pimentostage/backend/ServerLease.h"
 #include "pimentostage/base/Random.h"
-#include "src/base/HttpServer.h"
-#include "src/daemon/ControlLoop.h"
+#include "src/base/EventLoop.h"
+#include "src/base/PistacheServer.h"
 
 #include <deque>
 #include <map>
@@ -49,7 +49,7 @@
 
 /// A small stand-in for a backend server: slots, cold start, shedding, fenced grants.
 ///
-/// All state belongs to one thread, the ControlLoop's.
+/// All state belongs to one thread, the EventLoop's.
 class BackendStandin
 {
 public:
@@ -99,8 +99,8 @@
     std::deque<std::shared_ptr<Work>> waiting_;
     std::set<std::string> executedIds_;
     std::vector<std::shared_ptr<Work>> unanswered_; ///< held so that nothing is sent
-    HttpServer server_;
-    ControlLoop loop_;
+    PistacheServer server_;
+    EventLoop loop_ { "backend-state" };
 };
 
 } // namespace pimentostage
--- a/tools/PlatformStandin.cpp
+++ b/tools/PlatformStandin.cpp
@@ -93,9 +93,9 @@
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                 auto exchange = std::make_shared<Exchange>();
-                exchange->method_ = request.method();
+                exchange->method_ = request.method_;
                 exchange->path_ = request.path();
-                exchange->body_ = request.body();
+                exchange->body_ = request.body_;
                 for (const char *name : { "since", "wait_ms", "if_version", "down", "hang",
                                           "delay_ms", "lose_answers", "host_lag_ms" })
                     exchange->parameters_[name] = request.parameter(name);
--- a/tools/PlatformStandin.h
+++ b/tools/PlatformStandin.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "pimentostage/platform/ObjectStore.h"
-#include "src/base/HttpServer.h"
-#include "src/daemon/ControlLoop.h"
+#include "src/base/EventLoop.h"
+#include "src/base/PistacheServer.h"
 
 #include <deque>
 #include <list>
@@ -23,7 +23,7 @@
 
 /// A small stand-in for the platform's object store and host list.
 ///
-/// All state belongs to one thread, the ControlLoop's.
+/// All state belongs to one thread, the EventLoop's.
 class PlatformStandin
 {
 public:
@@ -77,8 +77,8 @@
     std::uint64_t reads_ = 0;
     std::uint64_t writes_ = 0;
     std::vector<std::shared_ptr<Exchange>> unanswered_; ///< held so that nothing is sent
-    HttpServer server_;
-    ControlLoop loop_;
+    PistacheServer server_;
+    EventLoop loop_ { "platform-state" };
 };
 
 } // namespace pimentostage
