--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -75,8 +75,19 @@
     /// @return the cost of one more request here: expected wait in seconds.
     [[nodiscard]] double cost(TimePoint now) const;
 
+    /// @return how long work takes here, against what is usual, as far as reports tell: the pace of
+    ///         a moment ago fades into the back end's own usual pace.
+    [[nodiscard]] double pace(TimePoint now) const;
+    /// @return the back end's own usual pace; 1 before the first report.
+    [[nodiscard]] double usualPace() const;
+    /// @return requests that run or wait there, as far as this host can tell.
+    [[nodiscard]] double load(TimePoint now) const;
+    /// @return the part of its requests that failed lately, from 0 to 1.
+    [[nodiscard]] double failureShare(TimePoint now) const;
+
 private:
     [[nodiscard]] double reportedLoad(TimePoint now) const;
+    void countOutcome(bool hasFailed, TimePoint now);
 
     std::atomic<std::uint32_t> inFlight_ { 0 };
     std::atomic<Duration::rep> latency_ { 0 };
@@ -85,6 +96,9 @@
     std::atomic<Duration::rep> ejectedUntil_ { 0 };
     std::atomic<std::uint32_t> reported_ { 0 };
     std::atomic<double> pace_ { 1 };
+    std::atomic<double> usualPace_ { 0 }; ///< 0 before the first report
+    std::atomic<double> failureShare_ { 0 };
+    std::atomic<Duration::rep> outcomeAt_ { 0 };
     std::atomic<Duration::rep> reportedAt_ { 0 };
     std::atomic<std::uint64_t> incarnation_ { 0 };
     Warmup warmup_;
--- a/include/pimentostage/backend/GrantLedger.h
+++ b/include/pimentostage/backend/GrantLedger.h
@@ -17,19 +17,17 @@
 class GrantLedger
 {
 public:
-    /// @param hold how long the process may hold a range after a grant arrived, by our clock.
-    explicit GrantLedger(Duration hold)
-        : hold_(hold)
-    { }
-
     /// Notes a grant that is on its way.
-    void onSent(OrderNumber number, const KeyRange &range);
+    /// @param hold how long the process may hold the range after its arrival, by our clock.
+    void onSent(OrderNumber number, const KeyRange &range, Duration hold);
     /// Notes what became of it.
     void onOutcome(OrderNumber number, RangeOutcome outcome, TimePoint now);
     /// The process gave @p range back. Grants that got no answer may still give it the range.
     void onReleased(const KeyRange &range);
     /// Notes that another granter may have granted @p range until @p until.
     void assume(const KeyRange &range, TimePoint until);
+    /// Takes over what @p other may hold: orders meant for it may have reached this process.
+    void merge(const GrantLedger &other);
     /// The process has ended and holds nothing.
     void clear() { entries_.clear(); }
 
@@ -44,12 +42,12 @@
         KeyRange range_;
         State state_ = State::OnItsWay;
         OrderNumber number_ = 0;
-        TimePoint until_ {};
+        Duration hold_ {};
+        TimePoint until_ {}; ///< unless it is on its way
     };
 
     void dropLapsed(TimePoint now);
 
-    Duration hold_;
     std::vector<Entry> entries_;
 };
 
--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -57,11 +57,12 @@
 /// Settings of a RangeCoordinator.
 struct RangeCoordinatorOptions
 {
-    Duration hold_ = std::chrono::milliseconds(3000); ///< of one grant
+    Duration hold_ = std::chrono::milliseconds(2500); ///< of one grant
+    Duration trialHold_ = std::chrono::milliseconds(500); ///< of one to an owner that was silent
     Duration renewal_ = std::chrono::milliseconds(700); ///< time between two grants of a range
     Duration retry_ = std::chrono::milliseconds(250); ///< after an order without an answer
-    Duration mostSilence_ = std::chrono::milliseconds(1200); ///< before an owner is given up
-    Duration orderTimeout_ = std::chrono::milliseconds(500); ///< of a grant on its way
+    Duration mostSilence_ = std::chrono::milliseconds(1500); ///< before an owner is given up
+    Duration orderTimeout_ = std::chrono::milliseconds(700); ///< of a grant on its way
     Duration balancePeriod_ = std::chrono::milliseconds(1000); ///< between moves for balance
     double clockError_ = 0.025; ///< by how much a back end's clock may run slow, with a margin
 };
@@ -126,20 +127,19 @@
     /// What is known of a process that was sent orders.
     struct Holder
     {
-        explicit Holder(Duration hold)
-            : ledger_(hold)
-        { }
-
         GrantLedger ledger_;
         std::optional<TimePoint> silentSince_; ///< no order was answered since then
         std::optional<TimePoint> goneAt_; ///< when its process was found to have ended
         bool needsNewEpoch_ = false; ///< another process may stand in its place
+        bool isEpochPending_ = false; ///< a write that gives it one is under way
         std::uint32_t failures_ = 0; ///< orders in a row without an answer
     };
 
     void adoptPlacement(const std::optional<RangePlacement> &placement, TimePoint now);
     RangeActions plan(TimePoint now);
     RangeActions write(std::vector<RangeOwner> ranges, TimePoint now);
+    bool followRestarts(std::vector<RangeOwner> &ranges, Epoch epoch);
+    [[nodiscard]] std::optional<BackendProcess> successorOf(const BackendProcess &process) const;
     bool renewEpochs(std::vector<RangeOwner> &ranges, Epoch epoch, TimePoint now);
     void setRanges(std::vector<RangeOwner> ranges);
     void serve(RangeOwner &row, RangeActions &actions, TimePoint now);
@@ -148,7 +148,8 @@
     Holder &holder(const BackendProcess &process);
     [[nodiscard]] bool isUsable(const BackendProcess &process, TimePoint now) const;
     [[nodiscard]] RangePlanner::Backends usableBackends(TimePoint now) const;
-    [[nodiscard]] Duration longestHold() const;
+    /// @return how long a back end may hold what it was granted for @p hold, by our clock.
+    [[nodiscard]] Duration stretched(Duration hold) const;
     RowState *stateOf(const KeyRange &range, OrderNumber number);
 
     const ServiceName service_;
--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Time.h"
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -23,7 +24,10 @@
     TimePoint deadline_;
     std::optional<Duration> hedgeAfter_; ///< no hedging if empty
     std::uint32_t mostAttempts_ = 3;
-    Duration target_ {}; ///< latency objective; zero if none was stated
+    /// Times that back ends may declare the request not run before it is given up; each is one more
+    /// arrival that some back end has to bear.
+    std::uint32_t mostRejections_ = std::numeric_limits<std::uint32_t>::max();
+    std::optional<Duration> mostOwnerWait_; ///< for an owner; until the deadline if empty
 };
 
 /// Why a request was given up.
@@ -142,6 +146,7 @@
     ExecutionActions retryOrGiveUp(AttemptState state, AttemptFailure failure, TimePoint now);
     ExecutionActions giveUp(GiveUpReason reason);
     [[nodiscard]] bool mayRetry(AttemptState state) const;
+    [[nodiscard]] bool mayAwaitOwner(TimePoint now);
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] Outcome outcome() const;
 
@@ -149,6 +154,8 @@
     ShareBudget &retries_;
     ShareBudget &hedges_;
     std::vector<Tracked> attempts_;
+    std::uint32_t rejections_ = 0;
+    std::optional<TimePoint> ownerlessSince_; ///< since when no back end could take it
     std::optional<TimePoint> hedgeAt_;
     std::optional<TimePoint> retryAt_;
     bool isWaiting_ = false; ///< for room
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -24,6 +24,7 @@
     Backend backend_;
     std::shared_ptr<BackendStats> stats_;
     std::uint32_t limit_ = 0; ///< requests this host may have in flight there
+    bool followsReports_ = false; ///< its service is balanced by reported load
     bool isNear_ = true; ///< in this host's data centre
     bool takesNewWork_ = true; ///< neither leaving nor in a data centre that is out
     TimePoint withdrawnAt_ {}; ///< since when it takes no new work, if it takes none
@@ -38,6 +39,10 @@
         return stats_->concurrency().limit(limit_);
     }
 
+    /// @return whether another request may be sent there: as far as reports tell, it will not wait
+    ///         long for a slot. A few are sent all the same, or nothing newer would be heard.
+    [[nodiscard]] bool hasRoom(TimePoint now) const;
+
     /// @return whether it may get requests for what it owns: it takes new work, or is handing
     ///         over what it owned.
     [[nodiscard]] bool mayServeAsOwner(TimePoint now) const;
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -40,6 +40,7 @@
     Duration controlTick_ = std::chrono::milliseconds(10);
     std::int64_t controlAccountGroups_ = 4;
     Duration controlMostConfigAge_ = std::chrono::seconds(3);
+    std::int64_t controlReaders_ = 0;
     bool controlMajorityVouches_ = true;
 
     std::string platformUrl_;
@@ -48,6 +49,7 @@
 
     std::int64_t backendThreads_ = 2;
     Duration backendIdleAge_ = std::chrono::seconds(15);
+    std::int64_t backendMostRejections_ = 1'000'000;
     double backendRetryShare_ = 0.1;
     double backendHedgeShare_ = 0.05;
     bool backendHedging_ = true;
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -91,7 +91,7 @@
 };
 
 /// How a back end is chosen for a service that is not keyed.
-enum class Balancing { LowestCost, PowerOfTwo, LeastLoaded, RoundRobin };
+enum class Balancing { LowestCost, PowerOfTwo, LeastLoaded, RoundRobin, ExpectedTime };
 
 template <>
 struct EnumTable<Balancing>
@@ -101,6 +101,7 @@
         EnumName<Balancing> { Balancing::PowerOfTwo, "power-of-two" },
         EnumName<Balancing> { Balancing::LeastLoaded, "least-loaded" },
         EnumName<Balancing> { Balancing::RoundRobin, "round-robin" },
+        EnumName<Balancing> { Balancing::ExpectedTime, "expected-time" },
     };
 };
 
--- a/include/pimentostage/sibling/RoleKeeper.h
+++ b/include/pimentostage/sibling/RoleKeeper.h
@@ -184,6 +184,7 @@
     TimePoint nextAnnouncement_ {};
     std::optional<TimePoint> membersDifferSince_;
     TimePoint nextConfirm_ {};
+    TimePoint nextRead_ {};
     TimePoint nextFindOut_ {};
     TimePoint nextReleases_ {};
     bool isReading_ = false;
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -20,6 +20,10 @@
 namespace {
 
 constexpr double kHedgeQuantile = 0.95;
+// Parts of the latency objective for which a request waits: for room, which may not come, and for
+// an owner, which comes when a move ends.
+constexpr int kRoomWaitDivisor = 4;
+constexpr int kOwnerWaitDivisor = 2;
 constexpr Duration kLeastHedgeDelay = std::chrono::milliseconds(1);
 constexpr double kBudgetReserve = 10;
 constexpr std::size_t kKeysCounted = 128;
@@ -265,13 +269,17 @@
         policy.waitsForOwner_ = !request_.key_.empty();
         policy.deadline_ = request_.deadline_;
         policy.mostAttempts_ = request_.mostAttempts_;
-        policy.target_ = request_.target_;
+        policy.mostRejections_ = worker_.options_.mostRejections_;
+        if (hasTarget())
+            policy.mostOwnerWait_ = request_.target_ / kOwnerWaitDivisor;
         const Duration quantile = route_.latency_.value();
         if (worker_.options_.hedging_ && quantile > Duration::zero())
             policy.hedgeAfter_ = std::max(kLeastHedgeDelay, quantile);
         return policy;
     }
 
+    bool hasTarget() const { return request_.target_ > Duration::zero(); }
+
     void perform(const ExecutionActions &actions)
     {
         for (const ExecutionAction &action : actions)
@@ -359,8 +367,11 @@
         waiting.team_ = request_.team_;
         waiting.share_ = request_.share_;
         waiting.cost_ = request_.cost_;
-        waiting.deadline_ = request_.deadline_;
         waiting.since_ = place_ ? place_->since_ : now;
+        waiting.deadline_ = request_.deadline_;
+        if (hasTarget())
+            waiting.deadline_
+                = std::min(waiting.deadline_, waiting.since_ + request_.target_ / kRoomWaitDivisor);
         return waiting;
     }
 
@@ -440,6 +451,7 @@
             flight.stats_->onAnswer(result.elapsed_, now);
             worker_.counters_.latency_.record(toSeconds(result.elapsed_));
             route_.latency_.record(result.elapsed_);
+            logAnswer(attempt, flight.backend_, verdict, result);
             answer_ = std::move(*result.answer_);
             perform(execution_.onAnswered(attempt, now));
             return;
@@ -522,6 +534,23 @@
         return request_.key_.empty() ? "balanced" : "owner";
     }
 
+    void logAnswer(AttemptNumber attempt, const BackendName &backend, const AttemptVerdict &verdict,
+                   const HttpResult &result)
+    {
+        LogLine line(Severity::Info, "answer");
+        line.add("request", request_.id_.str())
+            .add("attempt", static_cast<std::uint64_t>(attempt))
+            .add("backend", backend.str())
+            .add("status", result.answer_->status_)
+            .add("ms", toMilliseconds(result.elapsed_));
+        if (verdict.load_) {
+            line.add("running", static_cast<std::uint64_t>(verdict.load_->running_))
+                .add("waiting", static_cast<std::uint64_t>(verdict.load_->waiting_))
+                .add("pace", verdict.load_->pace_);
+        }
+        worker_.log_.write(line);
+    }
+
     void logFailure(AttemptNumber attempt, const BackendName &backend,
                     const AttemptVerdict &verdict, const HttpResult &result)
     {
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -13,6 +13,7 @@
 
 #include <atomic>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -62,6 +63,8 @@
     std::size_t threads_ = 2;
     long connectionsPerBackend_ = 13; ///< of all threads together
     Duration mostIdleAge_ = std::chrono::seconds(15);
+    /// Times that back ends may declare a request not run before it is given up.
+    std::uint32_t mostRejections_ = std::numeric_limits<std::uint32_t>::max();
     double retryShare_ = 0.1;
     double hedgeShare_ = 0.05;
     bool hedging_ = true;
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -16,6 +16,14 @@
 constexpr Duration kReportLife = std::chrono::seconds(1);
 // The latency estimate of a back end without answers decays with this time constant.
 constexpr Duration kLatencyLife = std::chrono::seconds(2);
+// A reported pace holds for about this time; it changes several times a second.
+constexpr Duration kPaceLife = std::chrono::milliseconds(350);
+// How far the usual pace follows a report of a slower one.
+constexpr double kPaceDrift = 0.005;
+// Mean of the pace over its usual value, where nothing recent is known.
+constexpr double kMeanSlowdown = 1.3;
+constexpr double kOutcomeWeight = 0.15;
+constexpr Duration kOutcomeLife = std::chrono::seconds(3);
 // Assumed latency before the first answer.
 constexpr double kUnknownLatency = 0.001;
 
@@ -34,6 +42,7 @@
 void BackendStats::onAnswer(Duration latency, TimePoint now)
 {
     failuresInRow_.store(0, std::memory_order_relaxed);
+    countOutcome(false, now);
     answeredAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
     if (isEjected(now))
         ejectedUntil_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
@@ -50,6 +59,7 @@
 
 void BackendStats::onFailure(TimePoint now)
 {
+    countOutcome(true, now);
     const std::uint32_t failures = failuresInRow_.fetch_add(1, std::memory_order_relaxed) + 1;
     if (failures < kFailuresBeforeEjection)
         return;
@@ -63,6 +73,10 @@
 {
     reported_.store(report.running_ + report.waiting_, std::memory_order_relaxed);
     pace_.store(report.pace_, std::memory_order_relaxed);
+    const double usual = usualPace_.load(std::memory_order_relaxed);
+    const bool isFaster = usual == 0 || report.pace_ < usual;
+    usualPace_.store(isFaster ? report.pace_ : usual + kPaceDrift * (report.pace_ - usual),
+                     std::memory_order_relaxed);
     reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
@@ -72,6 +86,41 @@
     return known != 0 && known != incarnation;
 }
 
+double BackendStats::usualPace() const
+{
+    const double usual = usualPace_.load(std::memory_order_relaxed);
+    return usual == 0 ? 1 : usual;
+}
+
+double BackendStats::pace(TimePoint now) const
+{
+    const double usual = usualPace();
+    const TimePoint at { Duration(reportedAt_.load(std::memory_order_relaxed)) };
+    const double weight = std::exp(-toSeconds(now - at) / toSeconds(kPaceLife));
+    const double slowed = usual * kMeanSlowdown;
+    return slowed + weight * (pace_.load(std::memory_order_relaxed) - slowed);
+}
+
+double BackendStats::load(TimePoint now) const
+{
+    return std::max(static_cast<double>(inFlight()), reportedLoad(now));
+}
+
+void BackendStats::countOutcome(bool hasFailed, TimePoint now)
+{
+    const double next
+        = failureShare(now) + kOutcomeWeight * ((hasFailed ? 1.0 : 0.0) - failureShare(now));
+    failureShare_.store(next, std::memory_order_relaxed);
+    outcomeAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+}
+
+double BackendStats::failureShare(TimePoint now) const
+{
+    const TimePoint at { Duration(outcomeAt_.load(std::memory_order_relaxed)) };
+    return failureShare_.load(std::memory_order_relaxed)
+           * std::exp(-toSeconds(now - at) / toSeconds(kOutcomeLife));
+}
+
 double BackendStats::reportedLoad(TimePoint now) const
 {
     const TimePoint at { Duration(reportedAt_.load(std::memory_order_relaxed)) };
@@ -90,8 +139,7 @@
     const Duration age
         = now.time_since_epoch() - Duration(answeredAt_.load(std::memory_order_relaxed));
     latency *= std::exp(-toSeconds(age) / toSeconds(kLatencyLife));
-    const double load = std::max(static_cast<double>(inFlight()), reportedLoad(now));
-    return latency * (load + 1);
+    return latency * (load(now) + 1);
 }
 
 } // namespace pimentostage
--- a/src/backend/BalancingStrategy.cpp
+++ b/src/backend/BalancingStrategy.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/RoutingTable.h"
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 
@@ -77,6 +78,52 @@
     mutable std::atomic<std::size_t> next_ { 0 };
 };
 
+/// Chooses by the expected time of one more request, from reported pace and load.
+class ExpectedTime : public BalancingStrategy
+{
+public:
+    std::size_t pick(const Candidates &candidates, Random &random, TimePoint now) const override
+    {
+        // Starts at a random place so that ties do not all fall on the first back end.
+        const std::size_t start = random.below(candidates.size());
+        std::size_t best = start;
+        double bestTime = expectedTime(*candidates[start], now);
+        for (std::size_t step = 1; step < candidates.size(); ++step) {
+            const std::size_t index = (start + step) % candidates.size();
+            const double time = expectedTime(*candidates[index], now);
+            if (time >= bestTime)
+                continue;
+            best = index;
+            bestTime = time;
+        }
+        return best;
+    }
+
+private:
+    // Load raises the time a little before all slots are taken, so that equal back ends share it.
+    static constexpr double kCrowding = 0.25;
+    // Each request beyond the slots waits for its part of a running one, and reports are late.
+    static constexpr double kWaiting = 1.3;
+    // A failure costs a retry, in retries' budget and in time.
+    static constexpr double kFailureCost = 4;
+    // Bytes between data centres are dear: a far back end has to be this much faster.
+    static constexpr double kFarFactor = 2.5;
+    static constexpr double kColdFactor = 2; // cold back ends work about half as fast
+
+    static double expectedTime(const Candidate &candidate, TimePoint now)
+    {
+        const BackendStats &stats = *candidate.stats_;
+        const double slots = std::max(1U, candidate.backend_.slots_);
+        const double load = stats.load(now);
+        const double waiting = std::max(0.0, load + 1 - slots);
+        double time = stats.pace(now) * (1 + (kCrowding * load + kWaiting * waiting) / slots);
+        time *= 1 + kFailureCost * stats.failureShare(now);
+        if (stats.coldStart().isCold(now))
+            time *= kColdFactor;
+        return candidate.isNear_ ? time : time * kFarFactor;
+    }
+};
+
 } // namespace
 
 const BalancingStrategy &strategyFor(Balancing balancing)
@@ -85,9 +132,10 @@
     static const PowerOfTwo powerOfTwo;
     static const LeastLoaded leastLoaded;
     static const RoundRobin roundRobin;
+    static const ExpectedTime expectedTime;
     // One row for each Balancing, in its order.
     static const std::array<const BalancingStrategy *, kEnumCount<Balancing>> strategies {
-        &lowestCost, &powerOfTwo, &leastLoaded, &roundRobin
+        &lowestCost, &powerOfTwo, &leastLoaded, &roundRobin, &expectedTime
     };
     return *strategies.at(static_cast<std::size_t>(balancing));
 }
--- a/src/backend/GrantLedger.cpp
+++ b/src/backend/GrantLedger.cpp
@@ -13,9 +13,9 @@
 
 } // namespace
 
-void GrantLedger::onSent(OrderNumber number, const KeyRange &range)
+void GrantLedger::onSent(OrderNumber number, const KeyRange &range, Duration hold)
 {
-    entries_.push_back(Entry { range, State::OnItsWay, number, {} });
+    entries_.push_back(Entry { range, State::OnItsWay, number, hold, {} });
 }
 
 void GrantLedger::onOutcome(OrderNumber number, RangeOutcome outcome, TimePoint now)
@@ -34,12 +34,12 @@
         return;
     }
     entry->state_ = tookEffect ? State::Held : State::Uncertain;
-    entry->until_ = now + hold_;
-    // The newer hold of the same range lasts longer than the older one.
+    entry->until_ = now + entry->hold_;
+    // Of two holds of the same range only the longer one counts.
     const Entry newest = *entry;
     std::erase_if(entries_, [&](const Entry &other) {
         return other.state_ == newest.state_ && other.range_ == newest.range_
-               && other.number_ < newest.number_;
+               && other.until_ < newest.until_;
     });
 }
 
@@ -65,7 +65,12 @@
 
 void GrantLedger::assume(const KeyRange &range, TimePoint until)
 {
-    entries_.push_back(Entry { range, State::Uncertain, 0, until });
+    entries_.push_back(Entry { range, State::Uncertain, 0, {}, until });
+}
+
+void GrantLedger::merge(const GrantLedger &other)
+{
+    entries_.insert(entries_.end(), other.entries_.begin(), other.entries_.end());
 }
 
 bool GrantLedger::mayHold(const KeyRange &range, TimePoint now) const
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -8,20 +8,24 @@
 
 constexpr int kOk = 200;
 constexpr int kConflict = 409;
-// A grant that takes longer has probably met a back end that does not answer.
-constexpr Duration kGrantTimeout = std::chrono::milliseconds(450);
+// A back end whose slots are all taken answers late; a new connection to it would wait even longer.
+constexpr Duration kGrantTimeout = std::chrono::milliseconds(600);
 // The work that runs on the keys has to end before a release is answered.
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(3000);
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
+// Back ends bound their connections, and a new one takes a slot of theirs for a moment.
+constexpr long kGrantConnections = 1;
+constexpr long kReleaseConnections = 3;
+
 constexpr const char *kGrantPath = "/.pimento/ranges/grant";
 constexpr const char *kReleasePath = "/.pimento/ranges/release";
 
-HttpLoopOptions loopOptions()
+HttpLoopOptions loopOptions(long connections)
 {
     HttpLoopOptions options;
     options.threadName_ = "ranges";
-    options.connectionsPerPeer_ = 4;
+    options.connectionsPerPeer_ = connections;
     options.connectTimeout_ = kConnectTimeout;
     return options;
 }
@@ -74,7 +78,8 @@
 
 HttpRangeLink::HttpRangeLink(EventLoop &loop, const RangeProtocol &protocol)
     : protocol_(protocol)
-    , http_(loopOptions(), loop)
+    , grants_(loopOptions(kGrantConnections), loop)
+    , releases_(loopOptions(kReleaseConnections), loop)
 { }
 
 void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnGranted done)
@@ -83,8 +88,8 @@
     request.method_ = "POST";
     request.url_ = "http://" + backend.str() + request.url_;
     request.timeout_ = kGrantTimeout;
-    http_.start(std::move(request),
-                [done = std::move(done)](const HttpResult &result) { done(outcomeOf(result)); });
+    grants_.start(std::move(request),
+                  [done = std::move(done)](const HttpResult &result) { done(outcomeOf(result)); });
 }
 
 void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReleased done)
@@ -93,7 +98,7 @@
     request.method_ = "POST";
     request.url_ = "http://" + backend.str() + request.url_;
     request.timeout_ = kReleaseTimeout;
-    http_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
+    releases_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
         done(outcomeOf(result),
              result.answer_ ? result.answer_->header(protocol_.handoverHeader_) : "");
     });
--- a/src/backend/HttpRangeLink.h
+++ b/src/backend/HttpRangeLink.h
@@ -29,7 +29,8 @@
 
 private:
     const RangeProtocol &protocol_;
-    HttpLoop http_;
+    HttpLoop grants_;
+    HttpLoop releases_; ///< apart, since a release is answered only once work has ended
 };
 
 } // namespace pimentostage
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -14,6 +14,8 @@
 constexpr Duration kStoreRetry = std::chrono::milliseconds(200);
 constexpr Duration kDecayPeriod = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMostRetryDoublings = 3;
+// Moves for balance made at once; a hot range is spread over several back ends in one pause.
+constexpr std::size_t kMostBalanceMoves = 3;
 
 bool isAnswer(RangeOutcome outcome)
 {
@@ -55,14 +57,14 @@
     holders_.clear();
 }
 
-Duration RangeCoordinator::longestHold() const
+Duration RangeCoordinator::stretched(Duration hold) const
 {
-    return fromSeconds(toSeconds(options_.hold_) * (1 + options_.clockError_));
+    return fromSeconds(toSeconds(hold) * (1 + options_.clockError_));
 }
 
 RangeCoordinator::Holder &RangeCoordinator::holder(const BackendProcess &process)
 {
-    return holders_.try_emplace(process, longestHold()).first->second;
+    return holders_[process];
 }
 
 RangeCoordinator::RowState *RangeCoordinator::stateOf(const KeyRange &range, OrderNumber number)
@@ -107,7 +109,7 @@
 {
     needsNewEpochs_ = true;
     // The predecessor's last order may have been on its way when this host took over.
-    const TimePoint until = now + options_.orderTimeout_ + longestHold();
+    const TimePoint until = now + options_.orderTimeout_ + stretched(options_.hold_);
     if (!placement) {
         placement_.ranges_ = { RangeOwner { { 0, kLastOrderedKey }, {}, {}, {} } };
         return;
@@ -137,6 +139,10 @@
     const RangePlacement written = std::move(*pending_);
     pending_.reset();
     needsNewEpochs_ = false;
+    for (auto &[process, known] : holders_) {
+        known.needsNewEpoch_ = known.needsNewEpoch_ && !known.isEpochPending_;
+        known.isEpochPending_ = false;
+    }
     // Moves that ended while the write was under way have ended all the same.
     std::vector<RangeOwner> ranges = written.ranges_;
     bool isNewer = false;
@@ -233,9 +239,11 @@
     SendRangeGrant grant;
     grant.number_ = ++lastOrder_;
     grant.to_ = row.owner_;
-    grant.order_ = RangeGrantOrder { row.range_, row.epoch_, options_.hold_, state.handover_ };
+    // One that was silent may be lost: a long hold would keep its keys from the next owner.
+    const Duration hold = owner.silentSince_ ? options_.trialHold_ : options_.hold_;
+    grant.order_ = RangeGrantOrder { row.range_, row.epoch_, hold, state.handover_ };
     state.openOrder_ = grant.number_;
-    owner.ledger_.onSent(grant.number_, row.range_);
+    owner.ledger_.onSent(grant.number_, row.range_, stretched(hold));
     actions.emplace_back(std::move(grant));
 }
 
@@ -267,11 +275,15 @@
     if (isAnswer(outcome)) {
         known.silentSince_.reset();
         known.failures_ = 0;
-        known.needsNewEpoch_ = known.needsNewEpoch_ || outcome == RangeOutcome::StaleEpoch;
+        if (outcome == RangeOutcome::StaleEpoch) {
+            known.needsNewEpoch_ = true;
+            known.isEpochPending_ = false;
+        }
         return;
     }
     ++known.failures_;
     known.needsNewEpoch_ = true;
+    known.isEpochPending_ = false;
     if (!known.silentSince_)
         known.silentSince_ = now;
     if (outcome != RangeOutcome::ProcessGone)
@@ -285,7 +297,9 @@
 {
     if (phase_ != Phase::Serving)
         return {};
-    holder(sent.to_).ledger_.onOutcome(sent.number_, outcome, now);
+    // A process that restarted meanwhile has taken the order's place over.
+    for (auto &[process, known] : holders_)
+        known.ledger_.onOutcome(sent.number_, outcome, now);
     noteOutcome(sent.to_, outcome, now);
     RowState *state = stateOf(sent.order_.range_, sent.number_);
     if (state) {
@@ -351,6 +365,35 @@
     return usable;
 }
 
+std::optional<BackendProcess> RangeCoordinator::successorOf(const BackendProcess &process) const
+{
+    const auto next = backends_.upper_bound(process);
+    const bool isSuccessor = next != backends_.end() && next->first.name_ == process.name_;
+    return isSuccessor ? std::optional(next->first) : std::nullopt;
+}
+
+// A process under the name of an earlier one stands in its place: it may hold what was meant for
+// the earlier one, and gets its ranges under a higher epoch.
+bool RangeCoordinator::followRestarts(std::vector<RangeOwner> &ranges, Epoch epoch)
+{
+    bool isChange = false;
+    for (RangeOwner &row : ranges) {
+        for (BackendProcess *process : { &row.owner_, &row.previous_ }) {
+            const auto successor = successorOf(*process);
+            if (process->isNobody() || !successor)
+                continue;
+            holder(*successor).ledger_.merge(holder(*process).ledger_);
+            holder(*process).ledger_.clear();
+            *process = *successor;
+            row.epoch_ = epoch;
+            isChange = true;
+        }
+        if (row.previous_ == row.owner_)
+            row.previous_ = BackendProcess {};
+    }
+    return isChange;
+}
+
 // A process that lost touch, or stands in another's place, gets its ranges under a higher epoch.
 bool RangeCoordinator::renewEpochs(std::vector<RangeOwner> &ranges, Epoch epoch, TimePoint now)
 {
@@ -393,22 +436,27 @@
     }
     const Epoch epoch = placement_.epoch_.next();
     std::vector<RangeOwner> next = placement_.ranges_;
-    bool isChange = renewEpochs(next, epoch, now) || hasEndedMoves_;
+    bool isChange = followRestarts(next, epoch);
+    isChange = renewEpochs(next, epoch, now) || hasEndedMoves_ || isChange;
     const RangePlanner::Backends usable = usableBackends(now);
     std::vector<RangeMove> moves = RangePlanner::adopt(next, load_, usable);
-    const bool mayBalance
-        = moves.empty() && !isChange && now >= nextBalance_ && movingRanges() == 0;
-    if (mayBalance) {
-        nextBalance_ = now + options_.balancePeriod_;
-        moves = RangePlanner::balance(next, load_, usable);
-    }
     RangeActions actions;
-    for (const RangeMove &move : moves) {
+    const auto make = [&](const RangeMove &move) {
         const RangeOwner *from = placement_.find(move.range_.from_);
-        actions.emplace_back(RangeMoveDecided {
-            move.range_, from ? from->owner_ : BackendProcess {}, move.to_, epoch });
+        const BackendProcess owner = from ? from->owner_ : BackendProcess {};
+        actions.emplace_back(RangeMoveDecided { move.range_, owner, move.to_, epoch });
         next = withMove(next, move, epoch);
         isChange = true;
+    };
+    const bool mayBalance
+        = moves.empty() && !isChange && now >= nextBalance_ && movingRanges() == 0;
+    std::for_each(moves.begin(), moves.end(), make);
+    if (mayBalance) {
+        nextBalance_ = now + options_.balancePeriod_;
+        for (std::size_t i = 0; i < kMostBalanceMoves; ++i) {
+            moves = RangePlanner::balance(next, load_, usable);
+            std::for_each(moves.begin(), moves.end(), make);
+        }
     }
     if (!isChange)
         return {};
@@ -424,10 +472,8 @@
     next.roleEpoch_ = roleEpoch_;
     next.nonce_ = service_.str() + '-' + std::to_string(random_.engine()());
     next.ranges_ = std::move(ranges);
-    for (auto &[process, known] : holders_) {
-        if (isUsable(process, now))
-            known.needsNewEpoch_ = false;
-    }
+    for (auto &[process, known] : holders_)
+        known.isEpochPending_ = isUsable(process, now);
     pending_ = std::move(next);
     isCallOut_ = true;
     return { WriteRanges { *pending_, version_ } };
--- a/src/backend/RangePlanner.cpp
+++ b/src/backend/RangePlanner.cpp
@@ -16,7 +16,7 @@
 // A back end further above the mean than this gives keys away.
 constexpr double kMostAboveMean = 1.3;
 // Load, in requests a second, below which a move is not worth the pause that it costs.
-constexpr double kLeastMoved = 2;
+constexpr double kLeastMoved = 1;
 // Most ranges of one back end, on average; more would cost too many renewals.
 constexpr std::size_t kMostRangesPerBackend = 5;
 
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -66,8 +66,7 @@
     tracked.state_ = AttemptState::NotSent;
     if (finished_ || isRunning())
         return {};
-    const bool canWait = now + kOwnerDelay < policy_.deadline_;
-    if (!canWait)
+    if (!mayAwaitOwner(now))
         return giveUp(GiveUpReason::NoBackend);
     // No attempt was spent: the placement or a slot may become free before the deadline.
     attempts_.pop_back();
@@ -75,6 +74,15 @@
     return { WakeAt { *retryAt_ } };
 }
 
+bool RequestExecution::mayAwaitOwner(TimePoint now)
+{
+    if (!ownerlessSince_)
+        ownerlessSince_ = now;
+    const bool isInTime
+        = !policy_.mostOwnerWait_ || now + kOwnerDelay < *ownerlessSince_ + *policy_.mostOwnerWait_;
+    return isInTime && now + kOwnerDelay < policy_.deadline_;
+}
+
 ExecutionActions RequestExecution::onBusy(AttemptNumber attempt, TimePoint now)
 {
     // No attempt was spent.
@@ -127,10 +135,16 @@
         return giveUp(GiveUpReason::DeadlinePassed);
     if (!mayRetry(state))
         return giveUp(reasonFor(failure));
+    const bool isRejected = state == AttemptState::DeclaredNotRun;
+    rejections_ += isRejected ? 1 : 0;
+    if (isRejected && rejections_ > policy_.mostRejections_)
+        return giveUp(GiveUpReason::Overloaded);
     // The owner is changing or lost: the request waits for the next one, for nothing was sent.
     const bool isOwnerGone
         = failure == AttemptFailure::StaleEpoch
           || (policy_.waitsForOwner_ && failure == AttemptFailure::ConnectFailed);
+    if (isOwnerGone && !mayAwaitOwner(now))
+        return giveUp(GiveUpReason::NoBackend);
     if (isOwnerGone) {
         retryAt_ = now + kOwnerDelay;
         return { WakeAt { *retryAt_ } };
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -13,6 +13,11 @@
 // At most this share of a service's back ends is passed over because of ejection.
 constexpr double kMostEjectedShare = 0.5;
 
+// Requests that run and wait at a back end, by its slots, above which it gets no more.
+constexpr double kMostLoad = 1.7;
+// Requests of one host that are sent whatever the last report said.
+constexpr std::uint32_t kAlwaysAllowed = 2;
+
 // Share of its traffic that a back end gets as soon as its data centre is back.
 constexpr double kLeastRampShare = 0.1;
 
@@ -31,6 +36,15 @@
 
 } // namespace
 
+bool Candidate::hasRoom(TimePoint now) const
+{
+    if (!stats_->coldStart().hasRoom(now))
+        return false;
+    if (!followsReports_ || stats_->inFlight() < kAlwaysAllowed)
+        return true;
+    return stats_->load(now) < kMostLoad * backend_.slots_;
+}
+
 bool Candidate::mayServeAsOwner(TimePoint now) const
 {
     return takesNewWork_ || now < withdrawnAt_ + kHandoverTime;
@@ -82,6 +96,7 @@
         const Service &service = routes->second.service_;
         candidate.stats_ = updateKnown(backend, service, facts, now).stats_;
         candidate.limit_ = hostLimit(backend, service, facts.entryHosts_);
+        candidate.followsReports_ = service.balancing_ == Balancing::ExpectedTime;
         candidate.isNear_ = backend.zone_ == facts.zone_;
         candidate.takesNewWork_ = configuration.isZoneIn(backend.zone_)
                                   && !facts.leavingHosts_.contains(name.str())
@@ -214,7 +229,7 @@
         return choice;
     BackendStats &stats = *candidate->stats_;
     const std::uint32_t limit = std::max(1U, candidate->presentLimit());
-    choice.isBusy_ = !stats.coldStart().hasRoom(now) || !stats.tryBegin(limit);
+    choice.isBusy_ = !candidate->hasRoom(now) || !stats.tryBegin(limit);
     if (choice.isBusy_)
         return choice;
     stats.coldStart().take(now);
@@ -244,7 +259,7 @@
         const std::size_t index = strategy.pick(usable, random, now);
         BackendStats &stats = *usable[index]->stats_;
         const std::uint32_t limit = std::max(1U, usable[index]->presentLimit());
-        if (stats.coldStart().hasRoom(now) && stats.tryBegin(limit)) {
+        if (usable[index]->hasRoom(now) && stats.tryBegin(limit)) {
             stats.coldStart().take(now);
             return usable[index];
         }
@@ -263,8 +278,8 @@
             continue;
         const std::uint32_t limit = candidate.presentLimit();
         choices.hasOwn_ = choices.hasOwn_ || limit > 0;
-        const bool isFull = candidate.stats_->inFlight() >= std::max(1U, limit)
-                            || !candidate.stats_->coldStart().hasRoom(now);
+        const bool isFull
+            = candidate.stats_->inFlight() >= std::max(1U, limit) || !candidate.hasRoom(now);
         if (isFull)
             continue;
         if (limit == 0)
--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -107,6 +107,7 @@
 
     void add(tcp::socket socket);
     void drain() { draining_ = true; }
+    void closeIdle();
     void close();
 
     const HttpServerOptions options_;
@@ -194,6 +195,14 @@
             slots_.at(number - firstNumber_).abandoned_ = std::move(task);
     }
 
+    /// Ends the connection if no request is being read or answered on it.
+    void closeIfIdle()
+    {
+        const bool isIdle = slots_.empty() && !parser_ && !isWriting_ && !isLingering_;
+        if (isIdle)
+            finish();
+    }
+
     void checkTime(TimePoint now)
     {
         const HttpServerOptions &options = worker_->options_;
@@ -578,6 +587,13 @@
     });
 }
 
+void BeastServer::Worker::closeIdle()
+{
+    const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
+    for (const auto &session : sessions)
+        session->closeIfIdle();
+}
+
 void BeastServer::Worker::close()
 {
     error_code ignored;
@@ -637,6 +653,12 @@
         asio::post(worker->context_, [worker] { worker->drain(); });
 }
 
+void BeastServer::closeIdle()
+{
+    for (const std::shared_ptr<Worker> &worker : workers_)
+        asio::post(worker->context_, [worker] { worker->closeIdle(); });
+}
+
 void BeastServer::stop()
 {
     for (const std::shared_ptr<Worker> &worker : workers_) {
--- a/src/base/BeastServer.h
+++ b/src/base/BeastServer.h
@@ -31,6 +31,8 @@
 
     /// Lets each connection end with its next answer.
     void drain();
+    /// Ends idle connections; after drain().
+    void closeIdle();
 
     /// @param meaning for requests of a method that may be repeated (GET, HEAD); others are always
     ///        answered.
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -27,6 +27,8 @@
 
     /// Asks callers to close their connections after the next answer.
     void drain() { server_->drain(); }
+    /// Ends connections on which nothing is under way.
+    void closeIdle() { server_->closeIdle(); }
 
     void stop() { server_->stop(); }
 
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -6,7 +6,11 @@
 
 namespace {
 
+// Another host takes the request at once.
+constexpr Duration kRetryAfterStop = std::chrono::milliseconds(50);
 constexpr Duration kRetryAfterOverRate = std::chrono::seconds(1);
+// The part of its time that a caller may be asked to wait before it tries again.
+constexpr int kRetryDivisor = 3;
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 std::uint32_t priorityOf(const RoutedRequest &routed)
@@ -96,6 +100,11 @@
     pending->arrivedAt_ = now;
     pending->abandonment_ = std::move(abandonment);
     pending->done_ = std::move(done);
+    if (service_.stopping_.load(std::memory_order_acquire)) {
+        service_.refuse(pending,
+                        Refusal { RefusalReason::Stopping, Outcome::NotRun, kRetryAfterStop, {} });
+        return;
+    }
     RouteDecision decision = RequestRouter::route(*pending->view_, pending->request_, now);
     // The key has served its purpose; nothing behind this line may see it.
     pending->request_.teamKey_.reset();
@@ -167,8 +176,19 @@
                       });
 }
 
-void CallerService::refuse(const std::shared_ptr<Pending> &pending, const Refusal &refusal)
+// A caller that is told to come back later than it can wait does not come back.
+std::optional<Duration> CallerService::retryAfter(const Pending &pending, const Refusal &refusal)
+{
+    if (!refusal.retryAfter_ || !pending.request_.budget_)
+        return refusal.retryAfter_;
+    const Duration spent = BootClock::now() - pending.arrivedAt_;
+    const Duration left = std::max(Duration::zero(), *pending.request_.budget_ - spent);
+    return std::min(*refusal.retryAfter_, left / kRetryDivisor);
+}
+
+void CallerService::refuse(const std::shared_ptr<Pending> &pending, Refusal refusal)
 {
+    refusal.retryAfter_ = retryAfter(*pending, refusal);
     refused_.at(static_cast<std::size_t>(refusal.reason_))->add();
     LogLine line(Severity::Info, "refuse");
     line.add("request", pending->request_.id_.str())
--- a/src/caller/CallerService.h
+++ b/src/caller/CallerService.h
@@ -54,6 +54,9 @@
         SnapshotReader<TrafficView> view_;
     };
 
+    /// From now on refuses every new request, for a planned stop.
+    void stopTaking() { stopping_.store(true, std::memory_order_release); }
+
     /// @return requests taken and not yet answered.
     [[nodiscard]] std::size_t inFlight() const { return inFlight_.load(std::memory_order_acquire); }
 
@@ -63,7 +66,8 @@
     [[nodiscard]] static bool mayConnect(const Pending &pending);
     void admit(const std::shared_ptr<Pending> &pending);
     void forward(const std::shared_ptr<Pending> &pending);
-    void refuse(const std::shared_ptr<Pending> &pending, const Refusal &refusal);
+    void refuse(const std::shared_ptr<Pending> &pending, Refusal refusal);
+    static std::optional<Duration> retryAfter(const Pending &pending, const Refusal &refusal);
     void finish(const std::shared_ptr<Pending> &pending, CallerAnswer answer);
     void countShare(const Pending &pending, bool isAnswered, TimePoint now);
 
@@ -72,6 +76,7 @@
     ControlPort &control_;
     LogSink &log_;
     std::atomic<std::size_t> inFlight_ { 0 };
+    std::atomic<bool> stopping_ { false };
     Counter &requests_;
     Counter &answered_;
     std::array<Counter *, kEnumCount<RefusalReason>> refused_ {};
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -12,6 +12,10 @@
 constexpr Duration kListLife = 2 * kHostPollPeriod;
 // Hosts asked at once for what the list says; when the store is down all ask.
 constexpr std::size_t kHostsAsked = 3;
+constexpr const char *kReaderRank = "readers";
+// A host that began to read the store goes on for this long, so that it does not begin and end
+// with every short silence.
+constexpr Duration kReadingTime = std::chrono::seconds(5);
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 /// Parts of the core that choose at random, each with a stream of its own.
@@ -60,6 +64,10 @@
     , ranges_(
           store_, ports.ranges_, options.ranges_, clock_,
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
+          [this](const BackendName &backend) {
+              const auto stats = tableBuilder_.stats(backend);
+              return stats ? stats->usualPace() : 1;
+          },
           seedFor(ports.seed_, RandomUse::Ranges), log, counters,
           [this](const StoredObject &object) { onOwnWrite(object); })
     , allowance_(
@@ -81,6 +89,7 @@
 {
     for (const auto &watcher : watchers_)
         watcher->start();
+    readsUntil_ = clock_() + kReadingTime;
     if (store_.hasHostList())
         pollHosts();
 }
@@ -103,9 +112,69 @@
         if (!store_.hasHostList())
             registrar_.start();
     }
+    pushNews();
     onConfigChange();
 }
 
+// Every host reads at its start; later a few do so for all. Who they are follows from the view, and
+// whoever hears nothing young enough from them reads too.
+bool ControlCore::isReader(TimePoint now) const
+{
+    if (options_.readers_ == 0 || now < readsUntil_)
+        return true;
+    const std::vector<Member> ranked
+        = rankedFor(RoleName(kReaderRank), members_.membership().view());
+    const auto end
+        = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(options_.readers_, ranked.size()));
+    return std::find(ranked.begin(), end, self_.member_) != end;
+}
+
+void ControlCore::updateReading(TimePoint now)
+{
+    if (options_.readers_ == 0)
+        return;
+    const auto age = config_.age(now);
+    const bool hearsNothing = !age || *age >= options_.readerSilence_;
+    if (hearsNothing)
+        readsUntil_ = now + kReadingTime;
+    const bool reads = isReader(now);
+    for (const auto &watcher : watchers_) {
+        if (reads == !watcher->isPaused())
+            continue;
+        if (reads)
+            watcher->start();
+        else
+            watcher->pause();
+    }
+}
+
+// What an entry host writes, it tells the others itself.
+void ControlCore::pushNews()
+{
+    if (options_.readers_ == 0)
+        return;
+    std::vector<StoredObject> news = config_.changesSince(pushedUpTo_);
+    for (const StoredObject &object : news)
+        pushedUpTo_ = std::max(pushedUpTo_, object.version_);
+    std::erase_if(news, [](const StoredObject &object) {
+        const ObjectKind kind = object.ref_.kind_;
+        return kind == ObjectKind::Role || kind == ObjectKind::RangePlacement
+               || kind == ObjectKind::EntryHost;
+    });
+    pushToSiblings(news);
+}
+
+// Without a revision: the receiver may have missed earlier changes.
+void ControlCore::pushToSiblings(const std::vector<StoredObject> &objects)
+{
+    if (objects.empty())
+        return;
+    for (const Member &member : members_.membership().view()) {
+        if (member != self_.member_)
+            siblings_.send(member.host_, ConfigPush { Version {}, objects });
+    }
+}
+
 // Objects that came by another way than the watches; which watcher applies them does not matter.
 void ControlCore::applyObjects(const std::vector<StoredObject> &objects)
 {
@@ -214,6 +283,8 @@
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
     applyObjects(push.objects_);
+    for (const StoredObject &object : push.objects_)
+        pushedUpTo_ = std::max(pushedUpTo_, object.version_);
     config_.adoptRevision(push.revision_);
     onConfigChange();
 }
@@ -221,6 +292,8 @@
 void ControlCore::onOwnWrite(const StoredObject &object)
 {
     applyObjects({ object });
+    if (options_.readers_ > 0)
+        pushToSiblings({ object });
     onConfigChange();
 }
 
@@ -314,6 +387,7 @@
     const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     members_.tick(now);
+    updateReading(now);
     const std::vector<Member> view = members_.membership().view();
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
@@ -335,7 +409,7 @@
     if (leaving_)
         return Readiness::Stopping;
     const auto age = config_.age(now);
-    if (!age)
+    if (!age || !isConfigurationKnown())
         return Readiness::Starting;
     // Alone, this host cannot tell an outage of the store from a cut; with a majority it can.
     const bool isTrusted = *age < options_.mostConfigAge_
@@ -343,12 +417,17 @@
     return isTrusted ? Readiness::Ready : Readiness::Stale;
 }
 
+bool ControlCore::isConfigurationKnown() const
+{
+    // Complete up to a revision: by the feeds, or by a sibling.
+    return store_.hasHostList() ? hasAskedForList_ : config_.revision() > Version {};
+}
+
 void ControlCore::onConfigChange()
 {
     // Without the host list a back end that leaves would pass for one that has just begun to, and
     // without all feeds services would lack their back ends.
-    const bool isKnown = store_.hasHostList() ? hasAskedForList_ : areFeedsRead_;
-    if (!isKnown || config_.digest() == publishedDigest_)
+    if (!isConfigurationKnown() || config_.digest() == publishedDigest_)
         return;
     publishedDigest_ = config_.digest();
     const TimePoint now = clock_();
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -82,6 +82,11 @@
 
     void startHosts();
     void onFeedRead();
+    void updateReading(TimePoint now);
+    [[nodiscard]] bool isReader(TimePoint now) const;
+    void pushNews();
+    void pushToSiblings(const std::vector<StoredObject> &objects);
+    [[nodiscard]] bool isConfigurationKnown() const;
     void readEntryHosts(const Configuration &configuration);
     void applyObjects(const std::vector<StoredObject> &objects);
     void pollHosts();
@@ -134,6 +139,8 @@
     LocalSender routers_; ///< reaches all entry hosts, this one included
     std::vector<std::unique_ptr<ConfigWatcher>> watchers_; ///< one for each feed of the store
     bool areFeedsRead_ = false; ///< each of them at least once
+    TimePoint readsUntil_ {}; ///< reads on its own until then, whoever else does
+    Version pushedUpTo_; ///< newest object version told to the siblings
     HostRegistrar registrar_;
     TimePoint nextGauges_ {};
     MemberControl members_;
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -16,6 +16,10 @@
     /// Whether a majority of the entry hosts vouches for an older configuration, as it may where
     /// the store serves either all hosts or none.
     bool majorityVouches_ = true;
+    /// Entry hosts that read and watch the store, and tell the others; 0 for all.
+    std::size_t readers_ = 0;
+    /// A host that hears nothing as young as this from the readers reads the store itself.
+    Duration readerSilence_ = std::chrono::milliseconds(2500);
     MembershipTiming membership_;
     RangeCoordinatorOptions ranges_;
 };
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kFreshAge = std::chrono::milliseconds(1500);
 // After its start a host waits this long to hear all others before it decides on roles.
 constexpr Duration kSettlingTime = std::chrono::seconds(1);
+constexpr Duration kPullDelay = std::chrono::milliseconds(100);
 constexpr Duration kPullPeriod = std::chrono::milliseconds(50);
 
 } // namespace
@@ -93,11 +94,22 @@
     for (const MemberUpdate &update : news)
         membership_.merge(update, now);
     heard_[from] = Heard { now, config.age_ };
-    if (config.age_)
-        config_.confirmThroughSibling(config.digest_, *config.age_, now);
-    const bool isBehind = config.digest_ != config_.digest()
-                          && (config.revision_ >= config_.revision() || !config_.age(now));
-    if (isBehind && now >= nextPull_) {
+    const bool isEqual = config.digest_ == config_.digest();
+    if (isEqual) {
+        differsSince_.reset();
+        // Equal content is complete up to the higher of both revisions.
+        config_.adoptRevision(config.revision_);
+        if (config.age_)
+            config_.confirmThroughSibling(config.digest_, *config.age_, now);
+        return;
+    }
+    if (!differsSince_)
+        differsSince_ = now;
+    // What is on its way anyway need not be asked for.
+    const bool isBehind = config.revision_ >= config_.revision() || !config_.age(now);
+    const bool isDue
+        = now >= nextPull_ && (now >= *differsSince_ + kPullDelay || !config_.age(now));
+    if (isBehind && isDue) {
         nextPull_ = now + kPullPeriod;
         // Equal revisions with different objects: something was missed, so all of it is asked for.
         const bool isMissing = config.revision_ == config_.revision();
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 
 namespace pimentostage {
 
@@ -36,6 +37,7 @@
     void leave();
 
     [[nodiscard]] Membership &membership() { return membership_; }
+    [[nodiscard]] const Membership &membership() const { return membership_; }
 
     /// @return whether another host had an answer of the store lately.
     [[nodiscard]] bool othersHearStore(TimePoint now) const;
@@ -68,6 +70,7 @@
     std::size_t listedHosts_ = 1;
     TimePoint startedAt_ {};
     std::uint64_t loggedView_ = 0;
+    std::optional<TimePoint> differsSince_; ///< since when a sibling's configuration differs
     TimePoint nextPull_ {};
 };
 
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -24,6 +24,7 @@
     options.loop_ = loop;
     options.threads_ = static_cast<std::size_t>(settings.backendThreads_);
     options.mostIdleAge_ = settings.backendIdleAge_;
+    options.mostRejections_ = static_cast<std::uint32_t>(settings.backendMostRejections_);
     options.retryShare_ = settings.backendRetryShare_;
     options.hedgeShare_ = settings.backendHedgeShare_;
     options.hedging_ = settings.backendHedging_;
@@ -128,9 +129,14 @@
     callerServer_.drain();
     control_.leave();
     std::this_thread::sleep_for(settings_.callerDrainNotice_);
+    // The balancer has had its time; what still comes would be cut by the end of the process.
+    callers_.stopTaking();
     const TimePoint limit = BootClock::now() + settings_.callerDrainLimit_;
-    while (callers_.inFlight() > 0 && BootClock::now() < limit)
+    do {
+        // A caller that has just been told to leave may still send on a connection it kept.
+        callerServer_.closeIdle();
         std::this_thread::sleep_for(kDrainPoll);
+    } while (callers_.inFlight() > 0 && BootClock::now() < limit);
     stopThreads();
     log_.write(LogLine(Severity::Info, "stopped").add("host", settings_.hostName_));
 }
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr Duration kCapacityPeriod = std::chrono::milliseconds(500);
+
 ObjectRef refOf(const ServiceName &service)
 {
     return ObjectRef { ObjectKind::RangePlacement, service.str() };
@@ -25,13 +27,14 @@
 
 RangeControl::RangeControl(ObjectStore &store, RangeLink &backends,
                            const RangeCoordinatorOptions &options, Clock clock, Holds holds,
-                           std::uint64_t seed, LogSink &log, Counters &counters,
-                           OnOwnWrite onOwnWrite)
+                           UsualPace usualPace, std::uint64_t seed, LogSink &log,
+                           Counters &counters, OnOwnWrite onOwnWrite)
     : store_(store)
     , backends_(backends)
     , options_(options)
     , clock_(std::move(clock))
     , holds_(std::move(holds))
+    , usualPace_(std::move(usualPace))
     , seed_(seed)
     , log_(log)
     , onOwnWrite_(std::move(onOwnWrite))
@@ -71,10 +74,20 @@
                                   && !leavingHosts.contains(backendName.str());
             coordinated.addresses_[process] = backend.address_;
         }
-        coordinated.coordinator_->setBackends(backends);
+        coordinated.backends_ = std::move(backends);
+        updateCapacities(coordinated);
     }
 }
 
+// A back end that works half as fast bears half as much.
+void RangeControl::updateCapacities(Coordinated &coordinated)
+{
+    RangeCoordinator::Backends backends = coordinated.backends_;
+    for (auto &[process, facts] : backends)
+        facts.capacity_ /= usualPace_(process.name_);
+    coordinated.coordinator_->setBackends(backends);
+}
+
 RangeCoordinator *RangeControl::acting(const ServiceName &service, TimePoint now)
 {
     const auto found = services_.find(service);
@@ -113,9 +126,16 @@
 
 void RangeControl::tick(TimePoint now)
 {
+    const bool areCapacitiesDue = now >= nextCapacities_;
+    if (areCapacitiesDue)
+        nextCapacities_ = now + kCapacityPeriod;
     for (auto &[name, coordinated] : services_) {
-        if (RangeCoordinator *coordinator = acting(name, now))
-            perform(name, coordinator->tick(now));
+        RangeCoordinator *coordinator = acting(name, now);
+        if (!coordinator)
+            continue;
+        if (areCapacitiesDue)
+            updateCapacities(coordinated);
+        perform(name, coordinator->tick(now));
     }
 }
 
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -26,10 +26,12 @@
     using OnOwnWrite = std::function<void(const StoredObject &)>;
     /// @return whether this host may act in a role at a time.
     using Holds = std::function<bool(const RoleName &, TimePoint)>;
+    /// @return how long work usually takes at a back end, against what is usual elsewhere.
+    using UsualPace = std::function<double(const BackendName &)>;
 
     RangeControl(ObjectStore &store, RangeLink &backends, const RangeCoordinatorOptions &options,
-                 Clock clock, Holds holds, std::uint64_t seed, LogSink &log, Counters &counters,
-                 OnOwnWrite onOwnWrite);
+                 Clock clock, Holds holds, UsualPace usualPace, std::uint64_t seed, LogSink &log,
+                 Counters &counters, OnOwnWrite onOwnWrite);
 
     /// Takes services and back ends from the configuration in force.
     void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts);
@@ -47,9 +49,11 @@
     {
         bool isOurs_ = false; ///< while this host has the role
         std::unique_ptr<RangeCoordinator> coordinator_;
+        RangeCoordinator::Backends backends_;
         std::map<BackendProcess, Address> addresses_; ///< also of processes that are gone
     };
 
+    void updateCapacities(Coordinated &coordinated);
     void perform(const ServiceName &service, const RangeActions &actions);
     void perform(const ServiceName &service, const ReadRanges &read);
     void perform(const ServiceName &service, const WriteRanges &write);
@@ -71,12 +75,14 @@
     const RangeCoordinatorOptions options_;
     const Clock clock_;
     const Holds holds_;
+    const UsualPace usualPace_;
     const std::uint64_t seed_;
     LogSink &log_;
     const OnOwnWrite onOwnWrite_;
     Counter &orders_;
     Counter &failures_;
     Counter &moves_;
+    TimePoint nextCapacities_ {};
     std::map<ServiceName, Coordinated> services_;
 };
 
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -4,6 +4,8 @@
 
 namespace {
 
+// Time after the store's return within which entries that lapsed meanwhile are written again.
+constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
 constexpr Duration kFirstDelay = std::chrono::milliseconds(50);
 constexpr Duration kMostDelay = std::chrono::seconds(2);
 
@@ -26,11 +28,14 @@
 
 void ConfigWatcher::start()
 {
-    list();
+    isPaused_ = false;
+    if (!isCallOut_)
+        list();
 }
 
 void ConfigWatcher::list()
 {
+    isCallOut_ = true;
     const TimePoint sentAt = clock_();
     store_.listFeed(feed_,
                     [this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
@@ -38,6 +43,9 @@
 
 void ConfigWatcher::watch()
 {
+    isCallOut_ = !isPaused_;
+    if (isPaused_)
+        return;
     const TimePoint sentAt = clock_();
     store_.watchFeed(
         feed_, revision_, facts_.watchWait_,
@@ -47,19 +55,39 @@
 void ConfigWatcher::onListing(const Reply<StoreListing> &reply, TimePoint sentAt)
 {
     if (const auto *error = std::get_if<Error>(&reply)) {
-        fail(*error, &ConfigWatcher::list);
+        ++failedLists_;
+        fail(*error);
         return;
     }
     const auto &listing = std::get<StoreListing>(reply);
     apply(listing.objects_);
-    state_.applyListing(listing.objects_, listing.revision_, facts_.kinds_);
+    // Entries that lapsed while the store was away come back soon after it, if they are to.
+    const bool wasAway = failedLists_ > 0 && revision_ > Version {};
+    failedLists_ = 0;
+    if (wasAway)
+        runAfter_(kReturnTime, [this] { settleMissing(); });
+    else
+        state_.applyListing(listing.objects_, listing.revision_, facts_.kinds_);
     succeed(listing.revision_, sentAt);
 }
 
+// Beside the watches, which see only what changes.
+void ConfigWatcher::settleMissing()
+{
+    store_.listFeed(feed_, [this](const Reply<StoreListing> &reply) {
+        const auto *listing = std::get_if<StoreListing>(&reply);
+        if (!listing)
+            return;
+        apply(listing->objects_);
+        state_.applyListing(listing->objects_, listing->revision_, facts_.kinds_);
+        onChange_();
+    });
+}
+
 void ConfigWatcher::onChanges(const Reply<StoreListing> &reply, TimePoint sentAt)
 {
     if (const auto *error = std::get_if<Error>(&reply)) {
-        fail(*error, &ConfigWatcher::watch);
+        fail(*error);
         return;
     }
     const auto &changes = std::get<StoreListing>(reply);
@@ -109,19 +137,25 @@
     return changes;
 }
 
-void ConfigWatcher::fail(const Error &error, void (ConfigWatcher::*again)())
+void ConfigWatcher::fail(const Error &error)
 {
     connected_ = false;
     log_.write(LogLine(Severity::Warning, "store-failed")
                    .add("feed", static_cast<std::uint64_t>(feed_))
                    .add("error", error.describe()));
     onChange_();
-    // The history since the last watch is gone: only a listing shows what was missed.
+    // What happened since may be gone from the history, also if the store does not say so: only a
+    // listing shows what was missed.
     if (error.code_ == ErrorCode::Stale) {
         list();
         return;
     }
-    runAfter_(backoff_.next(random_), [this, again] { (this->*again)(); });
+    runAfter_(backoff_.next(random_), [this] {
+        if (isPaused_)
+            isCallOut_ = false;
+        else
+            list();
+    });
 }
 
 } // namespace pimentostage
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -22,8 +22,11 @@
     ConfigWatcher(ObjectStore &store, std::size_t feed, ConfigState &state, RunAfter runAfter,
                   Clock clock, Random random, LogSink &log, std::function<void()> onChange);
 
-    /// Starts with a listing; runs until the process ends.
+    /// Starts with a listing, or goes on with one after pause().
     void start();
+    /// Starts no further call. One that is under way is finished.
+    void pause() { isPaused_ = true; }
+    [[nodiscard]] bool isPaused() const { return isPaused_; }
 
     /// Offers objects that came by another way than the watch.
     /// @return how many of them changed the state.
@@ -36,11 +39,12 @@
 
 private:
     void list();
+    void settleMissing();
     void watch();
     void onListing(const Reply<StoreListing> &reply, TimePoint sentAt);
     void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
     void succeed(Version revision, TimePoint sentAt);
-    void fail(const Error &error, void (ConfigWatcher::*again)());
+    void fail(const Error &error);
 
     ObjectStore &store_;
     const std::size_t feed_;
@@ -54,6 +58,9 @@
     const std::function<void()> onChange_;
     Backoff backoff_;
     bool connected_ = false;
+    bool isPaused_ = false;
+    bool isCallOut_ = false; ///< a call is under way, or will be made after a delay
+    std::uint32_t failedLists_ = 0; ///< in a row
 };
 
 } // namespace pimentostage
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -199,6 +199,7 @@
 {
     service.keyed_ = reader.flag("keyed", false);
     service.division_ = reader.choice("division", KeyDivision::Hashed);
+    service.balancing_ = reader.choice("balancing", Balancing::LowestCost);
     service.healthPath_ = reader.text("health_path");
     service.connections_ = reader.count("connections", 0, 0, kMaxSlots);
     service.coldTime_ = reader.milliseconds("cold_ms", 0, 0, kMaxTimeoutMs);
@@ -217,7 +218,6 @@
     const std::uint32_t kDefaultShards = 256;
     service.shardCount_ = reader.count("shards", kDefaultShards, 1, kMaxShards);
     service.fencing_ = reader.choice("fencing", Fencing::Checked);
-    service.balancing_ = reader.choice("balancing", Balancing::LowestCost);
     std::size_t index = 0;
     for (const Json &item : reader.array("routes"))
         service.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
@@ -401,6 +401,85 @@
     return catalogue;
 }
 
+namespace {
+
+/// Back ends' processes by index, so that a placement of many ranges names each only once.
+class ProcessIndex
+{
+public:
+    std::int64_t of(const BackendProcess &process)
+    {
+        if (process.isNobody())
+            return kNobody;
+        const auto found = std::find(processes_.begin(), processes_.end(), process);
+        if (found != processes_.end())
+            return found - processes_.begin();
+        processes_.push_back(process);
+        return static_cast<std::int64_t>(processes_.size()) - 1;
+    }
+
+    [[nodiscard]] Json json() const
+    {
+        Json rows = Json::array();
+        for (const BackendProcess &process : processes_)
+            rows.push_back(Json::array({ process.name_.str(), process.incarnation_.value_ }));
+        return rows;
+    }
+
+    static constexpr std::int64_t kNobody = -1;
+
+private:
+    std::vector<BackendProcess> processes_;
+};
+
+std::vector<BackendProcess> readProcesses(ObjectReader &reader)
+{
+    std::vector<BackendProcess> processes;
+    for (const Json &item : reader.array("processes")) {
+        const bool isPair = item.is_array() && item.size() == 2 && item[0].is_string()
+                            && item[1].is_number_unsigned();
+        if (!isPair) {
+            reader.addFault("processes", "must hold pairs of a name and an incarnation");
+            return {};
+        }
+        processes.push_back({ BackendName(item[0].get<std::string>()),
+                              Incarnation { item[1].get<std::uint64_t>() } });
+    }
+    return processes;
+}
+
+/// @return the range in @p json, or nothing if it is none.
+std::optional<RangeOwner> rangeIn(const Json &json, const std::vector<BackendProcess> &processes)
+{
+    const std::size_t fields = 5; // from, to, owner, epoch, previous
+    const bool isRow = json.is_array() && json.size() == fields
+                       && std::all_of(json.begin(), json.end(),
+                                      [](const Json &field) { return field.is_number_integer(); });
+    if (!isRow)
+        return std::nullopt;
+    const auto number = [&](std::size_t field) { return json[field].get<std::int64_t>(); };
+    const auto processAt = [&](std::int64_t index) -> std::optional<BackendProcess> {
+        if (index == ProcessIndex::kNobody)
+            return BackendProcess {};
+        if (index < 0 || index >= static_cast<std::int64_t>(processes.size()))
+            return std::nullopt;
+        return processes[static_cast<std::size_t>(index)];
+    };
+    const auto owner = processAt(number(2));
+    const auto previous = processAt(number(4));
+    const bool isInKeySpace
+        = number(0) >= 0 && number(1) >= number(0) && number(1) <= std::int64_t { kLastOrderedKey };
+    if (!owner || !previous || !isInKeySpace || number(3) < 0)
+        return std::nullopt;
+    return RangeOwner { { static_cast<std::uint32_t>(number(0)),
+                          static_cast<std::uint32_t>(number(1)) },
+                        *owner,
+                        Epoch { static_cast<std::uint64_t>(number(3)) },
+                        *previous };
+}
+
+} // namespace
+
 leaf::result<RangePlacement> parseRangePlacement(const std::string &name, const std::string &value)
 {
     ObjectReader reader({ ObjectKind::RangePlacement, name }, value);
@@ -409,25 +488,17 @@
     placement.epoch_ = Epoch { reader.sequence("epoch") };
     placement.roleEpoch_ = Epoch { reader.sequence("role_epoch") };
     placement.nonce_ = reader.text("nonce");
+    const std::vector<BackendProcess> processes = readProcesses(reader);
     std::uint32_t next = 0;
-    std::size_t index = 0;
     for (const Json &item : reader.array("ranges")) {
-        ObjectReader row = reader.child(item, "ranges", index++);
-        RangeOwner owner;
-        owner.range_.from_ = row.count("from", 0, 0, kLastOrderedKey);
-        owner.range_.to_ = row.count("to", 0, 0, kLastOrderedKey);
-        owner.owner_
-            = { BackendName(row.text("owner")), Incarnation { row.sequence("incarnation", 0) } };
-        owner.epoch_ = Epoch { row.sequence("epoch") };
-        owner.previous_ = { BackendName(row.text("previous")),
-                            Incarnation { row.sequence("previous_incarnation", 0) } };
-        const bool isInOrder = owner.range_.from_ == next && owner.range_.to_ >= next
-                               && owner.epoch_ <= placement.epoch_;
-        if (!isInOrder)
-            row.addFault("from", "must follow the range before it, with an epoch in use");
-        next = owner.range_.to_ + 1;
-        row.checkNoOtherFields();
-        placement.ranges_.push_back(owner);
+        const auto row = rangeIn(item, processes);
+        const bool isInOrder = row && row->range_.from_ == next && row->epoch_ <= placement.epoch_;
+        if (!isInOrder) {
+            reader.addFault("ranges", "must follow one another, with epochs in use");
+            break;
+        }
+        next = row->range_.to_ + 1;
+        placement.ranges_.push_back(*row);
     }
     if (next != kLastOrderedKey + 1)
         reader.addFault("ranges", "must cover all keys");
@@ -528,6 +599,7 @@
 {
     return { { "keyed", service.keyed_ },
              { "division", toString(service.division_) },
+             { "balancing", toString(service.balancing_) },
              { "health_path", service.healthPath_ },
              { "connections", service.connections_ },
              { "cold_ms", milliseconds(service.coldTime_) },
@@ -557,7 +629,6 @@
     json["key_segment"] = service.keySegment_;
     json["shards"] = service.shardCount_;
     json["fencing"] = toString(service.fencing_);
-    json["balancing"] = toString(service.balancing_);
     json["routes"] = Json::array();
     for (const Route &route : service.routes_)
         json["routes"].push_back(toJson(route));
@@ -583,24 +654,16 @@
 
 std::string formatRangePlacement(const RangePlacement &placement)
 {
+    ProcessIndex index;
     Json ranges = Json::array();
     for (const RangeOwner &row : placement.ranges_) {
-        Json json { { "from", row.range_.from_ },
-                    { "to", row.range_.to_ },
-                    { "epoch", row.epoch_.value_ } };
-        if (!row.owner_.isNobody()) {
-            json["owner"] = row.owner_.name_.str();
-            json["incarnation"] = row.owner_.incarnation_.value_;
-        }
-        if (!row.previous_.isNobody()) {
-            json["previous"] = row.previous_.name_.str();
-            json["previous_incarnation"] = row.previous_.incarnation_.value_;
-        }
-        ranges.push_back(std::move(json));
+        ranges.push_back(Json::array({ row.range_.from_, row.range_.to_, index.of(row.owner_),
+                                       row.epoch_.value_, index.of(row.previous_) }));
     }
     return Json({ { "epoch", placement.epoch_.value_ },
                   { "role_epoch", placement.roleEpoch_.value_ },
                   { "nonce", placement.nonce_ },
+                  { "processes", index.json() },
                   { "ranges", ranges } })
         .dump();
 }
--- a/src/sibling/RoleKeeper.cpp
+++ b/src/sibling/RoleKeeper.cpp
@@ -11,6 +11,9 @@
 
 // A host that is preferred less waits longer, so that usually only one claims a vacant role.
 constexpr Duration kRankDelay = std::chrono::milliseconds(300);
+// A holder by promises reads its record this often; isAloneWithoutStore() needs to hear of the
+// store.
+constexpr Duration kReadPeriod = std::chrono::milliseconds(900);
 constexpr Duration kReleasePeriod = std::chrono::milliseconds(50);
 // The members in the record follow the view after it was stable for this time.
 constexpr Duration kMembersDelay = std::chrono::seconds(1);
@@ -355,7 +358,11 @@
     if (now < nextConfirm_)
         return;
     nextConfirm_ = now + kConfirmPeriod;
-    if (!isReading_) {
+    // Promises renew the authority without a gap; the store is asked less often while they do.
+    const bool isReadDue = phase_ != RolePhase::Holding || now >= nextRead_
+                           || authority_.until() < now + 3 * kConfirmPeriod / 2;
+    if (!isReading_ && isReadDue) {
+        nextRead_ = now + kReadPeriod;
         isReading_ = true;
         actions.emplace_back(ReadRole {});
     }
