--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -202,6 +202,14 @@
     members_.leave();
 }
 
+void ControlCore::endRegistration(std::function<void()> done)
+{
+    if (store_.hasHostList())
+        done();
+    else
+        registrar_.leave(std::move(done));
+}
+
 void ControlCore::onTokensWanted(const AccountName &account)
 {
     allowance_.onTokensWanted(account, clock_());
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -58,6 +58,9 @@
 
     /// Turns not ready, gives roles up and tells the siblings.
     void leave();
+    /// Ends this host's registration, after its last request.
+    /// @param done called once the store has answered, or at once if there is no registration.
+    void endRegistration(std::function<void()> done);
     /// @return writes to the store that have not been answered yet.
     [[nodiscard]] std::size_t pendingWrites() const { return roles_.pendingWrites(); }
 
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -1,5 +1,6 @@
 #include "src/daemon/ControlPlane.h"
 
+#include <future>
 #include <random>
 #include <thread>
 
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr Duration kLeavePoll = std::chrono::milliseconds(10);
+constexpr Duration kMostEndTime = std::chrono::milliseconds(300);
 constexpr Duration kMostLeaveTime = std::chrono::seconds(1);
 
 ControlOptions controlOptions(const Settings &settings)
@@ -128,6 +130,14 @@
     loop_.post([this, load] { core_.sumKeyLoad(load); });
 }
 
+void ControlPlane::endRegistration()
+{
+    const auto done = std::make_shared<std::promise<void>>();
+    std::future<void> ended = done->get_future();
+    loop_.post([this, done] { core_.endRegistration([done] { done->set_value(); }); });
+    ended.wait_for(kMostEndTime);
+}
+
 std::string ControlPlane::statusJson()
 {
     nlohmann::json status;
--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -29,6 +29,8 @@
 
     /// Turns not ready, gives roles up and tells the siblings. Waits a bounded time for the store.
     void leave();
+    /// Ends this host's registration, after its last request. Waits a bounded time for the store.
+    void endRegistration();
     /// Ends the thread.
     void stop();
 
--- a/src/daemon/HostRegistrar.cpp
+++ b/src/daemon/HostRegistrar.cpp
@@ -43,7 +43,7 @@
 
 void HostRegistrar::check(const Configuration &configuration)
 {
-    if (!isWriting_ && !configuration.entryHosts_.contains(entry_.name_))
+    if (!hasLeft_ && !isWriting_ && !configuration.entryHosts_.contains(entry_.name_))
         start();
 }
 
@@ -59,21 +59,30 @@
         if (now < since + kMostAbsence)
             continue;
         absentSince_[host] = now;
-        remove(host);
+        remove(host, [] {});
     }
 }
 
-void HostRegistrar::remove(const HostName &host)
+void HostRegistrar::leave(std::function<void()> done)
+{
+    hasLeft_ = true;
+    remove(entry_.name_, std::move(done));
+}
+
+void HostRegistrar::remove(const HostName &host, std::function<void()> done)
 {
     const ObjectRef ref { ObjectKind::EntryHost, host.str() };
     const Version version = config_.versionOf(ref);
-    store_.remove(ref, version, [this, ref, version](const Reply<WriteResult> &reply) {
-        const auto *result = std::get_if<WriteResult>(&reply);
-        if (!result || !result->written_)
-            return;
-        log_.write(LogLine(Severity::Info, "host-removed").add("host", ref.name_));
-        onWritten_(StoredObject { ref, version, true, {} });
-    });
+    store_.remove(ref, version,
+                  [this, ref, version, done = std::move(done)](const Reply<WriteResult> &reply) {
+                      const auto *result = std::get_if<WriteResult>(&reply);
+                      if (result && result->written_) {
+                          log_.write(
+                              LogLine(Severity::Info, "host-removed").add("host", ref.name_));
+                          onWritten_(StoredObject { ref, version, true, {} });
+                      }
+                      done();
+                  });
 }
 
 void HostRegistrar::write(Version expected)
--- a/src/daemon/HostRegistrar.h
+++ b/src/daemon/HostRegistrar.h
@@ -29,6 +29,10 @@
     /// Writes this host's entry and tries again until it is known to be in the store.
     void start();
 
+    /// Takes this host's own entry out, at the end of a planned stop: it spends and serves no more.
+    /// @param done called once the store has answered.
+    void leave(std::function<void()> done);
+
     /// Writes this host's entry again if another host took it out.
     void check(const Configuration &configuration);
 
@@ -43,7 +47,7 @@
 
 private:
     void write(Version expected);
-    void remove(const HostName &host);
+    void remove(const HostName &host, std::function<void()> done);
     void onReply(const Reply<WriteResult> &reply);
 
     const EntryHost entry_;
@@ -55,6 +59,7 @@
     const std::function<void(const StoredObject &)> onWritten_;
     Backoff backoff_;
     bool isWriting_ = false;
+    bool hasLeft_ = false;
     std::map<HostName, TimePoint> absentSince_;
 };
 
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -138,6 +138,7 @@
         callerServer_.closeIdle();
         std::this_thread::sleep_for(kDrainPoll);
     } while (callers_.inFlight() > 0 && BootClock::now() < limit);
+    control_.endRegistration();
     stopThreads();
     log_.write(LogLine(Severity::Info, "stopped").add("host", settings_.hostName_));
 }
--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -167,7 +167,10 @@
     {
         const TimePoint now = BootClock::now();
         const bool isProbe = std::holds_alternative<Probe>(message);
-        if (isProbe && isSilent(now))
+        // The first packet to a host without power is lost, and sent again only after seconds.
+        const bool isLost
+            = state_ == State::Connecting && now >= connectingSince_ + kMostConnectTime;
+        if (isLost || (isProbe && isSilent(now)))
             reset();
         if (isProbe && unansweredSince_ == TimePoint {})
             unansweredSince_ = now;
@@ -210,6 +213,7 @@
         if (!address)
             return false;
         state_ = State::Connecting;
+        connectingSince_ = BootClock::now();
         queue(encodeFrame(Hello { shared_->self_ }));
         auto self = shared_from_this();
         const std::uint64_t connection = connection_;
@@ -273,6 +277,7 @@
     std::size_t queuedBytes_ = 0;
     bool isWriting_ = false;
     TimePoint unansweredSince_ {};
+    TimePoint connectingSince_ {};
 };
 
 /// Takes connections from other hosts.
--- a/src/sibling/SiblingLinks.h
+++ b/src/sibling/SiblingLinks.h
@@ -41,7 +41,9 @@
 
     void close();
 
-    static constexpr Duration kMostSilence = std::chrono::seconds(1);
+    static constexpr Duration kMostSilence = std::chrono::milliseconds(500);
+    /// Longest wait for a connection before another is tried.
+    static constexpr Duration kMostConnectTime = std::chrono::milliseconds(200);
     static constexpr std::size_t kMostQueuedBytes = std::size_t { 32 } << 20U;
 
 private:
--- a/tests/HostRegistrarTest.cpp
+++ b/tests/HostRegistrarTest.cpp
@@ -120,4 +120,15 @@
     EXPECT_FALSE(store_.find(refOf("a")).deleted_);
 }
 
+TEST_F(HostRegistrarTest, APlannedStopTakesItsEntryOutForGood)
+{
+    registrar_->start();
+    bool isDone = false;
+    registrar_->leave([&] { isDone = true; });
+    EXPECT_TRUE(isDone);
+    EXPECT_TRUE(store_.find(refOf("a")).deleted_);
+    registrar_->check(*config_.configuration());
+    EXPECT_TRUE(store_.find(refOf("a")).deleted_);
+}
+
 } // namespace
