Grown deployments: accounts in groups by their number, short reports, rejections from the budget

(3) the planner took an exponential for each of 4,096 buckets, many times a second.

Change: every rejected arrival that is sent again draws on the retries; control.account_groups 0 gives one group up to 16 accounts and 8 beyond; a report names only accounts with a loan; RangeLoad keeps its scale.

--- a/include/pimentostage/backend/RangePlanner.h
+++ b/include/pimentostage/backend/RangePlanner.h
@@ -30,11 +30,13 @@
     [[nodiscard]] double weight(const KeyRange &range) const;
 
 private:
-    [[nodiscard]] double measuredSeconds() const;
+    void updateScale();
 
     std::vector<double> requests_; ///< faded counts by bucket
     double sum_ = 0;
     double age_ = 0; ///< seconds since the first count
+    double perSecond_ = 0; ///< what one faded count stands for, in requests a second
+    double even_ = 0; ///< weight of a bucket without requests
 };
 
 /// What the planner knows of a back end.
--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -146,6 +146,8 @@
     ExecutionActions retryOrGiveUp(AttemptState state, AttemptFailure failure, TimePoint now);
     ExecutionActions giveUp(GiveUpReason reason);
     [[nodiscard]] bool mayRetry(AttemptState state) const;
+    [[nodiscard]] bool areRejectionsCounted() const;
+    bool mayGoOnAfterRejection();
     [[nodiscard]] bool mayAwaitOwner(TimePoint now);
     [[nodiscard]] bool isRunning() const;
     [[nodiscard]] Outcome outcome() const;
--- a/include/pimentostage/sibling/TokenPurse.h
+++ b/include/pimentostage/sibling/TokenPurse.h
@@ -59,6 +59,9 @@
     /// Tells spenders that have waited longer than kMostWait that the holder is not available.
     void expireWaiters(TimePoint now);
 
+    /// @return whether it may still spend from a loan.
+    [[nodiscard]] bool holdsLoan(TimePoint now) const;
+
     /// @return whether spenders wait for tokens.
     [[nodiscard]] bool hasWaiters() const;
     /// @return when a spender last came.
--- a/src/backend/RangePlanner.cpp
+++ b/src/backend/RangePlanner.cpp
@@ -109,7 +109,9 @@
 
 RangeLoad::RangeLoad()
     : requests_(kBuckets, 0)
-{ }
+{
+    updateScale();
+}
 
 void RangeLoad::add(std::uint32_t bucket, double requests)
 {
@@ -128,23 +130,25 @@
         requests *= factor;
         sum_ += requests;
     }
+    updateScale();
 }
 
 // Counts that have just begun stand for less time than the constant.
-double RangeLoad::measuredSeconds() const
+void RangeLoad::updateScale()
 {
-    return kLoadSeconds * (1 - std::exp(-std::max(kLeastAge, age_) / kLoadSeconds));
+    const double seconds = kLoadSeconds * (1 - std::exp(-std::max(kLeastAge, age_) / kLoadSeconds));
+    perSecond_ = 1 / seconds;
+    even_ = std::max(kLeastTotal, kEvenShare * total()) / kBuckets;
 }
 
 double RangeLoad::total() const
 {
-    return sum_ / measuredSeconds();
+    return sum_ * perSecond_;
 }
 
 double RangeLoad::weight(std::uint32_t bucket) const
 {
-    const double even = std::max(kLeastTotal, kEvenShare * total()) / kBuckets;
-    return requests_[bucket] / measuredSeconds() + even;
+    return requests_[bucket] * perSecond_ + even_;
 }
 
 double RangeLoad::weight(const KeyRange &range) const
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -138,8 +138,7 @@
     if (!mayRetry(state))
         return giveUp(reasonFor(failure));
     const bool isRejected = state == AttemptState::DeclaredNotRun;
-    rejections_ += isRejected ? 1 : 0;
-    if (isRejected && rejections_ > policy_.mostRejections_)
+    if (isRejected && !mayGoOnAfterRejection())
         return giveUp(GiveUpReason::Overloaded);
     // The owner is changing or lost: the request waits for the next one, for nothing was sent.
     const bool isOwnerGone
@@ -154,19 +153,29 @@
     const bool isSpent = attempts_.size() >= policy_.mostAttempts_;
     // A back end that sheds has not run the request, which then waits its turn.
     const bool isShed = failure == AttemptFailure::Shed;
-    // Where rejected arrivals count, sending it again draws on the budget of retries.
-    const bool isCounted = policy_.mostRejections_ != kUnlimited;
-    if (isShed && isCounted && (isSpent || !retries_.take()))
-        return giveUp(GiveUpReason::Overloaded);
     if (isShed && (isSpent || policy_.waitsForOwner_))
         return awaitRoom(now);
-    if (isShed && isCounted)
-        return send(false, now);
-    if (isSpent || !retries_.take())
+    const bool isPaid = isRejected && areRejectionsCounted();
+    if (isSpent || (!isPaid && !retries_.take()))
         return isShed ? awaitRoom(now) : giveUp(reasonFor(failure));
     return send(false, now);
 }
 
+bool RequestExecution::areRejectionsCounted() const
+{
+    return policy_.mostRejections_ != kUnlimited;
+}
+
+// Where rejected arrivals count, sending the request again draws on the budget of retries.
+bool RequestExecution::mayGoOnAfterRejection()
+{
+    if (!areRejectionsCounted())
+        return true;
+    ++rejections_;
+    return rejections_ <= policy_.mostRejections_ && attempts_.size() < policy_.mostAttempts_
+           && retries_.take();
+}
+
 ExecutionActions RequestExecution::onAnswered(AttemptNumber attempt, TimePoint)
 {
     Tracked &tracked = attempts_.at(attempt);
--- a/src/daemon/AllowanceControl.cpp
+++ b/src/daemon/AllowanceControl.cpp
@@ -11,8 +11,12 @@
 constexpr const char *kRolePrefix = "accounts.";
 // A request to the holder that got no reply in this time is sent again.
 constexpr Duration kAnswerWait = std::chrono::milliseconds(20);
+// Up to this many accounts one holder lends all: each further role costs its own promises.
+constexpr std::size_t kFewAccounts = 16;
+// Groups beyond that; a holder on a tenth of a core then lends to 70 hosts.
+constexpr std::uint64_t kGroupsOfMany = 8;
 // A report to a new holder that was not taken is sent again.
-constexpr Duration kReportPeriod = std::chrono::milliseconds(50);
+constexpr Duration kReportPeriod = std::chrono::milliseconds(100);
 // Purses not used for this long are not renewed.
 constexpr Duration kUnusedTime = std::chrono::seconds(2);
 
@@ -21,6 +25,11 @@
     return RoleName(kRolePrefix + std::to_string(group));
 }
 
+std::uint64_t groupsFor(std::size_t accounts)
+{
+    return accounts <= kFewAccounts ? 1 : kGroupsOfMany;
+}
+
 } // namespace
 
 AllowanceControl::AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender,
@@ -28,7 +37,8 @@
     : self_(self)
     , purses_(purses)
     , sender_(sender)
-    , groups_(groups)
+    , statedGroups_(groups)
+    , groups_(std::max<std::uint64_t>(1, groups))
     , holds_(std::move(holds))
     , configuration_(std::make_shared<Configuration>())
     , requests_(counters.counter("pimento_allowance_requests_total",
@@ -52,9 +62,20 @@
     return roleOfGroup(hash64(account.str()) % groups_);
 }
 
-void AllowanceControl::onConfig(std::shared_ptr<const Configuration> configuration)
+void AllowanceControl::onConfig(std::shared_ptr<const Configuration> configuration, TimePoint now)
 {
     configuration_ = std::move(configuration);
+    const std::uint64_t groups
+        = statedGroups_ > 0 ? statedGroups_ : groupsFor(configuration_->contracts_.size());
+    if (groups != groups_) {
+        // Accounts change their holders: what the former ones lent has to lapse.
+        for (auto &[role, held] : held_) {
+            held.lenders_.clear();
+            held.reported_.clear();
+            held.start_.unseenUntil_ = now + kClockDrift.stretched(kShareValidity);
+        }
+        groups_ = groups;
+    }
     terms_.clear();
     for (const auto &[team, contract] : configuration_->contracts_)
         terms_[PurseBook::accountOf(team)] = AllowanceTerms { contract.rate_, contract.burst_ };
@@ -111,6 +132,8 @@
             if (roleOf(purse->account()) != role)
                 continue;
             purse->refuseBefore(record.epoch_);
+            if (!purse->holdsLoan(now) && !purse->hasWaiters())
+                continue;
             requests.requests_.push_back(purse->request(now, PurseNeed::Usual));
         }
         send({ { record.holder_.host_, requests } }, now);
--- a/src/daemon/AllowanceControl.h
+++ b/src/daemon/AllowanceControl.h
@@ -25,7 +25,8 @@
     /// @return whether this host may act in a role at a time.
     using Holds = std::function<bool(const RoleName &, TimePoint)>;
 
-    /// @param groups groups of accounts, each with a holder of its own; equal on all hosts.
+    /// @param groups groups of accounts, each with a holder of its own, equal on all hosts; 0 for a
+    ///        number that follows from how many accounts there are.
     AllowanceControl(const HostName &self, PurseBook &purses, SiblingSender &sender,
                      std::uint64_t groups, Holds holds, Counters &counters);
 
@@ -34,7 +35,7 @@
     /// @return the role of the holder of @p account.
     [[nodiscard]] RoleName roleOf(const AccountName &account) const;
 
-    void onConfig(std::shared_ptr<const Configuration> configuration);
+    void onConfig(std::shared_ptr<const Configuration> configuration, TimePoint now);
     void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now);
     void onRoleLost(const RoleName &role);
 
@@ -88,7 +89,8 @@
     const HostName self_;
     PurseBook &purses_;
     SiblingSender &sender_;
-    const std::uint64_t groups_;
+    const std::uint64_t statedGroups_; ///< 0 if their number follows from the accounts
+    std::uint64_t groups_;
     const Holds holds_;
     std::shared_ptr<const Configuration> configuration_;
     std::map<AccountName, AllowanceTerms> terms_;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -467,13 +467,13 @@
     }
     facts_.entryHosts_ = std::max<std::size_t>(1, entryHosts);
     purses_.update(*configuration);
+    allowance_.onConfig(configuration, now);
     std::set<RoleName> roles = allowance_.roles();
     roles.merge(PlacementControl::rolesFor(*configuration));
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
     placement_.onConfig(*configuration, facts_.leavingHosts_, now);
     ranges_.onConfig(*configuration, facts_.leavingHosts_);
-    allowance_.onConfig(configuration);
     publish();
 }
 
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -81,8 +81,9 @@
                  10'000, "Time before a host that does not answer counts as dead." },
     SettingRow { "control", "tick_ms", &Settings::controlTick_, Need::Optional, 1, 1000,
                  "Time between two looks at what is due on the control thread." },
-    SettingRow { "control", "account_groups", &Settings::controlAccountGroups_, Need::Optional, 1,
-                 1024, "Groups of accounts, each with a holder; equal on all hosts." },
+    SettingRow {
+        "control", "account_groups", &Settings::controlAccountGroups_, Need::Optional, 0, 1024,
+        "Groups of accounts, each with a holder; 0: by their number; equal on all hosts." },
     SettingRow { "control", "max_config_age_ms", &Settings::controlMostConfigAge_, Need::Optional,
                  100, kDayMs,
                  "Age of the configuration from which requests with a team's key are refused." },
--- a/src/sibling/TokenPurse.cpp
+++ b/src/sibling/TokenPurse.cpp
@@ -131,6 +131,12 @@
         waiter(SpendResult::Unavailable);
 }
 
+bool TokenPurse::holdsLoan(TimePoint now) const
+{
+    const std::lock_guard lock(mutex_);
+    return now < validUntil_ || now < topUpUntil_;
+}
+
 bool TokenPurse::hasWaiters() const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/RequestExecutionTest.cpp
+++ b/tests/RequestExecutionTest.cpp
@@ -319,4 +319,25 @@
     EXPECT_TRUE(find<DeliverAnswer>(execution.onAnswered(0, at(9ms))));
 }
 
+// Seen on a day of our own (late-orders-and-evacuation): workers that did not hold a key yet
+// rejected requests, and each rejection was followed by another arrival beside the budget.
+TEST_F(RequestExecutionTest, ARequestThatMetTheWrongOwnerDrawsOnTheRetriesWhereRejectionsCount)
+{
+    ExecutionPolicy counted = policy(true);
+    counted.waitsForOwner_ = true;
+    counted.mostRejections_ = 1;
+    ShareBudget none(0, 0);
+    RequestExecution execution(counted, none, hedges_);
+    execution.start(at(0ms));
+    const auto actions
+        = execution.onFailed(0, AttemptState::DeclaredNotRun, AttemptFailure::StaleEpoch, at(1ms));
+    ASSERT_TRUE(find<GiveUp>(actions));
+    EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::NotRun);
+    ShareBudget some(0, 5);
+    RequestExecution allowed(counted, some, hedges_);
+    allowed.start(at(0ms));
+    EXPECT_TRUE(find<WakeAt>(
+        allowed.onFailed(0, AttemptState::DeclaredNotRun, AttemptFailure::StaleEpoch, at(1ms))));
+}
+
 } // namespace
--- a/tests/fakes/AllowanceFleet.cpp
+++ b/tests/fakes/AllowanceFleet.cpp
@@ -78,7 +78,7 @@
     configuration->roles_[record.role_] = record;
     for (const auto &host : hosts_) {
         host->purses_.update(*configuration);
-        host->control_->onConfig(configuration);
+        host->control_->onConfig(configuration, TimePoint {});
     }
 }
 
