Fleets of processes take a free range of ports

Ruled out: ports given by the kernel, since back ends' addresses stand in objects of the store before the back end starts. Change: bin/fleet.sh claims 300 ports by a lock that its processes inherit, and moves the examples' back ends into them.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -3,9 +3,40 @@
 
 build=${build:-build}
 run_folder=${run_folder:-$(mktemp -d)}
-store_address=127.0.0.1:7300
 declare -A process_ids
 
+# claim_ports: sets port_base to the first of 300 ports that no other fleet on this machine holds.
+# The lock's descriptor is inherited by the processes started, so the range stays taken until the
+# last of them ends.
+claim_ports() {
+    local lock_folder=${TMPDIR:-/tmp} candidate
+    for candidate in $(seq 7300 300 15100); do
+        exec {ports_lock}>>"$lock_folder/pimentostage-ports-$candidate.lock"
+        if flock --nonblock "$ports_lock"; then
+            port_base=$candidate
+            return 0
+        fi
+        exec {ports_lock}>&-
+    done
+    echo "no free range of ports between 7300 and 15400" >&2
+    return 1
+}
+
+# render_examples: copies the examples with their back ends' ports moved into the claimed range.
+render_examples() {
+    local file port
+    cp -r examples "$run_folder/examples"
+    for file in "$run_folder"/examples/*/backend/*.json; do
+        port=$(field "$file" address)
+        port=${port##*:}
+        sed -i "s/:$port\"/:$((port - 7300 + port_base))\"/" "$file"
+    done
+}
+
+entry_port() { echo "$((port_base + 10 + $1))"; }
+operator_port() { echo "$((port_base + 30 + $1))"; }
+sibling_port() { echo "$((port_base + 50 + $1))"; }
+
 # start NAME COMMAND...: runs a command in the background, logging to NAME.log.
 start() {
     local name=$1
@@ -63,7 +94,7 @@
 register_entry() {
     local number=$1 zone=$2 name=entry-$1
     curl -sf --noproxy '*' -o /dev/null -X PUT "http://$store_address/v1/hosts/$name" \
-        -d "{\"name\":\"$name\",\"kind\":\"entry\",\"zone\":\"$zone\",\"sibling\":\"127.0.0.1:$((7350 + number))\"}"
+        -d "{\"name\":\"$name\",\"kind\":\"entry\",\"zone\":\"$zone\",\"sibling\":\"127.0.0.1:$(sibling_port "$number")\"}"
 }
 
 # start_entry NUMBER ZONE: registers and starts an entry host.
@@ -72,7 +103,7 @@
     start_unregistered "$1" "$2"
 }
 
-# start_unregistered NUMBER ZONE: an entry host on ports 7310+N, 7330+N and 7350+N.
+# start_unregistered NUMBER ZONE: an entry host on its ports of the claimed range.
 start_unregistered() {
     local number=$1 zone=$2 name=entry-$1
     cat >"$run_folder/$name.ini" <<INI
@@ -80,11 +111,11 @@
 name = $name
 zone = $zone
 [caller]
-address = 127.0.0.1:$((7310 + number))
+address = 127.0.0.1:$(entry_port "$number")
 [operator]
-address = 127.0.0.1:$((7330 + number))
+address = 127.0.0.1:$(operator_port "$number")
 [sibling]
-address = 127.0.0.1:$((7350 + number))
+address = 127.0.0.1:$(sibling_port "$number")
 [platform]
 url = http://$store_address
 INI
@@ -92,7 +123,7 @@
 }
 
 wait_entry() {
-    wait_for "http://127.0.0.1:$((7330 + $1))/readyz"
+    wait_for "http://127.0.0.1:$(operator_port "$1")/readyz"
 }
 
 # start_backend FILE [FLAG...]: a back end as an example's backend object describes it.
@@ -108,7 +139,7 @@
 grant_keys() {
     local contract team
     mkdir -p "$run_folder/keys"
-    for contract in examples/"$1"/contract/*.json; do
+    for contract in "$run_folder"/examples/"$1"/contract/*.json; do
         team=$(basename "$contract" .json)
         od -An -N24 -tx1 /dev/urandom | tr -d ' \n' >"$run_folder/keys/$team"
         echo >>"$run_folder/keys/$team"
@@ -121,3 +152,7 @@
     awk -v event="$1 $2" '{ printf "%.0f %s\n", $1 * 1e9, event }' /proc/uptime \
         >>"$run_folder/events"
 }
+
+claim_ports
+render_examples
+store_address=127.0.0.1:$port_base
