Codec of the coordinators' objects in its own files; one mapping of errors to failures

Ruled out: a file for each kind, since readers of members and terms are shared by the coordinators' three kinds.

--- a/bench/BenchFleet.cpp
+++ b/bench/BenchFleet.cpp
@@ -1,6 +1,7 @@
 #include "bench/BenchFleet.h"
 
 #include "pimentostage/base/Hash.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/daemon/OwnParts.h"
 
--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -4,6 +4,7 @@
 
 #include "pimentostage/backend/ShardCoordinator.h"
 #include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/backend/GrantCodec.h"
 #include "src/daemon/MemberControl.h"
--- /dev/null
+++ b/include/pimentostage/platform/CoordinationCodec.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "pimentostage/base/Error.h"
+#include "pimentostage/platform/Objects.h"
+
+#include <string>
+
+namespace pimentostage {
+
+/// Objects that coordinators write: who holds a role, and who owns which keys.
+
+/// Each parse function reads the JSON value of one object.
+/// @return the object, or an Error of step ParseObject that lists every fault.
+leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value);
+leaf::result<Placement> parsePlacement(const std::string &name, const std::string &value);
+leaf::result<RangePlacement> parseRangePlacement(const std::string &name, const std::string &value);
+
+/// Each format function writes the JSON value that the matching parse function reads.
+std::string formatRoleRecord(const RoleRecord &record);
+std::string formatPlacement(const Placement &placement);
+std::string formatRangePlacement(const RangePlacement &placement);
+
+} // namespace pimentostage
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -22,10 +22,7 @@
 leaf::result<Zone> parseZone(const std::string &name, const std::string &value);
 leaf::result<Backend> parseBackend(const std::string &name, const std::string &value);
 leaf::result<LostHost> parseLostHost(const std::string &name, const std::string &value);
-leaf::result<RoleRecord> parseRoleRecord(const std::string &name, const std::string &value);
-leaf::result<Placement> parsePlacement(const std::string &name, const std::string &value);
 leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value);
-leaf::result<RangePlacement> parseRangePlacement(const std::string &name, const std::string &value);
 leaf::result<EntryHost> parseEntryHost(const std::string &name, const std::string &value);
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
 
@@ -40,10 +37,7 @@
 std::string formatZone(const Zone &zone);
 std::string formatBackend(const Backend &backend);
 std::string formatLostHost(const LostHost &host);
-std::string formatRoleRecord(const RoleRecord &record);
-std::string formatPlacement(const Placement &placement);
 std::string formatCatalogue(const Catalogue &catalogue);
-std::string formatRangePlacement(const RangePlacement &placement);
 std::string formatEntryHost(const EntryHost &host);
 std::string formatHostList(const std::vector<ListedHost> &hosts);
 
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -19,6 +19,8 @@
     return value;
 }
 
+} // namespace
+
 AttemptFailure failureOf(const Error &error)
 {
     if (error.code_ == ErrorCode::Stale)
@@ -32,8 +34,6 @@
     return AttemptFailure::Broken;
 }
 
-} // namespace
-
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, TimePoint now)
 {
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -45,6 +45,9 @@
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, TimePoint now);
 
+/// @return why the attempt that ended with @p error failed.
+AttemptFailure failureOf(const Error &error);
+
 /// @return what @p result says about its attempt.
 AttemptVerdict judge(const HttpResult &result);
 
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/PlacementControl.h"
 
 #include "pimentostage/backend/RouterFence.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/daemon/RecoveryBudget.h"
 
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -1,5 +1,6 @@
 #include "src/daemon/RangeControl.h"
 
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/daemon/PlacementControl.h"
 
--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/RoleControl.h"
 
 #include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/daemon/MemberControl.h"
 
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -1,4 +1,5 @@
 #include "pimentostage/operator/Settings.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/backend/GrantCodec.h"
 #include "src/platform/StoreCodec.h"
--- a/tests/fakes/CoreFleet.cpp
+++ b/tests/fakes/CoreFleet.cpp
@@ -1,6 +1,7 @@
 #include "tests/fakes/CoreFleet.h"
 
 #include "pimentostage/base/Hash.h"
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 
 #include <algorithm>
--- a/tests/fakes/FleetOracle.cpp
+++ b/tests/fakes/FleetOracle.cpp
@@ -1,5 +1,6 @@
 #include "tests/fakes/FleetOracle.h"
 
+#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
 
 #include <algorithm>
