Fleets of processes outlive the session of the shell that started them

Ruled out: load (the other seven cases and the whole second test passed in that run); a fault of the daemon (no line in its log, ended by the signal).

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -37,11 +37,12 @@
 operator_port() { echo "$((port_base + 30 + $1))"; }
 sibling_port() { echo "$((port_base + 50 + $1))"; }
 
-# start NAME COMMAND...: runs a command in the background, logging to NAME.log.
+# start NAME COMMAND...: runs a command in the background, logging to NAME.log. A session of its own
+# keeps the kernel from hanging up a frozen process when the script's own session loses its leader.
 start() {
     local name=$1
     shift
-    "$@" >>"$run_folder/$name.log" 2>&1 &
+    setsid "$@" >>"$run_folder/$name.log" 2>&1 &
     process_ids[$name]=$!
 }
 
