Absences start anew with each registration; cold starts bound what is sent; observations of gone hosts go

HostRegistrar kept when a host was first absent, after its entry was taken out and through terms in which another host held the role, so that a host that came back could lose its registration at once. A cold start's last token could be used by two traffic threads, as the result of take() was ignored. What was known of removed back ends and hosts stayed. Ruled out: an age limit on the absences alone, which misses an entry written again within it.

--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -43,6 +43,9 @@
     ///         long for a slot. A few are sent all the same, or nothing newer would be heard.
     [[nodiscard]] bool hasRoom(TimePoint now) const;
 
+    /// Counts a request there if there is room for it. @return whether there was.
+    [[nodiscard]] bool tryBegin(TimePoint now) const;
+
     /// @return whether it may get requests for what it owns: it takes new work, or is handing
     ///         over what it owned.
     [[nodiscard]] bool mayServeAsOwner(TimePoint now) const;
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -45,6 +45,18 @@
     return stats_->load(now) < kMostLoad * backend_.slots_;
 }
 
+bool Candidate::tryBegin(TimePoint now) const
+{
+    // Nobody else may be able to run the request: a cold one gets one at a time from each host.
+    if (!hasRoom(now) || !stats_->tryBegin(std::max(1U, presentLimit())))
+        return false;
+    // Another thread may have taken the last token of a cold start.
+    if (stats_->coldStart().take(now))
+        return true;
+    stats_->end();
+    return false;
+}
+
 bool Candidate::mayServeAsOwner(TimePoint now) const
 {
     return takesNewWork_ || now < withdrawnAt_ + kHandoverTime;
@@ -117,8 +129,10 @@
         routes->second.indexByName_[name.str()] = routes->second.candidates_.size();
         routes->second.candidates_.push_back(std::move(candidate));
     }
-    std::erase_if(
-        known_, [&](const auto &entry) { return !configuration.backends_.contains(entry.first); });
+    const auto isUnlisted
+        = [&](const auto &entry) { return !configuration.backends_.contains(entry.first); };
+    std::erase_if(known_, isUnlisted);
+    std::erase_if(withdrawnAt_, isUnlisted);
     return table;
 }
 
@@ -227,12 +241,9 @@
     const bool isOwner = candidate && candidate->backend_.incarnation_ == row->owner_.incarnation_;
     if (!isOwner || !candidate->takesNewWork_)
         return choice;
-    BackendStats &stats = *candidate->stats_;
-    const std::uint32_t limit = std::max(1U, candidate->presentLimit());
-    choice.isBusy_ = !candidate->hasRoom(now) || !stats.tryBegin(limit);
+    choice.isBusy_ = !candidate->tryBegin(now);
     if (choice.isBusy_)
         return choice;
-    stats.coldStart().take(now);
     choice.candidate_ = candidate;
     choice.epoch_ = row->epoch_;
     return choice;
@@ -257,12 +268,8 @@
     const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
     while (!usable.empty()) {
         const std::size_t index = strategy.pick(usable, random, now);
-        BackendStats &stats = *usable[index]->stats_;
-        const std::uint32_t limit = std::max(1U, usable[index]->presentLimit());
-        if (usable[index]->hasRoom(now) && stats.tryBegin(limit)) {
-            stats.coldStart().take(now);
+        if (usable[index]->tryBegin(now))
             return usable[index];
-        }
         usable.erase(usable.begin() + static_cast<std::ptrdiff_t>(index));
     }
     return nullptr;
--- a/src/daemon/HostRegistrar.cpp
+++ b/src/daemon/HostRegistrar.cpp
@@ -50,6 +50,13 @@
 void HostRegistrar::removeAbsent(const Configuration &configuration, const std::set<HostName> &view,
                                  TimePoint now)
 {
+    // Absences noted in an earlier term of the role, or of an entry that is gone, say nothing now.
+    if (now >= checkedAt_ + kMostAbsence)
+        absentSince_.clear();
+    checkedAt_ = now;
+    std::erase_if(absentSince_, [&](const auto &absence) {
+        return !configuration.entryHosts_.contains(absence.first);
+    });
     for (const auto &[host, entry] : configuration.entryHosts_) {
         if (view.contains(host)) {
             absentSince_.erase(host);
--- a/src/daemon/HostRegistrar.h
+++ b/src/daemon/HostRegistrar.h
@@ -37,7 +37,7 @@
     void check(const Configuration &configuration);
 
     /// Takes out entries of hosts that have not been in the view for kMostAbsence. Only one host,
-    /// the holder of some role, should do so.
+    /// the holder of some role, should do so, more often than every kMostAbsence.
     /// @param view the hosts believed to be alive.
     void removeAbsent(const Configuration &configuration, const std::set<HostName> &view,
                       TimePoint now);
@@ -61,6 +61,7 @@
     bool isWriting_ = false;
     bool hasLeft_ = false;
     std::map<HostName, TimePoint> absentSince_;
+    TimePoint checkedAt_ {}; ///< of the last removeAbsent()
 };
 
 } // namespace pimentostage
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -42,6 +42,7 @@
     membership_.dropUnlisted(names);
     names.insert(self_.member_.host_);
     listedHosts_ = names.size();
+    std::erase_if(heard_, [&](const auto &entry) { return !names.contains(entry.first); });
 }
 
 void MemberControl::tick(TimePoint now)
--- a/tests/HostRegistrarTest.cpp
+++ b/tests/HostRegistrarTest.cpp
@@ -110,6 +110,35 @@
     EXPECT_FALSE(store_.find(refOf("back")).deleted_);
 }
 
+TEST_F(HostRegistrarTest, AHostThatRegistersAgainIsGivenItsTimeAgain)
+{
+    registrar_->start();
+    add("back");
+    const std::set<HostName> view { HostName("a") };
+    const TimePoint now { 1h };
+    registrar_->removeAbsent(*config_.configuration(), view, now);
+    registrar_->removeAbsent(*config_.configuration(), view, now + 4s);
+    registrar_->removeAbsent(*config_.configuration(), view, now + HostRegistrar::kMostAbsence);
+    ASSERT_TRUE(store_.find(refOf("back")).deleted_);
+    registrar_->removeAbsent(*config_.configuration(), view, now + 9s);
+    add("back");
+    // Registered, and not heard by this host yet.
+    registrar_->removeAbsent(*config_.configuration(), view, now + 11s);
+    EXPECT_FALSE(store_.find(refOf("back")).deleted_);
+}
+
+TEST_F(HostRegistrarTest, AnAbsenceOfAnEarlierTermDoesNotCount)
+{
+    registrar_->start();
+    add("back");
+    const std::set<HostName> view { HostName("a") };
+    const TimePoint now { 1h };
+    registrar_->removeAbsent(*config_.configuration(), view, now);
+    // Another host had the role meanwhile, and saw it come back.
+    registrar_->removeAbsent(*config_.configuration(), view, now + 60s);
+    EXPECT_FALSE(store_.find(refOf("back")).deleted_);
+}
+
 TEST_F(HostRegistrarTest, WritesItsEntryAgainIfAnotherHostTookItOut)
 {
     registrar_->start();
