What the change wrote twice stands once

Cause: a second reading of the change and the list of twin lines: three strategies with the same search for the cheapest candidate, two coordinators' controls with the same handling of the store's replies, comparisons of header names in four files, the platform's main with its own copy of the daemons' signals and error reports, two judges with the same beginning. Ruled out: one base class for PlacementControl and RangeControl, whose orders to back ends differ; only the replies of the store are alike. Change: cheapest(), PlacementReplies.h, CoordinatorRole.h, findHeader(), Program.h, transferVerdict(); a counter that was only compared with zero is a flag; a bare factor has a name. A deleted range placement is written over by the version found, as one of shards was.

--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -19,8 +19,6 @@
     return value;
 }
 
-} // namespace
-
 AttemptFailure failureOf(const Error &error)
 {
     if (error.code_ == ErrorCode::Stale)
@@ -34,6 +32,17 @@
     return AttemptFailure::Broken;
 }
 
+} // namespace
+
+AttemptVerdict transferVerdict(const HttpResult &result)
+{
+    AttemptVerdict verdict;
+    verdict.state_ = result.state_;
+    if (!result.answer_)
+        verdict.failure_ = failureOf(*result.error_);
+    return verdict;
+}
+
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, TimePoint now)
 {
@@ -57,12 +66,9 @@
 
 AttemptVerdict judge(const HttpResult &result)
 {
-    AttemptVerdict verdict;
-    verdict.state_ = result.state_;
-    if (!result.answer_) {
-        verdict.failure_ = failureOf(*result.error_);
+    AttemptVerdict verdict = transferVerdict(result);
+    if (!result.answer_)
         return verdict;
-    }
     if (const auto running = parseNumber<std::uint32_t>(result.answer_->header(kLoadHeader)))
         verdict.load_ = LoadReport { *running, 0, 1 };
     verdict.incarnation_ = parseNumber<std::uint64_t>(result.answer_->header(kIncarnationHeader));
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -45,8 +45,8 @@
 HttpRequest encodeAttempt(const ForwardRequest &request, AttemptNumber attempt,
                           const BackendChoice &choice, TimePoint now);
 
-/// @return why the attempt that ended with @p error failed.
-AttemptFailure failureOf(const Error &error);
+/// @return what the transfer alone says about its attempt, whatever its answer holds.
+AttemptVerdict transferVerdict(const HttpResult &result);
 
 /// @return what @p result says about its attempt.
 AttemptVerdict judge(const HttpResult &result);
--- a/src/backend/BalancingStrategy.cpp
+++ b/src/backend/BalancingStrategy.cpp
@@ -12,6 +12,25 @@
 
 using Candidates = std::vector<const Candidate *>;
 
+/// @return the index of the candidate of least @p costOf; among equals a random one.
+template <typename CostOf>
+std::size_t cheapest(const Candidates &candidates, Random &random, CostOf costOf)
+{
+    // Starts at a random place so that ties do not all fall on the first back end.
+    const std::size_t start = random.below(candidates.size());
+    std::size_t best = start;
+    auto bestCost = costOf(*candidates[start]);
+    for (std::size_t step = 1; step < candidates.size(); ++step) {
+        const std::size_t index = (start + step) % candidates.size();
+        const auto cost = costOf(*candidates[index]);
+        if (cost >= bestCost)
+            continue;
+        best = index;
+        bestCost = cost;
+    }
+    return best;
+}
+
 class PowerOfTwo : public BalancingStrategy
 {
 public:
@@ -34,18 +53,8 @@
 public:
     std::size_t pick(const Candidates &candidates, Random &random, TimePoint now) const override
     {
-        const std::size_t start = random.below(candidates.size());
-        std::size_t best = start;
-        double bestCost = candidates[start]->stats_->cost(now);
-        for (std::size_t step = 1; step < candidates.size(); ++step) {
-            const std::size_t index = (start + step) % candidates.size();
-            const double cost = candidates[index]->stats_->cost(now);
-            if (cost >= bestCost)
-                continue;
-            best = index;
-            bestCost = cost;
-        }
-        return best;
+        return cheapest(candidates, random,
+                        [now](const Candidate &candidate) { return candidate.stats_->cost(now); });
     }
 };
 
@@ -54,15 +63,8 @@
 public:
     std::size_t pick(const Candidates &candidates, Random &random, TimePoint) const override
     {
-        // Starts at a random place so that ties do not all fall on the first back end.
-        const std::size_t start = random.below(candidates.size());
-        std::size_t best = start;
-        for (std::size_t step = 1; step < candidates.size(); ++step) {
-            const std::size_t index = (start + step) % candidates.size();
-            if (candidates[index]->stats_->inFlight() < candidates[best]->stats_->inFlight())
-                best = index;
-        }
-        return best;
+        return cheapest(candidates, random,
+                        [](const Candidate &candidate) { return candidate.stats_->inFlight(); });
     }
 };
 
@@ -84,19 +86,8 @@
 public:
     std::size_t pick(const Candidates &candidates, Random &random, TimePoint now) const override
     {
-        // Starts at a random place so that ties do not all fall on the first back end.
-        const std::size_t start = random.below(candidates.size());
-        std::size_t best = start;
-        double bestTime = expectedTime(*candidates[start], now);
-        for (std::size_t step = 1; step < candidates.size(); ++step) {
-            const std::size_t index = (start + step) % candidates.size();
-            const double time = expectedTime(*candidates[index], now);
-            if (time >= bestTime)
-                continue;
-            best = index;
-            bestTime = time;
-        }
-        return best;
+        return cheapest(candidates, random,
+                        [now](const Candidate &candidate) { return expectedTime(candidate, now); });
     }
 
 private:
--- a/src/backend/RangePlanner.cpp
+++ b/src/backend/RangePlanner.cpp
@@ -19,6 +19,8 @@
 constexpr double kMostAboveMean = 1.3;
 // Load, in requests a second, below which a move is not worth the pause that it costs.
 constexpr double kLeastMoved = 1;
+// Least part of the mean load that one adopted range carries, so that few ranges are made.
+constexpr double kLeastPart = 0.25;
 // Most ranges of one back end, on average; more would cost too many renewals.
 constexpr std::size_t kMostRangesPerBackend = 5;
 
@@ -191,7 +193,7 @@
         while (true) {
             const BackendProcess to = leastUsed(weights, backends);
             const double room = mean * backends.at(to).capacity_ - weights[to];
-            const KeyRange part = prefixOfWeight(rest, load, std::max(room, mean / 4));
+            const KeyRange part = prefixOfWeight(rest, load, std::max(room, kLeastPart * mean));
             weights[to] += load.weight(part);
             moves.push_back({ part, to });
             if (part.to_ == rest.to_)
--- a/src/base/HttpLoop.cpp
+++ b/src/base/HttpLoop.cpp
@@ -16,7 +16,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <strings.h>
 
 namespace pimentostage {
 
@@ -34,11 +33,6 @@
 // A connection is not reused in the last part of the idle time that its peer announced.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 
-bool equalsIgnoringCase(std::string_view a, std::string_view b)
-{
-    return a.size() == b.size() && strncasecmp(a.data(), b.data(), a.size()) == 0;
-}
-
 /// The parts of a URL "http://ip:port/target".
 struct SplitUrl
 {
@@ -90,11 +84,8 @@
 const std::string &HttpAnswer::header(std::string_view name) const
 {
     static const std::string none;
-    for (const HttpHeader &header : headers_) {
-        if (equalsIgnoringCase(header.name_, name))
-            return header.value_;
-    }
-    return none;
+    const HttpHeader *found = findHeader(headers_, name);
+    return found ? found->value_ : none;
 }
 
 class HttpLoop::Impl : public std::enable_shared_from_this<Impl>
@@ -289,12 +280,9 @@
         out.clear();
         out.append(request.method_).append(" ").append(transfer_->url_.target_);
         out.append(" HTTP/1.1\r\n");
-        bool hasHost = false;
-        for (const HttpHeader &header : request.headers_) {
-            hasHost = hasHost || equalsIgnoringCase(header.name_, "Host");
+        for (const HttpHeader &header : request.headers_)
             out.append(header.name_).append(": ").append(header.value_).append("\r\n");
-        }
-        if (!hasHost)
+        if (!findHeader(request.headers_, "Host"))
             out.append("Host: ").append(peer_).append("\r\n");
         const bool hasBody
             = !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT";
--- a/src/base/HttpServer.cpp
+++ b/src/base/HttpServer.cpp
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 
-#include <strings.h>
-
 namespace pimentostage {
 
 namespace {
@@ -42,13 +40,8 @@
 
 std::optional<std::string> ServerRequest::header(std::string_view name) const
 {
-    for (const HttpHeader &header : headers_) {
-        const bool isWanted = header.name_.size() == name.size()
-                              && strncasecmp(header.name_.data(), name.data(), name.size()) == 0;
-        if (isWanted)
-            return header.value_;
-    }
-    return std::nullopt;
+    const HttpHeader *found = findHeader(headers_, name);
+    return found ? std::optional(found->value_) : std::nullopt;
 }
 
 } // namespace pimentostage
--- a/src/caller/CallerCodec.cpp
+++ b/src/caller/CallerCodec.cpp
@@ -5,7 +5,6 @@
 #include <string_view>
 
 #include <nlohmann/json.hpp>
-#include <strings.h>
 
 namespace pimentostage {
 
@@ -27,9 +26,8 @@
 
 bool isHopHeader(const std::string &name)
 {
-    return std::any_of(std::begin(kHopHeaders), std::end(kHopHeaders), [&](std::string_view hop) {
-        return hop.size() == name.size() && strncasecmp(hop.data(), name.data(), name.size()) == 0;
-    });
+    return std::any_of(std::begin(kHopHeaders), std::end(kHopHeaders),
+                       [&](std::string_view hop) { return isSameHeaderName(hop, name); });
 }
 
 bool isRequestId(const std::string &text)
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -1,5 +1,7 @@
 #include "src/daemon/ControlCore.h"
 
+#include "src/daemon/CoordinatorRole.h"
+
 #include <algorithm>
 #include <set>
 
@@ -469,7 +471,7 @@
     purses_.update(*configuration);
     allowance_.onConfig(configuration, now);
     std::set<RoleName> roles = allowance_.roles();
-    roles.merge(PlacementControl::rolesFor(*configuration));
+    roles.merge(coordinatorRolesFor(*configuration));
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
     placement_.onConfig(*configuration, facts_.leavingHosts_, now);
@@ -581,7 +583,7 @@
     nextKeyLoads_ = now + kKeyLoadPeriod;
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     for (const auto &[service, load] : keyLoads_) {
-        const auto role = configuration->roles_.find(PlacementControl::roleOf(service));
+        const auto role = configuration->roles_.find(coordinatorRoleOf(service));
         if (role == configuration->roles_.end())
             continue;
         const HostName &holder = role->second.holder_.host_;
--- a/src/daemon/PlacementControl.cpp
+++ b/src/daemon/PlacementControl.cpp
@@ -2,29 +2,19 @@
 
 #include "pimentostage/backend/RouterFence.h"
 #include "pimentostage/platform/CoordinationCodec.h"
-#include "pimentostage/platform/ObjectCodec.h"
+#include "src/daemon/CoordinatorRole.h"
+#include "src/daemon/PlacementReplies.h"
 #include "src/daemon/RecoveryBudget.h"
 
 namespace pimentostage {
 
 namespace {
 
-constexpr const char *kRolePrefix = "coordinator.";
-
 ObjectRef refOf(const ServiceName &service)
 {
     return ObjectRef { ObjectKind::Placement, service.str() };
 }
 
-/// @return the placement in @p object, or nothing if it does not exist.
-leaf::result<std::optional<Placement>> placementIn(const StoredObject &object)
-{
-    if (object.deleted_)
-        return std::optional<Placement>();
-    BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
-    return std::optional<Placement>(std::move(placement));
-}
-
 bool isHashed(const Service &service)
 {
     return service.keyed_ && service.division_ == KeyDivision::Hashed;
@@ -51,21 +41,6 @@
 
 { }
 
-RoleName PlacementControl::roleOf(const ServiceName &service)
-{
-    return RoleName(kRolePrefix + service.str());
-}
-
-std::set<RoleName> PlacementControl::rolesFor(const Configuration &configuration)
-{
-    std::set<RoleName> roles;
-    for (const auto &[name, service] : configuration.services_) {
-        if (service.keyed_)
-            roles.insert(roleOf(name));
-    }
-    return roles;
-}
-
 void PlacementControl::onConfig(const Configuration &configuration,
                                 const std::set<std::string> &leavingHosts, TimePoint now)
 {
@@ -129,7 +104,7 @@
 void PlacementControl::onRoleGained(const RoleName &role, Epoch epoch, TimePoint now)
 {
     for (auto &[name, coordinated] : services_) {
-        if (roleOf(name) != role)
+        if (coordinatorRoleOf(name) != role)
             continue;
         coordinated.roleEpoch_ = epoch;
         perform(name, coordinated.coordinator_->begin(epoch, now));
@@ -139,7 +114,7 @@
 void PlacementControl::onRoleLost(const RoleName &role)
 {
     for (auto &[name, coordinated] : services_) {
-        if (roleOf(name) != role)
+        if (coordinatorRoleOf(name) != role)
             continue;
         coordinated.roleEpoch_.reset();
         coordinated.coordinator_->end();
@@ -149,7 +124,7 @@
 void PlacementControl::tick(TimePoint now)
 {
     for (auto &[name, coordinated] : services_) {
-        if (holds_(roleOf(name), now))
+        if (holds_(coordinatorRoleOf(name), now))
             perform(name, coordinated.coordinator_->tick(now));
     }
 }
@@ -184,26 +159,11 @@
     store_.get(refOf(service), [this, service](const Reply<StoredObject> &reply) {
         ShardCoordinator *coordinator = find(service);
         const TimePoint now = clock_();
-        if (!coordinator || !holds_(roleOf(service), now))
-            return;
-        const auto *object = std::get_if<StoredObject>(&reply);
-        if (!object) {
-            coordinator->onReadFailed(now);
+        if (!coordinator || !holds_(coordinatorRoleOf(service), now))
             return;
-        }
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(placement, placementIn(*object));
-                perform(service, coordinator->onRead(placement, object->version_, now));
-                return {};
-            },
-            [&](const Error &error) {
-                // A placement that does not parse is never acted on.
-                log_.write(LogLine(Severity::Error, "placement-unreadable")
-                               .add("error", error.describe()));
-                coordinator->onReadFailed(now);
-            },
-            [&] { coordinator->onReadFailed(now); });
+        takeReadReply(
+            *coordinator, reply, &parsePlacement,
+            [&](const CoordinatorActions &actions) { perform(service, actions); }, log_, now);
     });
 }
 
@@ -224,14 +184,11 @@
         onOwnWrite_(
             StoredObject { refOf(service), result->version_, false, formatPlacement(placement) });
     ShardCoordinator *coordinator = find(service);
-    if (!coordinator || !holds_(roleOf(service), now))
+    if (!coordinator || !holds_(coordinatorRoleOf(service), now))
         return;
-    if (!result)
-        coordinator->onWriteFailed(now);
-    else if (result->written_)
-        perform(service, coordinator->onWritten(result->version_, now));
-    else
-        perform(service, coordinator->onConflict(now));
+    takeWriteReply(
+        *coordinator, reply, [&](const CoordinatorActions &actions) { perform(service, actions); },
+        now);
     perform(service, coordinator->tick(now));
 }
 
@@ -253,7 +210,7 @@
 {
     ShardCoordinator *coordinator = find(service);
     const TimePoint now = clock_();
-    if (!coordinator || !holds_(roleOf(service), now))
+    if (!coordinator || !holds_(coordinatorRoleOf(service), now))
         return;
 
     if (!reply) {
@@ -274,7 +231,7 @@
                                  TimePoint now)
 {
     ShardCoordinator *coordinator = find(message.service_);
-    if (!coordinator || !holds_(roleOf(message.service_), now))
+    if (!coordinator || !holds_(coordinatorRoleOf(message.service_), now))
         return;
     coordinator->onRouterReply(router, message.reply_, now);
     perform(message.service_, coordinator->tick(now));
@@ -296,7 +253,7 @@
 {
     ShardCoordinator *coordinator = find(service);
     const TimePoint now = clock_();
-    if (!coordinator || !holds_(roleOf(service), now))
+    if (!coordinator || !holds_(coordinatorRoleOf(service), now))
         return;
     coordinator->onProbeReply(backend, now);
 }
--- a/src/daemon/PlacementControl.h
+++ b/src/daemon/PlacementControl.h
@@ -34,11 +34,6 @@
                      Holds holds, std::uint64_t seed, LogSink &log, Counters &counters,
                      OnOwnWrite onOwnWrite);
 
-    /// @return the roles of the coordinators of all keyed services.
-    static std::set<RoleName> rolesFor(const Configuration &configuration);
-    /// @return the role of the coordinator of @p service.
-    static RoleName roleOf(const ServiceName &service);
-
     /// Takes services and back ends from the configuration in force.
     void onConfig(const Configuration &configuration, const std::set<std::string> &leavingHosts,
                   TimePoint now);
--- /dev/null
+++ b/src/daemon/Program.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "pimentostage/base/Error.h"
+#include "pimentostage/operator/Settings.h"
+
+#include <csignal>
+#include <initializer_list>
+#include <iostream>
+
+#include <pthread.h>
+
+namespace pimentostage {
+
+/// Blocks the signals that stop a program, and @p others, in this thread and in all that it starts.
+/// @return the signals, for sigwait.
+inline sigset_t blockStopSignals(std::initializer_list<int> others = {})
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    for (const int other : others)
+        sigaddset(&signals, other);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+/// Runs @p start and prints its error, if any.
+/// @return whether it succeeded.
+template <typename Start>
+bool startOrReport(Start start)
+{
+    return valueOr(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(start());
+            return true;
+        },
+        [](const Error &error) {
+            std::cerr << error.describe() << '\n';
+            return false;
+        });
+}
+
+/// Prints every fault of @p result. @return whether there is none.
+inline bool isUsableOrReport(const SettingsResult &result)
+{
+    for (const SettingsFault &fault : result.faults_)
+        std::cerr << fault.describe() << '\n';
+    return result.faults_.empty();
+}
+
+} // namespace pimentostage
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -1,8 +1,8 @@
 #include "src/daemon/RangeControl.h"
 
 #include "pimentostage/platform/CoordinationCodec.h"
-#include "pimentostage/platform/ObjectCodec.h"
-#include "src/daemon/PlacementControl.h"
+#include "src/daemon/CoordinatorRole.h"
+#include "src/daemon/PlacementReplies.h"
 
 #include <cmath>
 
@@ -19,15 +19,6 @@
     return ObjectRef { ObjectKind::RangePlacement, service.str() };
 }
 
-/// @return the placement in @p object, nothing if it does not exist, or the Error in it.
-leaf::result<std::optional<RangePlacement>> rangesIn(const StoredObject &object)
-{
-    if (object.deleted_)
-        return std::optional<RangePlacement>();
-    BOOST_LEAF_AUTO(placement, parseRangePlacement(object.ref_.name_, object.value_));
-    return std::optional<RangePlacement>(std::move(placement));
-}
-
 } // namespace
 
 RangeControl::RangeControl(ObjectStore &store, RangeLink &backends,
@@ -97,7 +88,7 @@
 {
     const auto found = services_.find(service);
     const bool mayAct = found != services_.end() && found->second.isOurs_
-                        && holds_(PlacementControl::roleOf(service), now);
+                        && holds_(coordinatorRoleOf(service), now);
     return mayAct ? found->second.coordinator_.get() : nullptr;
 }
 
@@ -112,7 +103,7 @@
 void RangeControl::onRoleGained(const RoleName &role, Epoch epoch, TimePoint now)
 {
     for (auto &[name, coordinated] : services_) {
-        if (PlacementControl::roleOf(name) != role)
+        if (coordinatorRoleOf(name) != role)
             continue;
         coordinated.isOurs_ = true;
         perform(name, coordinated.coordinator_->begin(epoch, now));
@@ -122,7 +113,7 @@
 void RangeControl::onRoleLost(const RoleName &role)
 {
     for (auto &[name, coordinated] : services_) {
-        if (PlacementControl::roleOf(name) != role)
+        if (coordinatorRoleOf(name) != role)
             continue;
         coordinated.isOurs_ = false;
         coordinated.coordinator_->end();
@@ -182,25 +173,9 @@
     RangeCoordinator *coordinator = acting(service, now);
     if (!coordinator)
         return;
-    const auto *object = std::get_if<StoredObject>(&reply);
-    if (!object) {
-        coordinator->onReadFailed(now);
-        return;
-    }
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(placement, rangesIn(*object));
-            const Version version = object->deleted_ ? Version {} : object->version_;
-            perform(service, coordinator->onRead(placement, version, now));
-            return {};
-        },
-        [&](const Error &error) {
-            // A placement that does not parse is never acted on.
-            log_.write(
-                LogLine(Severity::Error, "ranges-unreadable").add("error", error.describe()));
-            coordinator->onReadFailed(now);
-        },
-        [&] { coordinator->onReadFailed(now); });
+    takeReadReply(
+        *coordinator, reply, &parseRangePlacement,
+        [&](const RangeActions &actions) { perform(service, actions); }, log_, now);
 }
 
 void RangeControl::perform(const ServiceName &service, const WriteRanges &write)
@@ -223,12 +198,8 @@
     RangeCoordinator *coordinator = acting(service, now);
     if (!coordinator)
         return;
-    if (!result)
-        coordinator->onWriteFailed(now);
-    else if (result->written_)
-        perform(service, coordinator->onWritten(result->version_, now));
-    else
-        perform(service, coordinator->onConflict(now));
+    takeWriteReply(
+        *coordinator, reply, [&](const RangeActions &actions) { perform(service, actions); }, now);
 }
 
 // The authority to act was checked in the call that decided on the order.
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -55,15 +55,15 @@
 void ConfigWatcher::onListing(const Reply<StoreListing> &reply, TimePoint sentAt)
 {
     if (const auto *error = std::get_if<Error>(&reply)) {
-        ++failedLists_;
+        hasListFailed_ = true;
         fail(*error);
         return;
     }
     const auto &listing = std::get<StoreListing>(reply);
     apply(listing.objects_);
     // Entries that lapsed while the store was away come back soon after it, if they are to.
-    const bool wasAway = failedLists_ > 0 && revision_ > Version {};
-    failedLists_ = 0;
+    const bool wasAway = hasListFailed_ && revision_ > Version {};
+    hasListFailed_ = false;
     if (wasAway)
         runAfter_(kReturnTime, [this] { settleMissing(); });
     else
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -60,7 +60,7 @@
     bool connected_ = false;
     bool isPaused_ = false;
     bool isCallOut_ = false; ///< a call is under way, or will be made after a delay
-    std::uint32_t failedLists_ = 0; ///< in a row
+    bool hasListFailed_ = false; ///< since the last listing
 };
 
 } // namespace pimentostage
--- a/tools/ProgramMain.h
+++ b/tools/ProgramMain.h
@@ -1,12 +1,10 @@
 #pragma once
 
-#include "pimentostage/base/Error.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/base/Version.h"
+#include "src/daemon/Program.h"
 
 #include <algorithm>
-#include <csignal>
-#include <iostream>
 #include <string>
 #include <vector>
 
@@ -14,7 +12,6 @@
 #include <absl/flags/usage.h>
 #include <absl/flags/usage_config.h>
 #include <absl/strings/match.h>
-#include <pthread.h>
 
 namespace pimentostage {
 
@@ -54,33 +51,4 @@
     absl::SetFlagsUsageConfig(config);
 }
 
-/// Blocks the signals that stop a program in this thread and in all threads it starts.
-/// @return the signals, for sigwait.
-inline sigset_t blockStopSignals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    signal(SIGPIPE, SIG_IGN);
-    return signals;
-}
-
-/// Runs @p start and prints its error, if any.
-/// @return whether it succeeded.
-template <typename Start>
-bool startOrReport(Start start)
-{
-    return valueOr(
-        [&]() -> leaf::result<bool> {
-            BOOST_LEAF_CHECK(start());
-            return true;
-        },
-        [](const Error &error) {
-            std::cerr << error.describe() << '\n';
-            return false;
-        });
-}
-
 } // namespace pimentostage
--- a/tools/pimentostaged.cpp
+++ b/tools/pimentostaged.cpp
@@ -15,7 +15,6 @@
 
 namespace {
 
-using pimentostage::SettingsFault;
 using pimentostage::SettingsResult;
 
 constexpr int kExitOk = 0;
@@ -54,9 +53,7 @@
         return kExitUsage;
     }
     const SettingsResult result = pimentostage::readSettings(file);
-    for (const SettingsFault &fault : result.faults_)
-        std::cerr << fault.describe() << '\n';
-    if (!result.faults_.empty())
+    if (!pimentostage::isUsableOrReport(result))
         return kExitFailed;
     if (absl::GetFlag(FLAGS_check_config)) {
         std::cout << file << ": ok\n";
