The field's terms in place of metaphors: updates, reports, changes

Cause: names and comments of the change spoke of news, telling, farewells and words. Ruled out: renaming purses and lenders, which the glossary maps and the wire format of our own messages names. Change: names and comments only.

--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -31,7 +31,7 @@
 
     /// Records an answer that took @p latency.
     void onAnswer(Duration latency, TimePoint now);
-    /// Records a failure that speaks against the back end.
+    /// Records a failure that counts against the back end.
     void onFailure(TimePoint now);
     /// Records a load report.
     void onLoadReport(const LoadReport &report, TimePoint now);
--- a/include/pimentostage/backend/ColdStart.h
+++ b/include/pimentostage/backend/ColdStart.h
@@ -9,7 +9,7 @@
 /// A back end's cold start of known length, during which it bears a known rate of requests.
 ///
 /// Every host that may send to it keeps to its own part of the rate, so that the sum over all hosts
-/// stays within what the back end bears without a word between them.
+/// stays within what the back end bears without coordination between them.
 class ColdStart
 {
 public:
--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -51,7 +51,7 @@
     /// @param sentAt when the confirming request was sent.
     void confirm(TimePoint sentAt);
 
-    /// Notes that every change up to @p revision was applied, without a word of the store.
+    /// Notes that every change up to @p revision was applied, without an answer of the store.
     void adoptRevision(Version revision);
 
     /// Notes that the store confirmed a sibling's state @p age before @p now; without effect unless
--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -27,7 +27,7 @@
     };
 };
 
-/// News of one entry host, passed on from host to host.
+/// Update on one entry host, passed on from host to host.
 struct MemberUpdate
 {
     Member member_;
@@ -67,7 +67,7 @@
 /// Liveness of the entry hosts by probing a few of them at a time.
 ///
 /// Each host sends a constant number of probes in each period, whatever the size of the fleet. A
-/// host that does not answer is probed through others, then suspected, then declared dead; news
+/// host that does not answer is probed through others, then suspected, then declared dead; updates
 /// travels on probes and their answers. A new incarnation always supersedes an older one.
 class Membership
 {
@@ -86,13 +86,13 @@
     /// Notes that @p host answered probe @p sequence, directly or through another host.
     void onAck(const HostName &host, std::uint64_t sequence, TimePoint now);
 
-    /// Takes news from another host.
+    /// Takes updates from another host.
     void merge(const MemberUpdate &update, TimePoint now);
 
-    /// @return news worth passing on with the next message; each call counts as one passing on.
-    std::vector<MemberUpdate> newsToPassOn(const HostName &receiver);
+    /// @return updates worth passing on with the next message; each call counts as one passing on.
+    std::vector<MemberUpdate> updatesToPassOn(const HostName &receiver);
 
-    /// Marks this host as leaving; the news travels with the next messages.
+    /// Marks this host as leaving; the update travels with the next messages.
     void leave();
 
     /// @return processes believed to be alive or suspect, this one included, ordered by host.
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -33,7 +33,7 @@
     HostName origin_;
     HostName target_;
     std::uint64_t sequence_ = 0;
-    std::vector<MemberUpdate> news_;
+    std::vector<MemberUpdate> updates_;
     ConfigSummary config_;
 };
 
@@ -43,7 +43,7 @@
     HostName origin_;
     HostName responder_;
     std::uint64_t sequence_ = 0;
-    std::vector<MemberUpdate> news_;
+    std::vector<MemberUpdate> updates_;
     ConfigSummary config_;
 };
 
--- a/src/backend/BalancingStrategy.cpp
+++ b/src/backend/BalancingStrategy.cpp
@@ -97,7 +97,7 @@
     static constexpr double kWaiting = 1.3;
     // A failure costs a retry, in retries' budget and in time.
     static constexpr double kFailureCost = 4;
-    // Bytes between data centres are dear: a far back end has to be this much faster.
+    // Bytes between data centres cost: a far back end has to be this much faster.
     static constexpr double kFarFactor = 2.5;
     static constexpr double kColdFactor = 2; // cold back ends work about half as fast
 
--- a/src/backend/LeaseGranter.cpp
+++ b/src/backend/LeaseGranter.cpp
@@ -61,8 +61,8 @@
     for (auto &[holder, lease] : leases_) {
         const auto found = units.find(holder);
         const GrantedUnits &wanted = found == units.end() ? kNone : found->second;
-        const bool isNews = lease.unitsSequence_ == 0 || wanted != lease.units_;
-        if (!isNews)
+        const bool isChange = lease.unitsSequence_ == 0 || wanted != lease.units_;
+        if (!isChange)
             continue;
         lease.units_ = wanted;
         lease.digest_ = digestOf(wanted);
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -146,9 +146,9 @@
     const bool isNewProcess = !known.stats_ || known.incarnation_ != backend.incarnation_;
     if (isNewProcess)
         known.stats_ = std::make_shared<BackendStats>();
-    const bool isColdNews = backend.coldFor_ > Duration::zero()
+    const bool startsCold = backend.coldFor_ > Duration::zero()
                             && (isNewProcess || known.coldFor_ != backend.coldFor_);
-    if (isColdNews && service.coldRate_ > 0) {
+    if (startsCold && service.coldRate_ > 0) {
         const double rate = service.coldRate_ / static_cast<double>(facts.entryHosts_);
         known.stats_->coldStart().begin(now + backend.coldFor_, rate);
     }
--- a/src/backend/ShardCoordinator.cpp
+++ b/src/backend/ShardCoordinator.cpp
@@ -253,9 +253,9 @@
 void ShardCoordinator::planMoves(TimePoint now, CoordinatorActions &actions)
 {
     const std::vector<PlacementBackend> backends = placementBackends(now);
-    const bool isNews = backends != plannedFor_ || plannedPlacement_ != placement_;
+    const bool isChange = backends != plannedFor_ || plannedPlacement_ != placement_;
     plannedFor_ = backends;
-    if (isNews)
+    if (isChange)
         planShards(now, actions);
     plannedPlacement_ = placement_;
     planHotKeys(now, actions);
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -115,12 +115,12 @@
         if (!store_.hasHostList())
             registrar_.start();
     }
-    pushNews();
+    pushChanges();
     onConfigChange();
 }
 
 // Every host reads at its start; later a few do so for all. Who they are follows from the view, and
-// whoever hears nothing young enough from them reads too.
+// a host to which they have been silent for too long reads too.
 bool ControlCore::isReader(TimePoint now) const
 {
     if (options_.readers_ == 0 || now < readsUntil_)
@@ -137,8 +137,8 @@
     if (options_.readers_ == 0)
         return;
     const auto age = config_.age(now);
-    const bool hearsNothing = !age || *age >= options_.readerSilence_;
-    if (hearsNothing)
+    const bool areReadersSilent = !age || *age >= options_.readerSilence_;
+    if (areReadersSilent)
         readsUntil_ = now + kReadingTime;
     const bool reads = isReader(now);
     for (const auto &watcher : watchers_) {
@@ -151,20 +151,20 @@
     }
 }
 
-// What an entry host writes, it tells the others itself.
-void ControlCore::pushNews()
+// An entry host sends what it writes to the others itself.
+void ControlCore::pushChanges()
 {
     if (options_.readers_ == 0)
         return;
-    std::vector<StoredObject> news = config_.changesSince(pushedUpTo_);
-    for (const StoredObject &object : news)
+    std::vector<StoredObject> changes = config_.changesSince(pushedUpTo_);
+    for (const StoredObject &object : changes)
         pushedUpTo_ = std::max(pushedUpTo_, object.version_);
-    std::erase_if(news, [](const StoredObject &object) {
+    std::erase_if(changes, [](const StoredObject &object) {
         const ObjectKind kind = object.ref_.kind_;
         return kind == ObjectKind::Role || kind == ObjectKind::RangePlacement
                || kind == ObjectKind::EntryHost;
     });
-    pushToSiblings(news);
+    pushToSiblings(changes);
 }
 
 // Without a revision: the receiver may have missed earlier changes.
@@ -279,13 +279,13 @@
     if (isListReadable_)
         return;
     const std::set<std::string> leaving { message.names_.begin(), message.names_.end() };
-    bool isNews = false;
+    bool isChange = false;
     for (ListedHost &host : hosts_) {
         const HostState state = leaving.contains(host.name_) ? HostState::Leaving : HostState::Live;
-        isNews = isNews || state != host.state_;
+        isChange = isChange || state != host.state_;
         host.state_ = state;
     }
-    if (!isNews)
+    if (!isChange)
         return;
     publishedDigest_ = 0;
     onConfigChange();
@@ -406,7 +406,7 @@
     ranges_.tick(now);
     allowance_.tick(now);
     expireWarmups(now);
-    tellKeyLoads(now);
+    reportKeyLoads(now);
     if (readinessAt(now) != publishedReadiness_)
         publish();
     if (now >= nextGauges_) {
@@ -534,7 +534,7 @@
         .set(static_cast<double>(ranges_.movingRanges()));
 }
 
-void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isNews)
+void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isObservedHere)
 {
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     const auto backend = configuration->backends_.find(warmth.backend_);
@@ -549,7 +549,7 @@
         isChange = stats->warmup().start(isOurs, backend->second.slots_, clock_());
     else
         stats->warmup().finish();
-    if (!isNews || !isChange)
+    if (!isObservedHere || !isChange)
         return;
     log_.write(LogLine(Severity::Info, warmth.isCold_ ? "backend-cold" : "backend-warm")
                    .add("backend", warmth.backend_.str())
@@ -576,7 +576,7 @@
     }
 }
 
-void ControlCore::tellKeyLoads(TimePoint now)
+void ControlCore::reportKeyLoads(TimePoint now)
 {
     if (now < nextKeyLoads_)
         return;
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -66,8 +66,8 @@
 
     /// Spenders of @p account wait.
     void onTokensWanted(const AccountName &account);
-    /// Takes word of a cold start. @param isNews whether this host noticed it itself.
-    void applyWarmth(const BackendWarmth &warmth, bool isNews);
+    /// Takes an observation of a cold start. @param isObservedHere whether it is this host's own.
+    void applyWarmth(const BackendWarmth &warmth, bool isObservedHere);
     /// Adds up what traffic threads measured of a keyed service.
     void sumKeyLoad(const KeyLoad &load);
 
@@ -87,7 +87,7 @@
     void onFeedRead();
     void updateReading(TimePoint now);
     [[nodiscard]] bool isReader(TimePoint now) const;
-    void pushNews();
+    void pushChanges();
     void pushToSiblings(const std::vector<StoredObject> &objects);
     [[nodiscard]] bool isConfigurationKnown() const;
     void readEntryHosts(const Configuration &configuration);
@@ -101,7 +101,7 @@
     void onOwnWrite(const StoredObject &object);
     void onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now);
     void onConfigChange();
-    void tellKeyLoads(TimePoint now);
+    void reportKeyLoads(TimePoint now);
     void expireWarmups(TimePoint now);
     void publish();
     void trackZones(const Configuration &configuration);
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-// A host's word on the store counts for this long.
+// A host's report on the store counts for this long.
 constexpr Duration kHeardWindow = std::chrono::seconds(1);
 // A confirmation by the store younger than this says that the store works.
 constexpr Duration kFreshAge = std::chrono::milliseconds(1500);
@@ -54,7 +54,7 @@
         probe.origin_ = self_.member_.host_;
         probe.target_ = order.target_;
         probe.sequence_ = order.sequence_;
-        probe.news_ = membership_.newsToPassOn(order.via_);
+        probe.updates_ = membership_.updatesToPassOn(order.via_);
         probe.config_ = summary(now);
         sender_.send(order.via_, probe);
     }
@@ -68,7 +68,7 @@
 
 void MemberControl::onMessage(const HostName &from, const Probe &probe, TimePoint now)
 {
-    take(from, probe.news_, probe.config_, now);
+    take(from, probe.updates_, probe.config_, now);
     if (probe.target_ != self_.member_.host_) {
         sender_.send(probe.target_, probe);
         return;
@@ -77,24 +77,24 @@
     ack.origin_ = probe.origin_;
     ack.responder_ = self_.member_.host_;
     ack.sequence_ = probe.sequence_;
-    ack.news_ = membership_.newsToPassOn(from);
+    ack.updates_ = membership_.updatesToPassOn(from);
     ack.config_ = summary(now);
     sender_.send(from, ack);
 }
 
 void MemberControl::onMessage(const HostName &from, const ProbeAck &ack, TimePoint now)
 {
-    take(from, ack.news_, ack.config_, now);
+    take(from, ack.updates_, ack.config_, now);
     if (ack.origin_ == self_.member_.host_)
         membership_.onAck(ack.responder_, ack.sequence_, now);
     else
         sender_.send(ack.origin_, ack);
 }
 
-void MemberControl::take(const HostName &from, const std::vector<MemberUpdate> &news,
+void MemberControl::take(const HostName &from, const std::vector<MemberUpdate> &updates,
                          const ConfigSummary &config, TimePoint now)
 {
-    for (const MemberUpdate &update : news)
+    for (const MemberUpdate &update : updates)
         membership_.merge(update, now);
     heard_[from] = Heard { now, config.age_ };
     const bool isEqual = config.digest_ == config_.digest();
@@ -134,11 +134,11 @@
 {
     membership_.leave();
     for (const Member &member : membership_.view()) {
-        Probe farewell;
-        farewell.origin_ = self_.member_.host_;
-        farewell.target_ = member.host_;
-        farewell.news_ = membership_.newsToPassOn(member.host_);
-        sender_.send(member.host_, farewell);
+        Probe notice;
+        notice.origin_ = self_.member_.host_;
+        notice.target_ = member.host_;
+        notice.updates_ = membership_.updatesToPassOn(member.host_);
+        sender_.send(member.host_, notice);
     }
 }
 
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -56,7 +56,7 @@
     };
 
     ConfigSummary summary(TimePoint now) const;
-    void take(const HostName &from, const std::vector<MemberUpdate> &news,
+    void take(const HostName &from, const std::vector<MemberUpdate> &updates,
               const ConfigSummary &config, TimePoint now);
     void logViewChange();
 
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -127,8 +127,8 @@
         std::string error;
         const ApplyResult result = state_.apply(object, &error);
         changes += result == ApplyResult::Applied ? 1 : 0;
-        const bool isNews = result == ApplyResult::Applied || result == ApplyResult::Rejected;
-        if (!isNews)
+        const bool isLogged = result == ApplyResult::Applied || result == ApplyResult::Rejected;
+        if (!isLogged)
             continue;
         const bool isRejected = result == ApplyResult::Rejected;
         LogLine line(isRejected ? Severity::Error : Severity::Info, "object");
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -116,13 +116,14 @@
 template <typename Archive>
 void fields(Archive &archive, Probe &message)
 {
-    archive(message.origin_, message.target_, message.sequence_, message.news_, message.config_);
+    archive(message.origin_, message.target_, message.sequence_, message.updates_, message.config_);
 }
 
 template <typename Archive>
 void fields(Archive &archive, ProbeAck &message)
 {
-    archive(message.origin_, message.responder_, message.sequence_, message.news_, message.config_);
+    archive(message.origin_, message.responder_, message.sequence_, message.updates_,
+            message.config_);
 }
 
 template <typename Archive>
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -8,9 +8,9 @@
 
 namespace {
 
-// Each piece of news is passed on this many times for each doubling of the fleet.
+// Each update is passed on this many times for each doubling of the fleet.
 constexpr std::size_t kPassesPerDoubling = 3;
-constexpr std::size_t kMostNewsPerMessage = 8;
+constexpr std::size_t kMostUpdatesPerMessage = 8;
 
 bool isInViewState(Liveness liveness)
 {
@@ -219,32 +219,32 @@
     viewNumber_ += changesView ? 1 : 0;
 }
 
-std::vector<MemberUpdate> Membership::newsToPassOn(const HostName &receiver)
+std::vector<MemberUpdate> Membership::updatesToPassOn(const HostName &receiver)
 {
     const std::size_t mostPasses
         = kPassesPerDoubling * static_cast<std::size_t>(std::bit_width(others_.size() + 1));
     // This host always tells of itself: a receiver that lost track of it learns it again.
-    std::vector<MemberUpdate> news { self_ };
+    std::vector<MemberUpdate> updates { self_ };
     ++timesSelfPassedOn_;
     // A host believed not to be alive is told so each time, for only it can deny it. After a long
-    // cut both sides have passed on their news in vain.
+    // cut both sides have passed on their updates in vain.
     const auto known = others_.find(receiver);
     const bool isDoubted = known != others_.end()
                            && known->second.update_.liveness_ != Liveness::Alive
                            && known->second.update_.member_.incarnation_ != Incarnation {};
     if (isDoubted)
-        news.push_back(known->second.update_);
+        updates.push_back(known->second.update_);
     for (auto &[host, tracked] : others_) {
-        const bool isNews = tracked.timesPassedOn_ < mostPasses
+        const bool mayPassOn = tracked.timesPassedOn_ < mostPasses
                             && tracked.update_.member_.incarnation_ != Incarnation {};
-        if (!isNews)
+        if (!mayPassOn)
             continue;
         ++tracked.timesPassedOn_;
-        news.push_back(tracked.update_);
-        if (news.size() >= kMostNewsPerMessage)
+        updates.push_back(tracked.update_);
+        if (updates.size() >= kMostUpdatesPerMessage)
             break;
     }
-    return news;
+    return updates;
 }
 
 void Membership::leave()
--- a/src/sibling/RoleKeeper.cpp
+++ b/src/sibling/RoleKeeper.cpp
@@ -318,8 +318,8 @@
 RoleActions RoleKeeper::onRecord(const std::optional<RoleRecord> &record, Version version,
                                  TimePoint now)
 {
-    const bool isNews = version > version_ || (!record && record_ && version_ == Version {});
-    if (!isNews)
+    const bool isNewer = version > version_ || (!record && record_ && version_ == Version {});
+    if (!isNewer)
         return {};
     const bool isOurWrite = record && isPending(record->nonce_);
     if (isOurWrite) {
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -82,13 +82,13 @@
     {
         const std::size_t via = indexOf(order.via_);
         const std::size_t target = indexOf(order.target_);
-        const auto news = hosts_[from]->newsToPassOn(name(target));
-        events_.after(1ms, [this, from, via, target, order, news] {
+        const auto updates = hosts_[from]->updatesToPassOn(name(target));
+        events_.after(1ms, [this, from, via, target, order, updates] {
             if (isBlocked(from, via) || (via != target && isBlocked(via, target)))
                 return;
-            for (const MemberUpdate &update : news)
+            for (const MemberUpdate &update : updates)
                 hosts_[target]->merge(update, now());
-            const auto answer = hosts_[target]->newsToPassOn(name(from));
+            const auto answer = hosts_[target]->updatesToPassOn(name(from));
             events_.after(1ms, [this, from, order, answer] {
                 for (const MemberUpdate &update : answer)
                     hosts_[from]->merge(update, now());
@@ -118,7 +118,7 @@
     ProbeWorld world(8);
     world.run(1s);
     world.kill(3);
-    // Every host notices by itself or by the others' news.
+    // Every host notices by itself or by the others' updates.
     world.run(MembershipTiming {}.detection() + 200ms);
     for (std::size_t i = 0; i < 8; ++i) {
         if (i != 3) {
@@ -178,7 +178,7 @@
     MemberUpdate rumour = self;
     rumour.liveness_ = Liveness::Dead;
     membership.merge(rumour, TimePoint(1h));
-    const MemberUpdate told = membership.newsToPassOn(HostName("host-1")).front();
+    const MemberUpdate told = membership.updatesToPassOn(HostName("host-1")).front();
     EXPECT_EQ(told.liveness_, Liveness::Alive);
     EXPECT_GT(told.refutation_, rumour.refutation_);
 }
