--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -68,7 +68,7 @@
 ///
 /// Each host sends a constant number of probes in each period, whatever the size of the fleet. A
 /// host that does not answer is probed through others, then suspected, then declared dead; updates
-/// travels on probes and their answers. A new incarnation always supersedes an older one.
+/// travel on probes and their answers. A new incarnation always supersedes an older one.
 class Membership
 {
 public:
