Connections and requests under way in file pairs of their own

Cause: BeastServer.cpp (676 lines), HttpLoop.cpp (660) and BackendClient.cpp (633) each held two or three classes with their bodies inside the class. Ruled out: splitting by sections of the same class, which leaves one class in two places. Change: BeastSession and BeastWorker, HttpLoopConnection and HttpLoopImpl, BackendRun and BackendWorker; bodies are moved unchanged.

--- /dev/null
+++ b/src/base/BeastWorker.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "src/base/BeastServer.h"
+
+#include <atomic>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace pimentostage {
+
+/// The connections that one thread serves.
+class BeastServer::Worker : public std::enable_shared_from_this<Worker>
+{
+public:
+    Worker(EventLoop &loop, const HttpServerOptions &options, Handler handler, HalfClose halfClose,
+           std::shared_ptr<std::atomic<std::size_t>> buffered)
+        : options_(options)
+        , handler_(std::move(handler))
+        , halfClose_(halfClose)
+        , buffered_(std::move(buffered))
+        , context_(loop.context())
+        , acceptor_(context_)
+        , sweep_(context_)
+    { }
+
+    void listen(const boost::asio::ip::tcp::endpoint &endpoint);
+
+    [[nodiscard]] std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
+
+    /// Accepts connections and deals them out to @p workers in turn.
+    void accept(std::vector<std::shared_ptr<Worker>> workers);
+
+    void add(boost::asio::ip::tcp::socket socket);
+    void drain() { draining_ = true; }
+    void closeIdle();
+    void close();
+
+    const HttpServerOptions options_;
+    const Handler handler_;
+    const HalfClose halfClose_;
+    const std::shared_ptr<std::atomic<std::size_t>> buffered_; ///< bytes of bodies, of all workers
+    boost::asio::io_context &context_;
+    std::set<std::shared_ptr<Session>> sessions_;
+    bool draining_ = false;
+
+private:
+    void acceptNext();
+
+    void sweepLater();
+
+    static constexpr Duration kAcceptPause = std::chrono::milliseconds(50);
+
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer sweep_;
+    bool isSweeping_ = false;
+    std::unique_ptr<boost::asio::steady_timer> retry_;
+    std::vector<std::shared_ptr<Worker>> others_;
+    std::size_t next_ = 0;
+};
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/base/HttpLoopConnection.cpp
@@ -0,0 +1,282 @@
+#include "src/base/HttpLoopConnection.h"
+
+#include <charconv>
+
+#include <boost/asio/write.hpp>
+
+namespace pimentostage {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t kReadSize = 8192; // bytes; most answers fit into one read
+constexpr std::uint32_t kMostHeaderBytes = 64 * 1024;
+// A connection is not reused in the last part of the idle time that its peer announced.
+constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
+
+/// @return the idle time that an answer's Keep-Alive header announces, or nothing.
+std::optional<Duration> announcedIdleTime(const HttpAnswer &answer)
+{
+    static constexpr std::string_view kTimeout = "timeout=";
+    const std::string &value = answer.header("Keep-Alive");
+    const std::size_t at = value.find(kTimeout);
+    if (at == std::string::npos)
+        return std::nullopt;
+    int seconds = 0;
+    const char *begin = value.data() + at + kTimeout.size();
+    const auto [end, fault] = std::from_chars(begin, value.data() + value.size(), seconds);
+    if (fault != std::errc() || end == begin)
+        return std::nullopt;
+    return std::chrono::seconds(seconds);
+}
+
+} // namespace
+
+void HttpLoop::Impl::Connection::connect(const std::shared_ptr<Transfer> &transfer)
+{
+    transfer_ = transfer;
+    transfer->connection_ = weak_from_this();
+    timer_.expires_after(loop_->options_.connectTimeout_);
+    timer_.async_wait([self = shared_from_this()](const error_code &error) {
+        if (!error && !self->isConnected_)
+            self->fail(Step::Connect, ErrorCode::Timeout, "no connection in time");
+    });
+    socket_.async_connect(
+        *transfer->url_.endpoint_,
+        [self = shared_from_this()](const error_code &error) { self->onConnected(error); });
+}
+
+void HttpLoop::Impl::Connection::send(const std::shared_ptr<Transfer> &transfer)
+{
+    transfer_ = transfer;
+    transfer->connection_ = weak_from_this();
+    transfer->isReused_ = served_ > 0;
+    const auto &maySend = transfer->request_.maySend_;
+    if (maySend && !maySend()) {
+        const std::shared_ptr<Transfer> refused = std::move(transfer_);
+        refused->connection_.reset();
+        becomeIdle();
+        loop_->fail(*refused, Step::Connect, ErrorCode::Stale,
+                    "the lease under which it was to be sent has ended");
+        return;
+    }
+    newParser();
+    writeRequest();
+}
+
+bool HttpLoop::Impl::Connection::isReusable(TimePoint now) const
+{
+    return isConnected_ && now - idleSince_ < idleLimit_;
+}
+
+void HttpLoop::Impl::Connection::fail(Step step, ErrorCode code, const std::string &detail)
+{
+    const std::shared_ptr<Transfer> transfer = std::move(transfer_);
+    close();
+    if (transfer) {
+        transfer->connection_.reset();
+        loop_->fail(*transfer, step, code, detail);
+    }
+}
+
+void HttpLoop::Impl::Connection::close()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    transfer_.reset();
+    timer_.cancel();
+    error_code ignored;
+    socket_.close(ignored);
+    const auto found = loop_->peers_.find(peer_);
+    if (found == loop_->peers_.end())
+        return;
+    found->second.idle_.remove(shared_from_this());
+    --found->second.open_;
+    asio::post(loop_->context_, [loop = loop_, peer = peer_] { loop->assignNext(peer); });
+}
+
+void HttpLoop::Impl::Connection::onConnected(const error_code &error)
+{
+    if (isClosed_)
+        return;
+    timer_.cancel();
+    if (error) {
+        fail(Step::Connect, ErrorCode::Unreachable, error.message());
+        return;
+    }
+    isConnected_ = true;
+    heardAt_ = BootClock::now();
+    error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    read();
+    const std::shared_ptr<Transfer> transfer = transfer_;
+    send(transfer);
+}
+
+void HttpLoop::Impl::Connection::newParser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(kMostHeaderBytes);
+    parser_->body_limit(loop_->options_.mostAnswerBytes_);
+    parser_->skip(transfer_->request_.method_ == "HEAD");
+}
+
+void HttpLoop::Impl::Connection::writeRequest()
+{
+    const HttpRequest &request = transfer_->request_;
+    std::string &out = outgoing_;
+    out.clear();
+    out.append(request.method_).append(" ").append(transfer_->url_.target_);
+    out.append(" HTTP/1.1\r\n");
+    for (const HttpHeader &header : request.headers_)
+        out.append(header.name_).append(": ").append(header.value_).append("\r\n");
+    if (!findHeader(request.headers_, "Host"))
+        out.append("Host: ").append(peer_).append("\r\n");
+    const bool hasBody
+        = !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT";
+    if (hasBody)
+        out.append("Content-Length: ").append(std::to_string(request.body_.size())).append("\r\n");
+    out.append("\r\n");
+    out.append(request.body_);
+    isWriting_ = true;
+    transfer_->state_ = AttemptState::PartlySent;
+    asio::async_write(socket_, asio::buffer(outgoing_),
+                      [self = shared_from_this()](const error_code &error, std::size_t) {
+                          self->onWritten(error);
+                      });
+}
+
+void HttpLoop::Impl::Connection::onWritten(const error_code &error)
+{
+    isWriting_ = false;
+    if (isClosed_)
+        return;
+    // A failed write shows in the pending read too, which knows what came before it.
+    if (!error && transfer_)
+        transfer_->state_ = AttemptState::Sent;
+}
+
+void HttpLoop::Impl::Connection::read()
+{
+    socket_.async_read_some(buffer_.prepare(kReadSize),
+                            [self = shared_from_this()](const error_code &error, std::size_t size) {
+                                self->onRead(error, size);
+                            });
+}
+
+void HttpLoop::Impl::Connection::onRead(const error_code &error, std::size_t size)
+{
+    if (isClosed_)
+        return;
+    buffer_.commit(size);
+    if (!transfer_) {
+        // The peer closed it, or sent what nobody asked for.
+        close();
+        return;
+    }
+    heardAt_ = BootClock::now();
+    if (error) {
+        onEnd(error);
+        return;
+    }
+    if (parse() && !isClosed_)
+        read();
+}
+
+void HttpLoop::Impl::Connection::onEnd(const error_code &error)
+{
+    error_code fault;
+    if (error == asio::error::eof && parser_->got_some())
+        parser_->put_eof(fault);
+    const bool isWhole
+        = error == asio::error::eof && parser_->got_some() && !fault && parser_->is_done();
+    if (isWhole) {
+        mustClose_ = true;
+        complete();
+        return;
+    }
+    const bool isShort = error == asio::error::eof && parser_->got_some();
+    fail(isShort ? Step::CheckAnswer : Step::ReadAnswer,
+         isShort ? ErrorCode::Mismatch : ErrorCode::Unreachable, error.message());
+}
+
+bool HttpLoop::Impl::Connection::parse()
+{
+    while (buffer_.size() > 0) {
+        error_code error;
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        if (error == http::error::need_more)
+            return true;
+        if (error) {
+            const bool isTooLarge = error == http::error::body_limit;
+            fail(isTooLarge ? Step::CheckAnswer : Step::ReadAnswer,
+                 isTooLarge ? ErrorCode::Mismatch : ErrorCode::Malformed, error.message());
+            return false;
+        }
+        if (!parser_->is_done())
+            continue;
+        const bool isInterim = parser_->get().result_int() < 200;
+        if (isInterim) {
+            newParser();
+            continue;
+        }
+        // Bytes behind a whole answer belong to nobody.
+        mustClose_ = buffer_.size() > 0;
+        return complete();
+    }
+    return true;
+}
+
+bool HttpLoop::Impl::Connection::complete()
+{
+    const std::shared_ptr<Transfer> transfer = std::move(transfer_);
+    transfer->connection_.reset();
+    // An answer before the whole request was written: the rest must not be taken for another.
+    mustClose_ = mustClose_ || isWriting_ || !parser_->keep_alive();
+    auto message = parser_->release();
+    HttpAnswer answer;
+    answer.status_ = static_cast<int>(message.result_int());
+    for (const auto &field : message) {
+        answer.headers_.push_back({ std::string(field.name_string()), std::string(field.value()) });
+    }
+    answer.body_ = std::move(message.body());
+    const HttpRequest &request = transfer->request_;
+    const bool isMismatched
+        = !request.expectedId_.empty() && answer.header(request.idHeader_) != request.expectedId_;
+    if (isMismatched) {
+        close();
+        loop_->fail(*transfer, Step::CheckAnswer, ErrorCode::Mismatch,
+                    "the answer carries another request's id");
+        return false;
+    }
+    ++served_;
+    if (const auto announced = announcedIdleTime(answer))
+        idleLimit_ = std::min(loop_->options_.mostIdleAge_, *announced - kIdleMargin);
+    else
+        idleLimit_ = loop_->options_.mostIdleAge_;
+    if (mustClose_)
+        close();
+    else
+        becomeIdle();
+    HttpResult result;
+    result.state_ = AttemptState::Answered;
+    result.answer_ = std::move(answer);
+    loop_->finish(*transfer, std::move(result));
+    return !isClosed_;
+}
+
+void HttpLoop::Impl::Connection::becomeIdle()
+{
+    idleSince_ = BootClock::now();
+    loop_->peers_[peer_].idle_.push_front(shared_from_this());
+    asio::post(loop_->context_, [loop = loop_, peer = peer_] { loop->assignNext(peer); });
+}
+
+} // namespace pimentostage
--- /dev/null
+++ b/src/base/HttpLoopImpl.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "src/base/EventLoop.h"
+#include "src/base/HttpLoop.h"
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace pimentostage {
+
+/// The parts of a URL "http://ip:port/target".
+struct SplitUrl
+{
+    std::string peer_; ///< "ip:port"
+    std::string target_;
+    std::optional<boost::asio::ip::tcp::endpoint> endpoint_; ///< nothing if the URL is not one
+};
+
+/// The transfers and connections of an HttpLoop; lives on its thread.
+class HttpLoop::Impl : public std::enable_shared_from_this<Impl>
+{
+public:
+    Impl(const HttpLoopOptions &options, EventLoop &loop)
+        : options_(options)
+        , context_(loop.context())
+    { }
+
+    void post(Task task)
+    {
+        boost::asio::post(context_, [self = shared_from_this(), task = std::move(task)] {
+            if (!self->closed_)
+                task();
+        });
+    }
+
+    TransferId start(HttpRequest request, Done done);
+    void cancel(TransferId id);
+
+    void runAt(TimePoint at, Task task)
+    {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context_);
+        timer->expires_after(std::max(Duration::zero(), at - BootClock::now()));
+        timer->async_wait([self = shared_from_this(), timer,
+                           task = std::move(task)](const boost::system::error_code &error) {
+            if (!error && !self->closed_)
+                task();
+        });
+    }
+
+    /// Closes everything; nothing is called any more.
+    void close();
+
+private:
+    class Connection;
+    struct PeerState;
+
+    struct Transfer
+    {
+        Transfer(boost::asio::io_context &context, HttpRequest request, Done done)
+            : request_(std::move(request))
+            , done_(std::move(done))
+            , timer_(context)
+            , startedAt_(BootClock::now())
+        { }
+
+        TransferId id_ = 0;
+        HttpRequest request_;
+        SplitUrl url_;
+        Done done_;
+        boost::asio::steady_timer timer_;
+        TimePoint startedAt_;
+        AttemptState state_ = AttemptState::NotSent;
+        bool isReused_ = false;
+        std::weak_ptr<Connection> connection_; ///< while it has one
+    };
+
+    struct PeerState
+    {
+        std::list<std::shared_ptr<Connection>> idle_; ///< the one used last first
+        std::deque<TransferId> waiting_; ///< for a connection
+        long open_ = 0;
+    };
+
+    void assign(const std::shared_ptr<Transfer> &transfer);
+    void assignNext(const std::string &peer);
+    std::shared_ptr<Connection> takeIdle(PeerState &peer);
+    void onTimeout(TransferId id);
+    void finish(Transfer &transfer, HttpResult result);
+    void fail(Transfer &transfer, Step step, ErrorCode code, std::string detail);
+
+    const HttpLoopOptions options_;
+    boost::asio::io_context &context_;
+    std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
+    std::unordered_map<std::string, PeerState> peers_;
+    TransferId lastId_ = 0;
+    bool closed_ = false;
+};
+
+} // namespace pimentostage
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -236,7 +236,7 @@
         updates.push_back(known->second.update_);
     for (auto &[host, tracked] : others_) {
         const bool mayPassOn = tracked.timesPassedOn_ < mostPasses
-                            && tracked.update_.member_.incarnation_ != Incarnation {};
+                               && tracked.update_.member_.incarnation_ != Incarnation {};
         if (!mayPassOn)
             continue;
         ++tracked.timesPassedOn_;
