--- a/tests/fakes/CoreFleet.cpp
+++ b/tests/fakes/CoreFleet.cpp
@@ -3,6 +3,7 @@
 #include "pimentostage/base/Hash.h"
 #include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/ObjectCodec.h"
+#include "tests/fakes/CoreFleetParts.h"
 
 #include <algorithm>
 
@@ -14,7 +15,6 @@
 
 constexpr Duration kRouteTimeout = 400ms;
 constexpr Duration kResumeDelay = 25ms;
-constexpr Duration kNetworkDelay = 1ms;
 constexpr Duration kSlowNetworkDelay = 900ms;
 constexpr double kRate = 40;
 constexpr double kBurst = 20;
@@ -59,14 +59,6 @@
     return "zone-" + std::to_string(zone);
 }
 
-std::shared_ptr<const TrafficView> emptyView()
-{
-    auto view = std::make_shared<TrafficView>();
-    view->configuration_ = std::make_shared<Configuration>();
-    view->routing_ = std::make_shared<RoutingTable>();
-    return view;
-}
-
 /// @return whether all shards of the keyed services have owners.
 bool isServing(const TrafficView &view)
 {
@@ -85,84 +77,6 @@
 
 } // namespace
 
-/// A request on its way to and at a back end.
-struct CoreFleet::Work
-{
-    std::size_t request_ = 0;
-    std::size_t team_ = 0;
-    ServiceName service_;
-    std::string key_;
-    UnitName unit_;
-    Epoch epoch_;
-    Duration length_ {};
-    Duration deadline_ {}; ///< true time, counted by the back end from the request's arrival
-    std::uint64_t term_ = 0;
-};
-
-/// A host's way to the other hosts.
-class CoreFleet::Links : public SiblingSender
-{
-public:
-    Links(CoreFleet &fleet, Host &host)
-        : fleet_(fleet)
-        , host_(host)
-    { }
-
-    void send(const HostName &host, const SiblingMessage &message) override
-    {
-        fleet_.deliver(host_, host, message);
-    }
-
-private:
-    CoreFleet &fleet_;
-    Host &host_;
-};
-
-/// A host's way to the back ends, for grants and probes.
-class CoreFleet::Servers : public BackendLink
-{
-public:
-    Servers(CoreFleet &fleet, Host &host)
-        : fleet_(fleet)
-        , host_(host)
-    { }
-
-    void grant(const Address &address, const Grant &grant, OnGrantReply done) override;
-    void probe(const Address &address, OnProbeReply done) override;
-
-private:
-    void reply(std::function<void()> task);
-
-    CoreFleet &fleet_;
-    Host &host_;
-};
-
-struct CoreFleet::Host : public std::enable_shared_from_this<Host>
-{
-    Host()
-        : routing_(std::make_shared<RoutingTable>())
-        , views_(emptyView())
-    { }
-
-    MemberUpdate self_;
-    std::size_t index_ = 0;
-    DriftingClock clock_ { Duration::zero(), 0 };
-    Counters counters_;
-    SnapshotPublisher<RoutingTable> routing_;
-    SnapshotPublisher<TrafficView> views_;
-    std::unique_ptr<FleetStore::Port> store_;
-    std::unique_ptr<Links> links_;
-    std::unique_ptr<Servers> servers_;
-    std::unique_ptr<ControlCore> core_;
-    std::shared_ptr<const TrafficView> firstView_; ///< the first that served
-    ShareBudget retries_ { 0.1, 10 };
-    ShareBudget hedges_ { 0.05, 10 };
-    std::map<ObjectRef, Version> seen_;
-    bool paused_ = false;
-    bool isCut_ = false;
-    bool isDead_ = false;
-};
-
 void CoreFleet::Servers::reply(std::function<void()> task)
 {
     fleet_.events_.after(kNetworkDelay, [this, task = std::move(task)] {
@@ -196,185 +110,6 @@
     });
 }
 
-/// One request at a host; performs what its RequestExecution decides.
-class CoreFleet::Run : public std::enable_shared_from_this<Run>
-{
-public:
-    Run(CoreFleet &fleet, std::shared_ptr<Host> host, std::shared_ptr<const TrafficView> view,
-        RoutedRequest routed, const Work &work)
-        : fleet_(fleet)
-        , host_(std::move(host))
-        , view_(std::move(view))
-        , routed_(std::move(routed))
-        , work_(work)
-        , execution_(policy(), host_->retries_, host_->hedges_)
-    { }
-
-    void start() { perform(execution_.start(now())); }
-
-private:
-    TimePoint now() const { return host_->clock_.at(fleet_.events_.now()); }
-
-    ExecutionPolicy policy() const
-    {
-        ExecutionPolicy policy;
-        policy.idempotent_ = routed_.route_->idempotent_;
-        policy.waitsForOwner_ = !routed_.key_.empty();
-        policy.deadline_ = routed_.deadline_;
-        policy.hedgeAfter_ = 20ms;
-        return policy;
-    }
-
-    void perform(const ExecutionActions &actions)
-    {
-        for (const ExecutionAction &action : actions)
-            std::visit([this](const auto &step) { perform(step); }, action);
-    }
-
-    void perform(const SendAttempt &send)
-    {
-        const std::shared_ptr<const TrafficView> view
-            = fleet_.injected_.usesNewestView(host_->index_) ? host_->views_.load() : view_;
-        const auto routes = view->routing_->services_.find(work_.service_.str());
-        BackendChoice choice;
-        if (routes != view->routing_->services_.end()) {
-            choice = BackendSelector::select(routes->second, { routed_.key_, {} }, {},
-                                             fleet_.random_, now());
-        }
-        if (!choice.candidate_) {
-            perform(choice.isBusy_ ? execution_.onBusy(send.attempt_, now())
-                                   : execution_.onNoBackend(send.attempt_, now()));
-            return;
-        }
-        auto flight = std::make_shared<Flight>();
-        flight->attempt_ = send.attempt_;
-        flight->backend_ = choice.candidate_->backend_.name_;
-        flight->stats_ = choice.candidate_->stats_;
-        flight->fence_ = routes->second.fence_;
-        flight->unit_ = choice.unit_;
-        flight->epoch_ = choice.epoch_;
-        flight->begunAt_ = now();
-        const Duration connecting = std::chrono::milliseconds(fleet_.random_.below(30));
-        fleet_.events_.after(connecting, [self = shared_from_this(), flight] {
-            self->fleet_.atHost(self->host_, [self, flight] { self->sendFirstByte(flight); });
-        });
-    }
-
-    void perform(const CancelAttempt &) { }
-    void perform(const WakeAt &wake)
-    {
-        fleet_.events_.after(std::max<Duration>(1ms, wake.at_ - now()),
-                             [self = shared_from_this()] {
-                                 self->fleet_.atHost(self->host_, [self] {
-                                     self->perform(self->execution_.onWake(self->now()));
-                                 });
-                             });
-    }
-    void perform(const AwaitRoom &)
-    {
-        fleet_.events_.after(10ms, [self = shared_from_this()] {
-            self->fleet_.atHost(self->host_,
-                                [self] { self->perform(self->execution_.onRoom(self->now())); });
-        });
-    }
-    void perform(const DeliverAnswer &) { ++fleet_.answered_; }
-    void perform(const GiveUp &giveUp)
-    {
-        if (giveUp.outcome_ != Outcome::NotRun)
-            return;
-        fleet_.oracle_.onToldNotRun(work_.request_);
-    }
-
-    struct Flight
-    {
-        AttemptNumber attempt_ = 0;
-        BackendName backend_;
-        std::shared_ptr<BackendStats> stats_;
-        std::shared_ptr<RoutingFence> fence_;
-        UnitName unit_;
-        Epoch epoch_;
-        TimePoint begunAt_;
-        bool isEnded_ = false;
-    };
-
-    void sendFirstByte(const std::shared_ptr<Flight> &flight)
-    {
-        const bool maySend = now() < routed_.deadline_
-                             && (!flight->fence_
-                                 || flight->fence_->maySend(flight->unit_, flight->epoch_,
-                                                            flight->begunAt_, now()));
-        if (!maySend) {
-            end(flight, AttemptState::NotSent, AttemptFailure::StaleEpoch);
-            return;
-        }
-        auto work = std::make_shared<Work>(work_);
-        work->unit_ = flight->unit_;
-        work->epoch_ = flight->epoch_;
-        work->length_ = std::chrono::milliseconds(1 + fleet_.random_.below(60));
-        // The back end counts from the arrival; the time was written when the owner was chosen.
-        work->deadline_
-            = fleet_.events_.now() + kNetworkDelay + (routed_.deadline_ - flight->begunAt_);
-        const bool isLost = fleet_.random_.below(30) == 0;
-        const bool isAnswerLost = fleet_.random_.below(30) == 0;
-        if (!isLost) {
-            fleet_.events_.after(
-                kNetworkDelay, [self = shared_from_this(), work, flight, isAnswerLost] {
-                    self->fleet_.take(self->fleet_.find(flight->backend_), work,
-                                      [self, flight, isAnswerLost](AttemptState state) {
-                                          if (!isAnswerLost)
-                                              self->onEnd(flight, state);
-                                      });
-                });
-        }
-        const bool isBroken = fleet_.random_.below(30) == 0;
-        if (isBroken) {
-            fleet_.events_.after(5ms, [self = shared_from_this(), flight] {
-                self->fleet_.atHost(self->host_, [self, flight] {
-                    self->end(flight, AttemptState::Sent, AttemptFailure::Broken);
-                });
-            });
-        }
-        fleet_.events_.after(std::max<Duration>(1ms, routed_.deadline_ - now()),
-                             [self = shared_from_this(), flight] {
-                                 self->fleet_.atHost(self->host_, [self, flight] {
-                                     self->end(flight, AttemptState::Sent,
-                                               AttemptFailure::TimedOut);
-                                 });
-                             });
-    }
-
-    void onEnd(const std::shared_ptr<Flight> &flight, AttemptState state)
-    {
-        fleet_.events_.after(kNetworkDelay, [self = shared_from_this(), flight, state] {
-            self->fleet_.atHost(self->host_, [self, flight, state] {
-                self->end(flight, state, AttemptFailure::StaleEpoch);
-            });
-        });
-    }
-
-    void end(const std::shared_ptr<Flight> &flight, AttemptState state, AttemptFailure failure)
-    {
-        if (flight->isEnded_)
-            return;
-        flight->isEnded_ = true;
-        flight->stats_->end();
-        if (flight->fence_)
-            flight->fence_->end(flight->unit_, mayRunUntil(state, routed_.deadline_, now()), now());
-        const AttemptState believed = fleet_.injected_.believed(state);
-        if (believed == AttemptState::Answered)
-            perform(execution_.onAnswered(flight->attempt_, now()));
-        else
-            perform(execution_.onFailed(flight->attempt_, believed, failure, now()));
-    }
-
-    CoreFleet &fleet_;
-    const std::shared_ptr<Host> host_;
-    const std::shared_ptr<const TrafficView> view_; ///< keeps what routed_ points to
-    const RoutedRequest routed_;
-    const Work work_;
-    RequestExecution execution_;
-};
-
 CoreFleet::CoreFleet(std::size_t hosts, std::uint64_t seed, const InjectedFault &injected,
                      const ControlOptions &options)
     : injected_(injected)
