Reading the store apart from the control core; its decisions take the time as an argument

The registrar drew the watchers' random numbers. Ruled out: giving siblings' objects a watcher of their own. Change: StoreReading; applyObjects() for objects from any source; now as an argument, read once in each event's entry; a seed of its own for the registrar; a declaration without body is gone.

--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/ControlCore.h"
 
 #include "src/daemon/CoordinatorRole.h"
+#include "src/platform/ConfigIntake.h"
 
 #include <algorithm>
 #include <set>
@@ -14,15 +15,18 @@
 constexpr Duration kListLife = 2 * kHostPollPeriod;
 // Hosts asked at once for what the list says; when the store is down all ask.
 constexpr std::size_t kHostsAsked = 3;
-constexpr const char *kReaderRank = "readers";
-// A host that began to read the store goes on for this long, so that it does not begin and end
-// with every short silence.
-constexpr Duration kFirstReading = std::chrono::seconds(2); // by then the readers are known
-constexpr Duration kReadingTime = std::chrono::seconds(5);
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 /// Parts of the core that choose at random, each with a stream of its own.
-enum class RandomUse : std::uint64_t { Watcher, Members, Roles, Placement, Hosts, Ranges };
+enum class RandomUse : std::uint64_t {
+    Reading,
+    Members,
+    Roles,
+    Placement,
+    Hosts,
+    Ranges,
+    Registrar,
+};
 
 std::uint64_t seedFor(std::uint64_t seed, RandomUse use)
 {
@@ -51,8 +55,11 @@
                    runAfter_(Duration::zero(),
                              [this, message] { onSiblingMessage(self_, message); });
                })
+    , reading_(self_.member_, options_, store_, config_, runAfter_, clock_,
+               seedFor(ports.seed_, RandomUse::Reading), log,
+               [this](bool isFirst) { onFeedRead(isFirst); })
     , registrar_(self_, store_, config_, runAfter_,
-                 Random(seedFor(ports.seed_, RandomUse::Watcher)), log,
+                 Random(seedFor(ports.seed_, RandomUse::Registrar)), log,
                  [this](const StoredObject &object) { onOwnWrite(object); })
     , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), options.membership_,
                config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
@@ -79,76 +86,21 @@
 {
     facts_.router_ = self_.member_.incarnation_;
     facts_.zone_ = self_.zone_;
-    const std::size_t feeds = store_.feeds().size();
-    for (std::size_t feed = 0; feed < feeds; ++feed) {
-        watchers_.push_back(
-            std::make_unique<ConfigWatcher>(store_, feed, config_, runAfter_, clock_,
-                                            Random(seedFor(ports.seed_, RandomUse::Watcher) + feed),
-                                            log, [this] { onFeedRead(); }));
-    }
 }
 
 void ControlCore::start()
 {
-    for (const auto &watcher : watchers_)
-        watcher->start();
-    readsUntil_ = clock_() + kFirstReading;
+    reading_.start(clock_());
     if (store_.hasHostList())
         pollHosts();
 }
 
-bool ControlCore::isStoreConnected() const
-{
-    return std::all_of(watchers_.begin(), watchers_.end(),
-                       [](const auto &watcher) { return watcher->isConnected(); });
-}
-
-void ControlCore::onFeedRead()
+void ControlCore::onFeedRead(bool isFirst)
 {
-    Version complete = watchers_.front()->revision();
-    for (const auto &watcher : watchers_)
-        complete = std::min(complete, watcher->revision());
-    config_.adoptRevision(complete);
-    const bool isFirst = !areFeedsRead_ && complete > Version {};
-    if (isFirst) {
-        areFeedsRead_ = true;
-        if (!store_.hasHostList())
-            registrar_.start();
-    }
+    if (isFirst && !store_.hasHostList())
+        registrar_.start();
     pushChanges();
-    onConfigChange();
-}
-
-// Every host reads at its start; later a few do so for all. Who they are follows from the view, and
-// a host to which they have been silent for too long reads too.
-bool ControlCore::isReader(TimePoint now) const
-{
-    if (options_.readers_ == 0 || now < readsUntil_)
-        return true;
-    const std::vector<Member> ranked
-        = rankedFor(RoleName(kReaderRank), members_.membership().view());
-    const auto end
-        = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(options_.readers_, ranked.size()));
-    return std::find(ranked.begin(), end, self_.member_) != end;
-}
-
-void ControlCore::updateReading(TimePoint now)
-{
-    if (options_.readers_ == 0)
-        return;
-    const auto age = config_.age(now);
-    const bool areReadersSilent = !age || *age >= options_.readerSilence_;
-    if (areReadersSilent)
-        readsUntil_ = now + kReadingTime;
-    const bool reads = isReader(now);
-    for (const auto &watcher : watchers_) {
-        if (reads == !watcher->isPaused())
-            continue;
-        if (reads)
-            watcher->start();
-        else
-            watcher->pause();
-    }
+    onConfigChange(clock_());
 }
 
 // An entry host sends what it writes to the others itself.
@@ -178,12 +130,6 @@
     }
 }
 
-// Objects that came by another way than the watches; which watcher applies them does not matter.
-void ControlCore::applyObjects(const std::vector<StoredObject> &objects)
-{
-    watchers_.front()->apply(objects);
-}
-
 void ControlCore::readEntryHosts(const Configuration &configuration)
 {
     std::vector<ListedHost> hosts;
@@ -199,9 +145,10 @@
 
 void ControlCore::leave()
 {
+    const TimePoint now = clock_();
     leaving_ = true;
-    publish();
-    roles_.resign(clock_());
+    publish(now);
+    roles_.resign(now);
     members_.leave();
 }
 
@@ -221,6 +168,7 @@
 void ControlCore::pollHosts()
 {
     store_.hosts([this](const Reply<std::vector<ListedHost>> &reply) {
+        const TimePoint now = clock_();
         const auto *hosts = std::get_if<std::vector<ListedHost>>(&reply);
         const bool isBack = hosts && !isListReadable_;
         isListReadable_ = hosts != nullptr;
@@ -229,26 +177,26 @@
         if (!hosts) {
             askForLeavingHosts();
         } else {
-            listReadAt_ = clock_();
+            listReadAt_ = now;
             // What siblings told meanwhile gives way to the list, even if that has not changed.
             if (isBack)
                 hosts_.clear();
-            onHosts(*hosts);
+            onHosts(*hosts, now);
         }
         if (isFirst)
-            onConfigChange();
+            onConfigChange(now);
         runAfter_(kHostPollPeriod, [this] { pollHosts(); });
     });
 }
 
-void ControlCore::onHosts(const std::vector<ListedHost> &hosts)
+void ControlCore::onHosts(const std::vector<ListedHost> &hosts, TimePoint now)
 {
     if (hosts == hosts_)
         return;
     hosts_ = hosts;
     members_.updateListed(hosts_);
     publishedDigest_ = 0;
-    onConfigChange();
+    onConfigChange(now);
 }
 
 void ControlCore::askForLeavingHosts()
@@ -261,9 +209,9 @@
         siblings_.send(member.host_, LeavingHostsPull {});
 }
 
-void ControlCore::onLeavingHostsPull(const HostName &from)
+void ControlCore::onLeavingHostsPull(const HostName &from, TimePoint now)
 {
-    const bool isFresh = listReadAt_ && clock_() < *listReadAt_ + kListLife;
+    const bool isFresh = listReadAt_ && now < *listReadAt_ + kListLife;
     if (!isFresh)
         return;
     LeavingHosts answer;
@@ -274,7 +222,7 @@
     siblings_.send(from, answer);
 }
 
-void ControlCore::onLeavingHosts(const LeavingHosts &message)
+void ControlCore::onLeavingHosts(const LeavingHosts &message, TimePoint now)
 {
     if (isListReadable_)
         return;
@@ -288,24 +236,24 @@
     if (!isChange)
         return;
     publishedDigest_ = 0;
-    onConfigChange();
+    onConfigChange(now);
 }
 
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
-    applyObjects(push.objects_);
+    applyObjects(push.objects_, config_, log_);
     for (const StoredObject &object : push.objects_)
         pushedUpTo_ = std::max(pushedUpTo_, object.version_);
     config_.adoptRevision(push.revision_);
-    onConfigChange();
+    onConfigChange(clock_());
 }
 
 void ControlCore::onOwnWrite(const StoredObject &object)
 {
-    applyObjects({ object });
+    applyObjects({ object }, config_, log_);
     if (options_.readers_ > 0)
         pushToSiblings({ object });
-    onConfigChange();
+    onConfigChange(clock_());
 }
 
 void ControlCore::onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now)
@@ -360,7 +308,7 @@
         core_.allowance_.onMessage(host(), message, now_);
     }
     void operator()(const LoanReplies &message) const { core_.allowance_.onMessage(message, now_); }
-    void operator()(const BackendWarmth &message) const { core_.applyWarmth(message, false); }
+    void operator()(const BackendWarmth &message) const { core_.applyWarmth(message, false, now_); }
     void operator()(const KeyLoad &message) const
     {
         core_.placement_.onKeyLoad(host(), message, now_);
@@ -371,8 +319,8 @@
     {
         core_.placement_.onMessage(from_.member_, message, now_);
     }
-    void operator()(const LeavingHostsPull &) const { core_.onLeavingHostsPull(host()); }
-    void operator()(const LeavingHosts &message) const { core_.onLeavingHosts(message); }
+    void operator()(const LeavingHostsPull &) const { core_.onLeavingHostsPull(host(), now_); }
+    void operator()(const LeavingHosts &message) const { core_.onLeavingHosts(message, now_); }
     void operator()(const LoanRecall &message) const
     {
         core_.allowance_.onMessage(host(), message, now_);
@@ -398,8 +346,8 @@
     const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     members_.tick(now);
-    updateReading(now);
     const std::vector<Member> view = members_.membership().view();
+    reading_.update(view, now);
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
@@ -408,7 +356,7 @@
     expireWarmups(now);
     reportKeyLoads(now);
     if (readinessAt(now) != publishedReadiness_)
-        publish();
+        publish(now);
     if (now >= nextGauges_) {
         nextGauges_ = now + kGaugePeriod;
         updateGauges(now);
@@ -418,7 +366,7 @@
 
 void ControlCore::keepRegistrations(const Configuration &configuration, TimePoint now)
 {
-    if (store_.hasHostList() || !areFeedsRead_ || leaving_)
+    if (store_.hasHostList() || !reading_.isComplete() || leaving_)
         return;
     registrar_.check(configuration);
     if (!roles_.holds(*allowance_.roles().begin(), now))
@@ -448,18 +396,17 @@
     return store_.hasHostList() ? hasAskedForList_ : config_.revision() > Version {};
 }
 
-void ControlCore::onConfigChange()
+void ControlCore::onConfigChange(TimePoint now)
 {
     // Without the host list a back end that leaves would pass for one that has just begun to, and
     // without all feeds services would lack their back ends.
     if (!isConfigurationKnown() || config_.digest() == publishedDigest_)
         return;
     publishedDigest_ = config_.digest();
-    const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     if (!store_.hasHostList())
         readEntryHosts(*configuration);
-    trackZones(*configuration);
+    trackZones(*configuration, now);
     facts_.leavingHosts_.clear();
     std::size_t entryHosts = 0;
     for (const ListedHost &host : hosts_) {
@@ -476,12 +423,11 @@
     roles_.onConfig(*configuration, now);
     placement_.onConfig(*configuration, facts_.leavingHosts_, now);
     ranges_.onConfig(*configuration, facts_.leavingHosts_);
-    publish();
+    publish(now);
 }
 
-void ControlCore::trackZones(const Configuration &configuration)
+void ControlCore::trackZones(const Configuration &configuration, TimePoint now)
 {
-    const TimePoint now = clock_();
     for (const auto &[name, zone] : configuration.zones_) {
         const auto known = zoneStates_.find(name);
         const bool hasReturned = known != zoneStates_.end() && known->second == ZoneState::Out
@@ -499,13 +445,13 @@
     }
 }
 
-void ControlCore::publish()
+void ControlCore::publish(TimePoint now)
 {
     auto view = std::make_shared<TrafficView>();
     view->configuration_ = config_.configuration();
-    view->routing_ = tableBuilder_.build(*view->configuration_, facts_, clock_());
+    view->routing_ = tableBuilder_.build(*view->configuration_, facts_, now);
     view->purses_ = purses_.purses();
-    view->readiness_ = readinessAt(clock_());
+    view->readiness_ = readinessAt(now);
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
     routing_.publish(view->routing_);
@@ -534,7 +480,7 @@
         .set(static_cast<double>(ranges_.movingRanges()));
 }
 
-void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isObservedHere)
+void ControlCore::applyWarmth(const BackendWarmth &warmth, bool isObservedHere, TimePoint now)
 {
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
     const auto backend = configuration->backends_.find(warmth.backend_);
@@ -546,7 +492,7 @@
     const bool isOurs = !ranked.empty() && ranked.front() == self_.member_;
     bool isChange = true;
     if (warmth.isCold_)
-        isChange = stats->warmup().start(isOurs, backend->second.slots_, clock_());
+        isChange = stats->warmup().start(isOurs, backend->second.slots_, now);
     else
         stats->warmup().finish();
     if (!isObservedHere || !isChange)
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -18,7 +18,7 @@
 #include "src/daemon/PurseBook.h"
 #include "src/daemon/RangeControl.h"
 #include "src/daemon/RoleControl.h"
-#include "src/platform/ConfigWatcher.h"
+#include "src/daemon/StoreReading.h"
 
 #include <atomic>
 #include <memory>
@@ -56,7 +56,7 @@
     /// Takes a message of a sibling.
     void onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message);
 
-    /// Turns not ready, gives roles up and tells the siblings.
+    /// Turns not ready, gives roles up and notifies the siblings.
     void leave();
     /// Ends this host's registration, after its last request.
     /// @param done called once the store has answered, or at once if there is no registration.
@@ -67,7 +67,7 @@
     /// Spenders of @p account wait.
     void onTokensWanted(const AccountName &account);
     /// Takes an observation of a cold start. @param isObservedHere whether it is this host's own.
-    void applyWarmth(const BackendWarmth &warmth, bool isObservedHere);
+    void applyWarmth(const BackendWarmth &warmth, bool isObservedHere, TimePoint now);
     /// Adds up what traffic threads measured of a keyed service.
     void sumKeyLoad(const KeyLoad &load);
 
@@ -77,34 +77,30 @@
     [[nodiscard]] Membership &membership() { return members_.membership(); }
     [[nodiscard]] const RoleControl &roles() const { return roles_; }
     /// @return whether the last call to the store succeeded.
-    [[nodiscard]] bool isStoreConnected() const;
+    [[nodiscard]] bool isStoreConnected() const { return reading_.isConnected(); }
 
 private:
     void onRoleGained(const RoleName &role, const RoleGained &gained, TimePoint now) override;
     void onRoleLost(const RoleName &role) override;
 
-    void startHosts();
-    void onFeedRead();
-    void updateReading(TimePoint now);
-    [[nodiscard]] bool isReader(TimePoint now) const;
+    void onFeedRead(bool isFirst);
     void pushChanges();
     void pushToSiblings(const std::vector<StoredObject> &objects);
     [[nodiscard]] bool isConfigurationKnown() const;
     void readEntryHosts(const Configuration &configuration);
-    void applyObjects(const std::vector<StoredObject> &objects);
     void pollHosts();
-    void onHosts(const std::vector<ListedHost> &hosts);
+    void onHosts(const std::vector<ListedHost> &hosts, TimePoint now);
     void askForLeavingHosts();
-    void onLeavingHostsPull(const HostName &from);
-    void onLeavingHosts(const LeavingHosts &message);
+    void onLeavingHostsPull(const HostName &from, TimePoint now);
+    void onLeavingHosts(const LeavingHosts &message, TimePoint now);
     void onConfigPush(const ConfigPush &push);
     void onOwnWrite(const StoredObject &object);
     void onRouterGrant(const MemberUpdate &from, const RouterGrant &message, TimePoint now);
-    void onConfigChange();
+    void onConfigChange(TimePoint now);
     void reportKeyLoads(TimePoint now);
     void expireWarmups(TimePoint now);
-    void publish();
-    void trackZones(const Configuration &configuration);
+    void publish(TimePoint now);
+    void trackZones(const Configuration &configuration, TimePoint now);
     void updateGauges(TimePoint now);
     void keepRegistrations(const Configuration &configuration, TimePoint now);
     [[nodiscard]] Readiness readinessAt(TimePoint now) const;
@@ -137,14 +133,12 @@
     std::optional<TimePoint> listReadAt_; ///< when the host list was last read
     bool isListReadable_ = false; ///< it was read by the last call
     bool hasAskedForList_ = false; ///< it was read, or could not be
-    std::map<ServiceName, KeyLoad> keyLoads_; ///< of all traffic threads since the last telling
+    std::map<ServiceName, KeyLoad> keyLoads_; ///< of all traffic threads since the last report
     TimePoint nextKeyLoads_ {};
 
     LocalSender routers_; ///< reaches all entry hosts, this one included
-    std::vector<std::unique_ptr<ConfigWatcher>> watchers_; ///< one for each feed of the store
-    bool areFeedsRead_ = false; ///< each of them at least once
-    TimePoint readsUntil_ {}; ///< reads on its own until then, whoever else does
-    Version pushedUpTo_; ///< newest object version told to the siblings
+    StoreReading reading_;
+    Version pushedUpTo_; ///< newest object version sent to the siblings
     HostRegistrar registrar_;
     TimePoint nextGauges_ {};
     MemberControl members_;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -123,7 +123,7 @@
 
 void ControlPlane::backendWarmth(const BackendWarmth &warmth)
 {
-    loop_.post([this, warmth] { core_.applyWarmth(warmth, true); });
+    loop_.post([this, warmth] { core_.applyWarmth(warmth, true, BootClock::now()); });
 }
 
 void ControlPlane::keyLoad(const KeyLoad &load)
--- /dev/null
+++ b/src/daemon/StoreReading.cpp
@@ -0,0 +1,88 @@
+#include "src/daemon/StoreReading.h"
+
+#include "pimentostage/sibling/RoleKeeper.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+namespace {
+
+constexpr const char *kReaderRank = "readers";
+constexpr Duration kFirstReading = std::chrono::seconds(2); // by then the readers are known
+// A host that began to read the store goes on for this long, so that it does not begin and end
+// with every short silence.
+constexpr Duration kReadingTime = std::chrono::seconds(5);
+
+} // namespace
+
+StoreReading::StoreReading(const Member &self, const ControlOptions &options, ObjectStore &store,
+                           ConfigState &config, const RunAfter &runAfter, const Clock &clock,
+                           std::uint64_t seed, LogSink &log, OnRead onRead)
+    : self_(self)
+    , options_(options)
+    , config_(config)
+    , onRead_(std::move(onRead))
+{
+    const std::size_t feeds = store.feeds().size();
+    for (std::size_t feed = 0; feed < feeds; ++feed) {
+        watchers_.push_back(std::make_unique<ConfigWatcher>(store, feed, config, runAfter, clock,
+                                                            Random(seed + feed), log,
+                                                            [this] { onFeedRead(); }));
+    }
+}
+
+void StoreReading::start(TimePoint now)
+{
+    for (const auto &watcher : watchers_)
+        watcher->start();
+    readsUntil_ = now + kFirstReading;
+}
+
+bool StoreReading::isConnected() const
+{
+    return std::all_of(watchers_.begin(), watchers_.end(),
+                       [](const auto &watcher) { return watcher->isConnected(); });
+}
+
+void StoreReading::onFeedRead()
+{
+    Version complete = watchers_.front()->revision();
+    for (const auto &watcher : watchers_)
+        complete = std::min(complete, watcher->revision());
+    config_.adoptRevision(complete);
+    const bool isFirst = !isComplete_ && complete > Version {};
+    isComplete_ = isComplete_ || isFirst;
+    onRead_(isFirst);
+}
+
+bool StoreReading::isReader(const std::vector<Member> &view, TimePoint now) const
+{
+    if (now < readsUntil_)
+        return true;
+    const std::vector<Member> ranked = rankedFor(RoleName(kReaderRank), view);
+    const auto end
+        = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(options_.readers_, ranked.size()));
+    return std::find(ranked.begin(), end, self_) != end;
+}
+
+void StoreReading::update(const std::vector<Member> &view, TimePoint now)
+{
+    if (options_.readers_ == 0)
+        return;
+    const auto age = config_.age(now);
+    const bool areReadersSilent = !age || *age >= options_.readerSilence_;
+    if (areReadersSilent)
+        readsUntil_ = now + kReadingTime;
+    const bool reads = isReader(view, now);
+    for (const auto &watcher : watchers_) {
+        if (reads == !watcher->isPaused())
+            continue;
+        if (reads)
+            watcher->start();
+        else
+            watcher->pause();
+    }
+}
+
+} // namespace pimentostage
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -1,5 +1,7 @@
 #include "src/platform/ConfigWatcher.h"
 
+#include "src/platform/ConfigIntake.h"
+
 namespace pimentostage {
 
 namespace {
@@ -60,7 +62,7 @@
         return;
     }
     const auto &listing = std::get<StoreListing>(reply);
-    apply(listing.objects_);
+    applyObjects(listing.objects_, state_, log_);
     // Entries that lapsed while the store was away come back soon after it, if they are to.
     const bool wasAway = hasListFailed_ && revision_ > Version {};
     hasListFailed_ = false;
@@ -78,7 +80,7 @@
         const auto *listing = std::get_if<StoreListing>(&reply);
         if (!listing)
             return;
-        apply(listing->objects_);
+        applyObjects(listing->objects_, state_, log_);
         state_.applyListing(listing->objects_, listing->revision_, facts_.kinds_);
         onChange_();
     });
@@ -96,7 +98,7 @@
         list();
         return;
     }
-    apply(changes.objects_);
+    applyObjects(changes.objects_, state_, log_);
     // Changes often come in groups; a watch for each would cost a call for each.
     const bool isPaused = !changes.objects_.empty() && facts_.pause_ > Duration::zero();
     succeed(changes.revision_, sentAt, isPaused ? facts_.pause_ : Duration::zero());
@@ -120,28 +122,6 @@
         watch();
 }
 
-std::size_t ConfigWatcher::apply(const std::vector<StoredObject> &objects)
-{
-    std::size_t changes = 0;
-    for (const StoredObject &object : objects) {
-        std::string error;
-        const ApplyResult result = state_.apply(object, &error);
-        changes += result == ApplyResult::Applied ? 1 : 0;
-        const bool isLogged = result == ApplyResult::Applied || result == ApplyResult::Rejected;
-        if (!isLogged)
-            continue;
-        const bool isRejected = result == ApplyResult::Rejected;
-        LogLine line(isRejected ? Severity::Error : Severity::Info, "object");
-        line.add("object", object.ref_.str())
-            .add("version", object.version_.value_)
-            .add("result", toString(result));
-        if (isRejected)
-            line.add("error", error);
-        log_.write(line);
-    }
-    return changes;
-}
-
 void ConfigWatcher::fail(const Error &error)
 {
     connected_ = false;
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -28,10 +28,6 @@
     void pause() { isPaused_ = true; }
     [[nodiscard]] bool isPaused() const { return isPaused_; }
 
-    /// Offers objects that came by another way than the watch.
-    /// @return how many of them changed the state.
-    std::size_t apply(const std::vector<StoredObject> &objects);
-
     /// @return whether the last call to the store succeeded.
     [[nodiscard]] bool isConnected() const { return connected_; }
     /// @return the revision up to which the feed was read; zero before the first listing.
