A host blames nobody for its own pause

Cause: a host on a tenth of a core that has just read a large configuration looks at its timers before it reads the answers that came meanwhile; its probes look unanswered, and it suspects hosts that are well. One such suspicion reaches all hosts, and a suspect that is busy itself does not deny it within 300 ms.

Ruled out: processors of the suspected hosts (0.05 of 0.1 core at most).

Change: Membership notes the time between two ticks; if that is longer than the wait for an answer, what is outstanding, and suspicions, are prolonged by it.

Tests: Membership.DoesNotSuspectAnotherForItsOwnPause failed before; a host that is silent after the pause is still declared dead.

--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -130,6 +130,7 @@
         bool isIndirect_ = false;
     };
 
+    void excuseOwnPause(TimePoint now);
     void startProbes(TimePoint now, std::vector<ProbeOrder> &orders);
     void expireProbes(TimePoint now, std::vector<ProbeOrder> &orders);
     void declareDead(TimePoint now);
@@ -150,6 +151,7 @@
     std::uint64_t viewNumber_ = 1;
     std::size_t timesSelfPassedOn_ = 0;
     TimePoint nextProbes_ {};
+    TimePoint tickedAt_ {};
 };
 
 } // namespace pimentostage
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -46,6 +46,7 @@
 std::vector<ProbeOrder> Membership::tick(TimePoint now)
 {
     std::vector<ProbeOrder> orders;
+    excuseOwnPause(now);
     expireProbes(now, orders);
     declareDead(now);
     if (now >= nextProbes_) {
@@ -55,6 +56,20 @@
     return orders;
 }
 
+// Answers that came during a pause of this process have not been read yet: nobody is suspected, or
+// declared dead, for the time of the pause.
+void Membership::excuseOwnPause(TimePoint now)
+{
+    const Duration pause = tickedAt_ == TimePoint {} ? Duration::zero() : now - tickedAt_;
+    tickedAt_ = now;
+    if (pause < timing_.directWait_)
+        return;
+    for (auto &[sequence, probe] : outstanding_)
+        probe.sentAt_ += pause;
+    for (auto &[host, tracked] : others_)
+        tracked.suspectSince_ += pause;
+}
+
 void Membership::startProbes(TimePoint now, std::vector<ProbeOrder> &orders)
 {
     const std::size_t count = std::min(timing_.probesPerPeriod_, others_.size());
--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -183,6 +183,34 @@
     EXPECT_GT(told.refutation_, rumour.refutation_);
 }
 
+// Pattern: a host on a tenth of a core reads a large configuration and looks at its answers late.
+TEST(Membership, DoesNotSuspectAnotherForItsOwnPause)
+{
+    MemberUpdate self;
+    self.member_ = Member { HostName("self"), Incarnation { 1 } };
+    Membership membership(self, Random(1));
+    MemberUpdate other;
+    other.member_ = Member { HostName("host-1"), Incarnation { 1 } };
+    membership.merge(other, TimePoint(1h));
+    const ProbeOrder probe = membership.tick(TimePoint(1h)).front();
+    membership.tick(TimePoint(1h) + 500ms);
+    membership.onAck(probe.target_, probe.sequence_, TimePoint(1h) + 501ms);
+    EXPECT_EQ(membership.find(HostName("host-1"))->liveness_, Liveness::Alive);
+}
+
+TEST(Membership, StillSuspectsAHostThatIsSilentAfterItsOwnPause)
+{
+    MemberUpdate self;
+    self.member_ = Member { HostName("self"), Incarnation { 1 } };
+    Membership membership(self, Random(1));
+    MemberUpdate other;
+    other.member_ = Member { HostName("host-1"), Incarnation { 1 } };
+    membership.merge(other, TimePoint(1h));
+    for (Duration at = 500ms; at < 1s; at += 10ms)
+        membership.tick(TimePoint(1h) + at);
+    EXPECT_EQ(membership.find(HostName("host-1"))->liveness_, Liveness::Dead);
+}
+
 TEST(Membership, TellsWhichHostsAreStrong)
 {
     MemberUpdate self;
