A sibling's word on the store is dated from when it was asked for

Cause (found by reading): a probe that carries the age of its sender's configuration counted from its arrival. One that had waited in a connection, while this host was frozen or cut off, made an old configuration look confirmed, and a withdrawn key would have gone on working.

Ruled out: the reset of silent connections after 500 ms covers senders only, not what already lies in the receiver's buffer.

Change: only the answer to a host's own direct probe confirms, dated from when that probe was sent.

Tests: MemberControlTest, three; AMessageThatWaitedOnItsWayConfirmsNothing is what the former code did wrong.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -54,9 +54,9 @@
     /// Notes that every change up to @p revision was applied, without an answer of the store.
     void adoptRevision(Version revision);
 
-    /// Notes that the store confirmed a sibling's state @p age before @p now; without effect unless
-    /// that state, known by its digest, equals ours.
-    void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint now);
+    /// Notes that the store confirmed a sibling's state @p age before the sibling was asked, at
+    /// @p askedAt or later; without effect unless that state, known by its digest, equals ours.
+    void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint askedAt);
 
     /// @return the time since the store's last confirmation, or nothing if there was none.
     [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -89,6 +89,10 @@
     /// Notes that @p host answered probe @p sequence, directly or through another host.
     void onAck(const HostName &host, std::uint64_t sequence, TimePoint now);
 
+    /// @return when probe @p sequence was sent straight to its target; nothing if its answer came
+    ///         too late, or is one through another host.
+    [[nodiscard]] std::optional<TimePoint> askedAt(std::uint64_t sequence) const;
+
     /// Takes updates from another host.
     void merge(const MemberUpdate &update, TimePoint now);
 
@@ -126,7 +130,8 @@
     struct Outstanding
     {
         HostName target_;
-        TimePoint sentAt_;
+        TimePoint askedAt_;
+        TimePoint sentAt_; ///< as askedAt_, or later by the pauses of this process
         bool isIndirect_ = false;
     };
 
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -85,10 +85,15 @@
 void MemberControl::onMessage(const HostName &from, const ProbeAck &ack, TimePoint now)
 {
     take(from, ack.updates_, ack.config_, now);
-    if (ack.origin_ == self_.member_.host_)
-        membership_.onAck(ack.responder_, ack.sequence_, now);
-    else
+    if (ack.origin_ != self_.member_.host_) {
         sender_.send(ack.origin_, ack);
+        return;
+    }
+    // Its age was true at some moment after the question; what waits on the way here ages unseen.
+    const auto askedAt = membership_.askedAt(ack.sequence_);
+    if (askedAt && ack.config_.age_)
+        config_.confirmThroughSibling(ack.config_.digest_, *ack.config_.age_, *askedAt);
+    membership_.onAck(ack.responder_, ack.sequence_, now);
 }
 
 void MemberControl::take(const HostName &from, const std::vector<MemberUpdate> &updates,
@@ -102,8 +107,6 @@
         differsSince_.reset();
         // Equal content is complete up to the higher of both revisions.
         config_.adoptRevision(config.revision_);
-        if (config.age_)
-            config_.confirmThroughSibling(config.digest_, *config.age_, now);
         return;
     }
     if (!differsSince_)
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -243,10 +243,10 @@
     revision_ = std::max(revision_, revision);
 }
 
-void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint now)
+void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint askedAt)
 {
     if (digest == digest_)
-        confirm(now - kClockDrift.stretched(age));
+        confirm(askedAt - kClockDrift.stretched(age));
 }
 
 std::optional<Duration> ConfigState::age(TimePoint now) const
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -78,7 +78,7 @@
         if (!target)
             return;
         const std::uint64_t sequence = ++lastSequence_;
-        outstanding_[sequence] = Outstanding { *target, now, false };
+        outstanding_[sequence] = Outstanding { *target, now, now, false };
         orders.push_back(ProbeOrder { *target, *target, sequence });
     }
 }
@@ -131,7 +131,7 @@
             indirect.push_back(ProbeOrder { expired.target_, helper, sequence });
     }
     for (const ProbeOrder &order : indirect) {
-        outstanding_[order.sequence_] = Outstanding { order.target_, now, true };
+        outstanding_[order.sequence_] = Outstanding { order.target_, now, now, true };
         orders.push_back(order);
     }
 }
@@ -179,6 +179,14 @@
         found->second.heardAt_ = now;
 }
 
+std::optional<TimePoint> Membership::askedAt(std::uint64_t sequence) const
+{
+    const auto probe = outstanding_.find(sequence);
+    if (probe == outstanding_.end() || probe->second.isIndirect_)
+        return std::nullopt;
+    return probe->second.askedAt_;
+}
+
 bool Membership::supersedes(const MemberUpdate &next, const MemberUpdate &known)
 {
     const auto rank = [](const MemberUpdate &update) {
--- /dev/null
+++ b/tests/MemberControlTest.cpp
@@ -0,0 +1,107 @@
+#include "src/daemon/MemberControl.h"
+#include "tests/fakes/NullLog.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr TimePoint kStart = TimePoint(1h);
+
+/// Keeps what a host sends.
+class SentMessages : public SiblingSender
+{
+public:
+    void send(const HostName &, const SiblingMessage &message) override
+    {
+        messages_.push_back(message);
+    }
+
+    /// @return the last probe that was sent.
+    [[nodiscard]] Probe lastProbe() const
+    {
+        for (auto message = messages_.rbegin(); message != messages_.rend(); ++message) {
+            if (const auto *probe = std::get_if<Probe>(&*message))
+                return *probe;
+        }
+        return {};
+    }
+
+    std::vector<SiblingMessage> messages_;
+};
+
+MemberUpdate hostOf(const std::string &name)
+{
+    MemberUpdate update;
+    update.member_ = Member { HostName(name), Incarnation { 1 } };
+    return update;
+}
+
+/// One host's part in the fleet, and one other host that it knows.
+class MemberControlTest : public testing::Test
+{
+protected:
+    MemberControlTest() { control_.membership().merge(other_, kStart); }
+
+    /// @return a summary equal to this host's, confirmed @p age ago.
+    ConfigSummary equalSummary(Duration age) const
+    {
+        return ConfigSummary { config_.revision(), config_.digest(), age };
+    }
+
+    ProbeAck answerTo(const Probe &probe, Duration age) const
+    {
+        ProbeAck ack;
+        ack.origin_ = probe.origin_;
+        ack.responder_ = other_.member_.host_;
+        ack.sequence_ = probe.sequence_;
+        ack.config_ = equalSummary(age);
+        return ack;
+    }
+
+    MemberUpdate self_ = hostOf("self");
+    MemberUpdate other_ = hostOf("host-1");
+    ConfigState config_;
+    SentMessages sent_;
+    NullLog log_;
+    MemberControl control_ {
+        self_, Random(1), {}, config_, sent_, log_, [](const ConfigPush &) {}
+    };
+};
+
+TEST_F(MemberControlTest, DatesAConfirmationFromWhenItAsked)
+{
+    control_.tick(kStart);
+    control_.onMessage(other_.member_.host_, answerTo(sent_.lastProbe(), 300ms), kStart + 90ms);
+    ASSERT_TRUE(config_.age(kStart));
+    EXPECT_GE(*config_.age(kStart), 300ms);
+    EXPECT_LE(*config_.age(kStart), 310ms);
+}
+
+// A key withdrawn meanwhile would go on working at a host that was frozen or cut off.
+TEST_F(MemberControlTest, AMessageThatWaitedOnItsWayConfirmsNothing)
+{
+    control_.tick(kStart);
+    Probe probe;
+    probe.origin_ = other_.member_.host_;
+    probe.target_ = self_.member_.host_;
+    probe.config_ = equalSummary(100ms);
+    control_.onMessage(other_.member_.host_, probe, kStart + 10s);
+    EXPECT_FALSE(config_.age(kStart + 10s));
+}
+
+TEST_F(MemberControlTest, AnAnswerThatWaitedOnItsWayIsAsOldAsItsQuestion)
+{
+    control_.tick(kStart);
+    const Probe asked = sent_.lastProbe();
+    control_.tick(kStart + 10s); // after a freeze
+    control_.onMessage(other_.member_.host_, answerTo(asked, 100ms), kStart + 10s);
+    ASSERT_TRUE(config_.age(kStart + 10s));
+    EXPECT_GE(*config_.age(kStart + 10s), 10s);
+}
+
+} // namespace
