Each host asks one nearer to the store's readers how current its configuration is

Cause: confirmations by the store travelled on random probes.

Ways weighed: readers that push each confirmation (what waits on the way would make an old one look young; only an answer can be dated from its question); a longer silence before a host reads (a change has to be in force after 2 s). Taken: a tree over all hosts, ranked with the strongest first, 16 below each; one of the two probes of each period goes to the host above.

Change: ReaderTree, from which StoreReading also learns who reads; Membership::probeAlways().

Tests: ReaderTreeTest (steps to a reader up to 400 hosts, at most 16 askers, weak hosts ask strong ones).

--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -83,6 +83,9 @@
     /// Forgets hosts that the platform's list no longer names and that do not answer.
     void dropUnlisted(const std::set<HostName> &listed);
 
+    /// Makes @p host, or nobody, one of those probed in each period.
+    void probeAlways(const std::optional<HostName> &host) { alwaysProbed_ = host; }
+
     /// @return the probes due at @p now.
     std::vector<ProbeOrder> tick(TimePoint now);
 
@@ -137,6 +140,7 @@
 
     void excuseOwnPause(TimePoint now);
     void startProbes(TimePoint now, std::vector<ProbeOrder> &orders);
+    void startProbe(const HostName &target, TimePoint now, std::vector<ProbeOrder> &orders);
     void expireProbes(TimePoint now, std::vector<ProbeOrder> &orders);
     void declareDead(TimePoint now);
     void suspect(const HostName &host, TimePoint now);
@@ -151,6 +155,7 @@
     const MembershipTiming timing_;
     std::map<HostName, Tracked> others_;
     std::map<std::uint64_t, Outstanding> outstanding_;
+    std::optional<HostName> alwaysProbed_;
     std::vector<HostName> round_; ///< hosts still to be probed in this round
     std::uint64_t lastSequence_ = 0;
     std::uint64_t viewNumber_ = 1;
--- /dev/null
+++ b/include/pimentostage/sibling/ReaderTree.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "pimentostage/sibling/Membership.h"
+
+#include <optional>
+
+namespace pimentostage {
+
+/// Which hosts read the store, and whom each other host asks how current its configuration is.
+///
+/// The hosts are ranked for the task, the strongest first. The first few read; each other one
+/// asks a host that is a constant number of times nearer to the front, so that a
+/// confirmation by the store reaches all after steps that grow with the logarithm of the fleet.
+class ReaderTree
+{
+public:
+    /// @param readers hosts that read; 0 if all do.
+    ReaderTree(Member self, std::size_t readers);
+
+    /// Follows the view of @p membership.
+    void update(const Membership &membership);
+
+    /// @return whether this host is one of those that read for all.
+    [[nodiscard]] bool isReader() const { return isReader_; }
+    /// @return the host to ask; nothing at a reader.
+    [[nodiscard]] const std::optional<HostName> &source() const { return source_; }
+
+    /// Most hosts that ask the same one. With the usual probe period an answer costs the source
+    /// some 2.5 messages a second for each.
+    static constexpr std::size_t kMostAskers = 16;
+
+private:
+    const Member self_;
+    const std::size_t readers_;
+    std::uint64_t viewNumber_ = 0;
+    bool isReader_ = false;
+    std::optional<HostName> source_;
+};
+
+} // namespace pimentostage
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -55,7 +55,8 @@
                    runAfter_(Duration::zero(),
                              [this, message] { onSiblingMessage(self_, message); });
                })
-    , reading_(self_.member_, options_, store_, config_, runAfter_, clock_,
+    , readers_(self_.member_, options_.readers_)
+    , reading_(options_, store_, config_, runAfter_, clock_,
                seedFor(ports.seed_, RandomUse::Reading), log,
                [this](bool isFirst) { onFeedRead(isFirst); })
     , registrar_(self_, store_, config_, runAfter_,
@@ -345,9 +346,11 @@
 {
     const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    readers_.update(members_.membership());
+    members_.membership().probeAlways(readers_.source());
     members_.tick(now);
     const std::vector<Member> view = members_.membership().view();
-    reading_.update(members_.membership(), now);
+    reading_.update(readers_.isReader(), now);
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -9,6 +9,7 @@
 #include "pimentostage/caller/TrafficView.h"
 #include "pimentostage/platform/ConfigState.h"
 #include "pimentostage/platform/ObjectStore.h"
+#include "pimentostage/sibling/ReaderTree.h"
 #include "src/daemon/AllowanceControl.h"
 #include "src/daemon/ControlOptions.h"
 #include "src/daemon/HostRegistrar.h"
@@ -137,6 +138,7 @@
     TimePoint nextKeyLoads_ {};
 
     LocalSender routers_; ///< reaches all entry hosts, this one included
+    ReaderTree readers_;
     StoreReading reading_;
     Version pushedUpTo_; ///< newest object version sent to the siblings
     HostRegistrar registrar_;
--- a/src/daemon/StoreReading.cpp
+++ b/src/daemon/StoreReading.cpp
@@ -1,14 +1,11 @@
 #include "src/daemon/StoreReading.h"
 
-#include "pimentostage/sibling/RoleKeeper.h"
-
 #include <algorithm>
 
 namespace pimentostage {
 
 namespace {
 
-constexpr const char *kReaderRank = "readers";
 constexpr Duration kFirstReading = std::chrono::seconds(2); // by then the readers are known
 // A host that began to read the store goes on for this long, so that it does not begin and end
 // with every short silence.
@@ -16,11 +13,10 @@
 
 } // namespace
 
-StoreReading::StoreReading(const Member &self, const ControlOptions &options, ObjectStore &store,
-                           ConfigState &config, const RunAfter &runAfter, const Clock &clock,
-                           std::uint64_t seed, LogSink &log, OnRead onRead)
-    : self_(self)
-    , options_(options)
+StoreReading::StoreReading(const ControlOptions &options, ObjectStore &store, ConfigState &config,
+                           const RunAfter &runAfter, const Clock &clock, std::uint64_t seed,
+                           LogSink &log, OnRead onRead)
+    : options_(options)
     , config_(config)
     , onRead_(std::move(onRead))
 {
@@ -56,18 +52,7 @@
     onRead_(isFirst);
 }
 
-bool StoreReading::isReader(const Membership &membership, TimePoint now) const
-{
-    if (now < readsUntil_)
-        return true;
-    const std::vector<Member> ranked
-        = rankedFor(RoleName(kReaderRank), membership.view(), membership.strongest());
-    const auto end
-        = ranked.begin() + static_cast<std::ptrdiff_t>(std::min(options_.readers_, ranked.size()));
-    return std::find(ranked.begin(), end, self_) != end;
-}
-
-void StoreReading::update(const Membership &membership, TimePoint now)
+void StoreReading::update(bool isReader, TimePoint now)
 {
     if (options_.readers_ == 0)
         return;
@@ -75,7 +60,7 @@
     const bool areReadersSilent = !age || *age >= options_.readerSilence_;
     if (areReadersSilent)
         readsUntil_ = now + kReadingTime;
-    const bool reads = isReader(membership, now);
+    const bool reads = isReader || now < readsUntil_;
     for (const auto &watcher : watchers_) {
         if (reads == !watcher->isPaused())
             continue;
--- a/src/daemon/StoreReading.h
+++ b/src/daemon/StoreReading.h
@@ -4,7 +4,6 @@
 #include "pimentostage/base/Log.h"
 #include "pimentostage/platform/ConfigState.h"
 #include "pimentostage/platform/ObjectStore.h"
-#include "pimentostage/sibling/Membership.h"
 #include "src/daemon/ControlOptions.h"
 #include "src/platform/ConfigWatcher.h"
 
@@ -26,14 +25,14 @@
     /// Called after each answer of the store, with whether all feeds were read for the first time.
     using OnRead = std::function<void(bool)>;
 
-    StoreReading(const Member &self, const ControlOptions &options, ObjectStore &store,
-                 ConfigState &config, const RunAfter &runAfter, const Clock &clock,
-                 std::uint64_t seed, LogSink &log, OnRead onRead);
+    StoreReading(const ControlOptions &options, ObjectStore &store, ConfigState &config,
+                 const RunAfter &runAfter, const Clock &clock, std::uint64_t seed, LogSink &log,
+                 OnRead onRead);
 
     void start(TimePoint now);
-    /// Begins or ends reading as the view of @p membership and the age of the configuration ask
-    /// for.
-    void update(const Membership &membership, TimePoint now);
+    /// Begins or ends reading.
+    /// @param isReader whether this host is one of those that read for all.
+    void update(bool isReader, TimePoint now);
 
     /// @return whether the last call to each feed succeeded.
     [[nodiscard]] bool isConnected() const;
@@ -42,9 +41,7 @@
 
 private:
     void onFeedRead();
-    [[nodiscard]] bool isReader(const Membership &membership, TimePoint now) const;
 
-    const Member self_;
     const ControlOptions options_;
     ConfigState &config_;
     const OnRead onRead_;
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -72,17 +72,24 @@
 
 void Membership::startProbes(TimePoint now, std::vector<ProbeOrder> &orders)
 {
-    const std::size_t count = std::min(timing_.probesPerPeriod_, others_.size());
+    std::size_t count = std::min(timing_.probesPerPeriod_, others_.size());
+    if (count > 0 && alwaysProbed_ && others_.contains(*alwaysProbed_)) {
+        startProbe(*alwaysProbed_, now, orders);
+        --count;
+    }
     for (std::size_t i = 0; i < count; ++i) {
-        const auto target = nextTarget();
-        if (!target)
-            return;
-        const std::uint64_t sequence = ++lastSequence_;
-        outstanding_[sequence] = Outstanding { *target, now, now, false };
-        orders.push_back(ProbeOrder { *target, *target, sequence });
+        if (const auto target = nextTarget())
+            startProbe(*target, now, orders);
     }
 }
 
+void Membership::startProbe(const HostName &target, TimePoint now, std::vector<ProbeOrder> &orders)
+{
+    const std::uint64_t sequence = ++lastSequence_;
+    outstanding_[sequence] = Outstanding { target, now, now, false };
+    orders.push_back(ProbeOrder { target, target, sequence });
+}
+
 // Hosts are probed in random order, each once in a round; dead ones too, so that they are found
 // again after a cut.
 std::optional<HostName> Membership::nextTarget()
--- /dev/null
+++ b/tests/ReaderTreeTest.cpp
@@ -0,0 +1,90 @@
+#include "pimentostage/sibling/ReaderTree.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kReaders = 2;
+
+MemberUpdate hostOf(std::size_t number)
+{
+    constexpr std::size_t kStrongHosts = 6;
+    MemberUpdate update;
+    update.member_ = Member { HostName("host-" + std::to_string(number)), Incarnation { 1 } };
+    update.capacity_ = number < kStrongHosts ? 500 : 100;
+    return update;
+}
+
+/// @return what each host of a fleet of @p size asks, and nothing for readers.
+std::map<HostName, std::optional<HostName>> sources(std::size_t size)
+{
+    std::map<HostName, std::optional<HostName>> sources;
+    for (std::size_t self = 0; self < size; ++self) {
+        Membership membership(hostOf(self), Random(1));
+        for (std::size_t other = 0; other < size; ++other) {
+            if (other != self)
+                membership.merge(hostOf(other), TimePoint(1h));
+        }
+        ReaderTree tree(hostOf(self).member_, kReaders);
+        tree.update(membership);
+        EXPECT_EQ(tree.isReader(), !tree.source().has_value());
+        sources[hostOf(self).member_.host_] = tree.source();
+    }
+    return sources;
+}
+
+std::size_t stepsToReader(const std::map<HostName, std::optional<HostName>> &sources,
+                          const HostName &host)
+{
+    std::size_t steps = 0;
+    for (auto source = sources.at(host); source; source = sources.at(*source)) {
+        if (++steps > sources.size())
+            return steps;
+    }
+    return steps;
+}
+
+TEST(ReaderTree, EveryHostHearsAReaderAfterFewSteps)
+{
+    const std::map<std::size_t, std::size_t> kMostSteps {
+        { 3, 1 }, { 8, 1 }, { 69, 2 }, { 400, 2 }
+    };
+    for (const auto &[size, mostSteps] : kMostSteps) {
+        const auto all = sources(size);
+        std::size_t readers = 0;
+        std::map<HostName, std::size_t> askers;
+        for (const auto &[host, source] : all) {
+            EXPECT_LE(stepsToReader(all, host), mostSteps) << size << " hosts, " << host.str();
+            readers += source ? 0 : 1;
+            if (source)
+                ++askers[*source];
+        }
+        EXPECT_EQ(readers, kReaders);
+        for (const auto &[host, count] : askers)
+            EXPECT_LE(count, ReaderTree::kMostAskers) << size << " hosts, " << host.str();
+    }
+}
+
+TEST(ReaderTree, WeakHostsAskStrongOnes)
+{
+    for (const auto &[host, source] : sources(69)) {
+        if (source) {
+            EXPECT_LT(std::stoul(source->str().substr(5)), 6U) << host.str();
+        }
+    }
+}
+
+TEST(ReaderTree, AHostAloneReads)
+{
+    Membership membership(hostOf(0), Random(1));
+    ReaderTree tree(hostOf(0).member_, kReaders);
+    tree.update(membership);
+    EXPECT_TRUE(tree.isReader());
+}
+
+} // namespace
