Changes of the configuration go through the strong hosts, and only readers tell what they read

Cause: a reader sent each change to every other host itself, and so did every host that read the store for a while, as all do at their start: 69 hosts sent what they read to 68 others.

Taken: a tree, fanOut(): straight to at most 16; with more, through the strongest hosts, which pass on. A host that fails on the way costs its part the time until digests are compared, 100 ms after the next probe.

Change: ConfigPublisher (out of ControlCore), ConfigPush::relayTo_, fanOut().

--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -58,6 +58,7 @@
 {
     Version revision_;
     std::vector<StoredObject> objects_;
+    std::vector<HostName> relayTo_ {}; ///< hosts to which the receiver passes them on
 };
 
 /// Asks for a promise; the sender's clock comes back in the reply.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -26,6 +26,7 @@
     Hosts,
     Ranges,
     Registrar,
+    Publisher,
 };
 
 std::uint64_t seedFor(std::uint64_t seed, RandomUse use)
@@ -64,6 +65,8 @@
                  [this](const StoredObject &object) { onOwnWrite(object); })
     , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), options.membership_,
                config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
+    , publisher_(self_.member_, config_, members_.membership(), siblings_,
+                 Random(seedFor(ports.seed_, RandomUse::Publisher)))
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomUse::Roles)), store_, siblings_,
              members_, config_, *this, clock_, log,
              [this](const StoredObject &object) { onOwnWrite(object); })
@@ -100,37 +103,11 @@
 {
     if (isFirst && !store_.hasHostList())
         registrar_.start();
-    pushChanges();
+    if (options_.readers_ > 0)
+        publisher_.publishRead(readers_.isReader());
     onConfigChange(clock_());
 }
 
-// An entry host sends what it writes to the others itself.
-void ControlCore::pushChanges()
-{
-    if (options_.readers_ == 0)
-        return;
-    std::vector<StoredObject> changes = config_.changesSince(pushedUpTo_);
-    for (const StoredObject &object : changes)
-        pushedUpTo_ = std::max(pushedUpTo_, object.version_);
-    std::erase_if(changes, [](const StoredObject &object) {
-        const ObjectKind kind = object.ref_.kind_;
-        return kind == ObjectKind::Role || kind == ObjectKind::RangePlacement
-               || kind == ObjectKind::EntryHost;
-    });
-    pushToSiblings(changes);
-}
-
-// Without a revision: the receiver may have missed earlier changes.
-void ControlCore::pushToSiblings(const std::vector<StoredObject> &objects)
-{
-    if (objects.empty())
-        return;
-    for (const Member &member : members_.membership().view()) {
-        if (member != self_.member_)
-            siblings_.send(member.host_, ConfigPush { Version {}, objects });
-    }
-}
-
 void ControlCore::readEntryHosts(const Configuration &configuration)
 {
     std::vector<ListedHost> hosts;
@@ -243,8 +220,7 @@
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
     applyObjects(push.objects_, config_, log_);
-    for (const StoredObject &object : push.objects_)
-        pushedUpTo_ = std::max(pushedUpTo_, object.version_);
+    publisher_.passOn(push);
     config_.adoptRevision(push.revision_);
     onConfigChange(clock_());
 }
@@ -253,7 +229,7 @@
 {
     applyObjects({ object }, config_, log_);
     if (options_.readers_ > 0)
-        pushToSiblings({ object });
+        publisher_.publish({ object });
     onConfigChange(clock_());
 }
 
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -11,6 +11,7 @@
 #include "pimentostage/platform/ObjectStore.h"
 #include "pimentostage/sibling/ReaderTree.h"
 #include "src/daemon/AllowanceControl.h"
+#include "src/daemon/ConfigPublisher.h"
 #include "src/daemon/ControlOptions.h"
 #include "src/daemon/HostRegistrar.h"
 #include "src/daemon/LocalSender.h"
@@ -85,8 +86,6 @@
     void onRoleLost(const RoleName &role) override;
 
     void onFeedRead(bool isFirst);
-    void pushChanges();
-    void pushToSiblings(const std::vector<StoredObject> &objects);
     [[nodiscard]] bool isConfigurationKnown() const;
     void readEntryHosts(const Configuration &configuration);
     void pollHosts();
@@ -140,10 +139,10 @@
     LocalSender routers_; ///< reaches all entry hosts, this one included
     ReaderTree readers_;
     StoreReading reading_;
-    Version pushedUpTo_; ///< newest object version sent to the siblings
     HostRegistrar registrar_;
     TimePoint nextGauges_ {};
     MemberControl members_;
+    ConfigPublisher publisher_;
     RoleControl roles_;
     PlacementControl placement_;
     RangeControl ranges_;
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -136,7 +136,7 @@
 template <typename Archive>
 void fields(Archive &archive, ConfigPush &message)
 {
-    archive(message.revision_, message.objects_);
+    archive(message.revision_, message.objects_, message.relayTo_);
 }
 
 template <typename Archive>
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -70,7 +70,7 @@
              Probe { HostName("a"), HostName("b"), 4, { self }, summary },
              ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
              ConfigPull { Version { 8 } },
-             ConfigPush { Version { 9 }, { object } },
+             ConfigPush { Version { 9 }, { object }, { HostName("entry-2") } },
              PromiseRequest { role, Epoch { 3 }, 5s },
              PromiseReply { role, Epoch { 3 }, 5s },
              ReleaseRequest { role, Epoch { 3 } },
--- /dev/null
+++ b/tests/ConfigPublisherTest.cpp
@@ -0,0 +1,118 @@
+#include "src/daemon/ConfigPublisher.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kHosts = 69;
+constexpr std::size_t kStrongHosts = 6;
+
+MemberUpdate hostOf(std::size_t number)
+{
+    MemberUpdate update;
+    update.member_ = Member { HostName("host-" + std::to_string(number)), Incarnation { 1 } };
+    update.capacity_ = number < kStrongHosts ? 500 : 100;
+    return update;
+}
+
+StoredObject zoneOut(std::uint64_t version)
+{
+    return StoredObject {
+        { ObjectKind::Zone, "serra-a" }, Version { version }, false, R"({"state":"out"})"
+    };
+}
+
+/// Hosts that publish over links that deliver at once; host 1 may be dead.
+class PublishingFleet
+{
+public:
+    PublishingFleet()
+    {
+        for (std::size_t i = 0; i < kHosts; ++i)
+            hosts_.push_back(std::make_unique<Host>(*this, i));
+    }
+
+    struct Host : public SiblingSender
+    {
+        Host(PublishingFleet &fleet, std::size_t number)
+            : fleet_(fleet)
+            , membership_(hostOf(number), Random(number))
+            , publisher_(hostOf(number).member_, config_, membership_, *this, Random(number))
+        {
+            for (std::size_t other = 0; other < kHosts; ++other) {
+                if (other != number)
+                    membership_.merge(hostOf(other), TimePoint(1h));
+            }
+        }
+
+        void send(const HostName &to, const SiblingMessage &message) override
+        {
+            ++sent_;
+            fleet_.deliver(to, std::get<ConfigPush>(message));
+        }
+
+        PublishingFleet &fleet_;
+        ConfigState config_;
+        Membership membership_;
+        ConfigPublisher publisher_;
+        std::size_t sent_ = 0;
+        std::size_t received_ = 0;
+    };
+
+    void deliver(const HostName &to, const ConfigPush &push)
+    {
+        Host &host = *hosts_.at(std::stoul(to.str().substr(5)));
+        ++host.received_;
+        for (const StoredObject &object : push.objects_)
+            host.config_.apply(object);
+        host.publisher_.passOn(push);
+    }
+
+    std::vector<std::unique_ptr<Host>> hosts_;
+};
+
+// Pattern: 69 hosts, most of them with 10 Mbit/s; one that sent a configuration to all filled its
+// link for seconds.
+TEST(ConfigPublisher, SendsToAllThroughTheStrongHosts)
+{
+    PublishingFleet fleet;
+    fleet.hosts_[0]->publisher_.publish({ zoneOut(7) });
+    for (std::size_t i = 1; i < kHosts; ++i) {
+        EXPECT_EQ(fleet.hosts_[i]->received_, 1U) << i;
+        EXPECT_EQ(fleet.hosts_[i]->config_.versionOf(zoneOut(7).ref_), Version { 7 }) << i;
+        const std::size_t mostSent = i < kStrongHosts ? 16 : 0;
+        EXPECT_LE(fleet.hosts_[i]->sent_, mostSent) << i;
+    }
+    EXPECT_EQ(fleet.hosts_[0]->sent_, kStrongHosts - 1);
+}
+
+// Pattern: at the start of a fleet every host reads the store, and each told all others.
+TEST(ConfigPublisher, OnlyReadersTellWhatTheyRead)
+{
+    PublishingFleet fleet;
+    PublishingFleet::Host &host = *fleet.hosts_[0];
+    host.config_.apply(zoneOut(7));
+    host.publisher_.publishRead(false);
+    EXPECT_EQ(host.sent_, 0U);
+    host.publisher_.publishRead(true);
+    EXPECT_EQ(host.sent_, 0U) << "others have read it themselves";
+    host.config_.apply(zoneOut(8));
+    host.publisher_.publishRead(true);
+    EXPECT_EQ(host.sent_, kStrongHosts - 1);
+}
+
+TEST(ConfigPublisher, DoesNotSendAgainWhatAnotherHostPushed)
+{
+    PublishingFleet fleet;
+    fleet.hosts_[0]->publisher_.publish({ zoneOut(7) });
+    const std::size_t sent = fleet.hosts_[1]->sent_;
+    fleet.hosts_[1]->publisher_.publishRead(true);
+    EXPECT_EQ(fleet.hosts_[1]->sent_, sent);
+}
+
+} // namespace
