The age of the configuration is looked at in the call that decides; only equals vouch for it

Change: ConfigTrust, a time that the control thread moves on and RequestRouter compares with the time of the decision; a majority vouches only with the same digest, and by answers to questions asked just now.

Tests: RequestRouter.LooksAtTheAgeOfItsConfigurationInTheCallThatDecides, MemberControlTest.OnlyHostsWithTheSameConfigurationVouchForIt and AnAnswerThatWaitedOnItsWayVouchesForNothing.

--- a/include/pimentostage/caller/TrafficView.h
+++ b/include/pimentostage/caller/TrafficView.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/RoutingTable.h"
+#include "pimentostage/caller/ConfigTrust.h"
 #include "pimentostage/platform/Configuration.h"
 #include "pimentostage/sibling/TokenPurse.h"
 
@@ -30,6 +31,13 @@
     std::shared_ptr<const RoutingTable> routing_;
     std::map<TeamName, std::shared_ptr<TokenPurse>> purses_;
     Readiness readiness_ = Readiness::Starting;
+    std::shared_ptr<const ConfigTrust> trust_ = std::make_shared<ConfigTrust>();
+
+    /// @return whether requests that need a team's key are refused at @p now.
+    [[nodiscard]] bool isStale(TimePoint now) const
+    {
+        return readiness_ == Readiness::Stale || !trust_->holds(now);
+    }
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -117,8 +117,6 @@
     [[nodiscard]] std::optional<MemberUpdate> find(const HostName &host) const;
     /// @return everything known, this host included.
     [[nodiscard]] std::vector<MemberUpdate> all() const;
-    /// @return hosts, this one included, that answered within @p period before @p now.
-    [[nodiscard]] std::size_t heardWithin(Duration period, TimePoint now) const;
 
     static constexpr std::size_t kIndirectProbes = 2;
 
--- a/src/caller/RequestRouter.cpp
+++ b/src/caller/RequestRouter.cpp
@@ -152,7 +152,7 @@
     const Route *route = matchVirtualHost(*view.configuration_, request);
     if (!route)
         return refuse(RefusalReason::UnknownRoute);
-    if (route->access_ == Access::Team && view.readiness_ == Readiness::Stale)
+    if (route->access_ == Access::Team && view.isStale(now))
         return refuse(RefusalReason::ConfigurationStale);
     const Authentication authentication = authenticate(*view.configuration_, request, *route);
     if (const auto *refusal = std::get_if<Refusal>(&authentication))
@@ -198,7 +198,7 @@
     }
     const Route &route = *matched.route_;
     const bool needsTeam = route.access_ == Access::Team;
-    if (needsTeam && view.readiness_ == Readiness::Stale)
+    if (needsTeam && view.isStale(now))
         return refuse(RefusalReason::ConfigurationStale);
     const Authentication authentication = authenticate(*view.configuration_, request, route);
     if (const auto *refusal = std::get_if<Refusal>(&authentication))
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -15,6 +15,8 @@
 constexpr Duration kListLife = 2 * kHostPollPeriod;
 // Hosts asked at once for what the list says; when the store is down all ask.
 constexpr std::size_t kHostsAsked = 3;
+// A majority's word counts until the control thread asks it again, or has stood still this long.
+constexpr Duration kVouchTime = std::chrono::milliseconds(500);
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 /// Parts of the core that choose at random, each with a stream of its own.
@@ -334,6 +336,8 @@
     allowance_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
+    if (const auto age = config_.age(now))
+        trust_->setUntil(trustedUntil(*age, now));
     if (readinessAt(now) != publishedReadiness_)
         publish(now);
     if (now >= nextGauges_) {
@@ -363,10 +367,15 @@
     const auto age = config_.age(now);
     if (!age || !isConfigurationKnown())
         return Readiness::Starting;
-    // Alone, this host cannot tell an outage of the store from a cut; with a majority it can.
-    const bool isTrusted = *age < options_.mostConfigAge_
-                           || (options_.majorityVouches_ && members_.hearsMajority(now));
-    return isTrusted ? Readiness::Ready : Readiness::Stale;
+    return now < trustedUntil(*age, now) ? Readiness::Ready : Readiness::Stale;
+}
+
+// Alone, this host cannot tell an outage of the store from a cut; with a majority it can.
+TimePoint ControlCore::trustedUntil(Duration age, TimePoint now) const
+{
+    const TimePoint byStore = now - age + options_.mostConfigAge_;
+    const bool isVouchedFor = options_.majorityVouches_ && members_.agreesWithMajority(now);
+    return isVouchedFor ? std::max(byStore, now + kVouchTime) : byStore;
 }
 
 bool ControlCore::isConfigurationKnown() const
@@ -431,6 +440,7 @@
     view->routing_ = tableBuilder_.build(*view->configuration_, facts_, now);
     view->purses_ = purses_.purses();
     view->readiness_ = readinessAt(now);
+    view->trust_ = trust_;
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
     routing_.publish(view->routing_);
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -104,6 +104,7 @@
     void updateGauges(TimePoint now);
     void keepRegistrations(const Configuration &configuration, TimePoint now);
     [[nodiscard]] Readiness readinessAt(TimePoint now) const;
+    [[nodiscard]] TimePoint trustedUntil(Duration age, TimePoint now) const;
 
     /// Passes a sibling's message to the part that takes it; an overload for each message.
     struct Dispatcher;
@@ -120,6 +121,7 @@
     Counters &counters_;
     std::atomic<Readiness> readiness_ { Readiness::Starting };
     bool leaving_ = false;
+    const std::shared_ptr<ConfigTrust> trust_ = std::make_shared<ConfigTrust>();
 
     ConfigState config_;
     std::uint64_t publishedDigest_ = 0;
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -1,5 +1,6 @@
 #include "src/daemon/MemberControl.h"
 
+#include <algorithm>
 #include <set>
 
 namespace pimentostage {
@@ -91,6 +92,11 @@
     }
     // Its age was true at some moment after the question; what waits on the way here ages unseen.
     const auto askedAt = membership_.askedAt(ack.sequence_);
+    if (askedAt) {
+        Heard &heard = heard_[ack.responder_];
+        heard.askedAt_ = *askedAt;
+        heard.digest_ = ack.config_.digest_;
+    }
     if (askedAt && ack.config_.age_)
         config_.confirmThroughSibling(ack.config_.digest_, *ack.config_.age_, *askedAt);
     membership_.onAck(ack.responder_, ack.sequence_, now);
@@ -101,7 +107,9 @@
 {
     for (const MemberUpdate &update : updates)
         membership_.merge(update, now);
-    heard_[from] = Heard { now, config.age_ };
+    Heard &heard = heard_[from];
+    heard.at_ = now;
+    heard.configAge_ = config.age_;
     const bool isEqual = config.digest_ == config_.digest();
     if (isEqual) {
         differsSince_.reset();
@@ -156,9 +164,14 @@
     return false;
 }
 
-bool MemberControl::hearsMajority(TimePoint now) const
+bool MemberControl::agreesWithMajority(TimePoint now) const
 {
-    return membership_.heardWithin(kHeardWindow, now) >= listedHosts_ / 2 + 1;
+    const auto agrees = [&](const auto &entry) {
+        const Heard &heard = entry.second;
+        return heard.askedAt_ + kHeardWindow > now && heard.digest_ == config_.digest();
+    };
+    const auto others = std::count_if(heard_.begin(), heard_.end(), agrees);
+    return static_cast<std::size_t>(others) + 1 >= listedHosts_ / 2 + 1;
 }
 
 bool MemberControl::isSettled(TimePoint now) const
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -42,8 +42,9 @@
     /// @return whether another host had an answer of the store lately.
     [[nodiscard]] bool othersHearStore(TimePoint now) const;
 
-    /// @return whether this host hears a majority of the entry hosts that the platform lists.
-    [[nodiscard]] bool hearsMajority(TimePoint now) const;
+    /// @return whether a majority of the entry hosts that the platform lists has, by answers to
+    ///         questions asked just now, the same configuration as this host.
+    [[nodiscard]] bool agreesWithMajority(TimePoint now) const;
 
     /// @return whether every listed entry host was heard, or had the time to be.
     [[nodiscard]] bool isSettled(TimePoint now) const;
@@ -53,6 +54,8 @@
     {
         TimePoint at_;
         std::optional<Duration> configAge_;
+        TimePoint askedAt_ {}; ///< when the newest probe that it answered was sent
+        std::uint64_t digest_ = 0; ///< of its configuration, by that answer
     };
 
     ConfigSummary summary(TimePoint now) const;
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -338,12 +338,4 @@
     return all;
 }
 
-std::size_t Membership::heardWithin(Duration period, TimePoint now) const
-{
-    std::size_t count = 1;
-    for (const auto &[host, tracked] : others_)
-        count += tracked.heardAt_ + period > now ? 1 : 0;
-    return count;
-}
-
 } // namespace pimentostage
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -104,4 +104,36 @@
     EXPECT_GE(*config_.age(kStart + 10s), 10s);
 }
 
+// CoreFuzz, seeds 306 and 309: a host that had been frozen, and could not reach the store, heard a
+// majority with a newer configuration and took it for one that vouches for its own.
+TEST_F(MemberControlTest, OnlyHostsWithTheSameConfigurationVouchForIt)
+{
+    ListedHost listed;
+    listed.name_ = "host-1";
+    ListedHost third = listed;
+    third.name_ = "host-2";
+    control_.updateListed({ listed, third });
+    control_.tick(kStart);
+    ProbeAck answer = answerTo(sent_.lastProbe(), 100ms);
+    control_.onMessage(other_.member_.host_, answer, kStart + 1ms);
+    EXPECT_TRUE(control_.agreesWithMajority(kStart + 1ms)) << "two of three";
+    control_.tick(kStart + 200ms);
+    answer = answerTo(sent_.lastProbe(), 100ms);
+    answer.config_.digest_ += 1;
+    control_.onMessage(other_.member_.host_, answer, kStart + 201ms);
+    EXPECT_FALSE(control_.agreesWithMajority(kStart + 201ms));
+}
+
+TEST_F(MemberControlTest, AnAnswerThatWaitedOnItsWayVouchesForNothing)
+{
+    ListedHost listed;
+    listed.name_ = "host-1";
+    control_.updateListed({ listed });
+    control_.tick(kStart);
+    const Probe asked = sent_.lastProbe();
+    control_.tick(kStart + 10s);
+    control_.onMessage(other_.member_.host_, answerTo(asked, 100ms), kStart + 10s);
+    EXPECT_FALSE(control_.agreesWithMajority(kStart + 10s));
+}
+
 } // namespace
--- a/tests/RequestRouterTest.cpp
+++ b/tests/RequestRouterTest.cpp
@@ -229,4 +229,23 @@
     EXPECT_EQ(reasonOf(*view, keyed), RefusalReason::ConfigurationStale);
 }
 
+// CoreFuzz, seed 309: a host was frozen while a key was withdrawn; what its traffic thread read
+// after the freeze it decided before its control thread had run.
+TEST(RequestRouter, LooksAtTheAgeOfItsConfigurationInTheCallThatDecides)
+{
+    const auto view = std::make_shared<TrafficView>(*makeView());
+    const auto trust = std::make_shared<ConfigTrust>();
+    trust->setUntil(TimePoint(1h) + 1ms);
+    view->trust_ = trust;
+    const CallerRequest keyed = request("GET", "/permits/permits/k7/photo");
+    EXPECT_TRUE(
+        std::holds_alternative<RoutedRequest>(RequestRouter::route(*view, keyed, TimePoint(1h))));
+    const RouteDecision late = RequestRouter::route(*view, keyed, TimePoint(1h) + 1ms);
+    ASSERT_TRUE(std::holds_alternative<Refusal>(late));
+    EXPECT_EQ(std::get<Refusal>(late).reason_, RefusalReason::ConfigurationStale);
+    const CallerRequest open = request("GET", "/permits/hours/k", nullptr);
+    EXPECT_TRUE(std::holds_alternative<RoutedRequest>(
+        RequestRouter::route(*view, open, TimePoint(1h) + 1ms)));
+}
+
 } // namespace
