More moves of busy ranges at once in a large service, and a slow one does not keep the others

Ruled out: the planner (in a world where work ends in 0.6 s it spreads 13 hot buckets within 2.5 s).

Change: up to one move in six back ends at once, three at least; the others go on while one waits.

Test: RangeCoordinator.SpreadsAHotStretchOverManyBackEndsThoughMovesAreSlow, 7 owners before, 10 or more after.

--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -14,8 +14,11 @@
 constexpr Duration kStoreRetry = std::chrono::milliseconds(200);
 constexpr Duration kDecayPeriod = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMostRetryDoublings = 3;
-// Moves for balance made at once; a hot range is spread over several back ends in one pause.
-constexpr std::size_t kMostBalanceMoves = 3;
+// Moves for balance under way at once: a hot stretch is spread over several back ends in one pause,
+// and one range whose work takes long to end does not keep the others.
+constexpr std::size_t kLeastBalanceMoves = 3;
+// One for this many back ends in a large service; some 17 of 107 bear the hottest two fifths.
+constexpr std::size_t kBackendsPerBalanceMove = 6;
 
 bool isAnswer(RangeOutcome outcome)
 {
@@ -465,12 +468,14 @@
         next = withMove(next, move, epoch);
         isChange = true;
     };
+    const std::size_t mostMoves
+        = std::max(kLeastBalanceMoves, usable.size() / kBackendsPerBalanceMove);
     const bool mayBalance
-        = moves.empty() && !isChange && now >= nextBalance_ && movingRanges() == 0;
+        = moves.empty() && !isChange && now >= nextBalance_ && movingRanges() < mostMoves;
     std::for_each(moves.begin(), moves.end(), make);
     if (mayBalance) {
         nextBalance_ = now + options_.balancePeriod_;
-        for (std::size_t i = 0; i < kMostBalanceMoves; ++i) {
+        for (std::size_t i = movingRanges(); i < mostMoves; ++i) {
             moves = RangePlanner::balance(next, load_, usable);
             std::for_each(moves.begin(), moves.end(), make);
         }
--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -55,6 +55,26 @@
     EXPECT_EQ(world.mostHolders_, 1U);
 }
 
+// Pattern: two fifths of 380 requests a second fall on 200 neighbouring keys of 107 back ends, for
+// five seconds (grown deployments); the move of one busy range takes 2 s, for its work has to end.
+TEST(RangeCoordinator, SpreadsAHotStretchOverManyBackEndsThoughMovesAreSlow)
+{
+    constexpr std::uint32_t kHotBuckets = 13;
+    RangeWorld world(107);
+    world.setWorkTime(2s);
+    world.run(kBegun);
+    for (std::uint32_t bucket = 0; bucket < RangeLoad::kBuckets; bucket += 16)
+        world.setLoad(bucket, 1);
+    for (std::uint32_t bucket = kBusyBucket; bucket < kBusyBucket + kHotBuckets; ++bucket)
+        world.setLoad(bucket, 11);
+    world.run(2500ms);
+    std::set<BackendName> owners;
+    for (std::uint32_t bucket = kBusyBucket; bucket < kBusyBucket + kHotBuckets; ++bucket)
+        owners.insert(world.stored().find(bucket * RangeLoad::kKeysPerBucket)->owner_.name_);
+    EXPECT_GE(owners.size(), 10U);
+    EXPECT_EQ(world.mostHolders_, 1U);
+}
+
 TEST(RangeCoordinator, ServesAgainAtOnceAfterABackEndsProcessEnded)
 {
     RangeWorld world(4);
