A weak holder of a role gives way to a strong host

Change: a holder that is not among the strongest in its view for 2 s releases the role; its own released record puts it first no more.

Tests: RoleKeeper.AWeakHolderGivesWayToAStrongHost failed while a released record still put its former holder first.

--- a/include/pimentostage/sibling/RoleKeeper.h
+++ b/include/pimentostage/sibling/RoleKeeper.h
@@ -154,6 +154,8 @@
     void announceStepDown(RoleActions &actions, TimePoint now);
     bool isRecordDue(const RoleSurroundings &surroundings, TimePoint now);
     [[nodiscard]] bool hasSteppedDown(const RoleRecord &record) const;
+    [[nodiscard]] bool isOutranked(const RoleSurroundings &surroundings, TimePoint now);
+    RoleActions release();
     [[nodiscard]] bool isAloneWithoutStore(const RoleSurroundings &surroundings,
                                            TimePoint now) const;
     RoleActions claim(const RoleSurroundings &surroundings);
@@ -184,6 +186,7 @@
     TimePoint storeHeardAt_ {};
     TimePoint nextAnnouncement_ {};
     std::optional<TimePoint> membersDifferSince_;
+    std::optional<TimePoint> outrankedSince_; ///< holds the role although stronger hosts are there
     TimePoint nextConfirm_ {};
     TimePoint nextRead_ {};
     TimePoint nextFindOut_ {};
--- a/src/sibling/RoleKeeper.cpp
+++ b/src/sibling/RoleKeeper.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kReleasePeriod = std::chrono::milliseconds(50);
 // The members in the record follow the view after it was stable for this time.
 constexpr Duration kMembersDelay = std::chrono::seconds(1);
+// A holder gives way to stronger hosts that were in its view for this time.
+constexpr Duration kGiveWayDelay = std::chrono::seconds(2);
 // A holder that alone cannot reach the store gives way to others after this time.
 constexpr Duration kMostTimeWithoutStore = std::chrono::seconds(2);
 
@@ -177,7 +179,7 @@
 
 std::size_t RoleKeeper::rankIn(const RoleSurroundings &surroundings) const
 {
-    const bool isOwnRecord = record_ && record_->holder_ == self_;
+    const bool isOwnRecord = record_ && record_->holder_ == self_ && !record_->released_;
     if (isOwnRecord)
         return 0;
     const std::vector<Member> ranked
@@ -422,6 +424,8 @@
 {
     if (!authority_.holds(now) || isAloneWithoutStore(surroundings, now))
         return lose();
+    if (!pending_ && isOutranked(surroundings, now))
+        return release();
     RoleActions actions;
     confirm(actions, now);
     if (pending_ || !isRecordDue(surroundings, now))
@@ -452,6 +456,22 @@
     return now >= *membersDifferSince_ + kMembersDelay;
 }
 
+// A weak host took the role while the strong ones were away.
+bool RoleKeeper::isOutranked(const RoleSurroundings &surroundings, TimePoint now)
+{
+    const std::vector<Member> &strongest = surroundings.strongest_;
+    const bool isStrong
+        = strongest.empty()
+          || std::find(strongest.begin(), strongest.end(), self_) != strongest.end();
+    if (isStrong) {
+        outrankedSince_.reset();
+        return false;
+    }
+    if (!outrankedSince_)
+        outrankedSince_ = now;
+    return now >= *outrankedSince_ + kGiveWayDelay;
+}
+
 // Promises keep the holder in office, but without the store it cannot move anything.
 bool RoleKeeper::isAloneWithoutStore(const RoleSurroundings &surroundings, TimePoint now) const
 {
@@ -483,12 +503,18 @@
 RoleActions RoleKeeper::resign()
 {
     resigned_ = true;
+    return release();
+}
+
+RoleActions RoleKeeper::release()
+{
     const bool wasHolding = phase_ == RolePhase::Holding;
     const bool isRecordOurs = isOurs(record_);
     RoleActions actions;
     if (wasHolding)
         actions = lose();
     phase_ = RolePhase::Idle;
+    outrankedSince_.reset();
     succession_.reset();
     pending_.reset();
     if (!isRecordOurs)
--- a/tests/RoleKeeperTest.cpp
+++ b/tests/RoleKeeperTest.cpp
@@ -327,6 +327,21 @@
     }
 }
 
+// Pattern: a small host took a role while the fleet started (grown deployments), and lost it again
+// and again on a busy link.
+TEST(RoleKeeper, AWeakHolderGivesWayToAStrongHost)
+{
+    for (std::size_t strongest = 0; strongest < 5; ++strongest) {
+        RoleWorld world(5);
+        world.run(2s);
+        ASSERT_TRUE(world.holder());
+        world.setStrongest(strongest);
+        world.run(4s);
+        EXPECT_EQ(world.holder(), strongest);
+        EXPECT_EQ(world.mostHolders_, 1U);
+    }
+}
+
 TEST(RoleKeeper, AnotherTakesOverWithinTheBudgetAfterALoss)
 {
     RoleWorld world(5);
