Hosts read the store and ask each other for objects only if nothing is on its way

Change: confirmations are about the kinds of the feeds that confirm, with a digest of their own; a host reads at its start only until each feed was read once; a pull is made 300 ms after a difference (1.2 s at equal revisions), one in 500 ms, and at once by a host that has not heard of the store for 1.5 s.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -34,7 +34,8 @@
 class ConfigState
 {
 public:
-    ConfigState();
+    /// @param confirmed kinds that the store's confirmations are about; empty for all.
+    explicit ConfigState(std::set<ObjectKind> confirmed = {});
 
     /// Offers one version of an object.
     /// @param error receives the reason if the result is Rejected.
@@ -55,7 +56,8 @@
     void adoptRevision(Version revision);
 
     /// Notes that the store confirmed a sibling's state @p age before the sibling was asked, at
-    /// @p askedAt or later; without effect unless that state, known by its digest, equals ours.
+    /// @p askedAt or later; without effect unless that state, known by its confirmedDigest(),
+    /// equals ours.
     void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint askedAt);
 
     /// @return the time since the store's last confirmation, or nothing if there was none.
@@ -78,16 +80,21 @@
 
     /// @return a hash over every object's name and version, equal on hosts with equal state.
     [[nodiscard]] std::uint64_t digest() const { return digest_; }
+    /// @return as digest(), over the objects that confirmations are about.
+    [[nodiscard]] std::uint64_t confirmedDigest() const { return confirmedDigest_; }
 
 private:
     void accept(const StoredObject &object);
+    void toggleDigest(const StoredObject &object);
     void rebuild();
 
+    const std::set<ObjectKind> confirmedKinds_;
     std::map<ObjectRef, StoredObject> objects_;
     std::shared_ptr<const Configuration> configuration_;
     Version revision_;
     std::optional<TimePoint> confirmedAt_;
     std::uint64_t digest_ = 0;
+    std::uint64_t confirmedDigest_ = 0;
     std::set<ObjectRef> changed_; ///< since configuration_ was built
 };
 
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -24,6 +24,7 @@
 {
     Version revision_;
     std::uint64_t digest_ = 0;
+    std::uint64_t confirmedDigest_ = 0; ///< of the part that `age_` is about
     std::optional<Duration> age_; ///< time since the store confirmed it
 };
 
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -37,6 +37,17 @@
     return random.engine()();
 }
 
+/// @return the kinds that a confirmation by @p store is about; empty for all.
+std::set<ObjectKind> confirmedKinds(const ObjectStore &store)
+{
+    std::set<ObjectKind> kinds;
+    for (const StoreFeed &feed : store.feeds()) {
+        if (feed.confirms_)
+            kinds.insert(feed.kinds_.begin(), feed.kinds_.end());
+    }
+    return kinds;
+}
+
 } // namespace
 
 ControlCore::ControlCore(const MemberUpdate &self, const ControlOptions &options,
@@ -52,6 +63,7 @@
     , views_(views)
     , log_(log)
     , counters_(counters)
+    , config_(confirmedKinds(ports.store_))
     , random_(seedFor(ports.seed_, RandomUse::Hosts))
     , routers_(self_.member_.host_, siblings_,
                [this](const SiblingMessage &message) {
@@ -96,7 +108,7 @@
 
 void ControlCore::start()
 {
-    reading_.start(clock_());
+    reading_.start();
     if (store_.hasHostList())
         pollHosts();
 }
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -15,8 +15,12 @@
 constexpr Duration kSettlingTime = std::chrono::seconds(1);
 // With fewer hosts listed, others may still be about to register.
 constexpr std::size_t kLeastFleet = 3;
-constexpr Duration kPullDelay = std::chrono::milliseconds(100);
-constexpr Duration kPullPeriod = std::chrono::milliseconds(50);
+// A change on its way through others arrives within this time on a link of 10 Mbit/s.
+constexpr Duration kPullDelay = std::chrono::milliseconds(300);
+// Longest wait for the answer to a pull; what was asked for twice would arrive twice.
+constexpr Duration kPullPeriod = std::chrono::milliseconds(500);
+// A difference at equal revisions that lasts this long is not a change on its way.
+constexpr Duration kMissingDelay = std::chrono::milliseconds(1200);
 
 } // namespace
 
@@ -64,7 +68,8 @@
 
 ConfigSummary MemberControl::summary(TimePoint now) const
 {
-    return ConfigSummary { config_.revision(), config_.digest(), config_.age(now) };
+    return ConfigSummary { config_.revision(), config_.digest(), config_.confirmedDigest(),
+                           config_.age(now) };
 }
 
 void MemberControl::onMessage(const HostName &from, const Probe &probe, TimePoint now)
@@ -95,10 +100,10 @@
     if (askedAt) {
         Heard &heard = heard_[ack.responder_];
         heard.askedAt_ = *askedAt;
-        heard.digest_ = ack.config_.digest_;
+        heard.digest_ = ack.config_.confirmedDigest_;
     }
     if (askedAt && ack.config_.age_)
-        config_.confirmThroughSibling(ack.config_.digest_, *ack.config_.age_, *askedAt);
+        config_.confirmThroughSibling(ack.config_.confirmedDigest_, *ack.config_.age_, *askedAt);
     membership_.onAck(ack.responder_, ack.sequence_, now);
 }
 
@@ -119,11 +124,7 @@
     }
     if (!differsSince_)
         differsSince_ = now;
-    // What is on its way anyway need not be asked for.
-    const bool isBehind = config.revision_ >= config_.revision() || !config_.age(now);
-    const bool isDue
-        = now >= nextPull_ && (now >= *differsSince_ + kPullDelay || !config_.age(now));
-    if (isBehind && isDue) {
+    if (isPullDue(config, now)) {
         nextPull_ = now + kPullPeriod;
         // Equal revisions with different objects: something was missed, so all of it is asked for.
         const bool isMissing = config.revision_ == config_.revision();
@@ -131,6 +132,22 @@
     }
 }
 
+// What is on its way anyway need not be asked for.
+bool MemberControl::isPullDue(const ConfigSummary &config, TimePoint now) const
+{
+    if (now < nextPull_)
+        return false;
+    // Nothing is on its way to a host that has not heard of the store for so long.
+    const auto age = config_.age(now);
+    const bool isOutOfTouch = !age || *age >= kFreshAge;
+    if (isOutOfTouch)
+        return config.revision_ >= config_.revision() || !age;
+    const Duration differs = now - *differsSince_;
+    return config.revision_ == config_.revision()
+               ? differs >= kMissingDelay
+               : config.revision_ > config_.revision() && differs >= kPullDelay;
+}
+
 void MemberControl::onMessage(const HostName &from, const ConfigPull &pull)
 {
     sender_.send(from, ConfigPush { config_.revision(), config_.changesSince(pull.since_) });
@@ -168,7 +185,7 @@
 {
     const auto agrees = [&](const auto &entry) {
         const Heard &heard = entry.second;
-        return heard.askedAt_ + kHeardWindow > now && heard.digest_ == config_.digest();
+        return heard.askedAt_ + kHeardWindow > now && heard.digest_ == config_.confirmedDigest();
     };
     const auto others = std::count_if(heard_.begin(), heard_.end(), agrees);
     return static_cast<std::size_t>(others) + 1 >= listedHosts_ / 2 + 1;
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -55,12 +55,13 @@
         TimePoint at_;
         std::optional<Duration> configAge_;
         TimePoint askedAt_ {}; ///< when the newest probe that it answered was sent
-        std::uint64_t digest_ = 0; ///< of its configuration, by that answer
+        std::uint64_t digest_ = 0; ///< of what confirmations are about, by that answer
     };
 
     ConfigSummary summary(TimePoint now) const;
     void take(const HostName &from, const std::vector<MemberUpdate> &updates,
               const ConfigSummary &config, TimePoint now);
+    [[nodiscard]] bool isPullDue(const ConfigSummary &config, TimePoint now) const;
     void logViewChange();
 
     const MemberUpdate self_;
--- a/src/daemon/StoreReading.cpp
+++ b/src/daemon/StoreReading.cpp
@@ -6,7 +6,6 @@
 
 namespace {
 
-constexpr Duration kFirstReading = std::chrono::seconds(2); // by then the readers are known
 // A host that began to read the store goes on for this long, so that it does not begin and end
 // with every short silence.
 constexpr Duration kReadingTime = std::chrono::seconds(5);
@@ -28,11 +27,10 @@
     }
 }
 
-void StoreReading::start(TimePoint now)
+void StoreReading::start()
 {
     for (const auto &watcher : watchers_)
         watcher->start();
-    readsUntil_ = now + kFirstReading;
 }
 
 bool StoreReading::isConnected() const
@@ -60,7 +58,7 @@
     const bool areReadersSilent = !age || *age >= options_.readerSilence_;
     if (areReadersSilent)
         readsUntil_ = now + kReadingTime;
-    const bool reads = isReader || now < readsUntil_;
+    const bool reads = isReader || !isComplete_ || now < readsUntil_;
     for (const auto &watcher : watchers_) {
         if (reads == !watcher->isPaused())
             continue;
--- a/src/daemon/StoreReading.h
+++ b/src/daemon/StoreReading.h
@@ -29,7 +29,7 @@
                  const RunAfter &runAfter, const Clock &clock, std::uint64_t seed, LogSink &log,
                  OnRead onRead);
 
-    void start(TimePoint now);
+    void start();
     /// Begins or ends reading.
     /// @param isReader whether this host is one of those that read for all.
     void update(bool isReader, TimePoint now);
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -163,8 +163,9 @@
 
 } // namespace
 
-ConfigState::ConfigState()
-    : configuration_(std::make_shared<Configuration>())
+ConfigState::ConfigState(std::set<ObjectKind> confirmed)
+    : confirmedKinds_(std::move(confirmed))
+    , configuration_(std::make_shared<Configuration>())
 { }
 
 ApplyResult ConfigState::apply(const StoredObject &object, std::string *error)
@@ -203,13 +204,21 @@
 {
     const auto [entry, isNew] = objects_.try_emplace(object.ref_, object);
     if (!isNew) {
-        digest_ ^= digestOf(entry->second);
+        toggleDigest(entry->second);
         entry->second = object;
     }
-    digest_ ^= digestOf(object);
+    toggleDigest(object);
     changed_.insert(object.ref_);
 }
 
+void ConfigState::toggleDigest(const StoredObject &object)
+{
+    const std::uint64_t digest = digestOf(object);
+    digest_ ^= digest;
+    if (confirmedKinds_.empty() || confirmedKinds_.contains(object.ref_.kind_))
+        confirmedDigest_ ^= digest;
+}
+
 std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision,
                                       const std::set<ObjectKind> &kinds)
 {
@@ -245,7 +254,7 @@
 
 void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint askedAt)
 {
-    if (digest == digest_)
+    if (digest == confirmedDigest_)
         confirm(askedAt - kClockDrift.stretched(age));
 }
 
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -72,7 +72,7 @@
 template <typename Archive>
 void fields(Archive &archive, ConfigSummary &summary)
 {
-    archive(summary.revision_, summary.digest_, summary.age_);
+    archive(summary.revision_, summary.digest_, summary.confirmedDigest_, summary.age_);
 }
 
 template <typename Archive>
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -114,4 +114,37 @@
     RC_ASSERT(ordered.digest() == shuffled.digest());
 }
 
+// Pattern: while a fleet starts, registrations and roles change all the time; hosts whose digests
+// differed in those took no word on the configuration from each other.
+TEST(ConfigState, WhatConfirmationsAreNotAboutDoesNotKeepThemAway)
+{
+    ConfigState here({ ObjectKind::Zone });
+    ConfigState there({ ObjectKind::Zone });
+    const ObjectRef zone { ObjectKind::Zone, "serra-a" };
+    const std::string out
+        = formatZone(Zone { ZoneName("serra-a"), ZoneState::Out, Duration::zero() });
+    const EntryHost entry { HostName("entry-1"), Incarnation { 1 }, ZoneName("serra-a"),
+                            Address { "10.0.0.1", 7350 } };
+    here.apply({ zone, Version { 1 }, false, out });
+    here.apply(
+        { { ObjectKind::EntryHost, "entry-1" }, Version { 2 }, false, formatEntryHost(entry) });
+    there.apply({ zone, Version { 1 }, false, out });
+    EXPECT_NE(here.digest(), there.digest());
+    there.confirm(TimePoint(1h));
+    here.confirmThroughSibling(there.confirmedDigest(), 10ms, TimePoint(1h));
+    EXPECT_TRUE(here.age(TimePoint(1h)));
+}
+
+TEST(ConfigState, NobodyConfirmsWhatItDoesNotHave)
+{
+    ConfigState here({ ObjectKind::Zone });
+    ConfigState there({ ObjectKind::Zone });
+    there.apply({ { ObjectKind::Zone, "serra-a" },
+                  Version { 1 },
+                  false,
+                  formatZone(Zone { ZoneName("serra-a"), ZoneState::Out, Duration::zero() }) });
+    here.confirmThroughSibling(there.confirmedDigest(), 10ms, TimePoint(1h));
+    EXPECT_FALSE(here.age(TimePoint(1h)));
+}
+
 } // namespace
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -3,6 +3,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <vector>
 
 using namespace pimentostage;
@@ -50,7 +51,8 @@
     /// @return a summary equal to this host's, confirmed @p age ago.
     ConfigSummary equalSummary(Duration age) const
     {
-        return ConfigSummary { config_.revision(), config_.digest(), age };
+        return ConfigSummary { config_.revision(), config_.digest(), config_.confirmedDigest(),
+                               age };
     }
 
     ProbeAck answerTo(const Probe &probe, Duration age) const
@@ -119,7 +121,7 @@
     EXPECT_TRUE(control_.agreesWithMajority(kStart + 1ms)) << "two of three";
     control_.tick(kStart + 200ms);
     answer = answerTo(sent_.lastProbe(), 100ms);
-    answer.config_.digest_ += 1;
+    answer.config_.confirmedDigest_ += 1;
     control_.onMessage(other_.member_.host_, answer, kStart + 201ms);
     EXPECT_FALSE(control_.agreesWithMajority(kStart + 201ms));
 }
@@ -136,4 +138,29 @@
     EXPECT_FALSE(control_.agreesWithMajority(kStart + 10s));
 }
 
+// Pattern: while a change spreads over 69 hosts, their digests differ for a moment; each asked
+// others for all objects every 50 ms, and the answers filled the links that the change was to take.
+TEST_F(MemberControlTest, DoesNotAskForWhatIsOnItsWay)
+{
+    config_.confirm(kStart);
+    Probe probe;
+    probe.origin_ = other_.member_.host_;
+    probe.target_ = self_.member_.host_;
+    probe.config_ = equalSummary(100ms);
+    probe.config_.digest_ += 1;
+    const auto pulls = [&] {
+        return std::count_if(sent_.messages_.begin(), sent_.messages_.end(), [](const auto &sent) {
+            return std::holds_alternative<ConfigPull>(sent);
+        });
+    };
+    for (Duration at {}; at < 1s; at += 50ms)
+        control_.onMessage(other_.member_.host_, probe, kStart + at);
+    EXPECT_EQ(pulls(), 0) << "equal revisions";
+    probe.config_.revision_ = config_.revision().next();
+    for (Duration at = 1s; at < 2s; at += 50ms)
+        control_.onMessage(other_.member_.host_, probe, kStart + at);
+    EXPECT_GE(pulls(), 1);
+    EXPECT_LE(pulls(), 2) << "one at a time";
+}
+
 } // namespace
