Changes and confirmations enter each data centre once

Change: fanOut() sends into each other data centre once, to a strong host, which passes on within it; ReaderTree: the first of a data centre asks a reader, the others ask within it.

--- a/src/daemon/ConfigPublisher.cpp
+++ b/src/daemon/ConfigPublisher.cpp
@@ -1,7 +1,5 @@
 #include "src/daemon/ConfigPublisher.h"
 
-#include "pimentostage/sibling/FanOut.h"
-
 #include <algorithm>
 
 namespace pimentostage {
@@ -17,7 +15,7 @@
 
 } // namespace
 
-ConfigPublisher::ConfigPublisher(Member self, const ConfigState &config,
+ConfigPublisher::ConfigPublisher(MemberUpdate self, const ConfigState &config,
                                  const Membership &membership, SiblingSender &siblings,
                                  Random random)
     : self_(std::move(self))
@@ -39,38 +37,36 @@
     publish(changes);
 }
 
-// The strongest hosts come first, in random order, so that a message does not take the same way
-// each time.
+// In random order, so that a message does not take the same way each time.
 void ConfigPublisher::publish(const std::vector<StoredObject> &objects)
 {
     if (objects.empty())
         return;
     const std::vector<Member> strongest = membership_.strongest();
-    std::vector<HostName> receivers;
+    std::vector<FanOutReceiver> receivers;
     for (const Member &member : membership_.view()) {
-        if (member != self_)
-            receivers.push_back(member.host_);
+        if (member == self_.member_)
+            continue;
+        const bool isStrong
+            = std::find(strongest.begin(), strongest.end(), member) != strongest.end();
+        receivers.push_back({ member.host_, membership_.find(member.host_)->zone_, isStrong });
     }
     std::shuffle(receivers.begin(), receivers.end(), random_.engine());
-    const auto weak = std::partition(receivers.begin(), receivers.end(), [&](const HostName &host) {
-        return std::any_of(strongest.begin(), strongest.end(),
-                           [&](const Member &member) { return member.host_ == host; });
-    });
-    send(objects, receivers, static_cast<std::size_t>(weak - receivers.begin()));
+    send(objects, fanOut(receivers, self_.zone_));
 }
 
 void ConfigPublisher::passOn(const ConfigPush &push)
 {
     for (const StoredObject &object : push.objects_)
         publishedUpTo_ = std::max(publishedUpTo_, object.version_);
-    send(push.objects_, push.relayTo_, 0);
+    send(push.objects_, fanOut(push.relayTo_));
 }
 
 // Without a revision: the receiver may have missed earlier changes.
 void ConfigPublisher::send(const std::vector<StoredObject> &objects,
-                           const std::vector<HostName> &receivers, std::size_t strong)
+                           const std::vector<FanOutBranch> &branches)
 {
-    for (const FanOutBranch &branch : fanOut(receivers, strong))
+    for (const FanOutBranch &branch : branches)
         siblings_.send(branch.to_, ConfigPush { Version {}, objects, branch.relayTo_ });
 }
 
--- a/src/daemon/ConfigPublisher.h
+++ b/src/daemon/ConfigPublisher.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Random.h"
 #include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/sibling/FanOut.h"
 #include "pimentostage/sibling/Membership.h"
 #include "pimentostage/sibling/Messages.h"
 
@@ -15,7 +16,7 @@
 class ConfigPublisher
 {
 public:
-    ConfigPublisher(Member self, const ConfigState &config, const Membership &membership,
+    ConfigPublisher(MemberUpdate self, const ConfigState &config, const Membership &membership,
                     SiblingSender &siblings, Random random);
 
     /// Sends what has changed since the last call and was not pushed by another host.
@@ -29,10 +30,9 @@
     void passOn(const ConfigPush &push);
 
 private:
-    void send(const std::vector<StoredObject> &objects, const std::vector<HostName> &receivers,
-              std::size_t strong);
+    void send(const std::vector<StoredObject> &objects, const std::vector<FanOutBranch> &branches);
 
-    const Member self_;
+    const MemberUpdate self_;
     const ConfigState &config_;
     const Membership &membership_;
     SiblingSender &siblings_;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -70,7 +70,7 @@
                    runAfter_(Duration::zero(),
                              [this, message] { onSiblingMessage(self_, message); });
                })
-    , readers_(self_.member_, options_.readers_)
+    , readers_(self_, options_.readers_)
     , reading_(options_, store_, config_, runAfter_, clock_,
                seedFor(ports.seed_, RandomUse::Reading), log,
                [this](bool isFirst) { onFeedRead(isFirst); })
@@ -79,7 +79,7 @@
                  [this](const StoredObject &object) { onOwnWrite(object); })
     , members_(self_, Random(seedFor(ports.seed_, RandomUse::Members)), options.membership_,
                config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
-    , publisher_(self_.member_, config_, members_.membership(), siblings_,
+    , publisher_(self_, config_, members_.membership(), siblings_,
                  Random(seedFor(ports.seed_, RandomUse::Publisher)))
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomUse::Roles)), store_, siblings_,
              members_, config_, *this, clock_, log,
