What was deleted before a host's listing does not come back through another host

Change: an unknown object with a version up to the revision to which the state is complete was deleted, and is older.

Test: ConfigState.DoesNotTakeBackWhatWasDeletedBeforeItsListing, wrong by the former code.

--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -181,7 +181,9 @@
     }
     if (object.version_ == known)
         return ApplyResult::Unchanged;
-    if (object.version_ < known)
+    // This state is complete up to its revision: what it lacks from before was deleted.
+    const bool isGone = !present && object.version_ <= revision_;
+    if (object.version_ < known || isGone)
         return ApplyResult::Older;
     if (!object.deleted_) {
         const std::string fault = valueOr(
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -147,4 +147,20 @@
     EXPECT_FALSE(here.age(TimePoint(1h)));
 }
 
+// CoreFuzz, seed 512: a host that had just started asked one that could not reach the store for all
+// objects, and took a withdrawn key from it that its own listing had lacked.
+TEST(ConfigState, DoesNotTakeBackWhatWasDeletedBeforeItsListing)
+{
+    ConfigState state;
+    const ObjectRef zone { ObjectKind::Zone, "serra-a" };
+    const std::string out
+        = formatZone(Zone { ZoneName("serra-a"), ZoneState::Out, Duration::zero() });
+    state.applyListing({}, Version { 9 });
+    state.adoptRevision(Version { 9 });
+    EXPECT_EQ(state.apply({ zone, Version { 4 }, false, out }), ApplyResult::Older);
+    EXPECT_TRUE(state.configuration()->zones_.empty());
+    EXPECT_EQ(state.apply({ zone, Version { 10 }, false, out }), ApplyResult::Applied);
+    EXPECT_EQ(state.configuration()->zones_.size(), 1U);
+}
+
 } // namespace
