First requests to a cold back end are spread over the hosts; what joins a service is tried

Cause: (1) each host had its first request to a back end in cold start at once: with 69 hosts up to 69 in one second, where 15 are allowed.

Change: ColdStart begins with a phase spread evenly over the hosts; a near back end that never answered this host counts as the fastest until it does, once at a time.

--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -80,6 +80,8 @@
     [[nodiscard]] double pace(TimePoint now) const;
     /// @return the back end's own usual pace; 1 before the first report.
     [[nodiscard]] double usualPace() const;
+    /// @return whether it has never answered this host, nor reported its load.
+    [[nodiscard]] bool isUntried() const;
     /// @return requests that run or wait there, as far as this host can tell.
     [[nodiscard]] double load(TimePoint now) const;
     /// @return the part of its requests that failed lately, from 0 to 1.
--- a/include/pimentostage/backend/ColdStart.h
+++ b/include/pimentostage/backend/ColdStart.h
@@ -15,7 +15,9 @@
 public:
     /// Begins a cold start, or changes the end of the present one.
     /// @param rate requests a second that this host may send.
-    void begin(TimePoint until, double rate);
+    /// @param phase part of the first request that this host may send at once, from 0 to 1; spread
+    ///        evenly over the hosts, so that they do not all send their first request together.
+    void begin(TimePoint until, double rate, double phase, TimePoint now);
 
     [[nodiscard]] bool isCold(TimePoint now) const;
     /// @return whether a request may be sent at @p now: warm, or within the rate.
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -92,6 +92,12 @@
     return usual == 0 ? 1 : usual;
 }
 
+bool BackendStats::isUntried() const
+{
+    return answeredAt_.load(std::memory_order_relaxed) == 0
+           && reportedAt_.load(std::memory_order_relaxed) == 0;
+}
+
 double BackendStats::pace(TimePoint now) const
 {
     const double usual = usualPace();
--- a/src/backend/BalancingStrategy.cpp
+++ b/src/backend/BalancingStrategy.cpp
@@ -100,10 +100,15 @@
     // Bytes between data centres cost: a far back end has to be this much faster.
     static constexpr double kFarFactor = 2.5;
     static constexpr double kColdFactor = 2; // cold back ends work about half as fast
+    // Below the time of the fastest idle ones seen: what is new is tried once by each host, within
+    // what it bears while it is cold.
+    static constexpr double kUntriedTime = 0.5;
 
     static double expectedTime(const Candidate &candidate, TimePoint now)
     {
         const BackendStats &stats = *candidate.stats_;
+        if (stats.isUntried() && stats.inFlight() == 0 && candidate.isNear_)
+            return kUntriedTime;
         const double slots = std::max(1U, candidate.backend_.slots_);
         const double load = stats.load(now);
         const double waiting = std::max(0.0, load + 1 - slots);
--- a/src/backend/ColdStart.cpp
+++ b/src/backend/ColdStart.cpp
@@ -6,15 +6,20 @@
 
 namespace {
 
-// One request at once: more hosts than the rate would otherwise all send their burst together.
+// What this host may save up: one request.
 constexpr double kBurst = 1;
 
 } // namespace
 
-void ColdStart::begin(TimePoint until, double rate)
+void ColdStart::begin(TimePoint until, double rate, double phase, TimePoint now)
 {
     const std::lock_guard lock(mutex_);
     // A start that is announced again goes on with the tokens that it has.
+    const bool isNew = now >= until_;
+    if (isNew) {
+        tokens_ = phase;
+        countedAt_ = now;
+    }
     until_ = until;
     rate_ = rate;
 }
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -5,6 +5,7 @@
 #include "pimentostage/base/Hash.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pimentostage {
 
@@ -150,7 +151,10 @@
                             && (isNewProcess || known.coldFor_ != backend.coldFor_);
     if (startsCold && service.coldRate_ > 0) {
         const double rate = service.coldRate_ / static_cast<double>(facts.entryHosts_);
-        known.stats_->coldStart().begin(now + backend.coldFor_, rate);
+        const std::uint64_t spread
+            = hash64(backend.name_.str() + '/' + std::to_string(facts.router_.value_));
+        known.stats_->coldStart().begin(now + backend.coldFor_, rate,
+                                        std::ldexp(static_cast<double>(spread), -64), now);
     }
     known.incarnation_ = backend.incarnation_;
     known.coldFor_ = backend.coldFor_;
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -157,4 +157,25 @@
     EXPECT_EQ(owner(), nullptr);
 }
 
+// Pattern: back ends that joined a service of 87 got nothing: the warm and fast ones among 87 were
+// always free (grown deployments).
+TEST_F(BackendSelectorTest, TriesABackEndThatJoinedThoughFasterOnesAreFree)
+{
+    configuration_.services_.at(ServiceName("plain")).balancing_ = Balancing::ExpectedTime;
+    facts_.zone_ = ZoneName("a");
+    rebuild();
+    LoadReport fast;
+    fast.pace_ = 0.7;
+    for (int worker = 0; worker < 4; ++worker) {
+        stats(worker).onLoadReport(fast, now_);
+        stats(worker).onAnswer(100ms, now_);
+    }
+    Backend joined = configuration_.backends_.at(BackendName("worker-0"));
+    joined.name_ = BackendName("worker-new");
+    configuration_.backends_[joined.name_] = joined;
+    rebuild();
+    EXPECT_EQ(pick(), "worker-new");
+    EXPECT_NE(pick(), "worker-new") << "once, until it has answered";
+}
+
 } // namespace
