--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -22,6 +22,9 @@
 // A difference that lasts this long is not a change that was just lost on its way.
 constexpr Duration kMissingDelay = std::chrono::milliseconds(1200);
 
+// Two pulls, the second for everything, have come to nothing after this time.
+constexpr Duration kMostOutOfStep = std::chrono::seconds(3);
+
 } // namespace
 
 MemberControl::MemberControl(const MemberUpdate &self, Random random,
@@ -205,6 +208,11 @@
     return static_cast<std::size_t>(others) + 1 >= listedHosts_ / 2 + 1;
 }
 
+bool MemberControl::isOutOfStep(TimePoint now) const
+{
+    return differsSince_ && now >= *differsSince_ + kMostOutOfStep;
+}
+
 bool MemberControl::isSettled(TimePoint now) const
 {
     if (startedAt_ == TimePoint {})
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -190,4 +190,17 @@
     EXPECT_EQ(pulls().size(), 1U);
 }
 
+// A deletion leaves no trace at a host that started after it: no pull brings it.
+TEST_F(MemberControlTest, ReadsTheStoreIfPullsDoNotHelp)
+{
+    config_.confirm(kStart);
+    Probe probe = probeFrom(other_);
+    probe.config_.digest_ += 1;
+    control_.onMessage(other_.member_.host_, probe, kStart);
+    EXPECT_FALSE(control_.isOutOfStep(kStart + 2s));
+    EXPECT_TRUE(control_.isOutOfStep(kStart + 3s));
+    control_.onMessage(other_.member_.host_, probeFrom(other_), kStart + 3s);
+    EXPECT_FALSE(control_.isOutOfStep(kStart + 3s));
+}
+
 } // namespace
