One of many hosts that read a store that is down waits longer between tries

Ruled out: hosts that read although others told them (in an outage nobody can).

Readers keep their pace, so that the return of the store is noticed as soon as before.

Tests: ConfigWatcher.OneOfManyTriesAStoreThatIsDownSeldom, AReaderNoticesTheReturnOfTheStoreSoon.

--- a/src/daemon/StoreReading.cpp
+++ b/src/daemon/StoreReading.cpp
@@ -60,6 +60,8 @@
         readsUntil_ = now + kReadingTime;
     const bool reads = isReader || !isComplete_ || now < readsUntil_;
     for (const auto &watcher : watchers_) {
+        // Before its first reading a host knows nothing by which to serve.
+        watcher->setPatient(!isReader && isComplete_);
         if (reads == !watcher->isPaused())
             continue;
         if (reads)
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -24,6 +24,8 @@
 
     /// Starts with a listing, or goes on with one after pause().
     void start();
+    /// Makes it wait longer after failures, as is right for one of many that try.
+    void setPatient(bool isPatient) { isPatient_ = isPatient; }
     /// Starts no further call. One that is under way is finished.
     void pause() { isPaused_ = true; }
     [[nodiscard]] bool isPaused() const { return isPaused_; }
@@ -53,6 +55,8 @@
     LogSink &log_;
     const std::function<void()> onChange_;
     Backoff backoff_;
+    Backoff patientBackoff_;
+    bool isPatient_ = false;
     bool connected_ = false;
     bool isPaused_ = false;
     bool isCallOut_ = false; ///< a call is under way, or will be made after a delay
--- /dev/null
+++ b/tests/ConfigWatcherTest.cpp
@@ -0,0 +1,47 @@
+#include "src/platform/ConfigWatcher.h"
+#include "tests/fakes/EventQueue.h"
+#include "tests/fakes/FakeObjectStore.h"
+#include "tests/fakes/NullLog.h"
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// @return how often a watcher asks a store that is down for @p time.
+int callsInOutage(bool isPatient, Duration time)
+{
+    EventQueue events;
+    FakeObjectStore store;
+    store.isDown_ = true;
+    ConfigState state;
+    NullLog log;
+    ConfigWatcher watcher(
+        store, 0, state,
+        [&events](Duration delay, std::function<void()> task) {
+            events.after(delay, std::move(task));
+        },
+        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
+    watcher.setPatient(isPatient);
+    watcher.start();
+    events.runUntil(time, [] {});
+    return store.listings_;
+}
+
+// natalina-serra-grown trouble-3: 69 hosts made 991 calls in the first second of an outage of the
+// store, and each call is paid for.
+TEST(ConfigWatcher, OneOfManyTriesAStoreThatIsDownSeldom)
+{
+    constexpr int kMostInOutage = 4;
+    EXPECT_LE(callsInOutage(true, 4500ms), kMostInOutage);
+    EXPECT_GE(callsInOutage(true, 10s), 3) << "but goes on";
+}
+
+TEST(ConfigWatcher, AReaderNoticesTheReturnOfTheStoreSoon)
+{
+    EXPECT_GE(callsInOutage(false, 4500ms), 6);
+}
+
+} // namespace
--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -11,6 +11,8 @@
 class FakeObjectStore : public ObjectStore
 {
 public:
+    bool isDown_ = false; ///< listings fail
+    int listings_ = 0; ///< asked for
     int failReads_ = 0; ///< reads to fail
     int loseWrites_ = 0; ///< writes to fail without effect
     int loseAnswers_ = 0; ///< writes that take effect and are answered with an error
@@ -25,6 +27,11 @@
 
     void list(Done<StoreListing> done) override
     {
+        ++listings_;
+        if (isDown_) {
+            done(error(Step::ReadStore));
+            return;
+        }
         StoreListing listing;
         listing.revision_ = revision_;
         for (const auto &[ref, object] : objects_)
