A host copies the view only when it changes; names

Change: kept between ticks and copied with the view's number. Names without figures of speech: hasDiverged, prolongByOwnPause, isUnconfirmed.

--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -136,7 +136,7 @@
         bool isIndirect_ = false;
     };
 
-    void excuseOwnPause(TimePoint now);
+    void prolongByOwnPause(TimePoint now);
     void startProbes(TimePoint now, std::vector<ProbeOrder> &orders);
     void startProbe(const HostName &target, TimePoint now, std::vector<ProbeOrder> &orders);
     void expireProbes(TimePoint now, std::vector<ProbeOrder> &orders);
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -340,7 +340,7 @@
     members_.setSource(readers_.source());
     members_.tick(now);
     const std::vector<Member> view = members_.membership().view();
-    reading_.update(readers_.isReader(), members_.isOutOfStep(now), now);
+    reading_.update(readers_.isReader(), members_.hasDiverged(now), now);
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -23,7 +23,7 @@
 constexpr Duration kMissingDelay = std::chrono::milliseconds(1200);
 
 // Two pulls, the second for everything, have come to nothing after this time.
-constexpr Duration kMostOutOfStep = std::chrono::seconds(3);
+constexpr Duration kDivergenceTime = std::chrono::seconds(3);
 
 } // namespace
 
@@ -158,8 +158,8 @@
 {
     // Nothing is on its way to a host that has not heard of the store for so long.
     const auto age = config_.age(now);
-    const bool isOutOfTouch = !age || *age >= kFreshAge;
-    const bool isLate = isOutOfTouch || now >= *differsSince_ + kPullDelay;
+    const bool isUnconfirmed = !age || *age >= kFreshAge;
+    const bool isLate = isUnconfirmed || now >= *differsSince_ + kPullDelay;
     // A reader's revision is that of the feed read longest ago; it may have newer objects.
     const bool isBehind = source_ || config.revision_ >= config_.revision() || !age;
     return now >= nextPull_ && isLate && isBehind;
@@ -208,9 +208,9 @@
     return static_cast<std::size_t>(others) + 1 >= listedHosts_ / 2 + 1;
 }
 
-bool MemberControl::isOutOfStep(TimePoint now) const
+bool MemberControl::hasDiverged(TimePoint now) const
 {
-    return differsSince_ && now >= *differsSince_ + kMostOutOfStep;
+    return differsSince_ && now >= *differsSince_ + kDivergenceTime;
 }
 
 bool MemberControl::isSettled(TimePoint now) const
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -53,7 +53,7 @@
     /// @return whether this host's configuration differs from its source's although it has asked
     /// for
     ///         what it lacks; only the store can tell, as of a deletion that the source never saw.
-    [[nodiscard]] bool isOutOfStep(TimePoint now) const;
+    [[nodiscard]] bool hasDiverged(TimePoint now) const;
 
     /// @return whether every listed entry host was heard, or had the time to be.
     [[nodiscard]] bool isSettled(TimePoint now) const;
--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -89,25 +89,30 @@
 {
     if (!members_.isSettled(now))
         return;
-    const RoleSurroundings common = surroundings(configuration, now);
+    updateSurroundings(configuration, now);
     for (const auto &[role, keeper] : keepers_) {
-        RoleSurroundings own = common;
+        surroundings_.stopped_.clear();
         if (keeper->record())
-            addStopped(*keeper->record(), own.stopped_);
-        perform(*keeper, keeper->tick(own, now), now);
+            addStopped(*keeper->record(), surroundings_.stopped_);
+        perform(*keeper, keeper->tick(surroundings_, now), now);
         logBlocked(*keeper, now);
     }
 }
 
-RoleSurroundings RoleControl::surroundings(const Configuration &configuration, TimePoint now) const
+// The view is copied only when it changes: with thousands of hosts a copy in each tick, or for each
+// role, costs more than all else here.
+void RoleControl::updateSurroundings(const Configuration &configuration, TimePoint now)
 {
-    RoleSurroundings surroundings;
-    surroundings.view_ = members_.membership().view();
-    surroundings.strongest_ = members_.membership().strongest();
-    surroundings.othersHearStore_ = members_.othersHearStore(now);
+    const Membership &membership = members_.membership();
+    if (membership.viewNumber() != viewNumber_) {
+        viewNumber_ = membership.viewNumber();
+        surroundings_.view_ = membership.view();
+        surroundings_.strongest_ = membership.strongest();
+    }
+    surroundings_.othersHearStore_ = members_.othersHearStore(now);
+    surroundings_.vouchedLost_.clear();
     for (const auto &[host, lost] : configuration.lostHosts_)
-        surroundings.vouchedLost_[host] = lost.upTo_;
-    return surroundings;
+        surroundings_.vouchedLost_[host] = lost.upTo_;
 }
 
 void RoleControl::addStopped(const RoleRecord &record, std::set<Member> &stopped) const
--- a/src/daemon/RoleControl.h
+++ b/src/daemon/RoleControl.h
@@ -67,7 +67,7 @@
     }
 
 private:
-    RoleSurroundings surroundings(const Configuration &configuration, TimePoint now) const;
+    void updateSurroundings(const Configuration &configuration, TimePoint now);
     void addStopped(const RoleRecord &record, std::set<Member> &stopped) const;
     RoleKeeper *find(const RoleName &role);
     void perform(RoleKeeper &keeper, const RoleActions &actions, TimePoint now);
@@ -94,6 +94,8 @@
     const OnOwnWrite onOwnWrite_;
     std::map<RoleName, std::unique_ptr<RoleKeeper>> keepers_;
     PromiseLedger promises_;
+    RoleSurroundings surroundings_; ///< of the role that is looked at
+    std::uint64_t viewNumber_ = 0; ///< of the view in surroundings_
     std::size_t pendingWrites_ = 0;
     TimePoint nextBlockedLog_ {};
 };
--- a/src/daemon/StoreReading.cpp
+++ b/src/daemon/StoreReading.cpp
@@ -50,13 +50,13 @@
     onRead_(isFirst);
 }
 
-void StoreReading::update(bool isReader, bool isOutOfStep, TimePoint now)
+void StoreReading::update(bool isReader, bool hasDiverged, TimePoint now)
 {
     if (options_.readers_ == 0)
         return;
     const auto age = config_.age(now);
     const bool areReadersSilent = !age || *age >= options_.readerSilence_;
-    if (areReadersSilent || isOutOfStep)
+    if (areReadersSilent || hasDiverged)
         readsUntil_ = now + kReadingTime;
     const bool reads = isReader || !isComplete_ || now < readsUntil_;
     for (const auto &watcher : watchers_) {
--- a/src/daemon/StoreReading.h
+++ b/src/daemon/StoreReading.h
@@ -32,8 +32,8 @@
     void start();
     /// Begins or ends reading.
     /// @param isReader whether this host is one of those that read for all.
-    /// @param isOutOfStep whether what the others know does not bring this host up to date.
-    void update(bool isReader, bool isOutOfStep, TimePoint now);
+    /// @param hasDiverged whether what the others know does not bring this host up to date.
+    void update(bool isReader, bool hasDiverged, TimePoint now);
 
     /// @return whether the last call to each feed succeeded.
     [[nodiscard]] bool isConnected() const;
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -46,7 +46,7 @@
 std::vector<ProbeOrder> Membership::tick(TimePoint now)
 {
     std::vector<ProbeOrder> orders;
-    excuseOwnPause(now);
+    prolongByOwnPause(now);
     expireProbes(now, orders);
     declareDead(now);
     if (now >= nextProbes_) {
@@ -58,7 +58,7 @@
 
 // Answers that came during a pause of this process have not been read yet: nobody is suspected, or
 // declared dead, for the time of the pause.
-void Membership::excuseOwnPause(TimePoint now)
+void Membership::prolongByOwnPause(TimePoint now)
 {
     const Duration pause = tickedAt_ == TimePoint {} ? Duration::zero() : now - tickedAt_;
     tickedAt_ = now;
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -197,10 +197,10 @@
     Probe probe = probeFrom(other_);
     probe.config_.digest_ += 1;
     control_.onMessage(other_.member_.host_, probe, kStart);
-    EXPECT_FALSE(control_.isOutOfStep(kStart + 2s));
-    EXPECT_TRUE(control_.isOutOfStep(kStart + 3s));
+    EXPECT_FALSE(control_.hasDiverged(kStart + 2s));
+    EXPECT_TRUE(control_.hasDiverged(kStart + 3s));
     control_.onMessage(other_.member_.host_, probeFrom(other_), kStart + 3s);
-    EXPECT_FALSE(control_.isOutOfStep(kStart + 3s));
+    EXPECT_FALSE(control_.hasDiverged(kStart + 3s));
 }
 
 } // namespace
