SIGHUP checks the settings of our own daemon too

Test: process_reload (bin/run-reload): the former daemon ended with Hangup; now it serves on and logs whether the changed settings may be used, with a fault in them as well.

--- a/src/daemon/Program.h
+++ b/src/daemon/Program.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/base/Error.h"
+#include "pimentostage/base/Log.h"
 #include "pimentostage/operator/Settings.h"
 
 #include <csignal>
@@ -50,4 +51,19 @@
     return result.faults_.empty();
 }
 
+/// Waits for one of @p signals that stops the program. At SIGHUP the settings in @p file are
+/// checked and the result logged; changed settings take effect with the next start.
+inline void waitForStop(const sigset_t &signals, const std::string &file, LogSink &log)
+{
+    int received = SIGHUP;
+    while (received == SIGHUP) {
+        sigwait(&signals, &received);
+        if (received != SIGHUP)
+            return;
+        const bool isUsable = isUsableOrReport(readSettings(file));
+        log.write(
+            LogLine(isUsable ? Severity::Info : Severity::Error, "reload").add("usable", isUsable));
+    }
+}
+
 } // namespace pimentostage
--- a/tools/pimentostaged.cpp
+++ b/tools/pimentostaged.cpp
@@ -21,15 +21,14 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-int serve(const pimentostage::Settings &settings)
+int serve(const pimentostage::Settings &settings, const std::string &file)
 {
-    const sigset_t signals = pimentostage::blockStopSignals();
+    const sigset_t signals = pimentostage::blockStopSignals({ SIGHUP });
     pimentostage::AsyncLog log(static_cast<std::size_t>(settings.logCapacity_), settings.logLevel_);
     pimentostage::Node node(settings, pimentostage::ownParts(settings), log);
     if (!pimentostage::startOrReport([&] { return node.start(); }))
         return kExitFailed;
-    int received = 0;
-    sigwait(&signals, &received);
+    pimentostage::waitForStop(signals, file, log);
     node.stop();
     return kExitOk;
 }
@@ -41,7 +40,7 @@
     pimentostage::configureProgram(
         "pimentostaged", "The daemon of an entry host: takes callers' requests to back ends.\n"
                          "Usage: pimentostaged --config=FILE [--check_config]\n"
-                         "SIGTERM and SIGINT stop it gracefully.");
+                         "SIGTERM and SIGINT stop it gracefully; SIGHUP checks its settings.");
     pimentostage::parseCommandLine(argc, argv);
     if (absl::GetFlag(FLAGS_print_settings)) {
         std::cout << pimentostage::settingsReference();
@@ -59,5 +58,5 @@
         std::cout << file << ": ok\n";
         return kExitOk;
     }
-    return serve(result.settings_);
+    return serve(result.settings_, file);
 }
