--- a/tests/MembershipTest.cpp
+++ b/tests/MembershipTest.cpp
@@ -105,6 +105,18 @@
     std::uint64_t lastIncarnation_ = 0;
 };
 
+/// @return the membership of a host that knows host-1.
+Membership knowingOneOther()
+{
+    MemberUpdate self;
+    self.member_ = Member { HostName("self"), Incarnation { 1 } };
+    Membership membership(self, Random(1));
+    MemberUpdate other;
+    other.member_ = Member { HostName("host-1"), Incarnation { 1 } };
+    membership.merge(other, TimePoint(1h));
+    return membership;
+}
+
 TEST(Membership, AllHostsFindEachOther)
 {
     ProbeWorld world(8);
@@ -186,12 +198,7 @@
 // Pattern: a host on a tenth of a core reads a large configuration and looks at its answers late.
 TEST(Membership, DoesNotSuspectAnotherForItsOwnPause)
 {
-    MemberUpdate self;
-    self.member_ = Member { HostName("self"), Incarnation { 1 } };
-    Membership membership(self, Random(1));
-    MemberUpdate other;
-    other.member_ = Member { HostName("host-1"), Incarnation { 1 } };
-    membership.merge(other, TimePoint(1h));
+    Membership membership = knowingOneOther();
     const ProbeOrder probe = membership.tick(TimePoint(1h)).front();
     membership.tick(TimePoint(1h) + 500ms);
     membership.onAck(probe.target_, probe.sequence_, TimePoint(1h) + 501ms);
@@ -200,12 +207,7 @@
 
 TEST(Membership, StillSuspectsAHostThatIsSilentAfterItsOwnPause)
 {
-    MemberUpdate self;
-    self.member_ = Member { HostName("self"), Incarnation { 1 } };
-    Membership membership(self, Random(1));
-    MemberUpdate other;
-    other.member_ = Member { HostName("host-1"), Incarnation { 1 } };
-    membership.merge(other, TimePoint(1h));
+    Membership membership = knowingOneOther();
     for (Duration at = 500ms; at < 1s; at += 10ms)
         membership.tick(TimePoint(1h) + at);
     EXPECT_EQ(membership.find(HostName("host-1"))->liveness_, Liveness::Dead);
