The store's own word brings back what a host lacked below its revision

Cause (found by reading the change once more): the rule that an unknown object up to a host's revision was deleted stood in ConfigState::apply(), through which the store's listings go too. A host that had missed such an object refused it from the store as well, so that the reading meant to heal it (3 s of difference) could not.

Ruled out: a rule by time (the revision says exactly what a sibling may not bring back).

Change: the rule holds for what siblings send only (applyFromSibling, ObjectOrigin in the intake).

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -37,10 +37,13 @@
     /// @param confirmed kinds that the store's confirmations are about; empty for all.
     explicit ConfigState(std::set<ObjectKind> confirmed = {});
 
-    /// Offers one version of an object.
+    /// Offers one version of an object, as the store told it.
     /// @param error receives the reason if the result is Rejected.
     ApplyResult apply(const StoredObject &object, std::string *error = nullptr);
 
+    /// As apply(), for an object that a sibling sent.
+    ApplyResult applyFromSibling(const StoredObject &object, std::string *error = nullptr);
+
     /// Offers a complete listing of the store; objects it lacks were deleted.
     /// @param revision the store's revision at which the listing was taken.
     /// @param kinds the kinds that were listed; empty for all.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -233,7 +233,7 @@
 
 void ControlCore::onConfigPush(const ConfigPush &push)
 {
-    applyObjects(push.objects_, config_, log_);
+    applyObjects(push.objects_, ObjectOrigin::Sibling, config_, log_);
     publisher_.passOn(push);
     config_.adoptRevision(push.revision_);
     onConfigChange(clock_());
@@ -241,7 +241,7 @@
 
 void ControlCore::onOwnWrite(const StoredObject &object)
 {
-    applyObjects({ object }, config_, log_);
+    applyObjects({ object }, ObjectOrigin::Store, config_, log_);
     if (options_.readers_ > 0)
         publisher_.publish({ object });
     onConfigChange(clock_());
--- a/src/platform/ConfigIntake.cpp
+++ b/src/platform/ConfigIntake.cpp
@@ -2,11 +2,14 @@
 
 namespace pimentostage {
 
-void applyObjects(const std::vector<StoredObject> &objects, ConfigState &state, LogSink &log)
+void applyObjects(const std::vector<StoredObject> &objects, ObjectOrigin origin, ConfigState &state,
+                  LogSink &log)
 {
     for (const StoredObject &object : objects) {
         std::string error;
-        const ApplyResult result = state.apply(object, &error);
+        const ApplyResult result = origin == ObjectOrigin::Store
+                                       ? state.apply(object, &error)
+                                       : state.applyFromSibling(object, &error);
         const bool isLogged = result == ApplyResult::Applied || result == ApplyResult::Rejected;
         if (!isLogged)
             continue;
--- a/src/platform/ConfigIntake.h
+++ b/src/platform/ConfigIntake.h
@@ -7,7 +7,11 @@
 
 namespace pimentostage {
 
-/// Offers @p objects to @p state, from wherever they came, and logs each that it took or rejected.
-void applyObjects(const std::vector<StoredObject> &objects, ConfigState &state, LogSink &log);
+/// Who told of an object.
+enum class ObjectOrigin { Store, Sibling };
+
+/// Offers @p objects to @p state and logs each that it took or rejected.
+void applyObjects(const std::vector<StoredObject> &objects, ObjectOrigin origin, ConfigState &state,
+                  LogSink &log);
 
 } // namespace pimentostage
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -181,9 +181,7 @@
     }
     if (object.version_ == known)
         return ApplyResult::Unchanged;
-    // This state is complete up to its revision: what it lacks from before was deleted.
-    const bool isGone = !present && object.version_ <= revision_;
-    if (object.version_ < known || isGone)
+    if (object.version_ < known)
         return ApplyResult::Older;
     if (!object.deleted_) {
         const std::string fault = valueOr(
@@ -202,6 +200,14 @@
     return ApplyResult::Applied;
 }
 
+// A sibling may never have heard of a deletion. This state is complete up to its revision: what it
+// lacks from before was deleted, and only the store can say otherwise.
+ApplyResult ConfigState::applyFromSibling(const StoredObject &object, std::string *error)
+{
+    const bool wasDeleted = !find(object.ref_) && object.version_ <= revision_;
+    return wasDeleted ? ApplyResult::Older : apply(object, error);
+}
+
 void ConfigState::accept(const StoredObject &object)
 {
     const auto [entry, isNew] = objects_.try_emplace(object.ref_, object);
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -66,7 +66,7 @@
         return;
     }
     const auto &listing = std::get<StoreListing>(reply);
-    applyObjects(listing.objects_, state_, log_);
+    applyObjects(listing.objects_, ObjectOrigin::Store, state_, log_);
     // Entries that lapsed while the store was away come back soon after it, if they are to.
     const bool wasAway = hasListFailed_ && revision_ > Version {};
     hasListFailed_ = false;
@@ -84,7 +84,7 @@
         const auto *listing = std::get_if<StoreListing>(&reply);
         if (!listing)
             return;
-        applyObjects(listing->objects_, state_, log_);
+        applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
         state_.applyListing(listing->objects_, listing->revision_, facts_.kinds_);
         onChange_();
     });
@@ -102,7 +102,7 @@
         list();
         return;
     }
-    applyObjects(changes.objects_, state_, log_);
+    applyObjects(changes.objects_, ObjectOrigin::Store, state_, log_);
     // Changes often come in groups; a watch for each would cost a call for each.
     const bool isPaused = !changes.objects_.empty() && facts_.pause_ > Duration::zero();
     succeed(changes.revision_, sentAt, isPaused ? facts_.pause_ : Duration::zero());
