Balancing ends when there is nothing left to move

Cause (found by reading): with up to one move in six back ends the planner was asked on after it had found no move, 17 times for 107 back ends, each time over all buckets of keys.

Change: the loop ends at the first empty answer; what it decides is the same, since the planner's inputs are.

Measured: unit tests green (RangeCoordinator, 13); its time was not measured.

--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -477,6 +477,8 @@
         nextBalance_ = now + options_.balancePeriod_;
         for (std::size_t i = movingRanges(); i < mostMoves; ++i) {
             moves = RangePlanner::balance(next, load_, usable);
+            if (moves.empty())
+                break;
             std::for_each(moves.begin(), moves.end(), make);
         }
     }
