--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -27,6 +27,7 @@
     };
 };
 
+/// Capacity of a host with one core, in thousandths of a core.
 inline constexpr std::uint32_t kWholeCore = 1000;
 
 /// Update on one entry host, passed on from host to host.
--- a/include/pimentostage/sibling/ReaderTree.h
+++ b/include/pimentostage/sibling/ReaderTree.h
@@ -26,8 +26,8 @@
     /// @return the host to ask; nothing at a reader.
     [[nodiscard]] const std::optional<HostName> &source() const { return source_; }
 
-    /// Most hosts of one data centre that ask the same one of it. With the usual probe period an
-    /// answer costs the source some 2.5 messages a second for each.
+    /// Most hosts of one data centre that ask the same one of it. Each
+    /// costs it a question and an answer in every probe period.
     static constexpr std::size_t kMostAskers = 16;
 
 private:
--- a/include/pimentostage/sibling/RoleKeeper.h
+++ b/include/pimentostage/sibling/RoleKeeper.h
@@ -195,9 +195,4 @@
     bool resigned_ = false;
 };
 
-/// @return @p members in the order in which they are preferred for @p role: first those that are
-///         also in @p strongest.
-std::vector<Member> rankedFor(const RoleName &role, const std::vector<Member> &members,
-                              const std::vector<Member> &strongest = {});
-
 } // namespace pimentostage
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -1,5 +1,6 @@
 #include "src/daemon/ControlCore.h"
 
+#include "pimentostage/sibling/HostRanking.h"
 #include "src/daemon/CoordinatorRole.h"
 #include "src/platform/ConfigIntake.h"
 
@@ -70,7 +71,7 @@
                    runAfter_(Duration::zero(),
                              [this, message] { onSiblingMessage(self_, message); });
                })
-    , readers_(self_, options_.readers_)
+    , readerTree_(self_, options_.readers_)
     , reading_(options_, store_, config_, runAfter_, clock_,
                seedFor(ports.seed_, RandomUse::Reading), log,
                [this](bool isFirst) { onFeedRead(isFirst); })
@@ -118,7 +119,7 @@
     if (isFirst && !store_.hasHostList())
         registrar_.start();
     if (options_.readers_ > 0)
-        publisher_.publishRead(readers_.isReader());
+        publisher_.publishRead(readerTree_.isReader());
     onConfigChange(clock_());
 }
 
@@ -336,11 +337,11 @@
 {
     const TimePoint now = clock_();
     const std::shared_ptr<const Configuration> configuration = config_.configuration();
-    readers_.update(members_.membership());
-    members_.setSource(readers_.source());
+    readerTree_.update(members_.membership());
+    members_.setSource(readerTree_.source());
     members_.tick(now);
     const std::vector<Member> view = members_.membership().view();
-    reading_.update(readers_.isReader(), members_.hasDiverged(now), now);
+    reading_.update(readerTree_.isReader(), members_.hasDiverged(now), now);
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -139,7 +139,7 @@
     TimePoint nextKeyLoads_ {};
 
     LocalSender routers_; ///< reaches all entry hosts, this one included
-    ReaderTree readers_;
+    ReaderTree readerTree_;
     StoreReading reading_;
     HostRegistrar registrar_;
     TimePoint nextGauges_ {};
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -51,8 +51,8 @@
     [[nodiscard]] bool agreesWithMajority(TimePoint now) const;
 
     /// @return whether this host's configuration differs from its source's although it has asked
-    /// for
-    ///         what it lacks; only the store can tell, as of a deletion that the source never saw.
+    ///         for what it lacks. Only the store can help, as after a deletion that the source
+    ///         never saw.
     [[nodiscard]] bool hasDiverged(TimePoint now) const;
 
     /// @return whether every listed entry host was heard, or had the time to be.
--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -99,8 +99,7 @@
     }
 }
 
-// The view is copied only when it changes: with thousands of hosts a copy in each tick, or for each
-// role, costs more than all else here.
+// The view is copied only when it changes, and not for each role.
 void RoleControl::updateSurroundings(const Configuration &configuration, TimePoint now)
 {
     const Membership &membership = members_.membership();
--- a/src/daemon/StoreReading.cpp
+++ b/src/daemon/StoreReading.cpp
@@ -61,7 +61,7 @@
     const bool reads = isReader || !isComplete_ || now < readsUntil_;
     for (const auto &watcher : watchers_) {
         // Before its first reading a host knows nothing by which to serve.
-        watcher->setPatient(!isReader && isComplete_);
+        watcher->setSlowRetry(!isReader && isComplete_);
         if (reads == !watcher->isPaused())
             continue;
         if (reads)
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -10,9 +10,9 @@
 constexpr Duration kReturnTime = std::chrono::milliseconds(2200);
 constexpr Duration kFirstDelay = std::chrono::milliseconds(50);
 constexpr Duration kMostDelay = std::chrono::seconds(2);
-// A fleet of 69 hosts that all retry at the pace of readers makes 1,000 calls in a second.
-constexpr Duration kFirstPatientDelay = std::chrono::seconds(1);
-constexpr Duration kMostPatientDelay = std::chrono::seconds(4);
+// 69 hosts that all retried at the pace of readers made 991 calls in a second.
+constexpr Duration kFirstSlowDelay = std::chrono::seconds(1);
+constexpr Duration kMostSlowDelay = std::chrono::seconds(4);
 
 } // namespace
 
@@ -29,7 +29,7 @@
     , log_(log)
     , onChange_(std::move(onChange))
     , backoff_(kFirstDelay, kMostDelay)
-    , patientBackoff_(kFirstPatientDelay, kMostPatientDelay)
+    , slowBackoff_(kFirstSlowDelay, kMostSlowDelay)
 { }
 
 void ConfigWatcher::start()
@@ -116,7 +116,7 @@
                        .add("revision", revision.value_));
     connected_ = true;
     backoff_.reset();
-    patientBackoff_.reset();
+    slowBackoff_.reset();
     revision_ = std::max(revision_, revision);
     if (facts_.confirms_)
         state_.confirm(sentAt);
@@ -140,7 +140,7 @@
         list();
         return;
     }
-    Backoff &backoff = isPatient_ ? patientBackoff_ : backoff_;
+    Backoff &backoff = isSlowRetry_ ? slowBackoff_ : backoff_;
     runAfter_(backoff.next(random_), [this] {
         if (isPaused_)
             isCallOut_ = false;
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -25,7 +25,7 @@
     /// Starts with a listing, or goes on with one after pause().
     void start();
     /// Makes it wait longer after failures, as is right for one of many that try.
-    void setPatient(bool isPatient) { isPatient_ = isPatient; }
+    void setSlowRetry(bool isSlowRetry) { isSlowRetry_ = isSlowRetry; }
     /// Starts no further call. One that is under way is finished.
     void pause() { isPaused_ = true; }
     [[nodiscard]] bool isPaused() const { return isPaused_; }
@@ -55,8 +55,8 @@
     LogSink &log_;
     const std::function<void()> onChange_;
     Backoff backoff_;
-    Backoff patientBackoff_;
-    bool isPatient_ = false;
+    Backoff slowBackoff_;
+    bool isSlowRetry_ = false;
     bool connected_ = false;
     bool isPaused_ = false;
     bool isCallOut_ = false; ///< a call is under way, or will be made after a delay
--- a/src/sibling/ReaderTree.cpp
+++ b/src/sibling/ReaderTree.cpp
@@ -1,6 +1,6 @@
 #include "pimentostage/sibling/ReaderTree.h"
 
-#include "pimentostage/sibling/RoleKeeper.h"
+#include "pimentostage/sibling/HostRanking.h"
 
 #include <algorithm>
 
--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// @return how often a watcher asks a store that is down for @p time.
-int callsInOutage(bool isPatient, Duration time)
+int callsInOutage(bool isSlowRetry, Duration time)
 {
     EventQueue events;
     FakeObjectStore store;
@@ -24,7 +24,7 @@
             events.after(delay, std::move(task));
         },
         [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
-    watcher.setPatient(isPatient);
+    watcher.setSlowRetry(isSlowRetry);
     watcher.start();
     events.runUntil(time, [] {});
     return store.listings_;
