--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -2,11 +2,9 @@
 #include "src/base/BeastServer.h"
 #include "src/base/HttpClient.h"
 #include "src/base/PistacheServer.h"
+#include "tests/fakes/BeastServerFixture.h"
 #include "tests/fakes/RawServer.h"
 
-#include <condition_variable>
-#include <mutex>
-
 #include <gtest/gtest.h>
 
 using namespace pimentostage;
@@ -14,9 +12,6 @@
 
 namespace {
 
-/// Lets the system choose the port, so that tests can run in parallel.
-constexpr std::uint16_t kAnyPort = 0;
-
 HttpRequest post(const RawServer &server, const std::string &id)
 {
     HttpRequest request;
@@ -262,102 +257,6 @@
     EXPECT_NE(answer.find("Keep-Alive"), std::string::npos);
 }
 
-/// A BeastServer whose requests are answered by the test, or immediately with their path.
-class BeastServerTest : public testing::Test
-{
-protected:
-    void start(const HttpServerOptions &overrides = {})
-    {
-        HttpServerOptions options = overrides;
-        options.address_ = Address { "127.0.0.1", kAnyPort };
-        options.threads_ = 1;
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void> {
-                BOOST_LEAF_CHECK(server_.start(options, [this] {
-                    return [this](const ServerRequest &request,
-                                  const std::shared_ptr<HttpResponder> &responder) {
-                        const std::lock_guard lock(mutex_);
-                        responder->onAbandoned(
-                            [this, path = request.path()] { recordAbandonment(path); });
-                        received_.push_back({ request, responder });
-                        if (answersImmediately_)
-                            responder->send({ 200, "text/plain", {}, request.path() });
-                        changed_.notify_all();
-                    };
-                }));
-                return {};
-            },
-            [] { FAIL() << "the server does not listen"; });
-    }
-
-    void TearDown() override { server_.stop(); }
-
-    void recordAbandonment(const std::string &path)
-    {
-        abandoned_.push_back(path);
-        changed_.notify_all();
-    }
-
-    /// Waits until @p condition, which may read received_ and abandoned_, is true.
-    /// @return whether it became true within 5 s.
-    bool waitFor(const std::function<bool()> &condition)
-    {
-        std::unique_lock lock(mutex_);
-        return changed_.wait_for(lock, 5s, condition);
-    }
-
-    struct ReceivedRequest
-    {
-        ServerRequest request_;
-        std::shared_ptr<HttpResponder> responder_;
-    };
-
-    /// A connection from a caller.
-    struct Caller
-    {
-        explicit Caller(std::uint16_t port)
-            : socket_(context_)
-        {
-            socket_.connect({ boost::asio::ip::make_address_v4("127.0.0.1"), port });
-        }
-
-        void send(const std::string &bytes)
-        {
-            boost::system::error_code ignored;
-            boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
-        }
-
-        /// Reads until the server closes the connection or the text contains @p end.
-        /// @return the text.
-        std::string read(const std::string &end)
-        {
-            std::string text;
-            boost::system::error_code error;
-            while (!error && text.find(end) == std::string::npos) {
-                char part[4096];
-                const std::size_t size = socket_.read_some(boost::asio::buffer(part), error);
-                text.append(part, size);
-            }
-            return text;
-        }
-
-        boost::asio::io_context context_;
-        boost::asio::ip::tcp::socket socket_;
-    };
-
-    BeastServer server_;
-    std::mutex mutex_;
-    std::condition_variable changed_;
-    std::vector<ReceivedRequest> received_;
-    std::vector<std::string> abandoned_;
-    bool answersImmediately_ = true;
-};
-
-std::string get(const std::string &path)
-{
-    return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
-}
-
 TEST_F(BeastServerTest, AnswersPipelinedRequestsInTheirOrder)
 {
     answersImmediately_ = false;
