Keep a connection open at a planned stop while a request has arrived on it

Cause: closeIdle(), which a stop calls every 20 ms, took a connection as idle by the session's own state. That state lags behind the socket while the thread is busy (0.1 core a host): a request that the kernel had received, but the thread had not read, was discarded by the lingering connection. A new connection was closed in the same way before its first request, although its caller had only just been directed to the host.

A request that crosses the close on the network can't be answered by any server; it is not read and its caller repeats it.

A connection that has not received a request yet stays open for 500 ms.

Evidence: GracefulCloseTest failed before on two tests ("closed without an answer"); now all four pass.

Conclusion: requests that have reached a stopping host are answered.

--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -85,9 +85,10 @@
 
 void BeastServer::Worker::closeIdle()
 {
+    const TimePoint now = BootClock::now();
     const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
     for (const auto &session : sessions)
-        session->closeIfIdle();
+        session->closeIfIdle(now);
 }
 
 void BeastServer::Worker::close()
--- a/src/base/BeastServer.h
+++ b/src/base/BeastServer.h
@@ -20,6 +20,9 @@
     /// What happens to an unanswered request when its caller half-closes the connection.
     enum class HalfClosePolicy { Answer, Abandon };
 
+    /// Time for the first request on a new connection to arrive before closeIdle() closes it.
+    static constexpr Duration kFirstRequestTimeout = std::chrono::milliseconds(500);
+
     /// Creates a server that runs on its own threads; HttpServerOptions gives their number.
     BeastServer();
     /// Creates a server that runs on @p loop, which must outlive it.
@@ -33,7 +36,8 @@
     /// Closes each connection after its next answer; pipelined requests that were received before
     /// are still answered.
     void drain();
-    /// Closes idle connections. To be called after drain().
+    /// Closes idle connections. To be called after drain(). A connection on which bytes have
+    /// arrived is not idle, and neither is a new one that may still receive its first request.
     void closeIdle();
 
     /// Sets the policy for the safe methods GET and HEAD; requests with other methods are always
--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -127,10 +127,19 @@
         pendingRequests_.at(number - firstPendingNumber_).onAbandoned_ = std::move(task);
 }
 
-void BeastServer::Session::closeIfIdle()
+// The thread may lag behind the socket, so the socket is asked for bytes that have not been read.
+bool BeastServer::Session::isIdle() const
 {
-    const bool isIdle = pendingRequests_.empty() && !parser_ && !isWriting_ && !isLingering_;
-    if (isIdle)
+    error_code error;
+    return pendingRequests_.empty() && !parser_ && !isWriting_ && !isLingering_
+           && socket_.available(error) == 0;
+}
+
+void BeastServer::Session::closeIfIdle(TimePoint now)
+{
+    const bool hasReceivedRequest = firstPendingNumber_ > 0;
+    const bool awaitsFirstRequest = !hasReceivedRequest && now - openedAt_ < kFirstRequestTimeout;
+    if (!awaitsFirstRequest && isIdle())
         finish();
 }
 
@@ -145,8 +154,7 @@
         const Duration timeout = hasHeader ? options.bodyTimeout_ : options.headerTimeout_;
         if (now - parseStartedAt_ >= timeout)
             refuse(kTimeout);
-    } else if (pendingRequests_.empty() && !isWriting_
-               && now - lastActivityAt_ >= options.keepAliveTimeout_) {
+    } else if (now - lastActivityAt_ >= options.keepAliveTimeout_ && isIdle()) {
         finish();
     }
 }
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -23,7 +23,8 @@
         : worker_(std::move(worker))
         , socket_(std::move(socket))
         , connection_(std::make_shared<HttpConnection>())
-        , lastActivityAt_(BootClock::now())
+        , openedAt_(BootClock::now())
+        , lastActivityAt_(openedAt_)
     { }
 
     ~Session() { releaseReservedBytes(); }
@@ -40,8 +41,8 @@
     /// answered.
     void setOnAbandoned(std::uint64_t number, std::function<void()> task);
 
-    /// Closes the connection if no request is being read or answered on it.
-    void closeIfIdle();
+    /// Closes the connection if no request is being read or answered on it or is about to be read.
+    void closeIfIdle(TimePoint now);
 
     /// Closes the connection, or answers with status 408, if a timeout has expired.
     void checkTimeouts(TimePoint now);
@@ -58,6 +59,10 @@
         std::function<void()> onAbandoned_;
     };
 
+    /// @return whether no request is being read or answered and none has arrived. Closing an idle
+    ///         connection loses no request that the caller has reason to believe was received.
+    [[nodiscard]] bool isIdle() const;
+
     void read();
 
     void onRead(const boost::system::error_code &error, std::size_t size);
@@ -109,6 +114,7 @@
     std::uint64_t firstPendingNumber_ = 0; ///< of pendingRequests_.front()
     std::string writeBuffer_;
     std::size_t reservedBytes_ = 0; ///< bytes counted in Worker::bufferedBytes_
+    const TimePoint openedAt_;
     TimePoint lastActivityAt_;
     TimePoint parseStartedAt_ {};
     bool isHeaderChecked_ = false;
--- a/tests/fakes/BeastServerFixture.h
+++ b/tests/fakes/BeastServerFixture.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -87,6 +88,7 @@
 
     void recordAbandonment(const std::string &path)
     {
+        const std::lock_guard lock(mutex_);
         abandoned_.push_back(path);
         changed_.notify_all();
     }
@@ -138,6 +140,25 @@
         boost::asio::ip::tcp::socket socket_;
     };
 
+    /// Requests the close of idle connections repeatedly, as a stop does, while it reads.
+    /// @return what @p caller received until its connection was closed, or within 5 s.
+    std::string readWhileClosingIdle(Caller &caller)
+    {
+        const TimePoint limit = BootClock::now() + std::chrono::seconds(5);
+        std::string text;
+        boost::system::error_code error;
+        caller.socket_.non_blocking(true);
+        while ((!error || error == boost::asio::error::would_block) && BootClock::now() < limit) {
+            server_.closeIdle();
+            std::this_thread::sleep_for(std::chrono::milliseconds(5));
+            char part[4096];
+            const std::size_t size = caller.socket_.read_some(boost::asio::buffer(part), error);
+            text.append(part, size);
+        }
+        EXPECT_TRUE(error && error != boost::asio::error::would_block) << "not closed";
+        return text;
+    }
+
     static constexpr const char *kBlockingPath = "/block";
 
     BeastServer server_;
