Count the notice of a planned stop from its signal

Cause: Node::stop() began the notice of 2.3 s after ControlPlane::leave() had returned, which waits up to 1 s for the last writes to the store, and the drain timeout of 3.2 s after that: up to 6.5 s with a grace period of 6 s, so the platform killed the process before it ended by itself. The class of fault: a deadline as a sum of waits that each start when the one before has ended.

Ruled out: a late signal, since the readiness check failed at 1.0 s.

The old order is in the diff of Node.cpp. Conclusion: a stop ends within notice plus timeout of its signal, whatever the store does.

--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -1,5 +1,7 @@
 #include "src/daemon/Node.h"
 
+#include "src/daemon/StopSchedule.h"
+
 #include <random>
 #include <thread>
 
@@ -126,23 +128,40 @@
 
 void Node::stop()
 {
+    const TimePoint signalledAt = BootClock::now();
+    const StopSchedule schedule(signalledAt, settings_.callerDrainNotice_,
+                                settings_.callerDrainTimeout_);
     log_.write(LogLine(Severity::Info, "stopping").add("host", settings_.hostName_));
     callerServer_.drain();
     control_.leave();
-    std::this_thread::sleep_for(settings_.callerDrainNotice_);
+    std::this_thread::sleep_for(schedule.drainsFrom() - BootClock::now());
     // The load balancer has had time to remove this host; a request accepted from here on could be
     // cut off by the end of the process.
     callers_.stopAccepting();
-    const TimePoint limit = BootClock::now() + settings_.callerDrainTimeout_;
+    logStop("draining", signalledAt);
+    finishRequests(schedule);
+    logStop("drained", signalledAt);
+    control_.endRegistration();
+    stopThreads();
+    log_.write(LogLine(Severity::Info, "stopped").add("host", settings_.hostName_));
+}
+
+void Node::finishRequests(const StopSchedule &schedule)
+{
     do {
         // A caller that was just asked to close its connection may still reuse it, so idle
         // connections are closed in every round.
         callerServer_.closeIdle();
         std::this_thread::sleep_for(kDrainPollPeriod);
-    } while (callers_.inFlight() > 0 && BootClock::now() < limit);
-    control_.endRegistration();
-    stopThreads();
-    log_.write(LogLine(Severity::Info, "stopped").add("host", settings_.hostName_));
+    } while (schedule.phase(callers_.inFlight() == 0, BootClock::now()) != StopPhase::Finished);
+}
+
+void Node::logStop(const char *event, TimePoint signalledAt)
+{
+    log_.write(LogLine(Severity::Info, event)
+                   .add("host", settings_.hostName_)
+                   .add("ms", toMilliseconds(BootClock::now() - signalledAt))
+                   .add("running", static_cast<std::uint64_t>(callers_.inFlight())));
 }
 
 void Node::onTokensNeeded(const AccountName &account)
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -15,6 +15,8 @@
 
 namespace pimentostage {
 
+class StopSchedule;
+
 /// One entry host's process: the control plane, the traffic threads and the listeners.
 class Node
     : private TokenDemandListener
@@ -35,6 +37,10 @@
 
 private:
     void stopThreads();
+    /// Closes connections and waits for running requests until @p schedule is finished.
+    void finishRequests(const StopSchedule &schedule);
+    /// Logs @p event of a stop that was signalled at @p signalledAt.
+    void logStop(const char *event, TimePoint signalledAt);
     void onTokensNeeded(const AccountName &account) override;
     void onBackendCold(const BackendName &backend) override;
     void onBackendWarm(const BackendName &backend) override;
