Let a write to a sibling share its socket and its frame

What a sibling would see: on the connection that a host opens next, bytes from the middle of a frame of the connection before it, in place of the Hello; the receiver refuses the frame and closes the connection. The bytes are read from memory that was released.

Cause: SiblingLinks::Outgoing::reset() clears frames_ and assigns a new socket to socket_, but asio::async_write() sends a frame in pieces of at most 64 KiB and keeps references to both. If a piece has completed and its handler is queued, closing the socket does not cancel it: the write goes on with the released frame, on the new socket. reset() runs during a write when a probe has been unanswered for kSilenceTimeout, so it takes a frame over 64 KiB, such as a push of the configuration, to a host that has stopped answering.

Ruled out: the reads of Incoming (its socket is never replaced, its buffers live with it), and the writes of HttpClient and BeastServer (their buffers live with the connection and are changed only between writes).

Evidence: the test failed before in a plain build, 3 of 3 runs: "tests/SiblingLinksTest.cpp:105: Failure, Value of: receives<Hello>(next), Actual: false"; with -fsanitize=address it ended with "heap-use-after-free ... READ of size 65536 ... located 65536 bytes inside of 8388650-byte region", read in send() and freed in Outgoing::reset().

Change: frames and the socket are held by shared_ptr, and the write's handler owns both.

After: the test passes 3 of 3 times in a plain build and 5 of 5 times with -fsanitize=address,undefined, without a report.

Conclusion: a real use after free on the control thread.

--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -161,7 +161,7 @@
     Outgoing(std::shared_ptr<SharedState> shared, HostName host)
         : shared_(std::move(shared))
         , host_(std::move(host))
-        , socket_(shared_->context_)
+        , socket_(std::make_shared<Tcp::socket>(shared_->context_))
     { }
 
     void send(const SiblingMessage &message)
@@ -191,8 +191,8 @@
     void reset()
     {
         SystemError ignored;
-        socket_.close(ignored);
-        socket_ = Tcp::socket(shared_->context_);
+        socket_->close(ignored);
+        socket_ = std::make_shared<Tcp::socket>(shared_->context_);
         ++generation_;
         frames_.clear();
         queuedBytes_ = 0;
@@ -219,7 +219,7 @@
         queue(encodeFrame(Hello { shared_->self_ }));
         auto self = shared_from_this();
         const std::uint64_t generation = generation_;
-        socket_.async_connect(endpointOf(*address), [self, generation](const SystemError &error) {
+        socket_->async_connect(endpointOf(*address), [self, generation](const SystemError &error) {
             if (generation != self->generation_)
                 return;
             if (error) {
@@ -227,7 +227,7 @@
                 return;
             }
             SystemError ignored;
-            self->socket_.set_option(Tcp::no_delay(true), ignored);
+            self->socket_->set_option(Tcp::no_delay(true), ignored);
             self->state_ = State::Open;
             self->writeNext();
         });
@@ -237,7 +237,7 @@
     void queue(std::vector<std::uint8_t> frame)
     {
         queuedBytes_ += frame.size();
-        frames_.push_back(std::move(frame));
+        frames_.push_back(std::make_shared<const std::vector<std::uint8_t>>(std::move(frame)));
         if (state_ == State::Open && !isWriting_)
             writeNext();
     }
@@ -249,8 +249,11 @@
         isWriting_ = true;
         auto self = shared_from_this();
         const std::uint64_t generation = generation_;
-        asio::async_write(socket_, asio::buffer(frames_.front()),
-                          [self, generation](const SystemError &error, std::size_t bytes) {
+        // A frame takes several writes, which may continue after reset(); so the operation shares
+        // its socket and its frame.
+        asio::async_write(*socket_, asio::buffer(*frames_.front()),
+                          [self, generation, socket = socket_,
+                           frame = frames_.front()](const SystemError &error, std::size_t bytes) {
                               if (generation != self->generation_)
                                   return;
                               if (error)
@@ -272,10 +275,10 @@
 
     std::shared_ptr<SharedState> shared_;
     const HostName host_;
-    Tcp::socket socket_;
+    std::shared_ptr<Tcp::socket> socket_; ///< replaced by reset()
     State state_ = State::Closed;
     std::uint64_t generation_ = 0; ///< identifies late completions of a closed connection
-    std::deque<std::vector<std::uint8_t>> frames_;
+    std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> frames_;
     std::size_t queuedBytes_ = 0;
     bool isWriting_ = false;
     TimePoint unansweredSince_ {};
