Keep the services of routes for requests without a host

What callers would see: if the catalogue has a virtual host with an empty name, one request without a host (an empty Host header, or HTTP/1.0 without one) ends the entry host with SIGSEGV, code 139.

Cause: formatCatalogue() wrote the services of a route only if the route has a host, and parseCatalogue() accepted a route without a host that names no service. RequestRouter then takes back() of the route's empty list of services.

Ruled out: routes with a host; readRoute() rejects one that names no service.

Change: the services of all routes are written, and a catalogue is rejected if any of its routes names no service.

Conclusion: one way to code 139.

--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -249,8 +249,12 @@
         catalogue.services_.push_back(service);
     }
     index = 0;
-    for (const Json &item : reader.array("routes"))
-        catalogue.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
+    for (const Json &item : reader.array("routes")) {
+        Route route = readRoute(reader.child(item, "routes", index++));
+        if (route.host_.empty() && route.services_.empty())
+            reader.addError("routes", "must name at least one service each");
+        catalogue.routes_.push_back(std::move(route));
+    }
     index = 0;
     for (const Json &item : reader.array("teams"))
         readTeam(reader.child(item, "teams", index++), catalogue);
@@ -336,9 +340,8 @@
                 { "priority", route.priority_ },
                 { "target_ms", milliseconds(route.target_) },
                 { "timeout_ms", milliseconds(route.timeout_) } };
-    if (route.host_.empty())
-        return json;
-    json["host"] = route.host_;
+    if (!route.host_.empty())
+        json["host"] = route.host_;
     for (const ServiceShare &share : route.services_) {
         json["services"].push_back(
             { { "name", share.service_.str() }, { "weight", share.weight_ } });
--- a/tests/RequestRouterTest.cpp
+++ b/tests/RequestRouterTest.cpp
@@ -188,6 +188,44 @@
     EXPECT_EQ(reasonOf(*view, otherHost), RefusalReason::UnknownRoute);
 }
 
+/// @return the object of a catalogue with one route, which is for requests without a host.
+StoredObject catalogueOfOneRoute(const std::vector<ServiceShare> &services)
+{
+    Catalogue catalogue;
+    Service north;
+    north.name_ = ServiceName("north");
+    catalogue.services_ = { north };
+    Route hostless = route("hostless", "", "/", Access::Open);
+    hostless.services_ = services;
+    catalogue.routes_ = { hostless };
+    return { { ObjectKind::Catalogue, "main" }, Version { 1 }, false, formatCatalogue(catalogue) };
+}
+
+// Guards against the end of the process by a request without a host: the stored form of a catalogue
+// lacked the services of the routes for such requests.
+TEST(RequestRouter, RoutesARequestWithoutAHostToTheServiceOfItsRoute)
+{
+    ConfigState state;
+    state.apply(catalogueOfOneRoute({ { ServiceName("north"), 1 } }));
+    TrafficView view;
+    view.configuration_ = state.configuration();
+    RoutingTableBuilder builder;
+    view.routing_ = builder.build(*view.configuration_, FleetState {}, TimePoint(1h));
+    view.readiness_ = Readiness::Ready;
+    CallerRequest hostless = hostRequest("/a");
+    hostless.host_.clear();
+    const auto decision = RequestRouter::route(view, hostless, TimePoint(1h));
+    ASSERT_TRUE(std::holds_alternative<RoutedRequest>(decision));
+    EXPECT_EQ(std::get<RoutedRequest>(decision).routes_->service_.name_, ServiceName("north"));
+}
+
+// Guards against the end of the process by a request on a route that names no service.
+TEST(RequestRouter, ACatalogueWithARouteWithoutAServiceIsRejected)
+{
+    ConfigState state;
+    EXPECT_EQ(state.apply(catalogueOfOneRoute({})), ApplyResult::Rejected);
+}
+
 TEST(RequestRouter, DistributesASplitRouteByWeight)
 {
     const auto view = makeCatalogueView();
