Refuse the requests that wait for tokens of a withdrawn contract

What callers would see: a request whose team is withdrawn while it waits for tokens gets no answer at all, and the host keeps it in memory and counts it as in flight until its end, which delays the drain by callerDrainTimeout_.

Cause: LocalTokenBuckets::update() drops the bucket, and only the control thread's tick over the remaining buckets completes waiters. The waiter owns its request, the request its view of the configuration, and the view the bucket, so the three keep each other alive. A traffic thread that has not read the new configuration yet can add further waiters to the dropped bucket.

Ruled out: waiters of a contract that stays; expireWaiters() completes them after kMaxWait.

Evidence: before, both new tests failed in a plain build: "AllowanceTest.cpp:79: Failure ... decided Which is: <02-00 00-00>" (still waiting) and "AllowanceTest.cpp:91: Failure".

Change: LocalTokenBucket::close() refuses the waiters and all later attempts; update() calls it for the bucket of a withdrawn contract.

After: the 12 tests of AllowanceTest.cpp pass in a plain build.

Conclusion: a cycle of shared_ptr and an answer without end, found while looking for the exit with code 139; it ends no host.

--- a/include/pimentostage/sibling/LocalTokenBucket.h
+++ b/include/pimentostage/sibling/LocalTokenBucket.h
@@ -61,6 +61,9 @@
     /// Completes waiters that have waited for kMaxWait with Unavailable.
     void expireWaiters(TimePoint now);
 
+    /// Withdraws the account: completes all waiters with Refused, and refuses all later attempts.
+    void close();
+
     /// @return whether a share or a top-up is still valid.
     [[nodiscard]] bool holdsLease(TimePoint now) const;
 
@@ -112,6 +115,7 @@
     DecayingRate recentDemand_ { kRecentTimeConstantSeconds };
     TimePoint lastUsedAt_ {};
     std::deque<Waiter> waiters_;
+    bool isClosed_ = false;
 };
 
 } // namespace pimentostage
--- a/src/daemon/LocalTokenBuckets.cpp
+++ b/src/daemon/LocalTokenBuckets.cpp
@@ -11,9 +11,12 @@
 {
     std::erase_if(tokenBuckets_, [&](const auto &entry) {
         const bool isWithdrawn = !configuration.contracts_.contains(entry.first);
-        if (isWithdrawn)
-            byAccount_.erase(accountOf(entry.first));
-        return isWithdrawn;
+        if (!isWithdrawn)
+            return false;
+        byAccount_.erase(accountOf(entry.first));
+        // Requests that wait for tokens keep the bucket alive, and nothing else completes them.
+        entry.second->close();
+        return true;
     });
     for (const auto &[team, contract] : configuration.contracts_) {
         std::shared_ptr<LocalTokenBucket> &bucket = tokenBuckets_[team];
--- a/src/sibling/LocalTokenBucket.cpp
+++ b/src/sibling/LocalTokenBucket.cpp
@@ -1,6 +1,7 @@
 #include "pimentostage/sibling/LocalTokenBucket.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentostage {
 
@@ -22,6 +23,8 @@
 SpendResult LocalTokenBucket::spend(double tokens, TimePoint now, Callback callback)
 {
     const std::lock_guard lock(mutex_);
+    if (isClosed_)
+        return SpendResult::Refused;
     lastUsedAt_ = now;
     demand_.add(tokens, now);
     recentDemand_.add(tokens, now);
@@ -133,6 +136,18 @@
         callback(SpendResult::Unavailable);
 }
 
+void LocalTokenBucket::close()
+{
+    std::deque<Waiter> refused;
+    {
+        const std::lock_guard lock(mutex_);
+        isClosed_ = true;
+        refused = std::exchange(waiters_, {});
+    }
+    for (const Waiter &waiter : refused)
+        waiter.callback_(SpendResult::Refused);
+}
+
 bool LocalTokenBucket::holdsLease(TimePoint now) const
 {
     const std::lock_guard lock(mutex_);
--- a/tests/AllowanceTest.cpp
+++ b/tests/AllowanceTest.cpp
@@ -1,5 +1,6 @@
 #include "pimentostage/sibling/AllowanceAllocator.h"
 #include "pimentostage/sibling/LocalTokenBucket.h"
+#include "src/daemon/LocalTokenBuckets.h"
 #include "tests/fakes/AllowanceFleet.h"
 
 #include <gtest/gtest.h>
@@ -55,6 +56,41 @@
     EXPECT_EQ(bucket.spend(5, at(3ms), [](SpendResult) {}), SpendResult::Waiting);
 }
 
+Configuration configurationWith(const TeamName &team)
+{
+    Configuration configuration;
+    Contract contract;
+    contract.team_ = team;
+    configuration.contracts_[team] = contract;
+    return configuration;
+}
+
+// Guards against a request without an answer: its team's contract was withdrawn while it waited for
+// tokens.
+TEST(LocalTokenBuckets, RefusesTheWaitersOfAWithdrawnContract)
+{
+    const TeamName team("caxias");
+    LocalTokenBuckets buckets;
+    buckets.update(configurationWith(team));
+    SpendResult decided = SpendResult::Waiting;
+    buckets.tokenBuckets().at(team)->spend(1, at(0ms),
+                                           [&](SpendResult result) { decided = result; });
+    buckets.update(Configuration {});
+    EXPECT_EQ(decided, SpendResult::Refused);
+}
+
+// Guards against a request without an answer: a traffic thread spent from the bucket of a contract
+// that had been withdrawn, as it had not read the new configuration yet.
+TEST(LocalTokenBuckets, AWithdrawnContractsBucketLetsNoRequestWait)
+{
+    const TeamName team("caxias");
+    LocalTokenBuckets buckets;
+    buckets.update(configurationWith(team));
+    const std::shared_ptr<LocalTokenBucket> bucket = buckets.tokenBuckets().at(team);
+    buckets.update(Configuration {});
+    EXPECT_EQ(bucket->spend(1, at(0ms), [](SpendResult) {}), SpendResult::Refused);
+}
+
 TEST(AllowanceAllocator, AllocatesOnlyTheCentralPartDuringRecovery)
 {
     AllowanceAllocator allocator({ 100, 50 }, { Epoch { 2 }, at(0ms), at(2000ms) }, at(0ms));
