Wait between failed accepts of siblings

What is seen: a host without a free file descriptor uses a whole core on its control thread for as long as that lasts, because of one sibling that connects.

Cause: SiblingLinks::Acceptor repeats a failed accept at once, and it fails at once again.

Ruled out: BeastServer's acceptor; it waits kAcceptRetryDelay.

Evidence: the new test failed before in a plain build: "tests/SiblingLinksTest.cpp:130: Failure, Expected: (usedSeconds) < (0.05), actual: 0.303464 vs 0.05", on a busy machine, in 0.5 s.

Change: the accept is repeated after 50 ms.

After: both tests of SiblingLinksTest.cpp pass 3 of 3 times in a plain build.

Conclusion: a thread that spun instead of waiting; it ends no host.

--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -9,6 +9,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace pimentostage {
@@ -19,6 +20,8 @@
 using Tcp = asio::ip::tcp;
 using SystemError = boost::system::error_code;
 
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+
 Tcp::endpoint endpointOf(const Address &address)
 {
     return { asio::ip::make_address_v4(address.ip_), address.port_ };
@@ -292,6 +295,7 @@
     Acceptor(std::shared_ptr<SharedState> shared, const Address &address)
         : shared_(std::move(shared))
         , acceptor_(shared_->context_, endpointOf(address))
+        , retryTimer_(shared_->context_)
     { }
 
     void accept()
@@ -300,11 +304,13 @@
         acceptor_.async_accept([self](const SystemError &error, Tcp::socket socket) {
             if (self->shared_->isClosed_)
                 return;
-            if (!error) {
-                auto incoming = std::make_shared<Incoming>(self->shared_, std::move(socket));
-                self->shared_->incoming_.insert(incoming);
-                incoming->readLength();
+            if (error) {
+                self->retry();
+                return;
             }
+            auto incoming = std::make_shared<Incoming>(self->shared_, std::move(socket));
+            self->shared_->incoming_.insert(incoming);
+            incoming->readLength();
             self->accept();
         });
     }
@@ -313,11 +319,23 @@
     {
         SystemError ignored;
         acceptor_.close(ignored);
+        retryTimer_.cancel();
     }
 
 private:
+    // Usually the process has run out of file descriptors. The delay avoids a busy loop.
+    void retry()
+    {
+        retryTimer_.expires_after(kAcceptRetryDelay);
+        retryTimer_.async_wait([self = shared_from_this()](const SystemError &cancelled) {
+            if (!cancelled && !self->shared_->isClosed_)
+                self->accept();
+        });
+    }
+
     std::shared_ptr<SharedState> shared_;
     Tcp::acceptor acceptor_;
+    asio::steady_timer retryTimer_;
 };
 
 SiblingLinks::SiblingLinks(asio::io_context &context, const MemberUpdate &self,
--- a/tests/SiblingLinksTest.cpp
+++ b/tests/SiblingLinksTest.cpp
@@ -1,8 +1,10 @@
 #include "src/sibling/SiblingLinks.h"
 #include "src/base/EventLoop.h"
 #include "src/sibling/FrameCodec.h"
+#include "tests/fakes/NoDescriptors.h"
 #include "tests/fakes/NullLog.h"
 
+#include <ctime>
 #include <thread>
 
 #include <boost/asio/buffer.hpp>
@@ -106,4 +108,26 @@
     EXPECT_TRUE(receives<Probe>(next));
 }
 
+// Guards against a control thread that never waits: a failed accept was repeated at once, for as
+// long as the process had no free file descriptor.
+TEST_F(SiblingLinksTest, WaitsBetweenFailedAccepts)
+{
+    const Tcp::endpoint endpoint = acceptor_.local_endpoint();
+    acceptor_.close();
+    const bool isListening = valueOr(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(links_.listen(Address { "127.0.0.1", endpoint.port() }));
+            return true;
+        },
+        [](const Error &) { return false; });
+    ASSERT_TRUE(isListening);
+    Tcp::socket sibling(context_, Tcp::v4());
+    const NoDescriptors limit;
+    sibling.connect(endpoint);
+    const std::clock_t before = std::clock();
+    std::this_thread::sleep_for(500ms);
+    const double usedSeconds = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+    EXPECT_LT(usedSeconds, 0.05);
+}
+
 } // namespace
