Do not retry a failed accept after the server has stopped

What would be seen: a host that stops while it has no free file descriptor ends with a signal: SIGFPE on x86-64 (division by zero), a read outside of allWorkers_ on aarch64, where the division yields zero.

Cause: BeastServer::Worker::close() clears allWorkers_ and leaves acceptRetryTimer_ running. acceptNext() then takes nextWorker_ modulo the size of the empty vector. The thread must go on after stop(), as that of a shared EventLoop does.

Ruled out: a server with threads of its own; stop() ends them before the timer expires.

Change: close() cancels the timer, and the retry checks that the listener is open.

Conclusion: a fault at the end of a process only; on x86-64 its code is 136, not 139.

--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -50,7 +50,7 @@
         self->acceptRetryTimer_
             = std::make_unique<asio::steady_timer>(self->context_, kAcceptRetryDelay);
         self->acceptRetryTimer_->async_wait([self](const error_code &cancelled) {
-            if (!cancelled)
+            if (!cancelled && self->acceptor_.is_open())
                 self->acceptNext();
         });
     });
@@ -94,6 +94,8 @@
 {
     error_code ignored;
     acceptor_.close(ignored);
+    if (acceptRetryTimer_)
+        acceptRetryTimer_->cancel();
     sweepTimer_.cancel();
     allWorkers_.clear();
     const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
