Send nothing to a sibling with an invalid address

What would be seen: one host that reports a member with a text that is not an IPv4 address ends every host that sends that member a message, with code 134. The members are probed at random, so that soon is the whole fleet.

Cause: SiblingLinks::Outgoing::connect() parses the address with the overload of make_address_v4() that throws, on the control thread, and the decoder of frames accepts any text as an address.

Ruled out: the host's own settings; an invalid address there fails listen() with an Error. The addresses in the store; parseAddress() checks them.

Evidence: before, the new test ended with "terminate called after throwing an instance of 'boost::wrapexcept<boost::system::system_error>' what(): Invalid argument", code 134.

Change: an address that does not parse counts as an unknown one.

Conclusion: a fault that needs a faulty sibling; not the exit with code 139.

--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <set>
 
 #include <boost/asio/buffer.hpp>
@@ -27,6 +28,14 @@
     return { asio::ip::make_address_v4(address.ip_), address.port_ };
 }
 
+/// @return the endpoint, or nothing if the text of @p address is not an IPv4 address.
+std::optional<Tcp::endpoint> parsedEndpointOf(const Address &address)
+{
+    SystemError error;
+    const auto ip = asio::ip::make_address_v4(address.ip_, error);
+    return error ? std::nullopt : std::optional(Tcp::endpoint(ip, address.port_));
+}
+
 std::string remoteAddress(const Tcp::socket &socket)
 {
     SystemError error;
@@ -215,14 +224,15 @@
     bool connect()
     {
         const auto address = shared_->resolve_(host_);
-        if (!address)
+        const auto endpoint = address ? parsedEndpointOf(*address) : std::nullopt;
+        if (!endpoint)
             return false;
         state_ = State::Connecting;
         connectingSince_ = BootClock::now();
         queue(encodeFrame(Hello { shared_->self_ }));
         auto self = shared_from_this();
         const std::uint64_t generation = generation_;
-        socket_->async_connect(endpointOf(*address), [self, generation](const SystemError &error) {
+        socket_->async_connect(*endpoint, [self, generation](const SystemError &error) {
             if (generation != self->generation_)
                 return;
             if (error) {
--- a/tests/SiblingLinksTest.cpp
+++ b/tests/SiblingLinksTest.cpp
@@ -30,8 +30,9 @@
         : acceptor_(context_, Tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0))
         , links_(
               loop_.context(), MemberUpdate {},
-              [this](const HostName &) {
-                  return Address { "127.0.0.1", acceptor_.local_endpoint().port() };
+              [this](const HostName &host) {
+                  return Address { host == kPeer ? "127.0.0.1" : "no address",
+                                   acceptor_.local_endpoint().port() };
               },
               [](const MemberUpdate &, const SiblingMessage &) {}, log_, metrics_)
     { }
@@ -108,6 +109,18 @@
     EXPECT_TRUE(receives<Probe>(next));
 }
 
+// Guards against the end of the process by an exception: a sibling reported a host with an address
+// that is not an IPv4 address, and a message was sent to that host.
+TEST_F(SiblingLinksTest, SendsNothingToAHostWithAnInvalidAddress)
+{
+    bool isRunning = false;
+    loop_.run([&] {
+        links_.send(HostName("edge-3"), Probe {});
+        isRunning = true;
+    });
+    EXPECT_TRUE(isRunning);
+}
+
 // Guards against a control thread that never waits: a failed accept was repeated at once, for as
 // long as the process had no free file descriptor.
 TEST_F(SiblingLinksTest, WaitsBetweenFailedAccepts)
