Lock the list of abandoned requests in HttpTest

BeastServerTest's fixture wrote abandoned_ on the server's thread without the mutex under which the test reads it. Evidence: with -fsanitize=thread (src/base, src/daemon, src/backend and the test instrumented) HttpTest.cpp passed with "ThreadSanitizer: reported 5 warnings", the first at HttpTest.cpp:394. A fault of the test only.

--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -294,6 +294,7 @@
 
     void recordAbandonment(const std::string &path)
     {
+        const std::lock_guard lock(mutex_);
         abandoned_.push_back(path);
         changed_.notify_all();
     }
