Bound the depth of a sibling's frame

What would be seen: one frame of nested arrays ends the host that receives it with SIGSEGV, code 139; a million bytes suffice.

Cause: decodeFrame() uses Json::from_msgpack(), whose reader recurses for each level of nesting; the depth is limited only by the size of a frame, and the control thread's stack is exceeded.

Ruled out: Json::parse(), which reads the store's and the back ends' texts, keeps its own stack.

Evidence: before, FrameCodec.RejectsAPayloadOfDeeplyNestedArrays ended with "Segmentation fault", code 139, in a plain build.

Change: the payload is parsed by LimitedDepthParser, which ends the parse at more than 32 levels or at an object; messages consist of arrays.

After: the 11 tests of CodecTest.cpp pass in a plain build, among them the round trip of every message and the two properties on arbitrary and mutated frames.

Conclusion: a way to code 139 on the control thread that needs a malformed frame.

--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -1,5 +1,7 @@
 #include "src/sibling/FrameCodec.h"
 
+#include "src/sibling/LimitedDepthParser.h"
+
 #include <array>
 #include <map>
 #include <type_traits>
@@ -467,8 +469,10 @@
 
 leaf::result<SiblingMessage> decodeFrame(const std::vector<std::uint8_t> &payload)
 {
-    const Json envelope = Json::from_msgpack(payload, true, false);
-    const bool isEnvelope = envelope.is_array() && envelope.size() == 3
+    Json envelope;
+    LimitedDepthParser parser(envelope, false);
+    const bool isParsed = Json::sax_parse(payload, &parser, Json::input_format_t::msgpack);
+    const bool isEnvelope = isParsed && envelope.is_array() && envelope.size() == 3
                             && envelope[0].is_number_unsigned() && envelope[1].is_number_unsigned();
     if (!isEnvelope)
         return malformed("payload is not a message envelope");
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -87,6 +87,14 @@
              LeavingHosts { { "permits-1" } } };
 }
 
+// Guards against the end of the process by a frame of nested arrays: the reader recurses for each
+// level and exceeded the thread's stack.
+TEST(FrameCodec, RejectsAPayloadOfDeeplyNestedArrays)
+{
+    const std::uint8_t arrayOfOne = 0x91; // in MessagePack
+    EXPECT_FALSE(decoded(Bytes(1'000'000, arrayOfOne)).has_value());
+}
+
 TEST(FrameCodec, EveryMessageTypeRoundTrips)
 {
     const std::vector<SiblingMessage> messages = sampleMessages();
