--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -4,11 +4,13 @@
 
 #include <array>
 #include <deque>
+#include <optional>
 #include <set>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 namespace pimentostage {
@@ -19,11 +21,21 @@
 using Tcp = asio::ip::tcp;
 using SystemError = boost::system::error_code;
 
+constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+
 Tcp::endpoint endpointOf(const Address &address)
 {
     return { asio::ip::make_address_v4(address.ip_), address.port_ };
 }
 
+/// @return the endpoint, or nothing if the text of @p address is not an IPv4 address.
+std::optional<Tcp::endpoint> parsedEndpointOf(const Address &address)
+{
+    SystemError error;
+    const auto ip = asio::ip::make_address_v4(address.ip_, error);
+    return error ? std::nullopt : std::optional(Tcp::endpoint(ip, address.port_));
+}
+
 std::string remoteAddress(const Tcp::socket &socket)
 {
     SystemError error;
@@ -161,7 +173,7 @@
     Outgoing(std::shared_ptr<SharedState> shared, HostName host)
         : shared_(std::move(shared))
         , host_(std::move(host))
-        , socket_(shared_->context_)
+        , socket_(std::make_shared<Tcp::socket>(shared_->context_))
     { }
 
     void send(const SiblingMessage &message)
@@ -191,8 +203,8 @@
     void reset()
     {
         SystemError ignored;
-        socket_.close(ignored);
-        socket_ = Tcp::socket(shared_->context_);
+        socket_->close(ignored);
+        socket_ = std::make_shared<Tcp::socket>(shared_->context_);
         ++generation_;
         frames_.clear();
         queuedBytes_ = 0;
@@ -212,14 +224,15 @@
     bool connect()
     {
         const auto address = shared_->resolve_(host_);
-        if (!address)
+        const auto endpoint = address ? parsedEndpointOf(*address) : std::nullopt;
+        if (!endpoint)
             return false;
         state_ = State::Connecting;
         connectingSince_ = BootClock::now();
         queue(encodeFrame(Hello { shared_->self_ }));
         auto self = shared_from_this();
         const std::uint64_t generation = generation_;
-        socket_.async_connect(endpointOf(*address), [self, generation](const SystemError &error) {
+        socket_->async_connect(*endpoint, [self, generation](const SystemError &error) {
             if (generation != self->generation_)
                 return;
             if (error) {
@@ -227,7 +240,7 @@
                 return;
             }
             SystemError ignored;
-            self->socket_.set_option(Tcp::no_delay(true), ignored);
+            self->socket_->set_option(Tcp::no_delay(true), ignored);
             self->state_ = State::Open;
             self->writeNext();
         });
@@ -237,7 +250,7 @@
     void queue(std::vector<std::uint8_t> frame)
     {
         queuedBytes_ += frame.size();
-        frames_.push_back(std::move(frame));
+        frames_.push_back(std::make_shared<const std::vector<std::uint8_t>>(std::move(frame)));
         if (state_ == State::Open && !isWriting_)
             writeNext();
     }
@@ -249,8 +262,11 @@
         isWriting_ = true;
         auto self = shared_from_this();
         const std::uint64_t generation = generation_;
-        asio::async_write(socket_, asio::buffer(frames_.front()),
-                          [self, generation](const SystemError &error, std::size_t bytes) {
+        // A frame takes several writes, which may continue after reset(); so the operation shares
+        // its socket and its frame.
+        asio::async_write(*socket_, asio::buffer(*frames_.front()),
+                          [self, generation, socket = socket_,
+                           frame = frames_.front()](const SystemError &error, std::size_t bytes) {
                               if (generation != self->generation_)
                                   return;
                               if (error)
@@ -272,10 +288,10 @@
 
     std::shared_ptr<SharedState> shared_;
     const HostName host_;
-    Tcp::socket socket_;
+    std::shared_ptr<Tcp::socket> socket_; ///< replaced by reset()
     State state_ = State::Closed;
     std::uint64_t generation_ = 0; ///< identifies late completions of a closed connection
-    std::deque<std::vector<std::uint8_t>> frames_;
+    std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> frames_;
     std::size_t queuedBytes_ = 0;
     bool isWriting_ = false;
     TimePoint unansweredSince_ {};
@@ -289,6 +305,7 @@
     Acceptor(std::shared_ptr<SharedState> shared, const Address &address)
         : shared_(std::move(shared))
         , acceptor_(shared_->context_, endpointOf(address))
+        , retryTimer_(shared_->context_)
     { }
 
     void accept()
@@ -297,11 +314,13 @@
         acceptor_.async_accept([self](const SystemError &error, Tcp::socket socket) {
             if (self->shared_->isClosed_)
                 return;
-            if (!error) {
-                auto incoming = std::make_shared<Incoming>(self->shared_, std::move(socket));
-                self->shared_->incoming_.insert(incoming);
-                incoming->readLength();
+            if (error) {
+                self->retry();
+                return;
             }
+            auto incoming = std::make_shared<Incoming>(self->shared_, std::move(socket));
+            self->shared_->incoming_.insert(incoming);
+            incoming->readLength();
             self->accept();
         });
     }
@@ -310,11 +329,23 @@
     {
         SystemError ignored;
         acceptor_.close(ignored);
+        retryTimer_.cancel();
     }
 
 private:
+    // Usually the process has run out of file descriptors. The delay avoids a busy loop.
+    void retry()
+    {
+        retryTimer_.expires_after(kAcceptRetryDelay);
+        retryTimer_.async_wait([self = shared_from_this()](const SystemError &cancelled) {
+            if (!cancelled && !self->shared_->isClosed_)
+                self->accept();
+        });
+    }
+
     std::shared_ptr<SharedState> shared_;
     Tcp::acceptor acceptor_;
+    asio::steady_timer retryTimer_;
 };
 
 SiblingLinks::SiblingLinks(asio::io_context &context, const MemberUpdate &self,
