--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -215,3 +215,31 @@
         }
     }
 }
+
+// Guards against a listing that ends early, so that the entries after it count as deleted: the last
+// entry of a page has no name that can be read.
+TEST(OddEntry, AsTheLastOfAPageDoesNotEndTheListing)
+{
+    for (const char *odd :
+         { R"({"Metadata":{"Name":7},"Spec":{}})", R"({"Metadata":null})", "{}", "[]", "1e999" }) {
+        const auto page
+            = wire::parsePage(kBackends, R"({"items":[)" + item("i-1", usualSpec()) + ',' + odd
+                                             + R"(],"HasMore":true,"AsOf":9})");
+        ASSERT_TRUE(page) << odd;
+        EXPECT_EQ(page->nextAfter_, "i-1") << odd;
+    }
+    EXPECT_FALSE(wire::parsePage(kBackends, R"({"items":[{}],"HasMore":true,"AsOf":9})"))
+        << "there is no name to continue after";
+}
+
+// Guards against taking a list that cannot be read for an empty one, which deletes all back ends.
+TEST(OddEntry, AListThatIsNotAnArrayIsMalformed)
+{
+    for (const char *list : { "7", "{}", "null", "\"text\"" }) {
+        EXPECT_FALSE(wire::parsePage(kBackends, std::string(R"({"AsOf":9,"items":)") + list + '}'))
+            << list;
+        EXPECT_FALSE(
+            wire::parseEvents(kBackends, std::string(R"({"AsOf":9,"events":)") + list + '}'))
+            << list;
+    }
+}
