Limit the nesting of objects and replies of this project's store

Would be seen: a deeply nested object ends every process that checks or applies it, on the control thread or in a tool; one object that cannot be read makes a host stop following the store.

Cause: ObjectReader and StoreCodec copy parts of a parsed value, by recursion, before they check them; a listing was parsed as one document.

Ruled out: GrantCodec and ConfigEditor copy nothing that ObjectReader has not checked before (DeepNesting.AReplyIsRejected covers GrantCodec, and it needed no change).

Before: DeepNesting.AnObjectIsRejected, AnObjectOfAListingLeavesTheOthersReadable and AReplyIsRejected: Segmentation fault, code 139, on an EventLoop's thread (200,000 levels).

Change: both use parseJson(), which limits the nesting; a listing is split into objects first.

After: the three tests pass.

--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Error.h"
 #include "pimentostage/platform/ObjectCodec.h"
+#include "src/base/JsonText.h"
 
 #include <algorithm>
 #include <cmath>
@@ -20,7 +21,7 @@
 public:
     ObjectReader(ObjectRef ref, const std::string &value)
         : ref_(std::move(ref))
-        , json_(nlohmann::json::parse(value, nullptr, false))
+        , json_(parseJson(value).value_or(nlohmann::json()))
     {
         if (!json_.is_object()) {
             addError("value", "is not a JSON object");
--- a/src/platform/StoreCodec.cpp
+++ b/src/platform/StoreCodec.cpp
@@ -1,5 +1,7 @@
 #include "src/platform/StoreCodec.h"
 
+#include "src/base/JsonText.h"
+
 #include <nlohmann/json.hpp>
 
 namespace pimentostage {
@@ -55,16 +57,19 @@
 
 std::optional<StoreListing> parseListing(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
-    const bool isListing = json.is_object() && json.value("revision", Json()).is_number_unsigned()
-                           && json.value("objects", Json()).is_array();
-    if (!isListing)
+    const auto members = splitJsonObject(text);
+    const auto revision = members ? parseJsonMember(*members, "revision") : std::nullopt;
+    if (!revision || !revision->is_number_unsigned() || !members->contains("objects"))
+        return std::nullopt;
+    const auto objects = splitJsonArray(members->at("objects"));
+    if (!objects)
         return std::nullopt;
     StoreListing listing;
-    listing.revision_ = Version { json["revision"].get<std::uint64_t>() };
-    for (const Json &item : json["objects"]) {
-        // Ignores objects of kinds that this version does not support.
-        if (auto object = fromJson(item))
+    listing.revision_ = Version { revision->get<std::uint64_t>() };
+    for (const std::string_view item : *objects) {
+        // Ignores objects that cannot be read and those of kinds that this version does not
+        // support.
+        if (auto object = parseStoredObject(item))
             listing.objects_.push_back(std::move(*object));
     }
     return listing;
@@ -75,9 +80,10 @@
     return toJson(object).dump();
 }
 
-std::optional<StoredObject> parseStoredObject(const std::string &text)
+std::optional<StoredObject> parseStoredObject(std::string_view text)
 {
-    return fromJson(Json::parse(text, nullptr, false));
+    const auto json = parseJson(text);
+    return json ? fromJson(*json) : std::nullopt;
 }
 
 std::string formatWritten(Version version)
@@ -87,10 +93,10 @@
 
 std::optional<Version> parseWritten(const std::string &text)
 {
-    const Json json = Json::parse(text, nullptr, false);
-    if (!json.is_object() || !json.value("version", Json()).is_number_unsigned())
+    const auto json = parseJson(text);
+    if (!json || !json->is_object() || !json->value("version", Json()).is_number_unsigned())
         return std::nullopt;
-    return Version { json["version"].get<std::uint64_t>() };
+    return Version { json->at("version").get<std::uint64_t>() };
 }
 
 } // namespace pimentostage
--- a/src/platform/StoreCodec.h
+++ b/src/platform/StoreCodec.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace pimentostage {
 
@@ -15,7 +16,7 @@
 /// @return the JSON form of @p object that the store's protocol uses.
 std::string formatStoredObject(const StoredObject &object);
 /// @return the object in @p text, or nothing if @p text is not an object.
-std::optional<StoredObject> parseStoredObject(const std::string &text);
+std::optional<StoredObject> parseStoredObject(std::string_view text);
 
 /// @return the reply to a write that took effect.
 std::string formatWritten(Version version);
