Limit the nesting of frames between hosts

Would be seen: a frame of nested arrays, from any process that can reach a host's port for siblings, ends the host's process; no Hello is needed for it.

Cause: nlohmann::json reads MessagePack by recursion; 200,000 levels exceed the stack, and a frame may have 16 MiB.

Before: DeepNesting.AFrameIsRejected: Segmentation fault, code 139.

Change: parseMessagePack() stops at the nesting that JSON from other processes may have.

After: the test passes.

--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -1,5 +1,7 @@
 #include "src/sibling/FrameCodec.h"
 
+#include "src/base/MessagePack.h"
+
 #include <array>
 #include <map>
 #include <type_traits>
@@ -467,7 +469,7 @@
 
 leaf::result<SiblingMessage> decodeFrame(const std::vector<std::uint8_t> &payload)
 {
-    const Json envelope = Json::from_msgpack(payload, true, false);
+    const Json envelope = parseMessagePack(payload).value_or(Json());
     const bool isEnvelope = envelope.is_array() && envelope.size() == 3
                             && envelope[0].is_number_unsigned() && envelope[1].is_number_unsigned();
     if (!isEnvelope)
--- a/tests/DeepNestingTest.cpp
+++ b/tests/DeepNestingTest.cpp
@@ -2,6 +2,7 @@
 #include "src/backend/GrantCodec.h"
 #include "src/base/EventLoop.h"
 #include "src/platform/StoreCodec.h"
+#include "src/sibling/FrameCodec.h"
 
 #include <functional>
 #include <string>
@@ -60,6 +61,16 @@
         [](const Error &) { return false; });
 }
 
+bool isMessage(const std::vector<std::uint8_t> &payload)
+{
+    return valueOr(
+        [&]() -> leaf::result<bool> {
+            BOOST_LEAF_CHECK(decodeFrame(payload));
+            return true;
+        },
+        [](const Error &) { return false; });
+}
+
 } // namespace
 
 // Guards against the end of the process by a deeply nested object, from any writer, in the store.
@@ -129,3 +140,28 @@
         });
     }
 }
+
+// Guards against the end of the process by a deeply nested frame on the port for siblings, which
+// any process can reach: MessagePack is read by recursion.
+TEST(DeepNesting, AFrameIsRejected)
+{
+    using Bytes = std::vector<std::uint8_t>;
+    const std::uint8_t arrayOfOne = 0x91;
+    const std::uint8_t arrayOfThree = 0x93;
+    const std::uint8_t nil = 0xc0;
+    const Bytes mapOfOne { 0x81, 0xa1, 'a' };
+    Bytes arrays(kDepth, arrayOfOne);
+    arrays.push_back(nil);
+    Bytes objects;
+    for (std::size_t i = 0; i < kDepth; ++i)
+        objects.insert(objects.end(), mapOfOne.begin(), mapOfOne.end());
+    objects.push_back(nil);
+    for (const Bytes &deep : { arrays, objects, Bytes(kDepth, arrayOfOne) }) {
+        Bytes envelope { arrayOfThree, kSiblingProtocolVersion, 0 };
+        envelope.insert(envelope.end(), deep.begin(), deep.end());
+        runOnLoop([&] {
+            EXPECT_FALSE(isMessage(deep));
+            EXPECT_FALSE(isMessage(envelope));
+        });
+    }
+}
