Limit the memory of chunk extensions and trailers of an answer

Would be seen: a faulty back end that sends a chunk size, an extension or a trailer without end makes an entry host grow until the request's timeout, by hundreds of megabytes for one request; the same for the store and for any other peer of HttpClient.

Cause: Beast limits the head and the body of an answer, but consumes nothing of a chunk's header or of the trailers until they are complete, so the connection's buffer grows with each read.

Ruled out, by cases of the same test that passed before: bytes that are not HTTP, a status line, headers or one header without end, a body without a length, a declared length over the limit, chunks without end (all end at once), interim answers and answers that trickle (these end at the request's timeout), bytes after an answer and on an idle connection; grants and releases end at their timeout. In all cases the connection is closed and the outcome of the request is Unknown.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -215,6 +215,10 @@
     while (buffer_.size() > 0) {
         error_code error;
         buffer_.consume(parser_->put(buffer_.data(), error));
+        // The parser does not limit chunk extensions and trailers, of which it consumes nothing
+        // until they are complete.
+        if (error == http::error::need_more && buffer_.size() > kMaxHeaderBytes)
+            error = http::error::header_limit;
         if (error == http::error::need_more)
             return true;
         if (error) {
