Limit the interim answers to one request

Would be seen: a faulty back end that sends interim answers without end occupies the client's thread until the request's timeout; other requests on the thread get slower.

Cause: each interim answer (status below 200) starts the parser anew; nothing counted them. Memory did not grow, and the timeout ended the request (case InterimAnswers passed before).

Before: EndlessAnswer.AFloodOfInterimAnswersEndsBeforeTheTimeout: FAILED after 20003 ms, which is the request's timeout; the error was Timeout instead of Malformed.

Change: an answer fails after 16 interim answers.

After: the test passes in 7 ms; five interim answers before an answer are accepted.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -16,6 +16,8 @@
 
 constexpr std::size_t kReadSize = 8192; // bytes; most answers fit into a single read
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+// A back end sends one or two before an answer.
+constexpr std::size_t kMaxInterimAnswers = 16;
 // A connection is not reused in this last part of the idle time that its peer announced, because
 // the peer may close it while the request is on its way.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
@@ -67,6 +69,7 @@
                       "the lease that permits this request has expired");
         return;
     }
+    interimCount_ = 0;
     resetParser();
     writeRequest();
 }
@@ -230,6 +233,10 @@
         if (!parser_->is_done())
             continue;
         const bool isInterim = parser_->get().result_int() < 200;
+        if (isInterim && ++interimCount_ > kMaxInterimAnswers) {
+            fail(Step::ReadAnswer, ErrorCode::Malformed, "too many interim answers");
+            return false;
+        }
         if (isInterim) {
             resetParser();
             continue;
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -74,6 +74,7 @@
     TimePoint lastReadAt_ {};
     Duration maxIdleTime_ = std::chrono::hours(1); // until the first answer sets it
     std::size_t responseCount_ = 0;
+    std::size_t interimCount_ = 0; ///< interim answers to the current request
     bool isConnected_ = false;
     bool isWriting_ = false;
     bool mustClose_ = false;
--- a/tests/EndlessAnswerTest.cpp
+++ b/tests/EndlessAnswerTest.cpp
@@ -174,6 +174,33 @@
     EXPECT_TRUE(waitForClose(server, 1));
 }
 
+// Guards against a flood of interim answers that occupies the client's thread until the timeout:
+// other requests on the thread would be served late.
+TEST_F(EndlessAnswer, AFloodOfInterimAnswersEndsBeforeTheTimeout)
+{
+    EndlessServer server({ "", repeated("HTTP/1.1 100 Continue\r\n\r\n", 1000) });
+    HttpClient client({});
+    HttpRequest request = requestTo(server.url());
+    request.timeout_ = 20s;
+    const HttpResult result = client.fetch(std::move(request));
+    ASSERT_TRUE(result.error_.has_value());
+    EXPECT_EQ(result.error_->code_, ErrorCode::Malformed) << result.error_->describe();
+    EXPECT_EQ(outcomeOf(result.state_), Outcome::Unknown);
+    EXPECT_TRUE(waitForClose(server, 1));
+}
+
+// Guards against a limit of interim answers that rejects the usual number of them.
+TEST_F(EndlessAnswer, AFewInterimAnswersPrecedeAnAnswer)
+{
+    RawServer server([](const std::string &, int) {
+        return RawServer::Reply {
+            repeated("HTTP/1.1 100 Continue\r\n\r\n", 5) + rawAnswer("r1", "whole"), false
+        };
+    });
+    HttpClient client({});
+    EXPECT_TRUE(client.fetch(requestTo(server.url())).answer_.has_value());
+}
+
 // Guards against a grant or release that never ends and with it the coordinator's later orders to
 // the same back end: the reply has no end, and each repetition arrives long before any timeout.
 TEST_F(EndlessAnswer, GrantsAndReleasesHaveATimeout)
