--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -178,6 +178,25 @@
     EXPECT_EQ(request.headers_[0].name_, "X-Own");
 }
 
+// Guards against a deadline outside the range of Duration, whose conversion is undefined: the
+// request could count as expired or never expire.
+TEST(PlatformCallerWire, DeadlineBeyondTheRangeOfDurationIsLimitedOrRefused)
+{
+    const auto decode = [](const char *deadline) {
+        ServerRequest request = callerRequest();
+        request.headers_[2].value_ = deadline;
+        return wire::callerProtocol().decode_(std::move(request), RequestId("fallback"));
+    };
+    for (const char *text : { "1e18", "1e300", "99999999999999999999999" }) {
+        const auto decoded = decode(text);
+        ASSERT_TRUE(std::holds_alternative<CallerRequest>(decoded)) << text;
+        EXPECT_EQ(std::get<CallerRequest>(decoded).budget_, 24h) << text;
+    }
+    for (const char *text : { "nan", "inf", "-inf", "1e999" })
+        EXPECT_TRUE(std::holds_alternative<Refusal>(decode(text))) << text;
+    EXPECT_EQ(std::get<CallerRequest>(decode("-5")).budget_, 0ms);
+}
+
 TEST(PlatformCallerWire, GuaranteesThatARequestHasNotRunOnlyIfThatIsKnown)
 {
     const auto statusOf = [](RefusalReason reason, Outcome outcome) {
