Limit the first frame on a connection between hosts

Would be seen: any process that can reach a host's port for siblings can make the host grow by 16 MiB with four bytes on each connection, for as long as it keeps the connection open.

Cause: a frame's announced length is reserved, and filled with zeros, before its bytes arrive, also on a connection whose sender has not identified itself.

Change: the first frame, a Hello, has at most 64 KiB; otherwise the connection is closed.

After: the test passes; a large frame after the Hello is still received.

A sender that has identified itself may still send frames of 16 MiB, and nothing limits the number of connections or the time between two frames.

--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -19,6 +19,8 @@
 using Tcp = asio::ip::tcp;
 using SystemError = boost::system::error_code;
 
+constexpr std::uint32_t kMaxHelloBytes = 64 * 1024;
+
 Tcp::endpoint endpointOf(const Address &address)
 {
     return { asio::ip::make_address_v4(address.ip_), address.port_ };
@@ -83,7 +85,9 @@
     void readPayload()
     {
         const std::uint32_t length = frameLength(length_.data());
-        if (length == 0 || length > kMaxFrameBytes) {
+        // Its first frame identifies the sender and is small.
+        const std::uint32_t maxLength = sender_ ? kMaxFrameBytes : kMaxHelloBytes;
+        if (length == 0 || length > maxLength) {
             reject("invalid frame length: " + std::to_string(length) + " bytes");
             return;
         }
--- /dev/null
+++ b/tests/SiblingLinksTest.cpp
@@ -0,0 +1,132 @@
+#include "src/sibling/SiblingLinks.h"
+#include "src/base/EventLoop.h"
+#include "src/sibling/FrameCodec.h"
+#include "tests/fakes/NullLog.h"
+
+#include <array>
+#include <fstream>
+#include <future>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+namespace asio = boost::asio;
+using Tcp = asio::ip::tcp;
+
+constexpr std::size_t kConnections = 16;
+/// Maximum growth of the process by connections of unidentified senders.
+constexpr std::size_t kMaxGrowthBytes = std::size_t { 24 } << 20U;
+
+std::size_t residentBytes()
+{
+    std::ifstream file("/proc/self/statm");
+    std::size_t total = 0;
+    std::size_t resident = 0;
+    file >> total >> resident;
+    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+std::array<std::uint8_t, kFrameLengthBytes> lengthPrefix(std::uint32_t length)
+{
+    return { static_cast<std::uint8_t>(length >> 24U), static_cast<std::uint8_t>(length >> 16U),
+             static_cast<std::uint8_t>(length >> 8U), static_cast<std::uint8_t>(length) };
+}
+
+Tcp::endpoint freeEndpoint(asio::io_context &context)
+{
+    return Tcp::acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), 0 }).local_endpoint();
+}
+
+/// @return whether the peer closes @p socket within 2 s.
+bool isClosed(Tcp::socket &socket)
+{
+    const timeval timeout { 2, 0 };
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof timeout);
+    char byte = 0;
+    const auto size = ::recv(socket.native_handle(), &byte, 1, 0);
+    return size == 0 || (size < 0 && errno == ECONNRESET);
+}
+
+/// A host's links that listen on a port of the loopback interface.
+class SiblingLinksTest : public testing::Test
+{
+protected:
+    void SetUp() override
+    {
+        bool isListening = false;
+        loop_.run([&] {
+            links_ = std::make_unique<SiblingLinks>(
+                loop_.context(), MemberUpdate {}, [](const HostName &) { return std::nullopt; },
+                [this](const MemberUpdate &, const SiblingMessage &message) {
+                    received_.set_value(message);
+                },
+                log_, metrics_);
+            isListening = valueOr(
+                [&]() -> leaf::result<bool> {
+                    BOOST_LEAF_CHECK(links_->listen(Address { "127.0.0.1", endpoint_.port() }));
+                    return true;
+                },
+                [](const Error &) { return false; });
+        });
+        ASSERT_TRUE(isListening);
+    }
+
+    void TearDown() override
+    {
+        loop_.run([this] { links_.reset(); });
+    }
+
+    EventLoop loop_ { "control" };
+    NullLog log_;
+    MetricRegistry metrics_;
+    asio::io_context context_;
+    const Tcp::endpoint endpoint_ = freeEndpoint(context_);
+    std::promise<SiblingMessage> received_;
+    std::unique_ptr<SiblingLinks> links_;
+};
+
+} // namespace
+
+// Guards against memory that any process can take from a host without a word about itself: a
+// frame's announced length is reserved before the sender is known and before its bytes have
+// arrived.
+TEST_F(SiblingLinksTest, AnUnidentifiedSenderCannotReserveALargeFrame)
+{
+    const std::size_t before = residentBytes();
+    std::vector<Tcp::socket> sockets;
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        asio::write(socket, asio::buffer(lengthPrefix(kMaxFrameBytes)));
+    }
+    EXPECT_TRUE(isClosed(sockets.front()));
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
+}
+
+// Guards against the same limit for the frames of a sender that has identified itself.
+TEST_F(SiblingLinksTest, ASenderThatHasIdentifiedItselfMaySendALargeFrame)
+{
+    LeavingHosts large;
+    for (int i = 0; i < 2000; ++i)
+        large.names_.emplace_back(std::string(100, 'x'));
+    Tcp::socket socket(context_);
+    socket.connect(endpoint_);
+    asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+    asio::write(socket, asio::buffer(encodeFrame(large)));
+    std::future<SiblingMessage> received = received_.get_future();
+    ASSERT_EQ(received.wait_for(5s), std::future_status::ready);
+    const SiblingMessage message = received.get();
+    ASSERT_TRUE(std::holds_alternative<LeavingHosts>(message));
+    EXPECT_EQ(std::get<LeavingHosts>(message).names_.size(), large.names_.size());
+}
