--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -22,6 +22,7 @@
 using SystemError = boost::system::error_code;
 
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+constexpr std::uint32_t kMaxHelloBytes = 64 * 1024;
 
 Tcp::endpoint endpointOf(const Address &address)
 {
@@ -95,7 +96,9 @@
     void readPayload()
     {
         const std::uint32_t length = frameLength(length_.data());
-        if (length == 0 || length > kMaxFrameBytes) {
+        // Its first frame identifies the sender and is small.
+        const std::uint32_t maxLength = sender_ ? kMaxFrameBytes : kMaxHelloBytes;
+        if (length == 0 || length > maxLength) {
             reject("invalid frame length: " + std::to_string(length) + " bytes");
             return;
         }
