Do not send on an idle connection that has unread input

What callers would see: bytes that a back end sends on an idle connection, for example an earlier refusal once more, were taken as the answer to the next request if the client's thread was busy when they arrived. Where answers are matched by id, the outcome of that request became unknown; where they carry none (grants and releases of ranges, health checks), the wrong answer was accepted.

Cause: an idle connection is read, but its pending read runs only after the handlers that are queued before it. A request that was started in between was sent, and its transfer got the old bytes. If the bytes were in the socket when the answer before them was complete, the next read even took them at once, behind the assignment of the connection to a waiting request.

Change: a connection taken from the idle ones is first checked for unread bytes or a close (a peek without blocking); if there are any it is closed, and the request, which was not sent, uses another. The read is started before the connection becomes idle, so that its handler runs first.

Ruled out: bytes in the same read as the answer before them; they closed the connection already.

Conclusion: input that arrived before a request was sent is never its answer. Input that arrives while the request is on its way is still told apart only by its id.

--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -71,7 +71,8 @@
 /// All its work runs on one thread.
 ///
 /// Idle connections are read too. A connection that its peer closes, or that delivers bytes which
-/// do not belong to a request, is closed and not reused.
+/// do not belong to a request, is closed and not reused, even if the bytes are unread when a
+/// request needs a connection.
 class HttpClient
 {
 public:
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -71,9 +71,18 @@
     writeRequest();
 }
 
-bool HttpClient::Impl::Connection::isReusable(TimePoint now) const
+bool HttpClient::Impl::Connection::isReusable(TimePoint now)
 {
-    return isConnected_ && now - idleSince_ < maxIdleTime_;
+    return isConnected_ && now - idleSince_ < maxIdleTime_ && !hasUnreadInput();
+}
+
+// The pending read delivers the input later if the thread is busy.
+bool HttpClient::Impl::Connection::hasUnreadInput()
+{
+    char byte = 0;
+    error_code error;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error != asio::error::would_block;
 }
 
 void HttpClient::Impl::Connection::fail(Step step, ErrorCode code, const std::string &detail)
@@ -116,6 +125,7 @@
     lastReadAt_ = BootClock::now();
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     read();
     const std::shared_ptr<Transfer> transfer = transfer_;
     send(transfer);
@@ -232,12 +242,13 @@
         }
         // Bytes after a complete answer belong to no request.
         mustClose_ = buffer_.size() > 0;
-        return complete();
+        complete();
+        return false;
     }
     return true;
 }
 
-bool HttpClient::Impl::Connection::complete()
+void HttpClient::Impl::Connection::complete()
 {
     const std::shared_ptr<Transfer> transfer = std::move(transfer_);
     transfer->connection_.reset();
@@ -258,22 +269,25 @@
         close();
         client_->fail(*transfer, Step::CheckAnswer, ErrorCode::Mismatch,
                       "the answer has the id of another request");
-        return false;
+        return;
     }
     ++responseCount_;
     if (const auto announced = announcedIdleTime(answer))
         maxIdleTime_ = std::min(client_->options_.maxIdleAge_, *announced - kIdleMargin);
     else
         maxIdleTime_ = client_->options_.maxIdleAge_;
-    if (mustClose_)
+    if (mustClose_) {
         close();
-    else
+    } else {
+        // Before the connection can be assigned: a read that succeeds immediately takes the bytes
+        // from the socket, and its handler must run while the connection is still idle.
+        read();
         becomeIdle();
+    }
     HttpResult result;
     result.state_ = AttemptState::Answered;
     result.answer_ = std::move(answer);
     client_->finish(*transfer, std::move(result));
-    return !isClosed_;
 }
 
 void HttpClient::Impl::Connection::becomeIdle()
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -29,7 +29,8 @@
     /// Sends the request of @p transfer on this connection, which must be idle.
     void send(const std::shared_ptr<Transfer> &transfer);
 
-    [[nodiscard]] bool isReusable(TimePoint now) const;
+    /// @return whether this idle connection may be used for another request at @p now.
+    [[nodiscard]] bool isReusable(TimePoint now);
     [[nodiscard]] TimePoint lastReadAt() const { return lastReadAt_; }
 
     /// Closes the connection; its transfer, if any, fails with @p step, @p code and @p detail.
@@ -38,6 +39,9 @@
     void close();
 
 private:
+    /// @return whether the peer has sent bytes that were not read yet, or has closed.
+    [[nodiscard]] bool hasUnreadInput();
+
     void onConnected(const boost::system::error_code &error);
 
     void resetParser();
@@ -53,12 +57,11 @@
     void onEnd(const boost::system::error_code &error);
 
     /// Parses the received bytes.
-    /// @return whether the connection continues to read.
+    /// @return whether the answer is incomplete and more must be read.
     bool parse();
 
-    /// Ends the transfer with the parsed answer.
-    /// @return whether the connection continues to read.
-    bool complete();
+    /// Ends the transfer with the parsed answer; an open connection becomes idle.
+    void complete();
 
     void becomeIdle();
 
--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -3,9 +3,12 @@
 #include "pimentostage/base/Ids.h"
 
 #include <atomic>
+#include <chrono>
 #include <functional>
+#include <mutex>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
@@ -25,6 +28,10 @@
     {
         std::string bytes_;
         bool closesConnection_ = false;
+        std::string
+            beforeNext_ {}; ///< sent on this connection before the reply to its next request
+        std::string unrequested_ {}; ///< sent on this connection after unrequestedDelay_
+        std::chrono::milliseconds unrequestedDelay_ {};
     };
     /// Returns the reply to a request.
     /// @param head request line and headers.
@@ -45,6 +52,8 @@
         boost::system::error_code ignored;
         socket.connect(acceptor_.local_endpoint(), ignored);
         thread_.join();
+        for (std::thread &connection : connections_)
+            connection.join();
     }
 
     RawServer(const RawServer &) = delete;
@@ -65,16 +74,19 @@
             boost::asio::ip::tcp::socket socket(context_);
             boost::system::error_code error;
             acceptor_.accept(socket, error);
-            if (!error && !stopping_)
-                serveConnection(socket);
+            if (error || stopping_)
+                continue;
+            connections_.emplace_back(
+                [this, socket = std::move(socket)]() mutable { serveConnection(socket); });
         }
     }
 
-    // Serves one connection at a time, which suffices because a test's client opens no more.
+    // Ends when the client, which a test destroys before the server, closes the connection.
     void serveConnection(boost::asio::ip::tcp::socket &socket)
     {
         boost::asio::streambuf buffer;
         boost::system::error_code error;
+        std::string before;
         while (!stopping_) {
             const std::size_t size = boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
             if (error)
@@ -83,18 +95,31 @@
                                    boost::asio::buffers_begin(buffer.data())
                                        + static_cast<std::ptrdiff_t>(size));
             buffer.consume(buffer.size());
-            const Reply reply = makeReply_(head, ++requestCount_);
-            boost::asio::write(socket, boost::asio::buffer(reply.bytes_), error);
+            const Reply reply = replyTo(head);
+            boost::asio::write(socket, boost::asio::buffer(before + reply.bytes_), error);
+            before = reply.beforeNext_;
             if (reply.closesConnection_ || error)
                 return;
+            if (reply.unrequested_.empty())
+                continue;
+            std::this_thread::sleep_for(reply.unrequestedDelay_);
+            boost::asio::write(socket, boost::asio::buffer(reply.unrequested_), error);
         }
     }
 
+    Reply replyTo(const std::string &head)
+    {
+        const std::lock_guard lock(mutex_);
+        return makeReply_(head, ++requestCount_);
+    }
+
     const ReplyFunction makeReply_;
     boost::asio::io_context context_;
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> stopping_ { false };
     std::atomic<int> requestCount_ { 0 };
+    std::mutex mutex_; ///< makeReply_ is called for one request at a time
+    std::vector<std::thread> connections_; ///< used by thread_ until it has ended
     std::thread thread_;
 };
 
