Do not send an attempt on a connection that carried an earlier one of the request

What callers saw or would see: a request that a back end refused (503, 421) was sent to the same back end again, usually on the same connection. If the back end then wrote the refusal once more, it was taken as the answer to the attempt that the back end was running. The request was sent a third time and ran twice, or was refused with a promise that it had not run.

Cause: answers are matched by the id of the request, and on the platform all attempts of a request have the same id. The same back end is used again by requests with ordered keys (421, and 503 after a wait for admission) and by other requests that were shed and then admitted (the list of the back ends that were tried is cleared). The connection used last is taken first.

Change: the client numbers its connections, a result names the connection, and an attempt avoids the connections of the request's earlier attempts. Where no other is allowed, the one that was not used for the longest time is closed to make room. Other requests still use the connection, since they have other ids; a new connection is opened only if none of the others is idle.

Ruled out: the project's own protocol has one id for each attempt. A hedge has the same id as the first attempt but goes to another back end. A refusal of another request, or without an id, on a kept connection has an unknown outcome and is not sent again; a test shows it for five statuses.

Conclusion: a repeated refusal of a request can no longer be taken as the answer to its retry.

--- a/src/backend/ActiveRequest.cpp
+++ b/src/backend/ActiveRequest.cpp
@@ -171,6 +171,8 @@
         worker_.counters_.hedges_.add();
     HttpRequest http
         = worker_.options_.protocol_->encodeAttempt_(request_, send.attempt_, choice, now);
+    // The attempts may have the same id, so it does not tell a repeated answer to an earlier one.
+    http.avoidedConnections_ = usedConnections_;
     InFlightAttempt &inFlight = inFlight_[send.attempt_];
     inFlight.stats_ = choice.candidate_->stats_;
     inFlight.backend_ = choice.candidate_->backend_.name_;
@@ -212,6 +214,8 @@
     const TimePoint now = BootClock::now();
     const InFlightAttempt inFlight = std::move(inFlight_.at(attempt));
     inFlight_.erase(attempt);
+    if (result.connection_ != 0)
+        usedConnections_.push_back(result.connection_);
     const AttemptResult attemptResult = worker_.options_.protocol_->interpretResult_(result);
     updateConcurrencyLimit(inFlight, attemptResult, now);
     end(inFlight, attemptResult.state_, now);
--- a/src/backend/ActiveRequest.h
+++ b/src/backend/ActiveRequest.h
@@ -96,6 +96,7 @@
     RouteState &route_;
     RequestExecution execution_;
     std::vector<BackendName> tried_;
+    std::vector<ConnectionId> usedConnections_; ///< those of attempts that have ended
     std::shared_ptr<AdmissionQueue> queue_; ///< queue of the last attempt
     std::optional<WaitingRequest> queueEntry_; ///< entry in entryQueue_, set on admission
     std::shared_ptr<AdmissionQueue> entryQueue_;
--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -76,24 +76,36 @@
         return;
     }
     PeerState &peer = peers_[transfer->url_.peer_];
-    if (const std::shared_ptr<Connection> idle = takeIdle(peer)) {
+    const std::vector<ConnectionId> &avoided = transfer->request_.avoidedConnections_;
+    if (const std::shared_ptr<Connection> idle = takeIdle(peer, avoided)) {
         idle->send(transfer);
         return;
     }
     if (peer.openCount_ >= options_.connectionsPerPeer_) {
-        peer.waitingTransfers_.push_back(transfer->id_);
-        return;
+        if (peer.idleConnections_.empty()) {
+            peer.waitingTransfers_.push_back(transfer->id_);
+            return;
+        }
+        // Makes room: the idle connections that are left are those to avoid.
+        const std::shared_ptr<Connection> leastRecent = peer.idleConnections_.back();
+        leastRecent->close();
     }
     ++peer.openCount_;
-    std::make_shared<Connection>(shared_from_this(), transfer->url_.peer_)->connect(transfer);
+    std::make_shared<Connection>(shared_from_this(), transfer->url_.peer_, ++lastConnectionId_)
+        ->connect(transfer);
 }
 
-std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::takeIdle(PeerState &peer)
+std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::takeIdle(
+    PeerState &peer, const std::vector<ConnectionId> &avoided)
 {
     const TimePoint now = BootClock::now();
-    while (!peer.idleConnections_.empty()) {
-        const std::shared_ptr<Connection> connection = peer.idleConnections_.front();
-        peer.idleConnections_.pop_front();
+    for (auto next = peer.idleConnections_.begin(); next != peer.idleConnections_.end();) {
+        const std::shared_ptr<Connection> connection = *next;
+        if (std::find(avoided.begin(), avoided.end(), connection->id()) != avoided.end()) {
+            ++next;
+            continue;
+        }
+        next = peer.idleConnections_.erase(next);
         if (connection->isReusable(now))
             return connection;
         connection->close();
@@ -182,6 +194,7 @@
     finished->timer_.cancel();
     result.elapsed_ = BootClock::now() - finished->startedAt_;
     result.isReused_ = finished->isReused_;
+    result.connection_ = finished->connectionId_;
     finished->done_(std::move(result));
 }
 
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -20,6 +20,9 @@
 /// Header that carries the id of a request, in the request and in its answer.
 inline constexpr const char *kRequestIdHeader = "Pimento-Request-Id";
 
+/// Number of a connection of an HttpClient; 0 is none.
+using ConnectionId = std::uint64_t;
+
 /// A request to send.
 struct HttpRequest
 {
@@ -30,6 +33,9 @@
     Duration timeout_ = std::chrono::seconds(1);
     std::string expectedId_; ///< if set, the answer must contain it in idHeader_
     const char *idHeader_ = kRequestIdHeader; ///< header of the answer that contains the id
+    /// Connections on which the request is not sent: those of earlier requests with the same id,
+    /// whose answers could be repeated there.
+    std::vector<ConnectionId> avoidedConnections_;
     /// If set, called immediately before the first byte is sent; if it returns false, the request
     /// is not sent and fails with ErrorCode::Stale.
     std::function<bool()> maySend_;
@@ -54,6 +60,7 @@
     std::optional<Error> error_;
     Duration elapsed_ {};
     bool isReused_ = false; ///< sent on a connection that had already served requests
+    ConnectionId connection_ = 0; ///< on which the request was sent, or was to be sent
 };
 
 /// Settings of an HttpClient.
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -57,6 +57,7 @@
 {
     transfer_ = transfer;
     transfer->connection_ = weak_from_this();
+    transfer->connectionId_ = id_;
     transfer->isReused_ = responseCount_ > 0;
     const auto &maySend = transfer->request_.maySend_;
     if (maySend && !maySend()) {
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -17,9 +17,10 @@
 class HttpClient::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(std::shared_ptr<Impl> client, std::string peer)
+    Connection(std::shared_ptr<Impl> client, std::string peer, ConnectionId id)
         : client_(std::move(client))
         , peer_(std::move(peer))
+        , id_(id)
         , socket_(client_->context_)
         , timer_(client_->context_)
     { }
@@ -31,6 +32,7 @@
 
     /// @return whether this idle connection may be used for another request at @p now.
     [[nodiscard]] bool isReusable(TimePoint now);
+    [[nodiscard]] ConnectionId id() const { return id_; }
     [[nodiscard]] TimePoint lastReadAt() const { return lastReadAt_; }
 
     /// Closes the connection; its transfer, if any, fails with @p step, @p code and @p detail.
@@ -67,6 +69,7 @@
 
     const std::shared_ptr<Impl> client_;
     const std::string peer_;
+    const ConnectionId id_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
--- a/src/base/HttpClientImpl.h
+++ b/src/base/HttpClientImpl.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -79,6 +80,7 @@
         TimePoint startedAt_;
         AttemptState state_ = AttemptState::NotSent;
         bool isReused_ = false;
+        ConnectionId connectionId_ = 0;
         std::weak_ptr<Connection> connection_; ///< expired while the transfer has no connection
     };
 
@@ -91,7 +93,9 @@
 
     void assign(const std::shared_ptr<Transfer> &transfer);
     void assignNext(const std::string &peer);
-    std::shared_ptr<Connection> takeIdle(PeerState &peer);
+    /// @return an idle connection that is not one of @p avoided, or nullptr.
+    static std::shared_ptr<Connection> takeIdle(PeerState &peer,
+                                                const std::vector<ConnectionId> &avoided);
     void onTimeout(TransferId id);
     void finish(Transfer &transfer, HttpResult result);
     void fail(Transfer &transfer, Step step, ErrorCode code, std::string detail);
@@ -101,6 +105,7 @@
     std::unordered_map<TransferId, std::shared_ptr<Transfer>> transfers_;
     std::unordered_map<std::string, PeerState> peers_;
     TransferId lastId_ = 0;
+    ConnectionId lastConnectionId_ = 0;
     bool isClosed_ = false;
 };
 
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -1,21 +1,199 @@
+#include "platform/BackendWire.h"
+#include "src/backend/BackendClient.h"
 #include "src/base/HttpClient.h"
+#include "tests/fakes/NullLog.h"
 #include "tests/fakes/RawServer.h"
 
 #include <future>
+#include <variant>
 
 #include <gtest/gtest.h>
 
 using namespace pimentostage;
 using namespace std::chrono_literals;
+namespace wire = pimentostage::platform;
 
 namespace {
 
+constexpr const char *kIdHeader = "Pimentostage-Request-Id";
+
 std::string answer(int status, const std::string &headers, const std::string &body = "")
 {
     return "HTTP/1.1 " + std::to_string(status) + " Text\r\n" + headers
            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+std::string idLine(const std::string &id)
+{
+    return std::string(kIdHeader) + ": " + id + "\r\n";
+}
+
+std::string refusal(int status, const std::string &idLines)
+{
+    return answer(status, idLines + "Pimentostage-Not-Executed: 1\r\n");
+}
+
+/// Ignores all observations.
+class NullTrafficListener : public TrafficListener
+{
+public:
+    void onBackendCold(const BackendName &) override { }
+    void onBackendWarm(const BackendName &) override { }
+    void onKeyLoad(const KeyLoad &) override { }
+};
+
+/// A client of one back end, for a service with ordered keys and for one without keys.
+class RepeatedRefusalTest : public testing::Test
+{
+protected:
+    void connectTo(const RawServer &server)
+    {
+        const std::string url = server.url();
+        const auto port = static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+        Configuration configuration;
+        for (const std::string name : { "ordered", "plain" }) {
+            Service service;
+            service.name_ = ServiceName(name);
+            service.keyed_ = name == "ordered";
+            service.division_ = service.keyed_ ? KeyDivision::Ordered : KeyDivision::Hashed;
+            configuration.services_[service.name_] = service;
+            Backend backend;
+            backend.name_ = BackendName(name + "-1");
+            backend.service_ = service.name_;
+            backend.address_ = { "127.0.0.1", port };
+            backend.slots_ = 6;
+            backend.connections_ = 40;
+            configuration.backends_[backend.name_] = backend;
+        }
+        RangePlacement ranges;
+        ranges.ranges_.push_back({ { 0, kLastOrderedKey },
+                                   { BackendName("ordered-1"), Incarnation {} },
+                                   Epoch { 1 },
+                                   {} });
+        configuration.ranges_[ServiceName("ordered")]
+            = std::make_shared<const RangePlacement>(ranges);
+        routing_.publish(builder_.build(configuration, {}, BootClock::now()));
+        BackendClientOptions options;
+        options.protocol_ = &wire::backendProtocol();
+        options.threads_ = 1;
+        options.connectionsPerBackend_ = connections_;
+        client_ = std::make_unique<BackendClient>(options, routing_, listener_, log_, metrics_);
+    }
+
+    static ForwardRequest request(const std::string &service, const std::string &id)
+    {
+        ForwardRequest request;
+        request.id_ = RequestId(id);
+        request.service_ = ServiceName(service);
+        if (service == "ordered") {
+            request.key_ = "5";
+            request.orderedKey_ = 5;
+        }
+        request.method_ = "POST";
+        request.path_ = "/x";
+        request.maxAttempts_ = 1;
+        request.deadline_ = BootClock::now() + 2s;
+        return request;
+    }
+
+    ForwardResult forward(ForwardRequest request)
+    {
+        std::promise<ForwardResult> result;
+        client_->forward(std::move(request), std::make_shared<Abandonment>(),
+                         [&](ForwardResult done) { result.set_value(std::move(done)); });
+        return result.get_future().get();
+    }
+
+    /// Sends "r1" to @p service of a back end that refuses its first attempt with @p status, runs
+    /// the next, and sends the refusal again before the next answer on the connection.
+    /// @return how often the back end ran the request.
+    int runsAfterRepeatedRefusal(const std::string &service, int status)
+    {
+        std::atomic<int> runs = 0;
+        RawServer server([&](const std::string &, int number) {
+            const std::string refused = refusal(status, idLine("r1"));
+            if (number == 1)
+                return RawServer::Reply { refused, false, refused };
+            ++runs;
+            return RawServer::Reply { answer(200, idLine("r1"), "text") };
+        });
+        connectTo(server);
+        const ForwardResult result = forward(request(service, "r1"));
+        EXPECT_TRUE(std::holds_alternative<HttpAnswer>(result));
+        client_.reset();
+        return runs;
+    }
+
+    long connections_ = 13;
+    RoutingTableBuilder builder_;
+    SnapshotPublisher<RoutingTable> routing_ { std::make_shared<const RoutingTable>() };
+    NullTrafficListener listener_;
+    NullLog log_;
+    MetricRegistry metrics_;
+    std::unique_ptr<BackendClient> client_;
+};
+
+// Guards against a second run of a request that its owner first refused: the refusal, repeated on
+// the connection, was taken as the answer to the next attempt, which has the same id.
+TEST_F(RepeatedRefusalTest, OfAnOwnerIsNotTakenForTheNextAttempt)
+{
+    EXPECT_EQ(runsAfterRepeatedRefusal("ordered", 421), 1);
+}
+
+// As above, for a request that was shed, waited for admission and went to the same back end.
+TEST_F(RepeatedRefusalTest, OfAFullBackEndIsNotTakenForTheNextAttempt)
+{
+    EXPECT_EQ(runsAfterRepeatedRefusal("plain", 503), 1);
+}
+
+// Guards against a request that waits until its deadline because the only connection that the
+// client may open carried its refused attempt.
+TEST_F(RepeatedRefusalTest, IsAvoidedAlsoWhereOnlyOneConnectionIsAllowed)
+{
+    connections_ = 1;
+    EXPECT_EQ(runsAfterRepeatedRefusal("plain", 503), 1);
+}
+
+// Guards against "not run" for a request that the back end is running: an earlier request's
+// refusal arrives in place of the answer.
+TEST_F(RepeatedRefusalTest, OfAnotherRequestLeavesTheOutcomeUnknown)
+{
+    for (const std::string &lines : { std::string(), idLine("r1") }) {
+        for (const int status : { 400, 408, 421, 429, 503 }) {
+            RawServer server([&](const std::string &, int number) {
+                if (number == 1)
+                    return RawServer::Reply { answer(200, idLine("r1")), false,
+                                              refusal(status, lines) };
+                return RawServer::Reply { answer(200, idLine("r2")) };
+            });
+            connectTo(server);
+            ASSERT_TRUE(std::holds_alternative<HttpAnswer>(forward(request("plain", "r1"))));
+            const ForwardResult result = forward(request("plain", "r2"));
+            const auto *giveUp = std::get_if<GiveUp>(&result);
+            EXPECT_TRUE(giveUp && giveUp->outcome_ == Outcome::Unknown)
+                << status << " with the lines " << lines;
+            EXPECT_EQ(server.requestCount(), 2) << status << " with the lines " << lines;
+            client_.reset();
+        }
+    }
+}
+
+// Guards against an answer taken for a request that was not sent yet: the refusal is repeated in
+// one segment with the answer before it.
+TEST_F(RepeatedRefusalTest, DirectlyBehindAnAnswerClosesTheConnection)
+{
+    RawServer server([&](const std::string &, int number) {
+        if (number == 1) {
+            return RawServer::Reply { answer(200, idLine("r1")) + refusal(503, idLine("r1")) };
+        }
+        return RawServer::Reply { answer(200, idLine("r2")) };
+    });
+    connectTo(server);
+    EXPECT_TRUE(std::holds_alternative<HttpAnswer>(forward(request("plain", "r1"))));
+    EXPECT_TRUE(std::holds_alternative<HttpAnswer>(forward(request("plain", "r2"))));
+    client_.reset();
+}
+
 HttpRequest get(const RawServer &server)
 {
     HttpRequest request;
