Reject an answer that has the ids of two requests

What callers would see: if a faulty back end's repeated refusal has the id header twice, first with the id of the request that is running and then with that of the refused one, it was taken as the answer: the request was refused with a promise that it had not run, or sent again and run twice.

Cause: only the first id header of an answer was compared.

Change: each id in an answer must be the expected one, and there must be at least one.

Evidence: OfAnotherRequestLeavesTheOutcomeUnknown now also sends refusals with both ids, in both orders. On the code before, the order "r2, r1" failed for each of 400, 408, 421, 429 and 503: giveUp && giveUp->outcome_ == Outcome::Unknown Actual: false Expected: true server.requestCount() Which is: 3 2 After: the test passes.

Conclusion: an answer that cannot be attributed to one request leaves the outcome unknown.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -36,6 +36,22 @@
     return std::chrono::seconds(seconds);
 }
 
+/// @return whether each id in @p answer, and at least one, is the one that @p request expects.
+bool hasExpectedId(const HttpAnswer &answer, const HttpRequest &request)
+{
+    if (request.expectedId_.empty())
+        return true;
+    bool hasId = false;
+    for (const HttpHeader &header : answer.headers_) {
+        if (!isSameHeaderName(header.name_, request.idHeader_))
+            continue;
+        if (header.value_ != request.expectedId_)
+            return false;
+        hasId = true;
+    }
+    return hasId;
+}
+
 } // namespace
 
 void HttpClient::Impl::Connection::connect(const std::shared_ptr<Transfer> &transfer)
@@ -264,9 +280,7 @@
     }
     answer.body_ = std::move(message.body());
     const HttpRequest &request = transfer->request_;
-    const bool isMismatched
-        = !request.expectedId_.empty() && answer.header(request.idHeader_) != request.expectedId_;
-    if (isMismatched) {
+    if (!hasExpectedId(answer, request)) {
         close();
         client_->fail(*transfer, Step::CheckAnswer, ErrorCode::Mismatch,
                       "the answer has the id of another request");
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -158,7 +158,8 @@
 // refusal arrives in place of the answer.
 TEST_F(RepeatedRefusalTest, OfAnotherRequestLeavesTheOutcomeUnknown)
 {
-    for (const std::string &lines : { std::string(), idLine("r1") }) {
+    for (const std::string &lines : { std::string(), idLine("r1"), idLine("r1") + idLine("r2"),
+                                      idLine("r2") + idLine("r1") }) {
         for (const int status : { 400, 408, 421, 429, 503 }) {
             RawServer server([&](const std::string &, int number) {
                 if (number == 1)
