Give orders about key ranges an id that their replies must not contradict

What could be seen: grants and releases of key ranges had no id, so a reply that a back end wrote once more on the kept connection was taken as that of the next order. A repeated 200 confirmed a release that the back end had not made, and the range went to another owner; a repeated 409 removed a grant that took effect from the ledger of holders, with the same result.

Cause: nothing identified the reply to an order.

Change: HttpRangeLink gives each order an id of its own in the request id header. A reply with another id is no reply: the connection is closed and the outcome is Broken, which counts as "may have taken effect". A reply without any id is accepted as before, because the back ends are not known to echo the id of an order.

Evidence: on the code before, the outcomes of the second order were (0 is Accepted, 1 StaleEpoch, 4 Broken) outcomeOfSecondOrder(200, true) Which is: 00 04 outcomeOfSecondOrder(409, false) Which is: 01 04 outcomeOfSecondOrder(200, false) Which is: 00 04 After: the three tests and OrderReply.NeedsNoId (passed before too) pass.

At a back end that does not echo the id of an order, a reply that is repeated while the next order is on its way is still accepted.

--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -1,5 +1,9 @@
 #include "src/backend/HttpRangeLink.h"
 
+#include <cinttypes>
+#include <cstdio>
+#include <random>
+
 #include <nlohmann/json.hpp>
 
 namespace pimentostage {
@@ -18,6 +22,9 @@
 constexpr long kGrantConnections = 1;
 constexpr long kReleaseConnections = 3;
 
+// An id is a counter below a random number, so that the ids of different hosts differ.
+constexpr unsigned kCounterBits = 32;
+
 constexpr const char *kGrantPath = "/.pimento/ranges/grant";
 constexpr const char *kReleasePath = "/.pimento/ranges/release";
 
@@ -54,6 +61,14 @@
     return request;
 }
 
+/// @return @p id as 16 hexadecimal digits.
+std::string formatId(std::uint64_t id)
+{
+    char text[17];
+    std::snprintf(text, sizeof text, "%016" PRIx64, id);
+    return text;
+}
+
 RangeOutcome outcomeOf(const HttpResult &result, const RangeProtocol &protocol)
 {
     if (result.answer_) {
@@ -73,37 +88,46 @@
 
 const RangeProtocol &nativeRangeProtocol()
 {
-    static const RangeProtocol protocol { &encodeGrant, &encodeRelease, "Pimento-Handover", true };
+    static const RangeProtocol protocol { &encodeGrant, &encodeRelease, "Pimento-Handover",
+                                          kRequestIdHeader, true };
     return protocol;
 }
 
 HttpRangeLink::HttpRangeLink(EventLoop &loop, const RangeProtocol &protocol)
     : protocol_(protocol)
+    , lastId_(std::uint64_t { std::random_device {}() } << kCounterBits)
     , grants_(clientOptions(kGrantConnections), loop)
     , releases_(clientOptions(kReleaseConnections), loop)
 { }
 
-void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnGranted done)
+HttpRequest HttpRangeLink::prepare(HttpRequest request, const Address &backend, Duration timeout)
 {
-    HttpRequest request = protocol_.encodeGrant_(order);
     request.method_ = "POST";
     request.url_ = "http://" + backend.str() + request.url_;
-    request.timeout_ = kGrantTimeout;
-    grants_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
-        done(outcomeOf(result, protocol_));
-    });
+    request.timeout_ = timeout;
+    request.idHeader_ = protocol_.idHeader_;
+    request.expectedId_ = formatId(++lastId_);
+    request.isIdOptional_ = true;
+    request.headers_.push_back({ protocol_.idHeader_, request.expectedId_ });
+    return request;
+}
+
+void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnGranted done)
+{
+    grants_.start(prepare(protocol_.encodeGrant_(order), backend, kGrantTimeout),
+                  [this, done = std::move(done)](const HttpResult &result) {
+                      done(outcomeOf(result, protocol_));
+                  });
 }
 
 void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReleased done)
 {
-    HttpRequest request = protocol_.encodeRelease_(order);
-    request.method_ = "POST";
-    request.url_ = "http://" + backend.str() + request.url_;
-    request.timeout_ = kReleaseTimeout;
-    releases_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
-        done(outcomeOf(result, protocol_),
-             result.answer_ ? result.answer_->header(protocol_.handoverHeader_) : "");
-    });
+    releases_.start(prepare(protocol_.encodeRelease_(order), backend, kReleaseTimeout),
+                    [this, done = std::move(done)](const HttpResult &result) {
+                        done(outcomeOf(result, protocol_),
+                             result.answer_ ? result.answer_->header(protocol_.handoverHeader_)
+                                            : "");
+                    });
 }
 
 } // namespace pimentostage
--- a/src/backend/HttpRangeLink.h
+++ b/src/backend/HttpRangeLink.h
@@ -13,6 +13,7 @@
     HttpRequest (*encodeGrant_)(const RangeGrantOrder &);
     HttpRequest (*encodeRelease_)(const RangeReleaseOrder &);
     const char *handoverHeader_; ///< header of a release's reply that has the handover token
+    const char *idHeader_; ///< header of an order, and of its reply, that has the order's id
     /// Whether a refused connection means that the process has ended. Must be false for back ends
     /// that also refuse connections while they are busy.
     bool refusalMeansProcessEnded_ = false;
@@ -32,7 +33,11 @@
     void release(const Address &backend, const RangeReleaseOrder &order, OnReleased done) override;
 
 private:
+    /// Completes @p request, an encoded order to @p backend.
+    HttpRequest prepare(HttpRequest request, const Address &backend, Duration timeout);
+
     const RangeProtocol &protocol_;
+    std::uint64_t lastId_; ///< of an order
     HttpClient grants_;
     HttpClient releases_; ///< separate, since a release gets no reply until work has ended
 };
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -33,6 +33,7 @@
     Duration timeout_ = std::chrono::seconds(1);
     std::string expectedId_; ///< if set, the answer must contain it in idHeader_
     const char *idHeader_ = kRequestIdHeader; ///< header of the answer that contains the id
+    bool isIdOptional_ = false; ///< whether an answer without any id is accepted too
     /// Connections on which the request is not sent: those of earlier requests with the same id,
     /// whose answers could be repeated there.
     std::vector<ConnectionId> avoidedConnections_;
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -36,12 +36,13 @@
     return std::chrono::seconds(seconds);
 }
 
-/// @return whether each id in @p answer, and at least one, is the one that @p request expects.
+/// @return whether each id in @p answer is the one that @p request expects, and there is one unless
+///         it is optional.
 bool hasExpectedId(const HttpAnswer &answer, const HttpRequest &request)
 {
     if (request.expectedId_.empty())
         return true;
-    bool hasId = false;
+    bool hasId = request.isIdOptional_;
     for (const HttpHeader &header : answer.headers_) {
         if (!isSameHeaderName(header.name_, request.idHeader_))
             continue;
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -1,5 +1,6 @@
 #include "platform/BackendWire.h"
 #include "src/backend/BackendClient.h"
+#include "src/base/EventLoop.h"
 #include "src/base/HttpClient.h"
 #include "tests/fakes/NullLog.h"
 #include "tests/fakes/RawServer.h"
@@ -33,6 +34,12 @@
     return answer(status, idLines + "Pimentostage-Not-Executed: 1\r\n");
 }
 
+std::uint16_t portOf(const RawServer &server)
+{
+    const std::string url = server.url();
+    return static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+}
+
 /// Ignores all observations.
 class NullTrafficListener : public TrafficListener
 {
@@ -48,8 +55,6 @@
 protected:
     void connectTo(const RawServer &server)
     {
-        const std::string url = server.url();
-        const auto port = static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
         Configuration configuration;
         for (const std::string name : { "ordered", "plain" }) {
             Service service;
@@ -60,7 +65,7 @@
             Backend backend;
             backend.name_ = BackendName(name + "-1");
             backend.service_ = service.name_;
-            backend.address_ = { "127.0.0.1", port };
+            backend.address_ = { "127.0.0.1", portOf(server) };
             backend.slots_ = 6;
             backend.connections_ = 40;
             configuration.backends_[backend.name_] = backend;
@@ -195,6 +200,93 @@
     client_.reset();
 }
 
+/// Returns the id in the head of a request, or "" if there is none.
+std::string idIn(const std::string &head)
+{
+    const std::size_t at = head.find(kIdHeader);
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + std::string(kIdHeader).size() + 2;
+    return head.substr(begin, head.find('\r', begin) - begin);
+}
+
+/// Sends orders to a back end that writes its answer to the first order again in place of the
+/// answer to the second.
+class RepeatedOrderReplyTest : public testing::Test
+{
+protected:
+    /// @param status status of the back end's answer to the first order.
+    /// @param isRelease whether to send releases instead of grants.
+    /// @return the outcome of the second order.
+    static RangeOutcome outcomeOfSecondOrder(int status, bool isRelease)
+    {
+        RawServer server([status](const std::string &head, int number) {
+            const std::string reply
+                = answer(status, idLine(idIn(head)) + "Pimentostage-Handover: token\r\n");
+            return number == 1 ? RawServer::Reply { reply, false, reply } : RawServer::Reply {};
+        });
+        EventLoop loop("ranges");
+        auto link = std::make_unique<HttpRangeLink>(loop, wire::rangeProtocol());
+        const Address address { "127.0.0.1", portOf(server) };
+        std::promise<RangeOutcome> second;
+        const auto send = [&](const KeyRange &range, std::function<void(RangeOutcome)> done) {
+            if (isRelease) {
+                link->release(address, RangeReleaseOrder { range, Epoch { 1 } },
+                              [done](RangeOutcome outcome, const std::string &) { done(outcome); });
+            } else {
+                link->grant(address, RangeGrantOrder { range, Epoch { 1 }, 1s, "" }, done);
+            }
+        };
+        loop.post([&] {
+            send({ 0, 9 }, [&](RangeOutcome) {
+                send({ 10, 19 }, [&](RangeOutcome outcome) { second.set_value(outcome); });
+            });
+        });
+        const RangeOutcome outcome = second.get_future().get();
+        link.reset();
+        loop.run([] {}); // the link closes its connections in a task
+        return outcome;
+    }
+};
+
+// Guards against two owners of a range: an earlier release's answer was taken for that of the next
+// release, while the back end still worked on the range.
+TEST_F(RepeatedOrderReplyTest, DoesNotConfirmARelease)
+{
+    EXPECT_EQ(outcomeOfSecondOrder(200, true), RangeOutcome::Broken);
+}
+
+// Guards against two owners of a range: an earlier grant's 409 was taken for the answer to a grant
+// that took effect.
+TEST_F(RepeatedOrderReplyTest, DoesNotRejectAGrant)
+{
+    EXPECT_EQ(outcomeOfSecondOrder(409, false), RangeOutcome::Broken);
+}
+
+// Guards against an owner without its range: an earlier grant's answer was taken for that of a
+// grant that was not applied yet.
+TEST_F(RepeatedOrderReplyTest, DoesNotConfirmAGrant)
+{
+    EXPECT_EQ(outcomeOfSecondOrder(200, false), RangeOutcome::Broken);
+}
+
+// Guards against orders that fail at back ends whose answers to orders have no id.
+TEST(OrderReply, NeedsNoId)
+{
+    RawServer server([](const std::string &, int) { return RawServer::Reply { answer(200, "") }; });
+    EventLoop loop("ranges");
+    auto link = std::make_unique<HttpRangeLink>(loop, wire::rangeProtocol());
+    std::promise<RangeOutcome> outcome;
+    loop.post([&] {
+        link->grant({ "127.0.0.1", portOf(server) },
+                    RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
+                    [&](RangeOutcome result) { outcome.set_value(result); });
+    });
+    EXPECT_EQ(outcome.get_future().get(), RangeOutcome::Accepted);
+    link.reset();
+    loop.run([] {}); // the link closes its connections in a task
+}
+
 HttpRequest get(const RawServer &server)
 {
     HttpRequest request;
