--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -178,6 +178,18 @@
     EXPECT_EQ(request.headers_[0].name_, "X-Own");
 }
 
+// Guards against answers of other requests: without an id, a back end's answer is not checked.
+TEST(PlatformCallerWire, GivesARequestWithoutAnIdOrWithAnEmptyOneAnId)
+{
+    ServerRequest request = callerRequest();
+    request.headers_[1].value_ = "";
+    const auto empty = wire::callerProtocol().decode_(request, RequestId("fallback"));
+    EXPECT_EQ(std::get<CallerRequest>(empty).id_, RequestId("fallback"));
+    request.headers_.erase(request.headers_.begin() + 1);
+    const auto none = wire::callerProtocol().decode_(request, RequestId("fallback"));
+    EXPECT_EQ(std::get<CallerRequest>(none).id_, RequestId("fallback"));
+}
+
 TEST(PlatformCallerWire, GuaranteesThatARequestHasNotRunOnlyIfThatIsKnown)
 {
     const auto statusOf = [](RefusalReason reason, Outcome outcome) {
