Merge branch 'refusals': answers that belong to other requests

Conflict in tests/PlatformWireTest.cpp: both sides added a test at one place; both stay. No conflict in src/base/HttpClientConnection.cpp and platform/CallerWire.cpp: the limits of interim answers and of chunk extensions, and the checks of idle connections and of ids, both act. tests/fakes/RawServer.h was extended by this branch only.

--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -17,9 +17,10 @@
 class HttpClient::Impl::Connection : public std::enable_shared_from_this<Connection>
 {
 public:
-    Connection(std::shared_ptr<Impl> client, std::string peer)
+    Connection(std::shared_ptr<Impl> client, std::string peer, ConnectionId id)
         : client_(std::move(client))
         , peer_(std::move(peer))
+        , id_(id)
         , socket_(client_->context_)
         , timer_(client_->context_)
     { }
@@ -29,7 +30,9 @@
     /// Sends the request of @p transfer on this connection, which must be idle.
     void send(const std::shared_ptr<Transfer> &transfer);
 
-    [[nodiscard]] bool isReusable(TimePoint now) const;
+    /// @return whether this idle connection may be used for another request at @p now.
+    [[nodiscard]] bool isReusable(TimePoint now);
+    [[nodiscard]] ConnectionId id() const { return id_; }
     [[nodiscard]] TimePoint lastReadAt() const { return lastReadAt_; }
 
     /// Closes the connection; its transfer, if any, fails with @p step, @p code and @p detail.
@@ -38,6 +41,9 @@
     void close();
 
 private:
+    /// @return whether the peer has sent bytes that were not read yet, or has closed.
+    [[nodiscard]] bool hasUnreadInput();
+
     void onConnected(const boost::system::error_code &error);
 
     void resetParser();
@@ -53,17 +59,17 @@
     void onEnd(const boost::system::error_code &error);
 
     /// Parses the received bytes.
-    /// @return whether the connection continues to read.
+    /// @return whether the answer is incomplete and more must be read.
     bool parse();
 
-    /// Ends the transfer with the parsed answer.
-    /// @return whether the connection continues to read.
-    bool complete();
+    /// Ends the transfer with the parsed answer; an open connection becomes idle.
+    void complete();
 
     void becomeIdle();
 
     const std::shared_ptr<Impl> client_;
     const std::string peer_;
+    const ConnectionId id_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
