Answer all requests before a planned stop ends

Cause: the stop waits until no request runs, or for its timeout; then it closed all connections. An answer that was ready, but waited behind an unanswered request of the same connection, was lost with it; so was an answer that was still being written when the last request ended, since only running requests were counted. The class of fault: the end of a stop was decided from the requests that run, not from what is owed to callers.

Ruled out: load (1 to 2 % of a core, 8 MB), the link (6 to 8 KB/s out), a late end (the timeout was kept). That the request was pipelined is suspected, not shown: the histories don't name connections. An answer that never reached the host from a silent back end connection would look the same; its caller is now told "unknown" instead of nothing.

Change: StopSchedule gives up running requests 200 ms before the end, with a true outcome (not run for those that were not sent, unknown otherwise), so that the answers behind them are sent. The stop ends when no request runs and no connection may still carry one or is owed an answer.

RequestExecutionTest and StopScheduleTest hold the decisions. Conclusion: callers get every answer that is ready; a request at work is cut only with an answer.

--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -106,7 +106,7 @@
 }
 
 # start_unregistered NUMBER ZONE: starts an entry host on its ports of the claimed range without
-# registering it.
+# registering it. caller_settings may hold further lines of the section [caller].
 start_unregistered() {
     local number=$1 zone=$2 name=entry-$1
     cat >"$run_folder/$name.ini" <<INI
@@ -115,6 +115,7 @@
 zone = $zone
 [caller]
 address = 127.0.0.1:$(entry_port "$number")
+${caller_settings:-}
 [operator]
 address = 127.0.0.1:$(operator_port "$number")
 [sibling]
--- a/include/pimentostage/backend/RequestExecution.h
+++ b/include/pimentostage/backend/RequestExecution.h
@@ -38,6 +38,7 @@
     AnswerBroken,
     Overloaded,
     CallerLeft,
+    HostStopping,
 };
 
 template <>
@@ -50,6 +51,7 @@
         EnumName<GiveUpReason> { GiveUpReason::AnswerBroken, "answer-broken" },
         EnumName<GiveUpReason> { GiveUpReason::Overloaded, "overloaded" },
         EnumName<GiveUpReason> { GiveUpReason::CallerLeft, "caller-left" },
+        EnumName<GiveUpReason> { GiveUpReason::HostStopping, "host-stopping" },
     };
 };
 
@@ -130,6 +132,9 @@
     /// continues while an attempt runs, so that its outcome is known.
     ExecutionActions onCallerLeft(TimePoint now);
 
+    /// Reports that this host is about to end. The request is given up, with a true outcome.
+    ExecutionActions onHostStopping();
+
     [[nodiscard]] bool isFinished() const { return finished_; }
     [[nodiscard]] std::size_t attemptCount() const { return attempts_.size(); }
 
@@ -145,6 +150,7 @@
     ExecutionActions awaitAdmission(TimePoint now);
     ExecutionActions retryOrGiveUp(AttemptState state, AttemptFailure failure, TimePoint now);
     ExecutionActions giveUp(GiveUpReason reason);
+    ExecutionActions cancelAndGiveUp(GiveUpReason reason);
     [[nodiscard]] bool mayRetry(AttemptState state) const;
     [[nodiscard]] bool areRejectionsLimited() const;
     bool mayRetryAfterRejection();
--- a/src/backend/ActiveRequest.h
+++ b/src/backend/ActiveRequest.h
@@ -25,6 +25,8 @@
 
     void start(const std::shared_ptr<Abandonment> &abandonment);
 
+    void onHostStopping() { perform(execution_.onHostStopping()); }
+
 private:
     struct InFlightAttempt
     {
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace pimentostage {
 
@@ -12,6 +13,7 @@
 
 constexpr std::size_t kMaxReportedKeys = 32;
 constexpr double kMinReportedRate = 4;
+constexpr std::size_t kMinPruneSize = 64; // tracked requests
 // Period of polling the queues with waiting requests, in addition to the end of each attempt.
 constexpr Duration kQueuePollPeriod = std::chrono::milliseconds(10);
 
@@ -142,10 +144,30 @@
                  done = std::move(done)]() mutable {
         countKey(request);
         auto active = std::make_shared<ActiveRequest>(*this, std::move(request), std::move(done));
+        track(active);
         active->start(abandonment);
     });
 }
 
+void BackendClient::Worker::track(const std::shared_ptr<ActiveRequest> &request)
+{
+    if (activeRequests_.size() >= pruneSize_) {
+        std::erase_if(activeRequests_, [](const auto &weak) { return weak.expired(); });
+        pruneSize_ = std::max(kMinPruneSize, 2 * activeRequests_.size());
+    }
+    activeRequests_.push_back(request);
+}
+
+void BackendClient::Worker::giveUpAll()
+{
+    http_->post([this] {
+        for (const auto &weak : std::exchange(activeRequests_, {})) {
+            if (const auto request = weak.lock())
+                request->onHostStopping();
+        }
+    });
+}
+
 BackendClient::BackendClient(const BackendClientOptions &options,
                              const SnapshotPublisher<RoutingTable> &routing,
                              TrafficListener &listener, LogSink &log, MetricRegistry &metrics)
@@ -167,4 +189,10 @@
     workers_[index]->forward(std::move(request), std::move(abandonment), std::move(done));
 }
 
+void BackendClient::giveUpAll()
+{
+    for (const std::unique_ptr<Worker> &worker : workers_)
+        worker->giveUpAll();
+}
+
 } // namespace pimentostage
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -99,6 +99,9 @@
     void forward(ForwardRequest request, std::shared_ptr<Abandonment> abandonment,
                  ForwardDone done);
 
+    /// Gives up all running requests, for the end of a planned stop.
+    void giveUpAll();
+
 private:
     class Worker;
 
--- a/src/backend/BackendWorker.h
+++ b/src/backend/BackendWorker.h
@@ -11,6 +11,7 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace pimentostage {
 
@@ -75,6 +76,8 @@
     void forward(ForwardRequest request, std::shared_ptr<Abandonment> abandonment,
                  ForwardDone done);
 
+    void giveUpAll();
+
 private:
     class ActiveRequest;
 
@@ -105,6 +108,9 @@
 
     void scheduleQueuePoll();
 
+    /// Registers @p request for giveUpAll().
+    void track(const std::shared_ptr<ActiveRequest> &request);
+
     RouteState &routeState(const ForwardRequest &request);
 
     ServiceBudgets &budgets(const ForwardRequest &request);
@@ -130,6 +136,8 @@
     std::unordered_map<std::string, std::shared_ptr<AdmissionQueue>> cachedQueues_;
     std::set<std::shared_ptr<AdmissionQueue>> polledQueues_;
     bool isPolling_ = false;
+    std::vector<std::weak_ptr<ActiveRequest>> activeRequests_; ///< finished ones are removed late
+    std::size_t pruneSize_ = 0; ///< size of activeRequests_ at which finished ones are removed
     std::unique_ptr<HttpClient> http_;
 };
 
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -215,6 +215,16 @@
 {
     if (finished_ || (isRunning() && !policy_.idempotent_))
         return {};
+    return cancelAndGiveUp(GiveUpReason::CallerLeft);
+}
+
+ExecutionActions RequestExecution::onHostStopping()
+{
+    return finished_ ? ExecutionActions {} : cancelAndGiveUp(GiveUpReason::HostStopping);
+}
+
+ExecutionActions RequestExecution::cancelAndGiveUp(GiveUpReason reason)
+{
     ExecutionActions actions;
     for (AttemptNumber attempt = 0; attempt < attempts_.size(); ++attempt) {
         if (!attempts_[attempt].running_)
@@ -223,7 +233,7 @@
         attempts_[attempt].state_ = AttemptState::Sent;
         actions.emplace_back(CancelAttempt { attempt });
     }
-    const ExecutionActions end = giveUp(GiveUpReason::CallerLeft);
+    const ExecutionActions end = giveUp(reason);
     actions.insert(actions.end(), end.begin(), end.end());
     return actions;
 }
--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -60,6 +60,7 @@
 {
     auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
     sessions_.insert(session);
+    activeConnections_.fetch_add(1, std::memory_order_relaxed);
     session->start();
     scheduleSweep();
 }
@@ -156,6 +157,14 @@
         asio::post(worker->context_, [worker] { worker->closeIdle(); });
 }
 
+std::size_t BeastServer::activeConnections() const
+{
+    std::size_t count = 0;
+    for (const std::shared_ptr<Worker> &worker : workers_)
+        count += worker->activeConnections_.load(std::memory_order_relaxed);
+    return count;
+}
+
 void BeastServer::stop()
 {
     for (const std::shared_ptr<Worker> &worker : workers_) {
--- a/src/base/BeastServer.h
+++ b/src/base/BeastServer.h
@@ -40,6 +40,10 @@
     /// arrived is not idle, and neither is a new one that may still receive its first request.
     void closeIdle();
 
+    /// @return the number of connections on which a request may still arrive or an answer is due.
+    ///         Any thread may call this between start() and stop().
+    [[nodiscard]] std::size_t activeConnections() const;
+
     /// Sets the policy for the safe methods GET and HEAD; requests with other methods are always
     /// answered. To be called before start().
     void setHalfClosePolicy(HalfClosePolicy policy) { halfClose_ = policy; }
--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -163,6 +163,8 @@
 {
     if (isClosed_)
         return;
+    if (!isLingering_)
+        worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
     isClosed_ = true;
     error_code ignored;
     socket_.close(ignored);
@@ -393,6 +395,7 @@
         return;
     }
     isLingering_ = true;
+    worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
     lastActivityAt_ = BootClock::now();
     buffer_.consume(buffer_.size());
     error_code ignored;
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -30,6 +30,8 @@
     void drain() { server_->drain(); }
     /// Closes connections without a request in progress.
     void closeIdle() { server_->closeIdle(); }
+    /// @return the number of connections on which a request may still arrive or an answer is due.
+    [[nodiscard]] std::size_t activeConnections() const { return server_->activeConnections(); }
 
     void stop() { server_->stop(); }
 
--- a/src/caller/CallerService.h
+++ b/src/caller/CallerService.h
@@ -57,6 +57,9 @@
     /// Refuses every new request from now on, for a planned stop.
     void stopAccepting() { stopping_.store(true, std::memory_order_release); }
 
+    /// Refuses all running requests, for the end of a planned stop.
+    void giveUpAll() { backends_.giveUpAll(); }
+
     /// @return the number of requests that were received and are not yet answered or refused.
     [[nodiscard]] std::size_t inFlight() const { return inFlight_.load(std::memory_order_acquire); }
 
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -47,6 +47,7 @@
 constexpr std::array<RefusalReason, kEnumCount<GiveUpReason>> kReasonOfGiveUp {
     RefusalReason::DeadlinePassed, RefusalReason::NoBackend,  RefusalReason::BackendFailed,
     RefusalReason::AnswerBroken,   RefusalReason::Overloaded, RefusalReason::CallerLeft,
+    RefusalReason::Stopping,
 };
 
 } // namespace
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -148,20 +148,29 @@
 
 void Node::finishRequests(const StopSchedule &schedule)
 {
-    do {
+    StopPhase phase = StopPhase::Draining;
+    while (phase != StopPhase::Finished) {
+        // Answers that wait behind a running request of the same connection are sent once that
+        // request is given up.
+        if (phase == StopPhase::GivingUp)
+            callers_.giveUpAll();
         // A caller that was just asked to close its connection may still reuse it, so idle
         // connections are closed in every round.
         callerServer_.closeIdle();
         std::this_thread::sleep_for(kDrainPollPeriod);
-    } while (schedule.phase(callers_.inFlight() == 0, BootClock::now()) != StopPhase::Finished);
+        const bool isDrained = callers_.inFlight() == 0 && callerServer_.activeConnections() == 0;
+        phase = schedule.phase(isDrained, BootClock::now());
+    }
 }
 
 void Node::logStop(const char *event, TimePoint signalledAt)
 {
-    log_.write(LogLine(Severity::Info, event)
-                   .add("host", settings_.hostName_)
-                   .add("ms", toMilliseconds(BootClock::now() - signalledAt))
-                   .add("running", static_cast<std::uint64_t>(callers_.inFlight())));
+    log_.write(
+        LogLine(Severity::Info, event)
+            .add("host", settings_.hostName_)
+            .add("ms", toMilliseconds(BootClock::now() - signalledAt))
+            .add("running", static_cast<std::uint64_t>(callers_.inFlight()))
+            .add("connections", static_cast<std::uint64_t>(callerServer_.activeConnections())));
 }
 
 void Node::onTokensNeeded(const AccountName &account)
--- a/src/daemon/StopSchedule.h
+++ b/src/daemon/StopSchedule.h
@@ -11,6 +11,7 @@
 enum class StopPhase {
     Notice, ///< serves on, so that the load balancer can remove this host
     Draining, ///< refuses new requests and finishes running ones
+    GivingUp, ///< refuses running requests too, so that all answers are sent before the end
     Finished,
 };
 
@@ -20,6 +21,7 @@
     static constexpr std::array kRows {
         EnumName<StopPhase> { StopPhase::Notice, "notice" },
         EnumName<StopPhase> { StopPhase::Draining, "draining" },
+        EnumName<StopPhase> { StopPhase::GivingUp, "giving-up" },
         EnumName<StopPhase> { StopPhase::Finished, "finished" },
     };
 };
@@ -34,7 +36,7 @@
     /// @param drainTimeout timeout for running requests, after the notice.
     StopSchedule(TimePoint signalledAt, Duration notice, Duration drainTimeout);
 
-    /// @param isDrained whether no request is running.
+    /// @param isDrained whether no request is running and no connection may still carry one.
     /// @return the phase at @p now.
     [[nodiscard]] StopPhase phase(bool isDrained, TimePoint now) const;
 
@@ -43,6 +45,7 @@
 
 private:
     const TimePoint drainsFrom_;
+    const TimePoint givesUpFrom_;
     const TimePoint endsAt_;
 };
 
--- a/tests/RequestExecutionTest.cpp
+++ b/tests/RequestExecutionTest.cpp
@@ -51,6 +51,28 @@
     EXPECT_TRUE(execution.isFinished());
 }
 
+// A stop ended while requests were running, and answers that waited behind them were lost.
+TEST_F(RequestExecutionTest, GivesUpWithATrueOutcomeWhenTheHostStops)
+{
+    for (const bool idempotent : { true, false }) {
+        RequestExecution running(policy(idempotent), retries_, hedges_);
+        running.start(at(0ms));
+        const ExecutionActions actions = running.onHostStopping();
+        EXPECT_TRUE(find<CancelAttempt>(actions));
+        ASSERT_TRUE(find<GiveUp>(actions));
+        EXPECT_EQ(find<GiveUp>(actions)->reason_, GiveUpReason::HostStopping);
+        EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::Unknown);
+
+        RequestExecution waiting(policy(idempotent), retries_, hedges_);
+        waiting.start(at(0ms));
+        waiting.onBusy(0, at(0ms));
+        const ExecutionActions end = waiting.onHostStopping();
+        ASSERT_TRUE(find<GiveUp>(end));
+        EXPECT_EQ(find<GiveUp>(end)->outcome_, Outcome::NotRun);
+        EXPECT_TRUE(waiting.onHostStopping().empty());
+    }
+}
+
 TEST_F(RequestExecutionTest, DoesNotRetryANonIdempotentRequestOnceAByteWasSent)
 {
     for (const AttemptState state : { AttemptState::PartlySent, AttemptState::Sent }) {
--- a/tests/StopScheduleTest.cpp
+++ b/tests/StopScheduleTest.cpp
@@ -17,7 +17,8 @@
     EXPECT_EQ(schedule.drainsFrom(), kSignal + 2300ms);
     EXPECT_EQ(schedule.phase(true, kSignal + 2299ms), StopPhase::Notice);
     EXPECT_EQ(schedule.phase(false, kSignal + 2300ms), StopPhase::Draining);
-    EXPECT_EQ(schedule.phase(false, kSignal + 5499ms), StopPhase::Draining);
+    EXPECT_EQ(schedule.phase(false, kSignal + 5299ms), StopPhase::Draining);
+    EXPECT_EQ(schedule.phase(false, kSignal + 5300ms), StopPhase::GivingUp);
     EXPECT_EQ(schedule.phase(false, kSignal + 5500ms), StopPhase::Finished);
 }
 
@@ -28,4 +29,11 @@
     EXPECT_EQ(schedule.phase(true, kSignal + 5300ms), StopPhase::Finished);
 }
 
+TEST(StopScheduleTest, GivesUpAtOnceIfTheTimeoutIsShorterThanTheFlush)
+{
+    const StopSchedule schedule(kSignal, 0ms, 100ms);
+    EXPECT_EQ(schedule.phase(false, kSignal), StopPhase::GivingUp);
+    EXPECT_EQ(schedule.phase(false, kSignal + 100ms), StopPhase::Finished);
+}
+
 } // namespace
