Keep the numbers of requests that were abandoned when a connection closes

Cause: finish() emptied the queue of pending requests without counting them as passed, so the later answer was looked up in the empty queue. Change: the number of the first pending request moves past the abandoned ones; a late answer to one of them is ignored like any answer to a request that is gone.

--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -389,6 +389,8 @@
 void BeastServer::Session::finish()
 {
     abandonAll();
+    // The abandoned requests may still be answered.
+    firstPendingNumber_ += pendingRequests_.size();
     pendingRequests_.clear();
     if (hasReceivedEof_) {
         close();
--- a/tests/fakes/BeastServerFixture.h
+++ b/tests/fakes/BeastServerFixture.h
@@ -42,8 +42,11 @@
                     return [this](const ServerRequest &request,
                                   const std::shared_ptr<HttpResponder> &responder) {
                         std::unique_lock lock(mutex_);
-                        responder->onAbandoned(
-                            [this, path = request.path()] { recordAbandonment(path); });
+                        responder->onAbandoned([this, path = request.path(), responder] {
+                            if (answersOnAbandonment_)
+                                responder->send({ 503, "", {}, path });
+                            recordAbandonment(path);
+                        });
                         received_.push_back({ request, responder });
                         if (answersImmediately_)
                             responder->send({ 200, "text/plain", {}, request.path() });
@@ -169,6 +172,7 @@
     std::vector<ReceivedRequest> received_;
     std::vector<std::string> abandoned_;
     bool answersImmediately_ = true;
+    bool answersOnAbandonment_ = false;
 };
 
 } // namespace pimentostage
