Close an idle connection only after its pending read

What callers would see: a connection closed without an answer at a planned stop, although the server had already taken the request's bytes from the socket.

Cause: a read that succeeds at once leaves the socket empty before its handler runs, so neither the session's state nor socket.available() shows the request. Change: to close an idle connection, the pending read is cancelled and its result comes first; bytes that it delivers are served, and only a cancelled read closes the connection.

Conclusion: requests that reached the process before a close are answered, whatever the thread's lag.

--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -135,12 +135,27 @@
            && socket_.available(error) == 0;
 }
 
+// The pending read may already have taken bytes from the socket, so its result comes first:
+// onRead() closes the connection if there are none.
+void BeastServer::Session::finishIfIdle()
+{
+    if (!isIdle())
+        return;
+    if (!isReading_) {
+        finish();
+        return;
+    }
+    finishesAfterRead_ = true;
+    error_code ignored;
+    socket_.cancel(ignored);
+}
+
 void BeastServer::Session::closeIfIdle(TimePoint now)
 {
     const bool hasReceivedRequest = firstPendingNumber_ > 0;
     const bool awaitsFirstRequest = !hasReceivedRequest && now - openedAt_ < kFirstRequestTimeout;
-    if (!awaitsFirstRequest && isIdle())
-        finish();
+    if (!awaitsFirstRequest)
+        finishIfIdle();
 }
 
 void BeastServer::Session::checkTimeouts(TimePoint now)
@@ -154,8 +169,8 @@
         const Duration timeout = hasHeader ? options.bodyTimeout_ : options.headerTimeout_;
         if (now - parseStartedAt_ >= timeout)
             refuse(kTimeout);
-    } else if (now - lastActivityAt_ >= options.keepAliveTimeout_ && isIdle()) {
-        finish();
+    } else if (now - lastActivityAt_ >= options.keepAliveTimeout_) {
+        finishIfIdle();
     }
 }
 
@@ -192,6 +207,15 @@
 {
     if (isClosed_)
         return;
+    const bool isCancelled
+        = std::exchange(finishesAfterRead_, false) && error == asio::error::operation_aborted;
+    if (isCancelled) {
+        if (isIdle())
+            finish();
+        else
+            read();
+        return;
+    }
     if (error) {
         onReadError(error);
         return;
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -63,6 +63,9 @@
     ///         connection loses no request that the caller has reason to believe was received.
     [[nodiscard]] bool isIdle() const;
 
+    /// Closes the connection if it is idle, once a read that is in progress has ended.
+    void finishIfIdle();
+
     void read();
 
     void onRead(const boost::system::error_code &error, std::size_t size);
@@ -119,6 +122,7 @@
     TimePoint parseStartedAt_ {};
     bool isHeaderChecked_ = false;
     bool isReading_ = false;
+    bool finishesAfterRead_ = false; ///< if the read in progress ends without bytes
     bool isWriting_ = false;
     bool closesAfterWrite_ = false;
     bool hasReceivedLastRequest_ = false; ///< further requests are ignored
--- a/tests/GracefulCloseTest.cpp
+++ b/tests/GracefulCloseTest.cpp
@@ -1,5 +1,8 @@
 #include "tests/fakes/BeastServerFixture.h"
 
+#include <atomic>
+#include <thread>
+
 using namespace pimentostage;
 using namespace std::chrono_literals;
 
@@ -72,4 +75,73 @@
     EXPECT_EQ(readWhileClosingIdle(silent), "");
 }
 
+/// A server whose handlers occupy its thread in turn.
+class BusyServer
+{
+public:
+    BusyServer()
+    {
+        HttpServerOptions options;
+        options.address_ = Address { "127.0.0.1", kAnyPort };
+        options.threads_ = 1;
+        leaf::try_handle_all(
+            [&]() -> leaf::result<void> {
+                BOOST_LEAF_CHECK(server_.start(options, [this] {
+                    return [this](const ServerRequest &request,
+                                  const std::shared_ptr<HttpResponder> &responder) {
+                        responder->send({ 200, "", {}, request.path() });
+                        if (request.path() == "/wait") {
+                            ++waiting_;
+                            while (released_ < waiting_)
+                                std::this_thread::sleep_for(1ms);
+                        }
+                        if (request.path() == "/long")
+                            std::this_thread::sleep_for(BeastServer::kFirstRequestTimeout + 100ms);
+                    };
+                }));
+                return {};
+            },
+            [] { FAIL() << "the server does not listen"; });
+    }
+
+    void waitFor(int count) const
+    {
+        while (waiting_ < count)
+            std::this_thread::sleep_for(1ms);
+    }
+
+    BeastServer server_;
+    std::atomic<int> waiting_ { 0 };
+    std::atomic<int> released_ { 0 };
+};
+
+// The bytes of a new connection's first request were taken from the socket when the connection was
+// accepted, but the thread was busy before it parsed them: the socket was empty, the session too.
+TEST_F(GracefulCloseTest, AnswersAFirstRequestWhoseBytesWereReadBeforeABusyPeriod)
+{
+    BusyServer busy;
+    Caller first(busy.server_.port());
+    Caller second(busy.server_.port());
+    Caller third(busy.server_.port());
+    for (Caller *kept : { &first, &second, &third }) {
+        kept->send(get("/kept"));
+        ASSERT_NE(kept->read("/kept").find(" 200 "), std::string::npos);
+    }
+    first.send(get("/wait"));
+    busy.waitFor(1);
+    second.send(get("/wait"));
+    std::this_thread::sleep_for(20ms);
+    Caller caller(busy.server_.port());
+    caller.send(get("/first"));
+    std::this_thread::sleep_for(20ms);
+    third.send(get("/long"));
+    std::this_thread::sleep_for(20ms);
+    busy.released_ = 1;
+    busy.waitFor(2);
+    busy.server_.drain();
+    busy.server_.closeIdle();
+    busy.released_ = 2;
+    EXPECT_NE(caller.read("never").find("/first"), std::string::npos) << "closed without an answer";
+}
+
 } // namespace
