Wait at a planned stop until the last answers have been read

What callers would see: the end of a long answer is missing at a planned stop if the caller has sent more requests behind it.

Cause: a connection that lingers after its last answer did not count as active, so the process ended while the kernel still held the answer; bytes that arrive behind it then reset the connection. A connection that was closed as idle does not count, so a caller that keeps it does not delay a stop. Conclusion: a stop ends after its last answer has arrived, within its timeout.

--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -178,8 +178,7 @@
 {
     if (isClosed_)
         return;
-    if (!isLingering_)
-        worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+    setInactive();
     isClosed_ = true;
     error_code ignored;
     socket_.close(ignored);
@@ -188,6 +187,12 @@
     worker_->sessions_.erase(shared_from_this());
 }
 
+void BeastServer::Session::setInactive()
+{
+    if (std::exchange(isActive_, false))
+        worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+}
+
 void BeastServer::Session::read()
 {
     if (isReading_ || isClosed_ || hasReceivedEof_)
@@ -421,7 +426,9 @@
         return;
     }
     isLingering_ = true;
-    worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+    // The last answer may still be on its way; a close with unread bytes would cut it.
+    if (!closesAfterWrite_)
+        setInactive();
     lastActivityAt_ = BootClock::now();
     buffer_.consume(buffer_.size());
     error_code ignored;
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -63,6 +63,9 @@
     ///         connection loses no request that the caller has reason to believe was received.
     [[nodiscard]] bool isIdle() const;
 
+    /// Ends the count of this connection in Worker::activeConnections_.
+    void setInactive();
+
     /// Closes the connection if it is idle, once a read that is in progress has ended.
     void finishIfIdle();
 
@@ -127,6 +130,7 @@
     bool closesAfterWrite_ = false;
     bool hasReceivedLastRequest_ = false; ///< further requests are ignored
     bool hasReceivedEof_ = false; ///< the caller has closed its sending direction
+    bool isActive_ = true; ///< counted in Worker::activeConnections_
     bool isLingering_ = false;
     bool isClosed_ = false;
 };
--- a/src/base/BeastWorker.h
+++ b/src/base/BeastWorker.h
@@ -45,7 +45,7 @@
     const std::shared_ptr<std::atomic<std::size_t>> bufferedBytes_; ///< of all workers' bodies
     boost::asio::io_context &context_;
     std::set<std::shared_ptr<Session>> sessions_;
-    std::atomic<std::size_t> activeConnections_ { 0 }; ///< sessions that have not finished
+    std::atomic<std::size_t> activeConnections_ { 0 }; ///< sessions that owe or expect something
     bool draining_ = false;
 
 private:
--- a/tests/GracefulCloseTest.cpp
+++ b/tests/GracefulCloseTest.cpp
@@ -75,6 +75,38 @@
     EXPECT_EQ(readWhileClosingIdle(silent), "");
 }
 
+// A stop that ended as soon as the last answer was written closed a socket that held pipelined
+// bytes, which resets the connection: the caller lost the part of the answer that was on the way.
+TEST_F(GracefulCloseTest, IsActiveUntilTheCallerHasReadTheLastAnswer)
+{
+    constexpr std::size_t kSize = std::size_t { 1 } << 20U; // bytes; fits into the socket's buffer
+    answersImmediately_ = false;
+    start();
+    Caller caller(server_.port());
+    caller.send(get("/large"));
+    ASSERT_TRUE(waitFor([this] { return received_.size() == 1; }));
+    server_.drain();
+    received_[0].responder_->send({ 200, "", {}, std::string(kSize, 'a') });
+    std::this_thread::sleep_for(50ms);
+    std::string text;
+    std::thread reader([&] {
+        for (int i = 0; i < 200; ++i)
+            caller.send(get("/behind"));
+        std::this_thread::sleep_for(100ms);
+        text = caller.read("never");
+        caller.socket_.close();
+    });
+    const TimePoint limit = BootClock::now() + 5s;
+    do {
+        server_.closeIdle();
+        std::this_thread::sleep_for(20ms);
+    } while (server_.activeConnections() > 0 && BootClock::now() < limit);
+    EXPECT_LT(BootClock::now(), limit) << "the closed connection still counts";
+    server_.stop();
+    reader.join();
+    EXPECT_GT(text.size(), kSize) << "the answer is cut";
+}
+
 /// A server whose handlers occupy its thread in turn.
 class BusyServer
 {
