--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -135,12 +135,27 @@
            && socket_.available(error) == 0;
 }
 
+// The pending read may already have taken bytes from the socket, so its result comes first:
+// onRead() closes the connection if there are none.
+void BeastServer::Session::finishIfIdle()
+{
+    if (!isIdle())
+        return;
+    if (!isReading_) {
+        finish();
+        return;
+    }
+    finishesAfterRead_ = true;
+    error_code ignored;
+    socket_.cancel(ignored);
+}
+
 void BeastServer::Session::closeIfIdle(TimePoint now)
 {
     const bool hasReceivedRequest = firstPendingNumber_ > 0;
     const bool awaitsFirstRequest = !hasReceivedRequest && now - openedAt_ < kFirstRequestTimeout;
-    if (!awaitsFirstRequest && isIdle())
-        finish();
+    if (!awaitsFirstRequest)
+        finishIfIdle();
 }
 
 void BeastServer::Session::checkTimeouts(TimePoint now)
@@ -154,8 +169,8 @@
         const Duration timeout = hasHeader ? options.bodyTimeout_ : options.headerTimeout_;
         if (now - parseStartedAt_ >= timeout)
             refuse(kTimeout);
-    } else if (now - lastActivityAt_ >= options.keepAliveTimeout_ && isIdle()) {
-        finish();
+    } else if (now - lastActivityAt_ >= options.keepAliveTimeout_) {
+        finishIfIdle();
     }
 }
 
@@ -163,8 +178,7 @@
 {
     if (isClosed_)
         return;
-    if (!isLingering_)
-        worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+    setInactive();
     isClosed_ = true;
     error_code ignored;
     socket_.close(ignored);
@@ -173,6 +187,12 @@
     worker_->sessions_.erase(shared_from_this());
 }
 
+void BeastServer::Session::setInactive()
+{
+    if (std::exchange(isActive_, false))
+        worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+}
+
 void BeastServer::Session::read()
 {
     if (isReading_ || isClosed_ || hasReceivedEof_)
@@ -192,6 +212,15 @@
 {
     if (isClosed_)
         return;
+    const bool isCancelled
+        = std::exchange(finishesAfterRead_, false) && error == asio::error::operation_aborted;
+    if (isCancelled) {
+        if (isIdle())
+            finish();
+        else
+            read();
+        return;
+    }
     if (error) {
         onReadError(error);
         return;
@@ -389,13 +418,17 @@
 void BeastServer::Session::finish()
 {
     abandonAll();
+    // The abandoned requests may still be answered.
+    firstPendingNumber_ += pendingRequests_.size();
     pendingRequests_.clear();
     if (hasReceivedEof_) {
         close();
         return;
     }
     isLingering_ = true;
-    worker_->activeConnections_.fetch_sub(1, std::memory_order_relaxed);
+    // The last answer may still be on its way; a close with unread bytes would cut it.
+    if (!closesAfterWrite_)
+        setInactive();
     lastActivityAt_ = BootClock::now();
     buffer_.consume(buffer_.size());
     error_code ignored;
