Tests of a watcher whose store is restored from a copy; they fail

Callers would see an older configuration for seconds after the store was restored: hosts ignore what the operators change then, because its revision is lower than before.

FakeObjectStore can return to a copy of itself and gives revisions out again; a watch from one that it does not have yet fails as stale.

--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -1,4 +1,5 @@
 #include "src/platform/ConfigWatcher.h"
+#include "pimentostage/platform/ObjectCodec.h"
 #include "tests/fakes/EventQueue.h"
 #include "tests/fakes/FakeObjectStore.h"
 #include "tests/fakes/NullLog.h"
@@ -44,4 +45,97 @@
     EXPECT_GE(callsInOutage(false, 4500ms), 6);
 }
 
+/// A watcher of a store whose replies take some time.
+struct WatchedStore
+{
+    WatchedStore()
+    {
+        store_.defer_ = [this](std::function<void()> task) { events_.after(1ms, std::move(task)); };
+        watcher_.start();
+        run();
+    }
+
+    void run(Duration time = 100ms)
+    {
+        events_.runUntil(events_.now() + time, [] {});
+    }
+
+    void evacuate(const char *zone)
+    {
+        const Zone out { ZoneName(zone), ZoneState::Out, Duration::zero() };
+        store_.set({ ObjectKind::Zone, zone }, formatZone(out));
+    }
+
+    bool isEvacuated(const char *zone) { return !state_.configuration()->isZoneIn(ZoneName(zone)); }
+
+    EventQueue events_;
+    FakeObjectStore store_;
+    ConfigState state_;
+    NullLog log_;
+    ConfigWatcher watcher_ { store_,
+                             0,
+                             state_,
+                             [this](Duration delay, std::function<void()> task) {
+                                 events_.after(delay, std::move(task));
+                             },
+                             [this] { return TimePoint(1h) + events_.now(); },
+                             Random(1),
+                             log_,
+                             [] {} };
+};
+
+// Guards against changes that are ignored: after the store had been restored from a copy, its
+// revisions were lower than before, and what the operators changed counted as older.
+TEST(ConfigWatcher, AppliesChangesMadeAfterTheStoreWasRestored)
+{
+    WatchedStore watched;
+    watched.evacuate("a");
+    watched.run();
+    watched.store_.copy();
+    const ObjectRef zone { ObjectKind::Zone, "a" };
+    const Zone in { ZoneName("a"), ZoneState::In, Duration::zero() };
+    watched.store_.set(zone, formatZone(in));
+    watched.store_.set(zone, formatZone(in));
+    watched.run();
+    ASSERT_FALSE(watched.isEvacuated("a"));
+    watched.store_.restoreCopy();
+    watched.evacuate("a");
+    watched.run();
+    EXPECT_TRUE(watched.isEvacuated("a"));
+}
+
+// Guards against a burst of calls: a watch from a revision that the restored store does not have
+// yet failed at once, and the listing after it did not lower that revision.
+TEST(ConfigWatcher, ARestoredStoreCausesFewCalls)
+{
+    WatchedStore watched;
+    watched.evacuate("a");
+    watched.run();
+    watched.store_.copy();
+    watched.evacuate("b");
+    watched.run();
+    const int callsBefore = watched.store_.listCalls_;
+    watched.store_.restoreCopy();
+    watched.run(1s);
+    constexpr int kMaxCalls = 4;
+    EXPECT_LE(watched.store_.listCalls_ - callsBefore, kMaxCalls);
+}
+
+// Guards against a zone that is used although its evacuation was acknowledged: the operators write
+// again what the copy lacks, but only some time after the store is back.
+TEST(ConfigWatcher, KeepsObjectsThatARestoredStoreLacksUntilTheyCanBeWrittenAgain)
+{
+    WatchedStore watched;
+    watched.evacuate("a");
+    watched.run();
+    watched.store_.copy();
+    watched.evacuate("b");
+    watched.run();
+    watched.store_.restoreCopy();
+    watched.run(2s);
+    EXPECT_TRUE(watched.isEvacuated("b"));
+    watched.run(1s);
+    EXPECT_FALSE(watched.isEvacuated("b")) << "nobody has written it again";
+}
+
 } // namespace
--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <map>
+#include <vector>
 
 namespace pimentostage {
 
@@ -17,29 +18,61 @@
     int loseWrites_ = 0; ///< number of next writes that fail without effect
     int loseAnswers_ = 0; ///< number of next writes that take effect but return an error
     std::function<void()> beforeWrite_; ///< called before each write
+    /// If set, list() and watch() reply through it, and a watch waits for a change.
+    std::function<void(std::function<void()>)> defer_;
 
     /// Writes an object as another operator, without a condition.
     void set(const ObjectRef &ref, const std::string &value)
     {
         revision_ = revision_.next();
         objects_[ref] = StoredObject { ref, revision_, false, value };
+        endWatches();
+    }
+
+    /// Makes a copy of all objects for restoreCopy().
+    void copy()
+    {
+        copiedObjects_ = objects_;
+        copiedRevision_ = revision_;
+    }
+
+    /// Returns to the state at the last copy(). Revisions given out since are given out again.
+    void restoreCopy()
+    {
+        objects_ = copiedObjects_;
+        revision_ = copiedRevision_;
+        endWatches();
     }
 
     void list(Done<StoreListing> done) override
     {
         ++listCalls_;
         if (isDown_) {
-            done(error(Step::ReadStore));
+            reply(done, error(Step::ReadStore));
             return;
         }
         StoreListing listing;
         listing.revision_ = revision_;
         for (const auto &[ref, object] : objects_)
             listing.objects_.push_back(object);
-        done(listing);
+        reply(done, listing);
     }
 
-    void watch(Version, Duration, Done<StoreListing> done) override { list(std::move(done)); }
+    void watch(Version since, Duration, Done<StoreListing> done) override
+    {
+        if (!defer_) {
+            list(std::move(done));
+            return;
+        }
+        ++listCalls_;
+        if (isDown_)
+            reply(done, error(Step::WatchStore));
+        else if (since > revision_)
+            reply(done, discardedHistory());
+        else
+            watches_.push_back({ since, std::move(done) });
+        endWatches();
+    }
 
     void get(const ObjectRef &ref, Done<StoredObject> done) override
     {
@@ -71,11 +104,51 @@
     }
 
 private:
+    struct Watch
+    {
+        Version since_;
+        Done<StoreListing> done_;
+    };
+
     static Error error(Step step)
     {
         return Error { step, Peer { PeerKind::Platform, "fake" }, ErrorCode::Timeout, "lost" };
     }
 
+    static Error discardedHistory()
+    {
+        return Error { Step::WatchStore, Peer { PeerKind::Platform, "fake" }, ErrorCode::Stale,
+                       "discarded" };
+    }
+
+    void reply(const Done<StoreListing> &done, const Reply<StoreListing> &reply)
+    {
+        if (defer_)
+            defer_([done, reply] { done(reply); });
+        else
+            done(reply);
+    }
+
+    /// Replies to the watches that have changes to report or that the store cannot continue.
+    void endWatches()
+    {
+        std::vector<Watch> waiting;
+        for (Watch &watch : watches_) {
+            StoreListing changes { revision_, {} };
+            for (const auto &[ref, object] : objects_) {
+                if (object.version_ > watch.since_)
+                    changes.objects_.push_back(object);
+            }
+            if (watch.since_ > revision_)
+                reply(watch.done_, discardedHistory());
+            else if (!changes.objects_.empty())
+                reply(watch.done_, changes);
+            else
+                waiting.push_back(std::move(watch));
+        }
+        watches_ = std::move(waiting);
+    }
+
     void write(StoredObject next, Version expected, const Done<WriteResult> &done)
     {
         if (beforeWrite_)
@@ -106,6 +179,9 @@
 
     std::map<ObjectRef, StoredObject> objects_;
     Version revision_;
+    std::map<ObjectRef, StoredObject> copiedObjects_;
+    Version copiedRevision_;
+    std::vector<Watch> watches_;
 };
 
 } // namespace pimentostage
