Versions hold the store's generation; a restored store is not taken for an older one

Callers saw an older configuration for seconds after the store had been restored from a copy: hosts served a version that was two behind, more than 2 s after a newer one was acknowledged, and a route that had been added was answered with 404.

Cause: versions were compared by the store's revision alone. After the restoration revisions are lower and are given out again, so changed objects counted as older, or as unchanged if they got a revision that was known; the watcher kept the highest revision, so each watch failed with 410 until the revisions had caught up.

Change: a Version holds the store's generation, read by the adapter from each reply, above the revision. A watch whose reply is of another generation is followed by a listing, and what that lacks is kept for the period within which it is written again. Between two generations the position that the writer gives its content decides, so a newer generation's older catalogue, back end entry, role record or placement does not replace a newer one; without a position the generation decides.

Ruled out: letting the generation alone decide.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -31,6 +31,8 @@
 ///
 /// Versions arrive from the store directly or through siblings, in any order. An object never
 /// returns to an older version, and a version that does not parse never replaces a valid one.
+/// Versions of different generations of the store are ordered by their writer's position, if it is
+/// known: a restored store has content that is older than what it replaces.
 class ConfigState
 {
 public:
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -55,6 +55,18 @@
     [[nodiscard]] std::string str() const { return std::string(toString(kind_)) + '/' + name_; }
 };
 
+/// Position of an object's content in the order in which its writer produced it. It does not
+/// decrease if the store is restored from a copy.
+struct WriterPosition
+{
+    std::uint64_t term_ = 0; ///< incarnation or role epoch of the writer; zero if it has none
+    std::uint64_t sequence_ = 0; ///< within the term
+
+    auto operator<=>(const WriterPosition &) const = default;
+    /// @return whether the writer reports no position.
+    [[nodiscard]] bool isUnknown() const { return *this == WriterPosition {}; }
+};
+
 /// One version of an object as stored.
 struct StoredObject
 {
@@ -62,6 +74,7 @@
     Version version_;
     bool deleted_ = false;
     std::string value_; ///< JSON text; empty if deleted
+    WriterPosition position_ {}; ///< of a deleted object: that of its last known content
 
     auto operator<=>(const StoredObject &) const = default;
 };
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -2,11 +2,13 @@
 
 #include "pimentostage/base/Hash.h"
 #include "pimentostage/platform/CoordinationCodec.h"
+#include "pimentostage/platform/Generation.h"
 #include "pimentostage/platform/ObjectCodec.h"
 
 #include <algorithm>
 #include <array>
 #include <set>
+#include <tuple>
 
 namespace pimentostage {
 
@@ -23,6 +25,8 @@
 {
     void (*add_)(const StoredObject &, Configuration &);
     void (*remove_)(const std::string &name, Configuration &);
+    /// Reads the writer's position from the value; nullptr if only the platform's store knows it.
+    WriterPosition (*position_)(const StoredObject &) = nullptr;
 };
 
 /// Handles a kind that the configuration keeps in a map by name.
@@ -146,6 +150,26 @@
     configuration.ranges_.erase(ServiceName(name));
 }
 
+WriterPosition rolePosition(const StoredObject &object)
+{
+    return valueOr(
+        [&]() -> leaf::result<WriterPosition> {
+            BOOST_LEAF_AUTO(record, parseRoleRecord(object.ref_.name_, object.value_));
+            return WriterPosition { record.epoch_.value_, 0 };
+        },
+        [](const Error &) { return WriterPosition {}; });
+}
+
+WriterPosition rangesPosition(const StoredObject &object)
+{
+    return valueOr(
+        [&]() -> leaf::result<WriterPosition> {
+            BOOST_LEAF_AUTO(ranges, parseRangePlacement(object.ref_.name_, object.value_));
+            return WriterPosition { ranges.roleEpoch_.value_, ranges.epoch_.value_ };
+        },
+        [](const Error &) { return WriterPosition {}; });
+}
+
 // One row for each ObjectKind, in its order.
 constexpr std::array<KindHandler, kEnumCount<ObjectKind>> kHandlers {
     ByName<&parseService, &Configuration::services_>::kHandler,
@@ -154,13 +178,35 @@
     ByName<&parseZone, &Configuration::zones_>::kHandler,
     ByName<&parseBackend, &Configuration::backends_>::kHandler,
     ByName<&parseLostHost, &Configuration::lostHosts_>::kHandler,
-    ByName<&parseRoleRecord, &Configuration::roles_>::kHandler,
+    KindHandler { &ByName<&parseRoleRecord, &Configuration::roles_>::add,
+                  &ByName<&parseRoleRecord, &Configuration::roles_>::remove, &rolePosition },
     KindHandler { &addPlacement, &removePlacement },
     KindHandler { &addCatalogue, &clearCatalogue },
-    KindHandler { &addRanges, &removeRanges },
+    KindHandler { &addRanges, &removeRanges, &rangesPosition },
     ByName<&parseEntryHost, &Configuration::entryHosts_>::kHandler,
 };
 
+WriterPosition positionOf(const StoredObject &object)
+{
+    const KindHandler &handler = kHandlers.at(static_cast<std::size_t>(object.ref_.kind_));
+    const bool isInValue = handler.position_ && !object.deleted_ && object.position_.isUnknown();
+    return isInValue ? handler.position_(object) : object.position_;
+}
+
+/// @return whether @p object is older than @p current, another version of the same object.
+bool isOlder(const StoredObject &object, const StoredObject &current)
+{
+    if (generationOf(object.version_) == generationOf(current.version_))
+        return object.version_ < current.version_;
+    const WriterPosition position = positionOf(object);
+    const WriterPosition currentPosition = positionOf(current);
+    if (position.isUnknown() || currentPosition.isUnknown())
+        return object.version_ < current.version_;
+    // A restored store may again have what was deleted, at the position of the deletion.
+    return std::tie(position, object.deleted_, object.version_)
+           < std::tie(currentPosition, current.deleted_, current.version_);
+}
+
 } // namespace
 
 ConfigState::ConfigState(std::set<ObjectKind> confirmedKinds)
@@ -181,7 +227,7 @@
     }
     if (object.version_ == currentVersion)
         return ApplyResult::Unchanged;
-    if (object.version_ < currentVersion)
+    if (current && isOlder(object, *current))
         return ApplyResult::Older;
     if (!object.deleted_) {
         const std::string parseError = valueOr(
@@ -212,8 +258,11 @@
 {
     const auto [entry, isNew] = objects_.try_emplace(object.ref_, object);
     if (!isNew) {
+        const WriterPosition lastPosition = positionOf(entry->second);
         toggleDigest(entry->second);
         entry->second = object;
+        if (object.deleted_ && object.position_.isUnknown())
+            entry->second.position_ = lastPosition;
     }
     toggleDigest(object);
     changed_.insert(object.ref_);
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -1,5 +1,6 @@
 #include "src/platform/ConfigWatcher.h"
 
+#include "pimentostage/platform/Generation.h"
 #include "src/platform/ConfigUpdate.h"
 
 namespace pimentostage {
@@ -67,23 +68,37 @@
     }
     const auto &listing = std::get<StoreListing>(reply);
     applyObjects(listing.objects_, ObjectOrigin::Store, state_, log_);
-    // Entries that expired during an outage are registered again soon after it, so missing ones are
-    // not deleted at once.
-    const bool followsOutage = hasListFailed_ && revision_ > Version {};
+    const bool isRestored = generationOf(listing.revision_) > generationOf(revision_);
+    if (isRestored && revision_ > Version {})
+        logRestored(listing.revision_);
+    // Entries that expired during an outage, or that a restored store lacks, are written again soon
+    // after it, so missing ones are not deleted at once.
+    const bool mayLackEntries = (hasListFailed_ || isRestored) && revision_ > Version {};
     hasListFailed_ = false;
-    if (followsOutage)
+    if (mayLackEntries)
         runAfter_(kReregistrationPeriod, [this] { relistAfterOutage(); });
     else
         state_.applyListing(listing.objects_, listing.revision_, feed_.kinds_);
     onSuccess(listing.revision_, sentAt, Duration::zero());
 }
 
+void ConfigWatcher::logRestored(Version revision)
+{
+    log_.write(LogLine(Severity::Warning, "store-restored")
+                   .add("feed", static_cast<std::uint64_t>(feedIndex_))
+                   .add("generation_before", generationOf(revision_).value_)
+                   .add("revision_before", revisionOf(revision_))
+                   .add("generation", generationOf(revision).value_)
+                   .add("revision", revisionOf(revision)));
+}
+
 // Runs in addition to the watches: a watch reports only changes, not entries that are missing.
 void ConfigWatcher::relistAfterOutage()
 {
     store_.listFeed(feedIndex_, [this](const Reply<StoreListing> &reply) {
         const auto *listing = std::get_if<StoreListing>(&reply);
-        if (!listing)
+        // After another restoration, its own listing waits for the missing entries.
+        if (!listing || generationOf(listing->revision_) > generationOf(revision_))
             return;
         applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
         state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
@@ -98,8 +113,9 @@
         return;
     }
     const auto &changes = std::get<StoreListing>(reply);
-    if (changes.revision_ < revision_) {
-        // The store has lost changes, so all objects are read again.
+    const bool isRestored = generationOf(changes.revision_) != generationOf(revision_);
+    if (isRestored || changes.revision_ < revision_) {
+        // The changes do not follow from what was read before, so all objects are read again.
         list();
         return;
     }
@@ -114,7 +130,8 @@
     if (!connected_)
         log_.write(LogLine(Severity::Info, "store-connected")
                        .add("feed", static_cast<std::uint64_t>(feedIndex_))
-                       .add("revision", revision.value_));
+                       .add("generation", generationOf(revision).value_)
+                       .add("revision", revisionOf(revision)));
     connected_ = true;
     backoff_.reset();
     slowBackoff_.reset();
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -43,6 +43,7 @@
     void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
     void onSuccess(Version revision, TimePoint sentAt, Duration delay);
     void onFailure(const Error &error);
+    void logRestored(Version revision);
 
     ObjectStore &store_;
     const std::size_t feedIndex_;
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -82,10 +82,16 @@
     archive(ref.kind_, ref.name_);
 }
 
+template <typename Archive>
+void visitFields(Archive &archive, WriterPosition &position)
+{
+    archive(position.term_, position.sequence_);
+}
+
 template <typename Archive>
 void visitFields(Archive &archive, StoredObject &object)
 {
-    archive(object.ref_, object.version_, object.deleted_, object.value_);
+    archive(object.ref_, object.version_, object.deleted_, object.value_, object.position_);
 }
 
 template <typename Archive>
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -1,6 +1,11 @@
 #include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/CoordinationCodec.h"
+#include "pimentostage/platform/Generation.h"
 #include "pimentostage/platform/ObjectCodec.h"
 
+#include <algorithm>
+#include <random>
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -19,6 +24,40 @@
     };
 }
 
+/// @return a back end's entry as written in @p generation of the store.
+StoredObject backend(std::uint64_t generation, std::uint64_t revision, BackendState state,
+                     std::uint64_t sequence)
+{
+    Backend backend;
+    backend.name_ = BackendName("b");
+    backend.service_ = ServiceName("huts");
+    backend.zone_ = ZoneName("a");
+    backend.address_ = { "10.0.0.1", 80 };
+    backend.slots_ = 4;
+    backend.connections_ = 1;
+    backend.state_ = state;
+    return StoredObject { { ObjectKind::Backend, "b" },
+                          makeVersion(Generation { generation }, revision),
+                          false,
+                          formatBackend(backend),
+                          { 1, sequence } };
+}
+
+/// @return a catalogue with one service, named @p service.
+StoredObject catalogue(std::uint64_t generation, std::uint64_t revision, const char *service,
+                       std::uint64_t sequence)
+{
+    Catalogue catalogue;
+    Service row;
+    row.name_ = ServiceName(service);
+    catalogue.services_.push_back(row);
+    return StoredObject { { ObjectKind::Catalogue, "main" },
+                          makeVersion(Generation { generation }, revision),
+                          false,
+                          formatCatalogue(catalogue),
+                          { 0, sequence } };
+}
+
 StoredObject deleted(const char *name, std::uint64_t version)
 {
     return StoredObject { { ObjectKind::Zone, name }, Version { version }, true, {} };
@@ -94,6 +133,109 @@
     EXPECT_EQ(state.age(TimePoint(1h) + 2s), 2s);
 }
 
+// Guards against a confirmed change that is revoked: a store that was restored from a copy has an
+// older catalogue with a newer version until the operators write again.
+TEST(ConfigState, KeepsTheCatalogueUntilARestoredStoreHasItAgain)
+{
+    ConfigState state;
+    const auto inForce = [&](const char *name) {
+        return state.configuration()->services_.contains(ServiceName(name));
+    };
+    state.apply(catalogue(1, 9, "new", 5));
+    EXPECT_EQ(state.apply(catalogue(2, 4, "old", 3)), ApplyResult::Older);
+    EXPECT_TRUE(inForce("new"));
+    EXPECT_EQ(state.apply(catalogue(2, 6, "new", 5)), ApplyResult::Applied);
+    EXPECT_EQ(state.apply(catalogue(2, 7, "newest", 8)), ApplyResult::Applied);
+    EXPECT_TRUE(inForce("newest"));
+}
+
+// Guards against two hosts that count as equal with different content: a restored store gives its
+// revisions out again.
+TEST(ConfigState, DigestsDifferForTheSameRevisionInTwoGenerations)
+{
+    ConfigState before;
+    ConfigState after;
+    before.apply(catalogue(1, 9, "old", 5));
+    after.apply(catalogue(2, 9, "new", 6));
+    EXPECT_NE(before.confirmedDigest(), after.confirmedDigest());
+    EXPECT_EQ(before.apply(catalogue(2, 9, "new", 6)), ApplyResult::Applied);
+    EXPECT_EQ(before.confirmedDigest(), after.confirmedDigest());
+}
+
+// Guards against an invalid catalogue that replaces a valid one because its generation is newer.
+TEST(ConfigState, RejectsAnInvalidCatalogueOfARestoredStore)
+{
+    ConfigState state;
+    state.apply(catalogue(1, 9, "new", 5));
+    StoredObject invalid = catalogue(2, 10, "newest", 6);
+    invalid.value_ = "{\"services\":7}";
+    EXPECT_EQ(state.apply(invalid), ApplyResult::Rejected);
+    EXPECT_TRUE(state.configuration()->services_.contains(ServiceName("new")));
+}
+
+// Guards against requests to a back end that is draining: a restored store has the entry that it
+// had while it was ready.
+TEST(ConfigState, ABackendKeepsDrainingIfARestoredStoreHasItAsReady)
+{
+    ConfigState state;
+    state.apply(backend(1, 8, BackendState::Draining, 4));
+    EXPECT_EQ(state.apply(backend(2, 5, BackendState::Ready, 3)), ApplyResult::Older);
+    EXPECT_EQ(state.configuration()->backends_.at(BackendName("b")).state_, BackendState::Draining);
+}
+
+// Guards against requests to a back end that has left: a restored store has its entry again.
+TEST(ConfigState, ABackendThatHasLeftStaysDeletedInARestoredStore)
+{
+    ConfigState state;
+    state.apply(backend(1, 5, BackendState::Ready, 3));
+    state.apply({ { ObjectKind::Backend, "b" }, makeVersion(Generation { 1 }, 8), true, {} });
+    EXPECT_EQ(state.apply(backend(2, 5, BackendState::Ready, 3)), ApplyResult::Older);
+    EXPECT_TRUE(state.configuration()->backends_.empty());
+    EXPECT_EQ(state.apply(backend(2, 9, BackendState::Ready, 4)), ApplyResult::Applied)
+        << "written by its process since";
+}
+
+// Guards against requests to the former owners of keys: a restored store has an older placement,
+// and the coordinator, which holds the newer one, writes only when it changes something.
+TEST(ConfigState, KeepsThePlacementOfRangesUntilTheCoordinatorWritesAgain)
+{
+    const auto ranges = [](std::uint64_t generation, std::uint64_t revision, std::uint64_t epoch) {
+        RangePlacement placement;
+        placement.service_ = ServiceName("permits");
+        placement.epoch_ = Epoch { epoch };
+        placement.roleEpoch_ = Epoch { 1 };
+        placement.nonce_ = "n";
+        placement.ranges_ = { RangeOwner { { 0, kLastOrderedKey }, {}, {}, {} } };
+        return StoredObject { { ObjectKind::RangePlacement, "permits" },
+                              makeVersion(Generation { generation }, revision),
+                              false,
+                              formatRangePlacement(placement) };
+    };
+    ConfigState state;
+    EXPECT_EQ(state.apply(ranges(1, 9, 7)), ApplyResult::Applied);
+    EXPECT_EQ(state.apply(ranges(2, 4, 5)), ApplyResult::Older);
+    EXPECT_EQ(state.apply(ranges(2, 6, 8)), ApplyResult::Applied);
+}
+
+// Guards against hosts that stay different after the store was restored.
+RC_GTEST_PROP(ConfigStateProperty, OrderOfArrivalDoesNotMatterAcrossGenerations, ())
+{
+    std::vector<StoredObject> objects;
+    for (std::uint64_t step = 1; step <= 4; ++step)
+        objects.push_back(backend(1, step, BackendState::Ready, step));
+    for (std::uint64_t step = 3; step <= 6; ++step)
+        objects.push_back(backend(2, step, BackendState::Ready, step));
+    ConfigState ordered;
+    for (const StoredObject &object : objects)
+        ordered.apply(object);
+    std::mt19937 engine(*rc::gen::arbitrary<std::uint32_t>());
+    std::shuffle(objects.begin(), objects.end(), engine);
+    ConfigState shuffled;
+    for (const StoredObject &object : objects)
+        shuffled.apply(object);
+    RC_ASSERT(ordered.digest() == shuffled.digest());
+}
+
 // Versions may arrive in any order, repeatedly or not at all. Hosts that have received the newest
 // version of each object have the same digest.
 RC_GTEST_PROP(ConfigStateProperty, OrderOfArrivalDoesNotMatter, ())
--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -138,4 +138,24 @@
     EXPECT_FALSE(watched.isEvacuated("b")) << "nobody has written it again";
 }
 
+// Guards against a change that is skipped: if the restored store already has the revision of a
+// watch, the watch continues in a history other than the one that was read.
+TEST(ConfigWatcher, ListsAgainIfARestoredStoreAlreadyHasTheRevisionOfItsWatch)
+{
+    WatchedStore watched;
+    watched.evacuate("a");
+    watched.run();
+    watched.store_.copy();
+    watched.evacuate("b");
+    watched.run();
+    watched.store_.isDown_ = true;
+    watched.store_.restoreCopy();
+    watched.evacuate("c");
+    watched.evacuate("d");
+    watched.store_.isDown_ = false;
+    watched.run();
+    EXPECT_TRUE(watched.isEvacuated("c"));
+    EXPECT_TRUE(watched.isEvacuated("d"));
+}
+
 } // namespace
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -67,6 +67,19 @@
     EXPECT_FALSE(catalogue.contracts_[1].isLimited_) << "no rate means no limit";
 }
 
+// Guards against changes that are ignored: a restored store gives revisions out again.
+TEST(PlatformStoreWire, VersionsHoldTheGenerationOfTheStore)
+{
+    const auto page = wire::parsePage("config", kConfig, Generation { 3 });
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    EXPECT_EQ(page->listing_.revision_, makeVersion(Generation { 3 }, 12));
+    const Version version = page->listing_.objects_.front().version_;
+    EXPECT_EQ(generationOf(version), Generation { 3 });
+    EXPECT_EQ(revisionOf(version), 9U);
+    const auto written = nlohmann::json::parse(wire::formatObject("role.x", "{}", version));
+    EXPECT_EQ(written["Metadata"]["Revision"], 9) << "the store knows no generations here";
+}
+
 TEST(PlatformStoreWire, DoesNotStoreTeamKeys)
 {
     const auto page = wire::parsePage("config", kConfig);
@@ -97,6 +110,22 @@
     EXPECT_EQ(backend.coldFor_, 1500ms);
 }
 
+// Guards against content of a restored store that counts as newer although its writer has written
+// since the copy was made.
+TEST(PlatformStoreWire, ReadsTheWritersPosition)
+{
+    const auto events = wire::parseEvents(
+        "config", R"({"events":[{"Deleted":false,"Object":{"Metadata":{"Name":"main",
+            "Revision":5},"Spec":{"Version":41}}}],"AsOf":7})");
+    ASSERT_TRUE(events && events->objects_.size() == 1);
+    EXPECT_EQ(events->objects_[0].position_, (WriterPosition { 0, 41 }));
+    const auto page = wire::parsePage(
+        "servers", backendEntry(R"({"Service":"huts","Address":"10.1.0.2:80","Zone":"north",
+            "MaxConcurrency":6,"State":"ready","Sequence":4,"born":1700})"));
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    EXPECT_EQ(page->listing_.objects_[0].position_, (WriterPosition { 1700, 4 }));
+}
+
 TEST(PlatformStoreWire, TreatsAMalformedEntryAsDeleted)
 {
     for (const char *spec :
--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/platform/Generation.h"
 #include "pimentostage/platform/ObjectStore.h"
 
 #include <functional>
@@ -22,10 +23,10 @@
     std::function<void(std::function<void()>)> defer_;
 
     /// Writes an object as another operator, without a condition.
-    void set(const ObjectRef &ref, const std::string &value)
+    void set(const ObjectRef &ref, const std::string &value, WriterPosition position = {})
     {
         revision_ = revision_.next();
-        objects_[ref] = StoredObject { ref, revision_, false, value };
+        objects_[ref] = StoredObject { ref, revision_, false, value, position };
         endWatches();
     }
 
@@ -39,8 +40,11 @@
     /// Returns to the state at the last copy(). Revisions given out since are given out again.
     void restoreCopy()
     {
+        const Generation generation = generationOf(revision_).next();
         objects_ = copiedObjects_;
-        revision_ = copiedRevision_;
+        for (auto &[ref, object] : objects_)
+            object.version_ = makeVersion(generation, revisionOf(object.version_));
+        revision_ = makeVersion(generation, revisionOf(copiedRevision_));
         endWatches();
     }
 
@@ -67,7 +71,7 @@
         ++listCalls_;
         if (isDown_)
             reply(done, error(Step::WatchStore));
-        else if (since > revision_)
+        else if (revisionOf(since) > revisionOf(revision_))
             reply(done, discardedHistory());
         else
             watches_.push_back({ since, std::move(done) });
@@ -136,10 +140,10 @@
         for (Watch &watch : watches_) {
             StoreListing changes { revision_, {} };
             for (const auto &[ref, object] : objects_) {
-                if (object.version_ > watch.since_)
+                if (revisionOf(object.version_) > revisionOf(watch.since_))
                     changes.objects_.push_back(object);
             }
-            if (watch.since_ > revision_)
+            if (revisionOf(watch.since_) > revisionOf(revision_))
                 reply(watch.done_, discardedHistory());
             else if (!changes.objects_.empty())
                 reply(watch.done_, changes);
