A coordinator writes its placement again if the store was restored

Callers would get 421 and 503 for keys whose owner changed shortly before the restoration.

Cause: a write that met the restored copy was taken for a conflict with another coordinator. The coordinator adopted the copy, gave epochs out again and forgot which back ends hold the ranges that were moved since; hosts keep the newer placement and ignore the lower epochs.

Change: a copy of another generation of the store, with a lower epoch and not from a later term of the role, is replaced by the pending write.

The test failed before: "Expected: (simulation.stored().epoch_) > (epoch), actual: 4 vs 4".

--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -153,6 +153,9 @@
     };
 
     void adoptPlacement(const std::optional<RangePlacement> &placement, TimePoint now);
+    /// @return whether the store was restored to @p placement, from before the pending write.
+    [[nodiscard]] bool isRestoredCopy(const std::optional<RangePlacement> &placement,
+                                      Version version) const;
     RangeActions plan(TimePoint now);
     RangeActions write(std::vector<RangeOwner> ranges, TimePoint now);
     bool awaitsBackends(TimePoint now);
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -1,5 +1,7 @@
 #include "pimentostage/backend/RangeCoordinator.h"
 
+#include "pimentostage/platform/Generation.h"
+
 #include <algorithm>
 
 namespace pimentostage {
@@ -105,7 +107,8 @@
         = pendingWrite_ && placement && placement->nonce_ == pendingWrite_->nonce_;
     if (isOurWrite)
         return onWritten(version, now);
-    if (pendingWrite_ && version == version_) {
+    if (pendingWrite_ && (version == version_ || isRestoredCopy(placement, version))) {
+        version_ = version;
         isStoreCallPending_ = true;
         return { WriteRanges { *pendingWrite_, version_ } };
     }
@@ -113,6 +116,16 @@
     return begin(roleEpoch_, now);
 }
 
+// Such a copy may lack grants that are still held, so it is replaced and not adopted.
+bool RangeCoordinator::isRestoredCopy(const std::optional<RangePlacement> &placement,
+                                      Version version) const
+{
+    if (generationOf(version) == generationOf(version_))
+        return false;
+    return !placement
+           || (placement->roleEpoch_ <= roleEpoch_ && placement->epoch_ < pendingWrite_->epoch_);
+}
+
 void RangeCoordinator::adoptPlacement(const std::optional<RangePlacement> &placement, TimePoint now)
 {
     needsNewEpochs_ = true;
--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -1,3 +1,4 @@
+#include "pimentostage/platform/Generation.h"
 #include "tests/fakes/RangeSimulation.h"
 
 #include <gtest/gtest.h>
@@ -163,6 +164,30 @@
     EXPECT_EQ(simulation.maxHolders_, 1U);
 }
 
+// Guards against keys that are granted again while their holder is forgotten: the store was
+// restored from a copy made before the latest moves, and the coordinator adopted the older
+// placement.
+TEST(RangeCoordinator, WritesItsPlacementAgainAfterTheStoreWasRestored)
+{
+    RangeSimulation simulation(4);
+    simulation.run(kInitialPlacementTime);
+    const RangePlacement copy = simulation.stored();
+    const Version version = simulation.store_.version_;
+    for (std::uint32_t bucket = kBusyBucket; bucket < kBusyBucket + 8; ++bucket)
+        simulation.setLoad(bucket, 5);
+    simulation.run(6s);
+    const Epoch epoch = simulation.stored().epoch_;
+    ASSERT_GT(epoch, copy.epoch_);
+    simulation.store_.record_ = copy;
+    simulation.store_.version_ = makeVersion(Generation { 1 }, version.value_);
+    simulation.kill(simulation.holdersOf(0).front());
+    simulation.run(1s);
+    EXPECT_GT(simulation.stored().epoch_, epoch);
+    EXPECT_TRUE(simulation.areAllServed());
+    EXPECT_EQ(simulation.maxHolders_, 1U);
+    EXPECT_FALSE(simulation.hasEpochViolation_);
+}
+
 TEST(RangeCoordinator, NextCoordinatorKeepsOwnersAndRenewsInTime)
 {
     RangeSimulation simulation(3);
