Check again that a connection with a foreign answer is closed

Change: RawServer counts closed connections and the test waits for the close. StopScheduleTest also checks the last millisecond before the end.

--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -48,6 +48,7 @@
     ASSERT_TRUE(mismatched.error_.has_value());
     EXPECT_EQ(mismatched.error_->code_, ErrorCode::Mismatch);
     EXPECT_EQ(interpretResult(mismatched).failure_, AttemptFailure::Mismatched);
+    EXPECT_TRUE(server.waitForClosedConnections(1));
     EXPECT_TRUE(client.fetch(post(server, "r2")).answer_.has_value()) << "on a new connection";
 }
 
--- a/tests/StopScheduleTest.cpp
+++ b/tests/StopScheduleTest.cpp
@@ -19,6 +19,7 @@
     EXPECT_EQ(schedule.phase(false, kSignal + 2300ms), StopPhase::Draining);
     EXPECT_EQ(schedule.phase(false, kSignal + 5299ms), StopPhase::Draining);
     EXPECT_EQ(schedule.phase(false, kSignal + 5300ms), StopPhase::GivingUp);
+    EXPECT_EQ(schedule.phase(false, kSignal + 5499ms), StopPhase::GivingUp);
     EXPECT_EQ(schedule.phase(false, kSignal + 5500ms), StopPhase::Finished);
 }
 
--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -67,6 +68,15 @@
     /// @return the number of requests received.
     [[nodiscard]] int requestCount() const { return requestCount_; }
 
+    /// Waits until clients have closed @p count connections.
+    /// @return whether they have within 5 s.
+    bool waitForClosedConnections(int count)
+    {
+        std::unique_lock lock(closedMutex_);
+        return closed_.wait_for(lock, std::chrono::seconds(5),
+                                [&] { return closedCount_ >= count; });
+    }
+
 private:
     void serve()
     {
@@ -76,8 +86,12 @@
             acceptor_.accept(socket, error);
             if (error || stopping_)
                 continue;
-            connections_.emplace_back(
-                [this, socket = std::move(socket)]() mutable { serveConnection(socket); });
+            connections_.emplace_back([this, socket = std::move(socket)]() mutable {
+                serveConnection(socket);
+                const std::lock_guard lock(closedMutex_);
+                ++closedCount_;
+                closed_.notify_all();
+            });
         }
     }
 
@@ -118,6 +132,9 @@
     boost::asio::ip::tcp::acceptor acceptor_;
     std::atomic<bool> stopping_ { false };
     std::atomic<int> requestCount_ { 0 };
+    std::mutex closedMutex_;
+    std::condition_variable closed_;
+    int closedCount_ = 0;
     std::mutex mutex_; ///< makeReply_ is called for one request at a time
     std::vector<std::thread> connections_; ///< used by thread_ until it has ended
     std::thread thread_;
