Send orders on key ranges without a request id on the platform

Cause: since an order carries an id in the header of request ids. An address can belong to another service by the time an order arrives, and a back end there rejects a request without an id, but runs one that has an id. Ruled out: callers' empty ids get an id of the host's own form; the id seen has the form of an order's, 8 digits of a random number and a counter. Change: a protocol may have no header for the ids of orders, and the platform's has none. Conclusion: no message that is not a caller's request may carry a request id.

--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -105,6 +105,8 @@
     request.method_ = "POST";
     request.url_ = "http://" + backend.str() + request.url_;
     request.timeout_ = timeout;
+    if (!protocol_.idHeader_)
+        return request;
     request.idHeader_ = protocol_.idHeader_;
     request.expectedId_ = formatId(++lastId_);
     request.isIdOptional_ = true;
--- a/src/backend/HttpRangeLink.h
+++ b/src/backend/HttpRangeLink.h
@@ -13,7 +13,9 @@
     HttpRequest (*encodeGrant_)(const RangeGrantOrder &);
     HttpRequest (*encodeRelease_)(const RangeReleaseOrder &);
     const char *handoverHeader_; ///< header of a release's reply that has the handover token
-    const char *idHeader_; ///< header of an order, and of its reply, that has the order's id
+    /// Header of an order, and of its reply, that has the order's id. nullptr for back ends whose
+    /// address may by then belong to another service, which would run an order that has an id.
+    const char *idHeader_;
     /// Whether a refused connection means that the process has ended. Must be false for back ends
     /// that also refuse connections while they are busy.
     bool refusalMeansProcessEnded_ = false;
