--- a/tests/StoreGenerationTest.cpp
+++ b/tests/StoreGenerationTest.cpp
@@ -37,6 +37,7 @@
     ~RestoredStore()
     {
         loop_.run([this] { store_.reset(); });
+        loop_.run([] {}); // by then the store has closed its connections
     }
 
     RestoredStore(const RestoredStore &) = delete;
