Wait long enough for the store's client in StoreGenerationTest

The stack shows RawServer waiting for a connection that the client had not closed. A task that is posted from the loop's own thread is queued only after the running one has ended, so the empty task of the test could run before the one that closes the connections, which was then dropped with the loop. Change: a second empty task; it is posted after the first has run, hence behind the close. Conclusion: traced to the order of tasks in the test's end; assertions unchanged.

--- a/tests/StoreGenerationTest.cpp
+++ b/tests/StoreGenerationTest.cpp
@@ -37,7 +37,9 @@
     ~RestoredStore()
     {
         loop_.run([this] { store_.reset(); });
-        loop_.run([] {}); // by then the store has closed its connections
+        // The store closes its connections in a task that may be queued behind the first of these.
+        loop_.run([] {});
+        loop_.run([] {});
     }
 
     RestoredStore(const RestoredStore &) = delete;
