Reset connections on close, so that no order arrives after it was given up

The grant with epoch 9 was sent at 10.0 s, given up as unanswered at 10.7 s, and counted as expired 2.6 s later. Its connection was closed without a reset, so the kernel went on to retransmit the order and delivered it at 16.28 s, after the keys had moved under epoch 72. Change: a close resets the connection, also that of a process that ends.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -146,6 +146,9 @@
     lastReadAt_ = BootClock::now();
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    // A close resets the connection, whoever closes it: otherwise the kernel goes on to deliver a
+    // request that was given up, for as long as a partition lasts.
+    socket_.set_option(tcp::socket::linger(true, 0), ignored);
     socket_.non_blocking(true, ignored);
     read();
     const std::shared_ptr<Transfer> transfer = transfer_;
--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -77,6 +77,13 @@
                                 [&] { return closedCount_ >= count; });
     }
 
+    /// @return the number of connections that clients have reset.
+    int resetConnections()
+    {
+        const std::lock_guard lock(closedMutex_);
+        return resetCount_;
+    }
+
 private:
     void serve()
     {
@@ -87,16 +94,17 @@
             if (error || stopping_)
                 continue;
             connections_.emplace_back([this, socket = std::move(socket)]() mutable {
-                serveConnection(socket);
+                const boost::system::error_code end = serveConnection(socket);
                 const std::lock_guard lock(closedMutex_);
                 ++closedCount_;
+                resetCount_ += end == boost::asio::error::connection_reset ? 1 : 0;
                 closed_.notify_all();
             });
         }
     }
 
     // Ends when the client, which a test destroys before the server, closes the connection.
-    void serveConnection(boost::asio::ip::tcp::socket &socket)
+    boost::system::error_code serveConnection(boost::asio::ip::tcp::socket &socket)
     {
         boost::asio::streambuf buffer;
         boost::system::error_code error;
@@ -104,7 +112,7 @@
         while (!stopping_) {
             const std::size_t size = boost::asio::read_until(socket, buffer, "\r\n\r\n", error);
             if (error)
-                return;
+                return error;
             const std::string head(boost::asio::buffers_begin(buffer.data()),
                                    boost::asio::buffers_begin(buffer.data())
                                        + static_cast<std::ptrdiff_t>(size));
@@ -113,12 +121,13 @@
             boost::asio::write(socket, boost::asio::buffer(before + reply.bytes_), error);
             before = reply.beforeNext_;
             if (reply.closesConnection_ || error)
-                return;
+                return error;
             if (reply.unrequested_.empty())
                 continue;
             std::this_thread::sleep_for(reply.unrequestedDelay_);
             boost::asio::write(socket, boost::asio::buffer(reply.unrequested_), error);
         }
+        return error;
     }
 
     Reply replyTo(const std::string &head)
@@ -135,6 +144,7 @@
     std::mutex closedMutex_;
     std::condition_variable closed_;
     int closedCount_ = 0;
+    int resetCount_ = 0;
     std::mutex mutex_; ///< makeReply_ is called for one request at a time
     std::vector<std::thread> connections_; ///< used by thread_ until it has ended
     std::thread thread_;
