Raise the epochs of all processes of a back end whose order failed

Cause: found by the property test of the range coordinator with two more kinds of steps. A back end is restarted twice; the order to its first process times out after the second was granted the range, and the connection to the address is closed. The next renewal opens a new one, reaches the third process, and is accepted under the epoch that the second had. Ruled out: the restored store of the new steps (the shrunk case has none); the store's faults. Change: a failed order marks all processes with that name.

--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -308,8 +308,14 @@
         return;
     }
     ++state.consecutiveFailures_;
-    state.needsNewEpoch_ = true;
-    state.isEpochPending_ = false;
+    // The connection led to an address: another process may answer there next, whichever of the
+    // processes with this name the order was meant for.
+    for (auto &[other, otherState] : holders_) {
+        if (other.name_ != process.name_)
+            continue;
+        otherState.needsNewEpoch_ = true;
+        otherState.isEpochPending_ = false;
+    }
     if (!state.unresponsiveSince_)
         state.unresponsiveSince_ = now;
     if (outcome != RangeOutcome::ProcessGone)
--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -201,6 +201,34 @@
     EXPECT_TRUE(simulation.areAllServed());
 }
 
+// Found by the property test below: the order to the first process times out, and its connection is
+// closed, after the second has been granted the range. The next order reaches the third.
+TEST(RangeCoordinator, GrantsHigherEpochsToEachProcessOfABackEndThatIsRestartedTwice)
+{
+    RangeSimulation simulation(2, 1);
+    simulation.run(kInitialPlacementTime);
+    simulation.setPartitioned(0, true);
+    simulation.run(9ms);
+    simulation.kill(0);
+    simulation.run(119ms);
+    simulation.restart(0);
+    simulation.run(297ms);
+    simulation.setPartitioned(1, true);
+    simulation.run(265ms);
+    simulation.kill(0);
+    simulation.run(142ms);
+    simulation.restart(1);
+    simulation.run(169ms);
+    simulation.setPartitioned(1, false);
+    simulation.run(340ms);
+    simulation.restart(1);
+    for (int i = 0; i < 60; ++i) {
+        simulation.run(10ms);
+        ASSERT_FALSE(simulation.hasEpochViolation_) << i;
+    }
+    EXPECT_EQ(simulation.maxHolders_, 1U);
+}
+
 RC_GTEST_PROP(RangeCoordinatorProperty, NoKeyHasTwoHolders, ())
 {
     const auto servers = *rc::gen::inRange<std::size_t>(1, 5);
