Report a fatal signal with its stack on standard output

A host that ends by itself must leave a trace. Change: Abseil's failure signal handler, which is async-signal-safe, writes to standard output.

--- a/src/daemon/Program.h
+++ b/src/daemon/Program.h
@@ -5,10 +5,14 @@
 #include "pimentostage/operator/Settings.h"
 
 #include <csignal>
+#include <cstring>
 #include <initializer_list>
 #include <iostream>
 
+#include <absl/debugging/failure_signal_handler.h>
+#include <absl/debugging/symbolize.h>
 #include <pthread.h>
+#include <unistd.h>
 
 namespace pimentostage {
 
@@ -28,6 +32,21 @@
     return signals;
 }
 
+/// From now on a fatal signal, for example SIGSEGV or SIGABRT, writes its name and the stack to
+/// standard output before it ends the process.
+/// @param program the path of the program's file, for the names of functions.
+inline void reportFatalSignals(const char *program)
+{
+    absl::InitializeSymbolizer(program);
+    absl::FailureSignalHandlerOptions options;
+    options.writerfn = [](const char *text) {
+        // Called in a signal handler; nullptr asks for a flush. There is no way to report an error.
+        if (text) [[maybe_unused]]
+            const auto written = write(STDOUT_FILENO, text, std::strlen(text));
+    };
+    absl::InstallFailureSignalHandler(options);
+}
+
 /// Runs @p start and prints its error, if any.
 /// @return whether it succeeded.
 template <typename Start>
