--- a/src/base/Log.cpp
+++ b/src/base/Log.cpp
@@ -128,8 +128,10 @@
         , minSeverity_(minSeverity)
         , logger_(log4cplus::Logger::getInstance(LOG4CPLUS_TEXT("pimentostage")))
     {
-        const bool toStandardError = true;
-        log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(toStandardError));
+        const bool isStandardError = false;
+        const bool isFlushedAtOnce = true;
+        log4cplus::SharedAppenderPtr appender(
+            new log4cplus::ConsoleAppender(isStandardError, isFlushedAtOnce));
         appender->setLayout(std::make_unique<log4cplus::PatternLayout>(LOG4CPLUS_TEXT("%m%n")));
         logger_.addAppender(appender);
         logger_.setLogLevel(log4cplus::ALL_LOG_LEVEL);
