Read the store once at a host's start, and take deadlines from the platform

Cause: each host watched all feeds for 5 s after its start, and again whenever its last confirmation was 1.7 s old, which on a fleet of 195 with three hops to the readers is always. The ages came from the two small sites; a planned stop was made for a grace period of 6 s and gave up running requests after 5.3 s where the platform allows 10 s. Ruled out: longer watches (a withdrawn key must be refused within 5 s); one reader (a host's change takes longer if it is lost). Change: a host that is no reader reads each feed once, the feeds that confirm nothing from stale data; seeds replace the list of hosts; a host counts itself among the readers only once it knows the others. The ages and the stop derive from the platform's deadlines and grace period.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -29,11 +29,13 @@
     bool callerAbandonOnHalfClose_ = false;
     Duration callerDrainNotice_ = std::chrono::milliseconds(500);
     Duration callerDrainTimeout_ = std::chrono::seconds(30);
+    double callerStopGrace_ = 0; ///< in seconds; 0 for none
 
     Address operatorAddress_;
     Address operatorReadyAddress_;
     std::string operatorReadyPath_;
     Address siblingAddress_;
+    std::vector<Address> siblingSeeds_;
     Duration siblingProbePeriod_ = std::chrono::milliseconds(100);
     Duration siblingProbeTimeout_ = std::chrono::milliseconds(100);
     Duration siblingSuspicionTimeout_ = std::chrono::milliseconds(200);
@@ -43,6 +45,8 @@
     Duration controlMaxConfigAge_ = std::chrono::seconds(3);
     std::int64_t controlReaders_ = 0;
     Duration controlReaderSilence_ = std::chrono::milliseconds(1700);
+    Duration controlChangeDeadline_ {}; ///< zero for none
+    Duration controlWithdrawalDeadline_ {}; ///< zero for none
     bool controlMajorityConfirms_ = true;
 
     std::string platformUrl_;
@@ -63,6 +67,13 @@
     std::int64_t logCapacity_ = 16'384;
 };
 
+/// @return the timeout for running requests on shutdown, counted from the end of the notice.
+[[nodiscard]] Duration drainTimeoutOf(const Settings &settings);
+/// @return the age of the last confirmation from which a host reads the store itself.
+[[nodiscard]] Duration readerSilenceOf(const Settings &settings);
+/// @return the age of the configuration from which requests with a team key are refused.
+[[nodiscard]] Duration maxConfigAgeOf(const Settings &settings);
+
 /// An invalid, missing or unknown setting in a settings file.
 struct SettingsError
 {
--- a/include/pimentostage/platform/ObjectStore.h
+++ b/include/pimentostage/platform/ObjectStore.h
@@ -46,6 +46,12 @@
     bool confirms_ = true;
 };
 
+/// How up to date the reply to a read must be.
+enum class ReadConsistency {
+    Linearizable, ///< contains all that was written before the read
+    MayBeStale, ///< may lack what was written in the last seconds; costs the store less
+};
+
 /// The platform's object store, with versions, conditional updates and watches.
 ///
 /// Calls do not block; the implementation documents on which thread it calls back.
@@ -57,7 +63,11 @@
     /// @return the feeds that together contain all objects; constant.
     [[nodiscard]] virtual std::vector<StoreFeed> feeds() const { return { StoreFeed {} }; }
     /// As list(), for the objects of feed number @p feed.
-    virtual void listFeed(std::size_t, Done<StoreListing> done) { list(std::move(done)); }
+    /// @param consistency what the reply must contain; a store may always return more.
+    virtual void listFeed(std::size_t, ReadConsistency, Done<StoreListing> done)
+    {
+        list(std::move(done));
+    }
     /// As watch(), for the objects of feed number @p feed.
     virtual void watchFeed(std::size_t, Version since, Duration wait, Done<StoreListing> done)
     {
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -113,7 +113,8 @@
 
 void ControlCore::start()
 {
-    feedReader_.start();
+    members_.addSeeds(options_.seeds_);
+    feedReader_.start(clock_());
     if (store_.hasHostList())
         pollHosts();
 }
@@ -353,7 +354,9 @@
     members_.setSource(readerTree_.source());
     members_.tick(now);
     const std::vector<Member> view = members_.membership().view();
-    feedReader_.update(readerTree_.isReader(), members_.hasDiverged(now), now);
+    // Before it knows the other hosts, each would be among the readers of its view.
+    const bool isReader = readerTree_.isReader() && members_.isSettled(now);
+    feedReader_.update(isReader, members_.hasDiverged(now), now);
     placement_.setRouters({ view.begin(), view.end() });
     roles_.tick(*configuration, now);
     placement_.tick(now);
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -24,6 +24,8 @@
     /// than this. Together with one read of the store this stays below the 2 s within which a
     /// change must be in force.
     Duration readerSilence_ = std::chrono::milliseconds(1700);
+    /// Siblings' addresses that are probed until another host is in the view.
+    std::vector<Address> seeds_;
     MembershipTiming membership_;
     RangeCoordinatorOptions ranges_;
 };
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -20,14 +20,16 @@
     ControlOptions options;
     options.tick_ = settings.controlTick_;
     options.accountGroups_ = static_cast<std::uint64_t>(settings.controlAccountGroups_);
-    options.maxConfigAge_ = settings.controlMaxConfigAge_;
+    options.maxConfigAge_ = maxConfigAgeOf(settings);
     options.readers_ = static_cast<std::size_t>(settings.controlReaders_);
-    options.readerSilence_ = settings.controlReaderSilence_;
+    options.readerSilence_ = readerSilenceOf(settings);
     options.majorityConfirms_ = settings.controlMajorityConfirms_;
     options.membership_.probePeriod_ = settings.siblingProbePeriod_;
     options.membership_.directTimeout_ = settings.siblingProbeTimeout_;
     options.membership_.indirectTimeout_ = settings.siblingProbeTimeout_;
     options.membership_.suspicionTimeout_ = settings.siblingSuspicionTimeout_;
+    for (const Address &seed : settings.siblingSeeds_)
+        options.seeds_.push_back({ seed.ip_, settings.siblingAddress_.port_ });
     return options;
 }
 
--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -27,10 +27,15 @@
     }
 }
 
-void FeedReader::start()
+void FeedReader::start(TimePoint now)
 {
-    for (const auto &watcher : watchers_)
-        watcher->start();
+    startedAt_ = now;
+    for (const auto &watcher : watchers_) {
+        if (options_.readers_ == 0)
+            watcher->start();
+        else
+            watcher->readOnce();
+    }
 }
 
 bool FeedReader::isConnected() const
@@ -54,21 +59,22 @@
 {
     if (options_.readers_ == 0)
         return;
-    const auto age = config_.age(now);
-    const bool haveReadersTimedOut = !age || *age >= options_.readerSilence_;
-    if (haveReadersTimedOut || hasDiverged)
+    const Duration unconfirmed = config_.age(now).value_or(now - startedAt_);
+    if (unconfirmed >= options_.readerSilence_ || hasDiverged)
         readsUntil_ = now + kMinReadDuration;
-    const bool shouldRead = isReader || !isComplete_ || now < readsUntil_;
+    const bool shouldWatch = isReader || now < readsUntil_;
     for (const auto &watcher : watchers_) {
         // Until its first complete read a host has no configuration to serve with, so it retries
         // fast.
         watcher->setSlowRetry(!isReader && isComplete_);
-        if (shouldRead == !watcher->isPaused())
+        if (shouldWatch == watcher->isWatching())
             continue;
-        if (shouldRead)
+        if (shouldWatch)
             watcher->start();
-        else
+        else if (isComplete_)
             watcher->pause();
+        else
+            watcher->readOnce();
     }
 }
 
--- a/src/daemon/FeedReader.h
+++ b/src/daemon/FeedReader.h
@@ -15,9 +15,9 @@
 
 /// Watches all feeds of the store while this host is one of its readers.
 ///
-/// Every host reads after its start; later, ControlOptions::readers_ hosts do so on behalf of the
-/// fleet. The view determines which hosts these are. A host that has received no recent
-/// confirmation from them reads too.
+/// ControlOptions::readers_ hosts do so on behalf of the fleet; the view determines which hosts
+/// these are. Every other host reads each feed once after its start. It watches them too while it
+/// receives no recent confirmation from the readers.
 ///
 /// Lives on the control thread.
 class FeedReader
@@ -31,7 +31,7 @@
                const RunAfter &runAfter, const Clock &clock, std::uint64_t seed, LogSink &log,
                OnRead onRead);
 
-    void start();
+    void start(TimePoint now);
     /// Starts or pauses reading as needed.
     /// @param isReader whether this host is one of those that read on behalf of the fleet.
     /// @param hasDiverged whether pulls from siblings do not bring this host up to date.
@@ -50,6 +50,7 @@
     const OnRead onRead_;
     std::vector<std::unique_ptr<ConfigWatcher>> watchers_; ///< one for each feed of the store
     bool isComplete_ = false;
+    TimePoint startedAt_ {};
     TimePoint readsUntil_ {}; ///< reads at least until then, even if it is not a reader
 };
 
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -130,7 +130,7 @@
 {
     const TimePoint signalledAt = BootClock::now();
     const StopSchedule schedule(signalledAt, settings_.callerDrainNotice_,
-                                settings_.callerDrainTimeout_);
+                                drainTimeoutOf(settings_));
     log_.write(LogLine(Severity::Info, "stopping").add("host", settings_.hostName_));
     callerServer_.drain();
     control_.leave();
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -2,6 +2,7 @@
 
 #include "pimentostage/platform/ObjectCodec.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
@@ -20,9 +21,10 @@
 namespace {
 
 /// The member that holds a setting; its type determines how the value is parsed.
-using SettingMember = std::variant<std::string Settings::*, Address Settings::*,
-                                   std::int64_t Settings::*, double Settings::*,
-                                   Duration Settings::*, bool Settings::*, Severity Settings::*>;
+using SettingMember
+    = std::variant<std::string Settings::*, Address Settings::*, std::vector<Address> Settings::*,
+                   std::int64_t Settings::*, double Settings::*, Duration Settings::*,
+                   bool Settings::*, Severity Settings::*>;
 
 enum class Presence { Optional, Required };
 
@@ -39,6 +41,13 @@
 
 constexpr double kDayMs = 86'400'000;
 
+// Time between the end of a planned stop and the kill of the process.
+constexpr Duration kStopMargin = std::chrono::milliseconds(500);
+// Parts of the users' deadlines; the rest is for one read of the store, and for a request that has
+// just been let through.
+constexpr double kReaderSilenceShare = 0.85;
+constexpr double kMaxConfigAgeShare = 0.9;
+
 const std::array kSettingRows {
     SettingRow { "host", "name", &Settings::hostName_, Presence::Required, 0, 0,
                  "Name of this host, as in the platform's host list." },
@@ -72,6 +81,9 @@
                  "On shutdown: time for the load balancer to detect that the host is not ready." },
     SettingRow { "caller", "drain_limit_ms", &Settings::callerDrainTimeout_, Presence::Optional, 0,
                  kDayMs, "On shutdown: timeout for running requests." },
+    SettingRow { "caller", "stop_grace_s", &Settings::callerStopGrace_, Presence::Optional, 0, 3600,
+                 "On shutdown: time from the signal after which the process is killed; replaces "
+                 "drain_limit_ms unless it is 0." },
     SettingRow { "operator", "address", &Settings::operatorAddress_, Presence::Required, 0, 0,
                  "Address of the metrics, health and status pages." },
     SettingRow { "operator", "ready_address", &Settings::operatorReadyAddress_, Presence::Optional,
@@ -98,11 +110,22 @@
     SettingRow { "control", "reader_silence_ms", &Settings::controlReaderSilence_,
                  Presence::Optional, 100, kDayMs,
                  "Age of the last confirmation from which a host reads the store itself." },
+    SettingRow { "control", "change_deadline_ms", &Settings::controlChangeDeadline_,
+                 Presence::Optional, 0, kDayMs,
+                 "Time within which a change must be in force on all hosts; replaces "
+                 "reader_silence_ms unless it is 0." },
+    SettingRow { "control", "withdrawal_deadline_ms", &Settings::controlWithdrawalDeadline_,
+                 Presence::Optional, 0, kDayMs,
+                 "Time within which a withdrawn key must be refused; replaces max_config_age_ms "
+                 "unless it is 0." },
     SettingRow { "control", "majority_vouches", &Settings::controlMajorityConfirms_,
                  Presence::Optional, 0, 0,
                  "Whether a majority of the hosts can confirm an older configuration." },
     SettingRow { "sibling", "address", &Settings::siblingAddress_, Presence::Required, 0, 0,
                  "Address on which the other entry hosts reach this host." },
+    SettingRow { "sibling", "seeds", &Settings::siblingSeeds_, Presence::Optional, 0, 0,
+                 "Other entry hosts that this one contacts after its start; the port is that of "
+                 "this host's address." },
     SettingRow { "platform", "url", &Settings::platformUrl_, Presence::Required, 0, 0,
                  "Base URL of the platform's store, http://ip:port." },
     SettingRow { "platform", "timeout_ms", &Settings::platformTimeout_, Presence::Optional, 10,
@@ -182,6 +205,19 @@
         return address.has_value();
     }
 
+    bool operator()(std::vector<Address> Settings::*member)
+    {
+        std::istringstream in(text_);
+        std::string item;
+        while (std::getline(in, item, ',')) {
+            const auto address = parseAddress(item);
+            if (!address)
+                return false;
+            (settings_.*member).push_back(*address);
+        }
+        return true;
+    }
+
     bool operator()(std::int64_t Settings::*member)
     {
         const auto number = numberInRange();
@@ -240,6 +276,10 @@
 
     std::string operator()(std::string Settings::*) const { return "a non-empty string"; }
     std::string operator()(Address Settings::*) const { return "ip:port with an IPv4 address"; }
+    std::string operator()(std::vector<Address> Settings::*) const
+    {
+        return "ip:port with IPv4 addresses, separated by commas";
+    }
     std::string operator()(std::int64_t Settings::*) const
     {
         return "an integer, " + describeRange(row_);
@@ -257,6 +297,7 @@
 
     std::string operator()(std::string Settings::*member) const { return defaults_.*member; }
     std::string operator()(Address Settings::*) const { return ""; }
+    std::string operator()(std::vector<Address> Settings::*) const { return ""; }
     std::string operator()(std::int64_t Settings::*member) const
     {
         return std::to_string(defaults_.*member);
@@ -328,6 +369,29 @@
 
 } // namespace
 
+Duration drainTimeoutOf(const Settings &settings)
+{
+    if (settings.callerStopGrace_ == 0)
+        return settings.callerDrainTimeout_;
+    const Duration drainTimeout
+        = fromSeconds(settings.callerStopGrace_) - settings.callerDrainNotice_ - kStopMargin;
+    return std::max(Duration::zero(), drainTimeout);
+}
+
+Duration readerSilenceOf(const Settings &settings)
+{
+    const Duration deadline = settings.controlChangeDeadline_;
+    return deadline == Duration::zero() ? settings.controlReaderSilence_
+                                        : fromSeconds(toSeconds(deadline) * kReaderSilenceShare);
+}
+
+Duration maxConfigAgeOf(const Settings &settings)
+{
+    const Duration deadline = settings.controlWithdrawalDeadline_;
+    return deadline == Duration::zero() ? settings.controlMaxConfigAge_
+                                        : fromSeconds(toSeconds(deadline) * kMaxConfigAgeShare);
+}
+
 std::string SettingsError::describe() const
 {
     std::string text = file_;
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -35,7 +35,14 @@
 
 void ConfigWatcher::start()
 {
-    isPaused_ = false;
+    mode_ = Mode::Watching;
+    if (!isCallPending_)
+        list();
+}
+
+void ConfigWatcher::readOnce()
+{
+    mode_ = Mode::ReadingOnce;
     if (!isCallPending_)
         list();
 }
@@ -43,15 +50,19 @@
 void ConfigWatcher::list()
 {
     isCallPending_ = true;
+    const bool mayBeStale = mode_ == Mode::ReadingOnce && !feed_.confirms_;
     const TimePoint sentAt = clock_();
     store_.listFeed(feedIndex_,
+                    mayBeStale ? ReadConsistency::MayBeStale : ReadConsistency::Linearizable,
                     [this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
 }
 
 void ConfigWatcher::watch()
 {
-    isCallPending_ = !isPaused_;
-    if (isPaused_)
+    if (mode_ == Mode::ReadingOnce)
+        mode_ = Mode::Paused;
+    isCallPending_ = mode_ == Mode::Watching;
+    if (!isCallPending_)
         return;
     const TimePoint sentAt = clock_();
     store_.watchFeed(
@@ -95,15 +106,16 @@
 // Runs in addition to the watches: a watch reports only changes, not entries that are missing.
 void ConfigWatcher::relistAfterOutage()
 {
-    store_.listFeed(feedIndex_, [this](const Reply<StoreListing> &reply) {
-        const auto *listing = std::get_if<StoreListing>(&reply);
-        // After another restoration, its own listing waits for the missing entries.
-        if (!listing || generationOf(listing->revision_) > generationOf(revision_))
-            return;
-        applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
-        state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
-        onChange_();
-    });
+    store_.listFeed(feedIndex_, ReadConsistency::Linearizable,
+                    [this](const Reply<StoreListing> &reply) {
+                        const auto *listing = std::get_if<StoreListing>(&reply);
+                        // After another restoration, its own listing waits for the missing entries.
+                        if (!listing || generationOf(listing->revision_) > generationOf(revision_))
+                            return;
+                        applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
+                        state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
+                        onChange_();
+                    });
 }
 
 void ConfigWatcher::onChanges(const Reply<StoreListing> &reply, TimePoint sentAt)
@@ -160,7 +172,7 @@
     }
     Backoff &backoff = isSlowRetry_ ? slowBackoff_ : backoff_;
     runAfter_(backoff.next(random_), [this] {
-        if (isPaused_)
+        if (mode_ == Mode::Paused)
             isCallPending_ = false;
         else
             list();
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -24,11 +24,15 @@
 
     /// Starts with a listing, also after pause().
     void start();
+    /// Reads the feed once, and repeats that only after a failure. Of a feed that confirms nothing
+    /// the reply may be stale: siblings supply the rest.
+    void readOnce();
     /// Selects the longer retry delays, for a host that retries at the same time as many others.
     void setSlowRetry(bool isSlowRetry) { isSlowRetry_ = isSlowRetry; }
     /// Starts no further call. A call in progress completes.
-    void pause() { isPaused_ = true; }
-    [[nodiscard]] bool isPaused() const { return isPaused_; }
+    void pause() { mode_ = Mode::Paused; }
+    /// @return whether it watches the feed, and does not just read it once.
+    [[nodiscard]] bool isWatching() const { return mode_ == Mode::Watching; }
 
     /// @return whether the last call to the store succeeded.
     [[nodiscard]] bool isConnected() const { return connected_; }
@@ -36,6 +40,8 @@
     [[nodiscard]] Version revision() const { return revision_; }
 
 private:
+    enum class Mode { Paused, ReadingOnce, Watching };
+
     void list();
     void relistAfterOutage();
     void watch();
@@ -59,7 +65,7 @@
     Backoff slowBackoff_;
     bool isSlowRetry_ = false;
     bool connected_ = false;
-    bool isPaused_ = false;
+    Mode mode_ = Mode::Paused;
     bool isCallPending_ = false; ///< a call is in progress or scheduled
     bool hasListFailed_ = false; ///< since the last successful listing
 };
--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -45,6 +45,35 @@
     EXPECT_GE(callsInOutage(false, 4500ms), 6);
 }
 
+// Guards against the calls of a fleet's start: 195 hosts made 12,329 calls in their first 18 s.
+TEST(ConfigWatcher, ReadsOnceWithoutAWatch)
+{
+    EventQueue events;
+    FakeObjectStore store;
+    store.defer_ = [&](std::function<void()> task) { events.after(1ms, std::move(task)); };
+    store.isDown_ = true;
+    ConfigState state;
+    NullLog log;
+    ConfigWatcher watcher(
+        store, 0, state,
+        [&events](Duration delay, std::function<void()> task) {
+            events.after(delay, std::move(task));
+        },
+        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
+    watcher.readOnce();
+    events.runUntil(500ms, [] {});
+    store.isDown_ = false;
+    events.runUntil(5s, [] {});
+    EXPECT_TRUE(watcher.isConnected()) << "a failed read is repeated";
+    const int calls = store.listCalls_;
+    events.runUntil(20s, [] {});
+    EXPECT_EQ(store.listCalls_, calls);
+    EXPECT_FALSE(watcher.isWatching());
+    watcher.start();
+    events.runUntil(21s, [] {});
+    EXPECT_GT(store.listCalls_, calls);
+}
+
 /// A watcher of a store whose replies take some time.
 struct WatchedStore
 {
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -43,9 +43,10 @@
     auto store = std::make_unique<platform::PlatformStore>(server.url(), 2s, loop, metrics);
     std::promise<bool> isListed;
     loop.post([&] {
-        store->listFeed(kBackendFeed, [&](const Reply<StoreListing> &reply) {
-            isListed.set_value(std::holds_alternative<StoreListing>(reply));
-        });
+        store->listFeed(kBackendFeed, ReadConsistency::Linearizable,
+                        [&](const Reply<StoreListing> &reply) {
+                            isListed.set_value(std::holds_alternative<StoreListing>(reply));
+                        });
     });
     EXPECT_TRUE(isListed.get_future().get()) << name;
     store.reset();
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -54,6 +54,41 @@
     EXPECT_EQ(keys.size(), 9U);
 }
 
+// Guards against running requests that are cut although time is left: where the platform kills a
+// process 10 s after the signal, a stop that was made for 6 s gave up its requests after 5.3 s.
+TEST(Settings, AStopLastsAsLongAsThePlatformAllows)
+{
+    const auto result
+        = parseSettings("[caller]\ndrain_notice_ms = 2300\nstop_grace_s = 10\n", "x.ini");
+    EXPECT_EQ(drainTimeoutOf(result.settings_), 7200ms);
+    Settings settings;
+    settings.callerDrainTimeout_ = 3s;
+    EXPECT_EQ(drainTimeoutOf(settings), 3s) << "without a grace period";
+    settings.callerStopGrace_ = 0.1;
+    EXPECT_EQ(drainTimeoutOf(settings), 0s);
+}
+
+TEST(Settings, DerivesAgesFromDeadlines)
+{
+    const auto result = parseSettings(
+        "[control]\nchange_deadline_ms = 3000\nwithdrawal_deadline_ms = 5000\n", "x.ini");
+    EXPECT_EQ(readerSilenceOf(result.settings_), 2550ms);
+    EXPECT_EQ(maxConfigAgeOf(result.settings_), 4500ms);
+    EXPECT_EQ(readerSilenceOf(Settings()), Settings().controlReaderSilence_);
+    EXPECT_EQ(maxConfigAgeOf(Settings()), Settings().controlMaxConfigAge_);
+}
+
+TEST(Settings, ReadsAListOfAddresses)
+{
+    const std::string text(kComplete);
+    const auto result = parseSettings(text + "[sibling]\nseeds = 10.0.0.1:71,10.0.0.2:72\n", "x");
+    ASSERT_TRUE(result.errors_.empty()) << result.errors_.front().describe();
+    const std::vector<Address> expected { { "10.0.0.1", 71 }, { "10.0.0.2", 72 } };
+    EXPECT_EQ(result.settings_.siblingSeeds_, expected);
+    EXPECT_TRUE(parseSettings(text + "[sibling]\nseeds =\n", "x").errors_.empty());
+    EXPECT_EQ(parseSettings(text + "[sibling]\nseeds = host\n", "x").errors_.size(), 1U);
+}
+
 TEST(Settings, ReportsTheFileThatCannotBeRead)
 {
     const auto result = readSettings("/nonexistent/pimento.ini");
