--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -33,6 +33,7 @@
             beforeNext_ {}; ///< sent on this connection before the reply to its next request
         std::string unrequested_ {}; ///< sent on this connection after unrequestedDelay_
         std::chrono::milliseconds unrequestedDelay_ {};
+        bool resetsConnection_ = false; ///< after the bytes
     };
     /// Returns the reply to a request.
     /// @param head request line and headers.
@@ -120,6 +121,13 @@
             const Reply reply = replyTo(head);
             boost::asio::write(socket, boost::asio::buffer(before + reply.bytes_), error);
             before = reply.beforeNext_;
+            if (reply.resetsConnection_) {
+                // The client reads the bytes first; a reset may discard them.
+                std::this_thread::sleep_for(std::chrono::milliseconds(20));
+                socket.set_option(boost::asio::socket_base::linger(true, 0), error);
+                socket.close(error);
+                return error;
+            }
             if (reply.closesConnection_ || error)
                 return error;
             if (reply.unrequested_.empty())
