Read stale data only at the first start of a fleet

Cause: a report of other operators (a server that had left is in use again after a restart). The reads at a host's start may be seconds old since the last commit but one; after a restart such a reply can name a back end that has left since, or lack an evacuation. Change: only where the platform says that the whole fleet starts for the first time is a stale reply good enough; else each feed is read linearizably. What confirms is always read so. Measured: ConfigWatcher.ReadsStaleDataOnlyWhereItMay fails before.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -16,6 +16,7 @@
 {
     std::string hostName_;
     std::string zone_;
+    bool hostFirstStart_ = false; ///< the whole fleet starts for the first time
     double hostCores_ = 1; ///< CPU time that this host may use, in cores
 
     Address callerAddress_;
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -20,6 +20,9 @@
     bool majorityConfirms_ = true;
     /// Number of entry hosts that read and watch the store and publish to the others; 0 for all.
     std::size_t readers_ = 0;
+    /// The whole fleet starts for the first time: nothing was withdrawn or has left yet, so what a
+    /// host reads at its start may be some seconds old.
+    bool isFirstStart_ = false;
     /// A host reads the store itself if the last confirmation received from the readers is older
     /// than this. Together with one read of the store this stays below the 2 s within which a
     /// change must be in force.
--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -34,10 +34,16 @@
         if (options_.readers_ == 0)
             watcher->start();
         else
-            watcher->readOnce();
+            watcher->readOnce(consistencyAtStart());
     }
 }
 
+// After a restart, stale data could bring a back end back that has left since.
+ReadConsistency FeedReader::consistencyAtStart() const
+{
+    return options_.isFirstStart_ ? ReadConsistency::MayBeStale : ReadConsistency::Linearizable;
+}
+
 bool FeedReader::isConnected() const
 {
     return std::all_of(watchers_.begin(), watchers_.end(),
@@ -74,7 +80,7 @@
         else if (isComplete_)
             watcher->pause();
         else
-            watcher->readOnce();
+            watcher->readOnce(consistencyAtStart());
     }
 }
 
--- a/src/daemon/FeedReader.h
+++ b/src/daemon/FeedReader.h
@@ -43,6 +43,7 @@
     [[nodiscard]] bool isComplete() const { return isComplete_; }
 
 private:
+    [[nodiscard]] ReadConsistency consistencyAtStart() const;
     void onFeedRead();
 
     const ControlOptions options_;
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -53,6 +53,9 @@
                  "Name of this host, as in the platform's host list." },
     SettingRow { "host", "zone", &Settings::zone_, Presence::Required, 0, 0,
                  "Data centre of this host." },
+    SettingRow { "host", "first_start", &Settings::hostFirstStart_, Presence::Optional, 0, 0,
+                 "Whether the whole fleet starts for the first time, so that nothing was withdrawn "
+                 "or has left yet." },
     SettingRow {
         "host", "cores", &Settings::hostCores_, Presence::Optional, 0.001, 1000,
         "CPU time that this host may use; hosts with more of it are preferred for roles." },
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -40,9 +40,10 @@
         list();
 }
 
-void ConfigWatcher::readOnce()
+void ConfigWatcher::readOnce(ReadConsistency consistency)
 {
     mode_ = Mode::ReadingOnce;
+    consistency_ = consistency;
     if (!isCallPending_)
         list();
 }
@@ -51,9 +52,9 @@
 {
     isCallPending_ = true;
     const bool mayBeStale = mode_ == Mode::ReadingOnce && !feed_.confirms_;
+    const ReadConsistency consistency = mayBeStale ? consistency_ : ReadConsistency::Linearizable;
     const TimePoint sentAt = clock_();
-    store_.listFeed(feedIndex_,
-                    mayBeStale ? ReadConsistency::MayBeStale : ReadConsistency::Linearizable,
+    store_.listFeed(feedIndex_, consistency,
                     [this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
 }
 
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -24,9 +24,9 @@
 
     /// Starts with a listing, also after pause().
     void start();
-    /// Reads the feed once, and repeats that only after a failure. Of a feed that confirms nothing
-    /// the reply may be stale: siblings supply the rest.
-    void readOnce();
+    /// Reads the feed once, and repeats that only after a failure.
+    /// @param consistency of the reply, if the feed confirms nothing; else it is linearizable.
+    void readOnce(ReadConsistency consistency);
     /// Selects the longer retry delays, for a host that retries at the same time as many others.
     void setSlowRetry(bool isSlowRetry) { isSlowRetry_ = isSlowRetry; }
     /// Starts no further call. A call in progress completes.
@@ -66,6 +66,7 @@
     bool isSlowRetry_ = false;
     bool connected_ = false;
     Mode mode_ = Mode::Paused;
+    ReadConsistency consistency_ = ReadConsistency::Linearizable; ///< of a single read
     bool isCallPending_ = false; ///< a call is in progress or scheduled
     bool hasListFailed_ = false; ///< since the last successful listing
 };
--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -60,7 +60,7 @@
             events.after(delay, std::move(task));
         },
         [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
-    watcher.readOnce();
+    watcher.readOnce(ReadConsistency::MayBeStale);
     events.runUntil(500ms, [] {});
     store.isDown_ = false;
     events.runUntil(5s, [] {});
@@ -74,6 +74,36 @@
     EXPECT_GT(store.listCalls_, calls);
 }
 
+/// @return the consistency with which a single read asks for the objects of a feed.
+ReadConsistency consistencyOfSingleRead(ReadConsistency requested, bool isConfirming)
+{
+    EventQueue events;
+    FakeObjectStore store;
+    store.feed_.confirms_ = isConfirming;
+    ConfigState state;
+    NullLog log;
+    ConfigWatcher watcher(
+        store, 0, state,
+        [&events](Duration delay, std::function<void()> task) {
+            events.after(delay, std::move(task));
+        },
+        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
+    watcher.readOnce(requested);
+    return store.lastConsistency_;
+}
+
+// Guards against a back end that is in use again after it has left: a host that is restarted reads
+// data from before. Only the first start of a fleet may read stale data, and never what confirms.
+TEST(ConfigWatcher, ReadsStaleDataOnlyWhereItMay)
+{
+    EXPECT_EQ(consistencyOfSingleRead(ReadConsistency::Linearizable, false),
+              ReadConsistency::Linearizable);
+    EXPECT_EQ(consistencyOfSingleRead(ReadConsistency::MayBeStale, false),
+              ReadConsistency::MayBeStale);
+    EXPECT_EQ(consistencyOfSingleRead(ReadConsistency::MayBeStale, true),
+              ReadConsistency::Linearizable);
+}
+
 /// A watcher of a store whose replies take some time.
 struct WatchedStore
 {
--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -14,6 +14,8 @@
 {
 public:
     bool isDown_ = false; ///< list() and watch() fail
+    StoreFeed feed_; ///< the only feed
+    ReadConsistency lastConsistency_ = ReadConsistency::Linearizable; ///< of the last listFeed()
     int listCalls_ = 0; ///< number of calls to list() and watch()
     int failReads_ = 0; ///< number of next reads that fail
     int loseWrites_ = 0; ///< number of next writes that fail without effect
@@ -48,6 +50,14 @@
         endWatches();
     }
 
+    [[nodiscard]] std::vector<StoreFeed> feeds() const override { return { feed_ }; }
+
+    void listFeed(std::size_t, ReadConsistency consistency, Done<StoreListing> done) override
+    {
+        lastConsistency_ = consistency;
+        list(std::move(done));
+    }
+
     void list(Done<StoreListing> done) override
     {
         ++listCalls_;
