Send each release on a connection of its own where answers have no id

On the platform, answers to grants and releases have no id. A late copy of an answer to a release counted as that of the next release on the connection, so a range could be granted on while its owner still worked on it. Change: connections for releases are not reused there. A release belongs to a move, so there are few; grants are renewed every 0.6 s and keep their connection: a copy of an answer to a grant can only make a hold count as begun some milliseconds early, and the next renewal corrects that. Measured: DoesNotConfirmAReleaseWithoutAnId fails before (accepted) and passes.

--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -37,6 +37,18 @@
     return options;
 }
 
+/// @return the options for releases. Where answers have no id, a late copy of an answer could be
+/// taken
+///         for that of the next release, while the back end still works on the range; so each
+///         release gets a connection of its own.
+HttpClientOptions releaseOptions(const RangeProtocol &protocol)
+{
+    HttpClientOptions options = clientOptions(kReleaseConnections);
+    if (!protocol.idHeader_)
+        options.maxIdleAge_ = Duration::zero();
+    return options;
+}
+
 HttpRequest encodeGrant(const RangeGrantOrder &order)
 {
     HttpRequest request;
@@ -97,7 +109,7 @@
     : protocol_(protocol)
     , lastId_(std::uint64_t { std::random_device {}() } << kCounterBits)
     , grants_(clientOptions(kGrantConnections), loop)
-    , releases_(clientOptions(kReleaseConnections), loop)
+    , releases_(releaseOptions(protocol), loop)
 { }
 
 HttpRequest HttpRangeLink::prepare(HttpRequest request, const Address &backend, Duration timeout)
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -218,7 +218,8 @@
     /// @param status status of the back end's answer to the first order.
     /// @param isRelease whether to send releases instead of grants.
     /// @return the outcome of the second order.
-    static RangeOutcome outcomeOfSecondOrder(int status, bool isRelease)
+    static RangeOutcome outcomeOfSecondOrder(int status, bool isRelease,
+                                             const RangeProtocol &protocol = nativeRangeProtocol())
     {
         RawServer server([status](const std::string &head, int number) {
             const std::string reply
@@ -227,7 +228,7 @@
             return number == 1 ? RawServer::Reply { reply, false, reply } : RawServer::Reply {};
         });
         EventLoop loop("ranges");
-        auto link = std::make_unique<HttpRangeLink>(loop, nativeRangeProtocol());
+        auto link = std::make_unique<HttpRangeLink>(loop, protocol);
         const Address address { "127.0.0.1", portOf(server) };
         std::promise<RangeOutcome> second;
         const auto send = [&](const KeyRange &range, std::function<void(RangeOutcome)> done) {
@@ -257,6 +258,12 @@
     EXPECT_EQ(outcomeOfSecondOrder(200, true), RangeOutcome::Broken);
 }
 
+// The same where answers to orders have no id.
+TEST_F(RepeatedOrderReplyTest, DoesNotConfirmAReleaseWithoutAnId)
+{
+    EXPECT_EQ(outcomeOfSecondOrder(200, true, wire::rangeProtocol()), RangeOutcome::Unanswered);
+}
+
 // Guards against two owners of a range: an earlier grant's 409 was taken for the answer to a grant
 // that took effect.
 TEST_F(RepeatedOrderReplyTest, DoesNotRejectAGrant)
