Log only what changed in a view

Change: the line has the number of hosts and the names that joined or left. Measured: MemberControlLog. The price was not measured again.

--- a/include/pimentostage/base/Log.h
+++ b/include/pimentostage/base/Log.h
@@ -58,7 +58,7 @@
     virtual void write(const LogLine &line) = 0;
 };
 
-/// Writes log lines to standard error through log4cplus, on a dedicated thread.
+/// Writes log lines to standard output through log4cplus, on a dedicated thread.
 class AsyncLog : public LogSink
 {
 public:
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/MemberControl.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 
 namespace pimentostage {
@@ -26,6 +27,18 @@
 // By this time two pulls, the second for all objects, have not resolved the difference.
 constexpr Duration kDivergenceTimeout = std::chrono::seconds(3);
 
+/// @return the names of the processes in @p members that @p others lacks; both are sorted.
+std::string namesOfMissing(const std::vector<Member> &members, const std::vector<Member> &others)
+{
+    std::vector<Member> missing;
+    std::set_difference(members.begin(), members.end(), others.begin(), others.end(),
+                        std::back_inserter(missing));
+    std::string names;
+    for (const Member &member : missing)
+        names += (names.empty() ? "" : " ") + member.host_.str();
+    return names;
+}
+
 } // namespace
 
 MemberControl::MemberControl(const MemberUpdate &self, Random random,
@@ -252,10 +265,14 @@
     if (membership_.viewNumber() == loggedView_)
         return;
     loggedView_ = membership_.viewNumber();
-    std::string hosts;
-    for (const Member &member : membership_.view())
-        hosts += (hosts.empty() ? "" : " ") + member.host_.str();
-    log_.write(LogLine(Severity::Info, "view").add("number", loggedView_).add("hosts", hosts));
+    std::vector<Member> view = membership_.view();
+    // The whole view would be 5 KB for 195 hosts, with each of its changes, at each host.
+    log_.write(LogLine(Severity::Info, "view")
+                   .add("number", loggedView_)
+                   .add("hosts", static_cast<std::uint64_t>(view.size()))
+                   .add("joined", namesOfMissing(view, loggedMembers_))
+                   .add("left", namesOfMissing(loggedMembers_, view)));
+    loggedMembers_ = std::move(view);
 }
 
 } // namespace pimentostage
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -91,7 +91,8 @@
     std::vector<HostName> seeds_; ///< named by their addresses
     std::size_t listedHosts_ = 1;
     TimePoint startedAt_ {};
-    std::uint64_t loggedView_ = 0;
+    std::uint64_t loggedView_ = 0; ///< number of the view that was logged last
+    std::vector<Member> loggedMembers_; ///< that view
     std::optional<HostName> source_;
     /// Since when this host's configuration has differed from that of the source, or of any host if
     /// there is no source.
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -120,6 +120,35 @@
     EXPECT_FALSE(control.membership().find(HostName(seed.str())));
 }
 
+/// Keeps the last line.
+class LastLine : public LogSink
+{
+public:
+    void write(const LogLine &line) override { text_ = line.json(); }
+
+    std::string text_;
+};
+
+// Guards against lines whose size grows with the fleet: during the start of 195 hosts, each logged its
+// whole view with each of some 60 changes.
+TEST(MemberControlLog, NamesOnlyTheHostsThatJoinedOrLeft)
+{
+    ConfigState config;
+    SentMessages sent;
+    LastLine log;
+    MemberControl control(hostOf("self"), Random(1), {}, config, sent, log,
+                          [](const ConfigPush &) {});
+    control.membership().merge(hostOf("a"), kStart);
+    control.tick(kStart);
+    MemberUpdate left = hostOf("a");
+    left.liveness_ = Liveness::Left;
+    control.membership().merge(left, kStart);
+    control.membership().merge(hostOf("b"), kStart);
+    control.tick(kStart);
+    EXPECT_NE(log.text_.find(R"("hosts":2,"joined":"b","left":"a"})"), std::string::npos)
+        << log.text_;
+}
+
 TEST(MemberControlSeeds, AnswersAProbeThatNamesItsAddress)
 {
     MemberUpdate self = hostOf("self");
