--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -4,6 +4,8 @@
 #include "tests/fakes/FakeObjectStore.h"
 #include "tests/fakes/NullLog.h"
 
+#include <memory>
+
 #include <gtest/gtest.h>
 
 using namespace pimentostage;
@@ -11,24 +13,41 @@
 
 namespace {
 
+/// A watcher that a test starts itself.
+struct LoneWatcher
+{
+    EventQueue events_;
+    FakeObjectStore store_;
+    ConfigState state_;
+    NullLog log_;
+
+    /// Made on first use, so that a test can set the store's feed before.
+    ConfigWatcher &watcher()
+    {
+        if (!watcher_) {
+            watcher_ = std::make_unique<ConfigWatcher>(
+                store_, 0, state_,
+                [this](Duration delay, std::function<void()> task) {
+                    events_.after(delay, std::move(task));
+                },
+                [this] { return TimePoint(1h) + events_.now(); }, Random(1), log_, [] {});
+        }
+        return *watcher_;
+    }
+
+private:
+    std::unique_ptr<ConfigWatcher> watcher_;
+};
+
 /// @return the number of calls that a watcher makes to a store that is down for @p time.
 int callsInOutage(bool isSlowRetry, Duration time)
 {
-    EventQueue events;
-    FakeObjectStore store;
-    store.isDown_ = true;
-    ConfigState state;
-    NullLog log;
-    ConfigWatcher watcher(
-        store, 0, state,
-        [&events](Duration delay, std::function<void()> task) {
-            events.after(delay, std::move(task));
-        },
-        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
-    watcher.setSlowRetry(isSlowRetry);
-    watcher.start();
-    events.runUntil(time, [] {});
-    return store.listCalls_;
+    LoneWatcher lone;
+    lone.store_.isDown_ = true;
+    lone.watcher().setSlowRetry(isSlowRetry);
+    lone.watcher().start();
+    lone.events_.runUntil(time, [] {});
+    return lone.store_.listCalls_;
 }
 
 // Guards against a burst of calls: 69 hosts made 991 calls in the first second of an outage of the
@@ -48,48 +67,31 @@
 // Guards against the calls of a fleet's start: 195 hosts made 12,329 calls in their first 18 s.
 TEST(ConfigWatcher, ReadsOnceWithoutAWatch)
 {
-    EventQueue events;
-    FakeObjectStore store;
-    store.defer_ = [&](std::function<void()> task) { events.after(1ms, std::move(task)); };
-    store.isDown_ = true;
-    ConfigState state;
-    NullLog log;
-    ConfigWatcher watcher(
-        store, 0, state,
-        [&events](Duration delay, std::function<void()> task) {
-            events.after(delay, std::move(task));
-        },
-        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
-    watcher.readOnce(ReadConsistency::MayBeStale);
-    events.runUntil(500ms, [] {});
-    store.isDown_ = false;
-    events.runUntil(5s, [] {});
-    EXPECT_TRUE(watcher.isConnected()) << "a failed read is repeated";
-    const int calls = store.listCalls_;
-    events.runUntil(20s, [] {});
-    EXPECT_EQ(store.listCalls_, calls);
-    EXPECT_FALSE(watcher.isWatching());
-    watcher.start();
-    events.runUntil(21s, [] {});
-    EXPECT_GT(store.listCalls_, calls);
+    LoneWatcher lone;
+    lone.store_.defer_
+        = [&](std::function<void()> task) { lone.events_.after(1ms, std::move(task)); };
+    lone.store_.isDown_ = true;
+    lone.watcher().readOnce(ReadConsistency::MayBeStale);
+    lone.events_.runUntil(500ms, [] {});
+    lone.store_.isDown_ = false;
+    lone.events_.runUntil(5s, [] {});
+    EXPECT_TRUE(lone.watcher().isConnected()) << "a failed read is repeated";
+    const int calls = lone.store_.listCalls_;
+    lone.events_.runUntil(20s, [] {});
+    EXPECT_EQ(lone.store_.listCalls_, calls);
+    EXPECT_FALSE(lone.watcher().isWatching());
+    lone.watcher().start();
+    lone.events_.runUntil(21s, [] {});
+    EXPECT_GT(lone.store_.listCalls_, calls);
 }
 
 /// @return the consistency with which a single read asks for the objects of a feed.
 ReadConsistency consistencyOfSingleRead(ReadConsistency requested, bool isConfirming)
 {
-    EventQueue events;
-    FakeObjectStore store;
-    store.feed_.confirms_ = isConfirming;
-    ConfigState state;
-    NullLog log;
-    ConfigWatcher watcher(
-        store, 0, state,
-        [&events](Duration delay, std::function<void()> task) {
-            events.after(delay, std::move(task));
-        },
-        [&events] { return TimePoint(1h) + events.now(); }, Random(1), log, [] {});
-    watcher.readOnce(requested);
-    return store.lastConsistency_;
+    LoneWatcher lone;
+    lone.store_.feed_.confirms_ = isConfirming;
+    lone.watcher().readOnce(requested);
+    return lone.store_.lastConsistency_;
 }
 
 // Guards against a back end that is in use again after it has left: a host that is restarted reads
--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -24,6 +24,19 @@
         simulation.setLoad(bucket, 5);
 }
 
+/// Runs until ranges have moved, then restores the store from a copy that was made before.
+/// @return the highest epoch that was in use.
+Epoch restoreAfterMoves(RangeSimulation &simulation)
+{
+    simulation.run(kInitialPlacementTime);
+    simulation.store_.takeCopy();
+    loadSampledKeys(simulation);
+    simulation.run(6s);
+    const Epoch epoch = simulation.stored().epoch_;
+    simulation.store_.restore();
+    return epoch;
+}
+
 TEST(RangeCoordinator, AssignsEveryKeyToOneBackEnd)
 {
     RangeSimulation simulation(4);
@@ -201,12 +214,7 @@
 TEST(RangeCoordinator, NextCoordinatorWaitsForHoldsThatTheRestoredStoreLacks)
 {
     RangeSimulation simulation(4);
-    simulation.run(kInitialPlacementTime);
-    simulation.store_.takeCopy();
-    loadSampledKeys(simulation);
-    simulation.run(6s);
-    const Epoch epoch = simulation.stored().epoch_;
-    simulation.store_.restore();
+    const Epoch epoch = restoreAfterMoves(simulation);
     ASSERT_GT(epoch, simulation.stored().epoch_);
     simulation.changeCoordinator(100ms);
     simulation.run(6s);
@@ -220,11 +228,7 @@
 TEST(RangeCoordinator, SecondNextCoordinatorWaitsAsWell)
 {
     RangeSimulation simulation(4);
-    simulation.run(kInitialPlacementTime);
-    simulation.store_.takeCopy();
-    loadSampledKeys(simulation);
-    simulation.run(6s);
-    simulation.store_.restore();
+    restoreAfterMoves(simulation);
     simulation.changeCoordinator(100ms);
     simulation.run(500ms);
     simulation.changeCoordinator(100ms);
