--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -129,8 +129,8 @@
     std::string text_;
 };
 
-// Guards against lines whose size grows with the fleet: during the start of 195 hosts, each logged its
-// whole view with each of some 60 changes.
+// Guards against lines whose size grows with the fleet: during the start of 195 hosts, each logged
+// its whole view with each of some 60 changes.
 TEST(MemberControlLog, NamesOnlyTheHostsThatJoinedOrLeft)
 {
     ConfigState config;
