Tell which catalogue is in force on the metrics

Change: pimento_catalogue_revision, the store's revision of the catalogue that decides requests. Test: ConfigState.ReportsTheVersionOfTheCatalogueInForce (new; passes). Decisions are unchanged.

--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -25,6 +25,7 @@
     std::map<HostName, EntryHost> entryHosts_;
     std::unordered_map<std::string, std::vector<Route>> virtualHosts_; ///< longest prefix first
     bool hasCatalogue_ = false; ///< services and contracts come from one object
+    Version catalogueVersion_; ///< of that object; zero if there is none
     Version revision_; ///< the highest object version applied
 
     /// @return whether data centre @p zone accepts new work; true for an unknown one.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -485,8 +485,12 @@
         .gauge("pimento_config_age_seconds",
                "Time since the store confirmed this host's configuration.")
         .set(age ? toSeconds(*age) : -1);
-    metrics_.gauge("pimento_config_revision", "Revision of the configuration in force.")
+    metrics_.gauge("pimento_config_revision", "Revision up to which the store has been read.")
         .set(static_cast<double>(config_.revision().value_));
+    metrics_
+        .gauge("pimento_catalogue_revision",
+               "Revision of the catalogue in force; 0 if there is none.")
+        .set(static_cast<double>(revisionOf(config_.configuration()->catalogueVersion_)));
     metrics_.gauge("pimento_view_hosts", "Entry hosts believed to be alive, this one included.")
         .set(static_cast<double>(members_.membership().view().size()));
     std::size_t held = 0;
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -100,6 +100,7 @@
     configuration.keysByHash_.clear();
     configuration.virtualHosts_.clear();
     configuration.hasCatalogue_ = false;
+    configuration.catalogueVersion_ = {};
 }
 
 void setCatalogue(Catalogue catalogue, Configuration &configuration)
@@ -127,6 +128,7 @@
         [&]() -> leaf::result<void> {
             BOOST_LEAF_AUTO(catalogue, parseCatalogue(object.ref_.name_, object.value_));
             setCatalogue(std::move(catalogue), configuration);
+            configuration.catalogueVersion_ = object.version_;
             return {};
         },
         [] {});
--- a/tests/ConfigStateTest.cpp
+++ b/tests/ConfigStateTest.cpp
@@ -133,6 +133,19 @@
     EXPECT_EQ(state.age(TimePoint(1h) + 2s), 2s);
 }
 
+// Guards against hosts whose metrics do not tell which catalogue decides their requests.
+TEST(ConfigState, ReportsTheVersionOfTheCatalogueInForce)
+{
+    ConfigState state;
+    EXPECT_EQ(state.configuration()->catalogueVersion_, Version {});
+    state.apply(catalogue(0, 3, "huts", 1));
+    EXPECT_EQ(state.configuration()->catalogueVersion_, Version { 3 });
+    StoredObject invalid = catalogue(0, 4, "huts", 2);
+    invalid.value_ = "{\"services\":1}";
+    state.apply(invalid);
+    EXPECT_EQ(state.configuration()->catalogueVersion_, Version { 3 });
+}
+
 // Guards against a confirmed change that is revoked: a store that was restored from a copy has an
 // older catalogue with a newer version until the operators write again.
 TEST(ConfigState, KeepsTheCatalogueUntilARestoredStoreHasItAgain)
