Add a failing test: the largest configuration of the store is rejected

Callers got 404 on the routes of a version that the store had accepted.

The limit of 1,000,000 bytes is that of a value in the store; it is checked on the value after its conversion, which is half as long again.

--- /dev/null
+++ b/tests/LargeCatalogueTest.cpp
@@ -0,0 +1,64 @@
+#include "pimentostage/platform/ConfigState.h"
+#include "platform/StoreWire.h"
+
+#include <string>
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+namespace wire = pimentostage::platform;
+
+namespace {
+
+constexpr std::size_t kMaxStoredBytes = std::size_t { 1 } << 20U; ///< of one value of the store
+
+std::string routeText(std::size_t number)
+{
+    const std::string name = std::to_string(number);
+    return R"({"Name":"r)" + name + R"(","PathPrefix":"/p)" + name
+           + R"(/","RouteType":"safe","TimeoutMs":1500,"TargetLatencyMs":800,"Priority":2,)"
+             R"("Service":"huts","MaxAttempts":2,"Public":true})";
+}
+
+/// The largest configuration that the store accepts.
+struct LargestConfig
+{
+    LargestConfig()
+    {
+        const std::string begin = R"({"Version":7,"Services":[{"Name":"huts"}],)"
+                                  R"("VirtualHosts":[{"Host":"a.example","Paths":[)"
+                                  + routeText(0);
+        const std::string end = "]}]}";
+        spec_ = begin;
+        for (std::string route = routeText(1);
+             spec_.size() + 1 + route.size() + end.size() <= kMaxStoredBytes;
+             route = routeText(routes_)) {
+            spec_ += ',' + route;
+            ++routes_;
+        }
+        spec_ += end;
+    }
+
+    std::string spec_;
+    std::size_t routes_ = 1;
+};
+
+} // namespace
+
+// Guards against a configuration that the store accepted and that every host rejects because its
+// converted form exceeds a limit: requests on its new routes got 404 (incident DENIED).
+TEST(LargeCatalogue, TheLargestConfigurationThatTheStoreAcceptsTakesEffect)
+{
+    const LargestConfig config;
+    const auto page
+        = wire::parsePage("config", R"({"items":[{"Metadata":{"Name":"main","Revision":9},)"
+                                    R"("Spec":)"
+                                        + config.spec_ + R"(}],"HasMore":false,"AsOf":9})");
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    ConfigState state;
+    std::string error;
+    EXPECT_EQ(state.apply(page->listing_.objects_.front(), &error), ApplyResult::Applied) << error;
+    const auto configuration = state.configuration();
+    ASSERT_TRUE(configuration->virtualHosts_.contains("a.example"));
+    EXPECT_EQ(configuration->virtualHosts_.at("a.example").size(), config.routes_);
+}
