Limit the size of objects where they are written, not where they are read

Cause: kMaxObjectBytes is the size of a value in the store, and checkObject() applied it to every object that is read. A catalogue of the platform reaches it in the product's own form, which is longer: 1,048,576 bytes in the store are 1,559,597 after conversion. Class: a limit of one representation that is checked on another.

Ruled out: hosts that apply the version late (their processors were idle and the refusals never ended), hosts without a catalogue (no refusal as unknown-service; other routes were served).

The operators' limit keeps its check, now with ConfigEditorTest.DoesNotWriteAValueThatIsTooLarge.

--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -8,7 +8,8 @@
 
 namespace pimentostage {
 
-/// Maximum size of a value that the store accepts, in bytes.
+/// Maximum size of a value that pimentostage writes to the store, in bytes. The size of a value
+/// that is read has no limit: the store has accepted it, perhaps in another and shorter form.
 inline constexpr std::size_t kMaxObjectBytes = 1'000'000;
 
 /// Optional field of any object: the id of the change that wrote it.
@@ -27,8 +28,7 @@
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
 
 /// Checks that @p value is valid as the value of @p ref.
-/// @return nothing, or the Error of the matching parse function; of code TooLarge if @p value
-/// exceeds kMaxObjectBytes.
+/// @return nothing, or the Error of the matching parse function.
 leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value);
 
 /// Each format function writes the JSON value that the matching parse function reads.
--- a/src/operator/ConfigEditor.cpp
+++ b/src/operator/ConfigEditor.cpp
@@ -86,7 +86,11 @@
         return ChangeReport { ChangeOutcome::Unchanged, base, versionOf(current), {} };
     Json json = Json::parse(value);
     json[kChangeIdField] = changeId_;
-    return write(Change { ref, json.dump(), false, base });
+    const std::string stored = json.dump();
+    if (stored.size() > kMaxObjectBytes)
+        return fail(Error { Step::WriteStore, Peer { PeerKind::Platform, ref.str() },
+                            ErrorCode::TooLarge, std::to_string(stored.size()) + " bytes" });
+    return write(Change { ref, stored, false, base });
 }
 
 leaf::result<ChangeReport> ConfigEditor::remove(const ObjectRef &ref,
--- a/tests/ConfigEditorTest.cpp
+++ b/tests/ConfigEditorTest.cpp
@@ -46,6 +46,27 @@
     EXPECT_TRUE(storeContains(ZoneState::Out));
 }
 
+// Guards against an object that the store refuses for its size after the operator was told
+// otherwise.
+TEST_F(ConfigEditorTest, DoesNotWriteAValueThatIsTooLarge)
+{
+    Contract contract;
+    contract.rate_ = 1;
+    contract.burst_ = 1;
+    contract.connections_ = 1;
+    contract.kinds_ = { std::string(kMaxObjectBytes, 'k') };
+    const ObjectRef ref { ObjectKind::Contract, "caxias" };
+    const std::string value = formatContract(contract);
+    const ErrorCode code = valueOr(
+        [&]() -> leaf::result<ErrorCode> {
+            BOOST_LEAF_CHECK(editor_.apply(ref, value));
+            return ErrorCode::Unavailable;
+        },
+        [](const Error &error) { return error.code_; });
+    EXPECT_EQ(code, ErrorCode::TooLarge);
+    EXPECT_TRUE(store_.find(ref).deleted_);
+}
+
 TEST_F(ConfigEditorTest, ReportsBothVersionsOnAConflict)
 {
     store_.set(kZone, zoneValue(ZoneState::In));
