Share the routes between configurations

A change of any object, such as a back end every half second, copied them all for the new configuration, on the thread that also serves callers.

Change: a configuration refers to the routes of its catalogue, which are built once. LargeCatalogue.AChangeOfAnotherObjectSharesTheRoutes compares the two (it does not compile before). Decisions are unchanged.

--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -10,6 +10,9 @@
 
 namespace pimentostage {
 
+/// The routes of each virtual host, longest prefix first.
+using VirtualHosts = std::unordered_map<std::string, std::vector<Route>>;
+
 /// All current objects; immutable once published.
 struct Configuration
 {
@@ -23,7 +26,8 @@
     std::map<RoleName, RoleRecord> roles_;
     std::map<ServiceName, std::shared_ptr<const RangePlacement>> ranges_;
     std::map<HostName, EntryHost> entryHosts_;
-    std::unordered_map<std::string, std::vector<Route>> virtualHosts_; ///< longest prefix first
+    /// Shared by the configurations of one catalogue, which may have thousands of routes.
+    std::shared_ptr<const VirtualHosts> virtualHosts_ = std::make_shared<const VirtualHosts>();
     bool hasCatalogue_ = false; ///< services and contracts come from one object
     Version catalogueVersion_; ///< of that object; zero if there is none
     Version revision_; ///< the highest object version applied
--- a/src/caller/RequestRouter.cpp
+++ b/src/caller/RequestRouter.cpp
@@ -107,8 +107,8 @@
 ///         routes of a virtual host are sorted, longest prefix first.
 const Route *matchVirtualHost(const Configuration &configuration, const CallerRequest &request)
 {
-    const auto host = configuration.virtualHosts_.find(request.host_);
-    if (host == configuration.virtualHosts_.end())
+    const auto host = configuration.virtualHosts_->find(request.host_);
+    if (host == configuration.virtualHosts_->end())
         return nullptr;
     const auto matches = [&](const Route &route) {
         return (route.method_.empty() || route.method_ == request.method_)
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -98,7 +98,7 @@
     configuration.services_.clear();
     configuration.contracts_.clear();
     configuration.keysByHash_.clear();
-    configuration.virtualHosts_.clear();
+    configuration.virtualHosts_ = std::make_shared<const VirtualHosts>();
     configuration.hasCatalogue_ = false;
     configuration.catalogueVersion_ = {};
 }
@@ -113,13 +113,15 @@
         configuration.contracts_.insert_or_assign(contract.team_, std::move(contract));
     for (TeamKey &key : catalogue.keys_)
         configuration.keysByHash_.insert_or_assign(key.sha256_, std::move(key));
+    auto virtualHosts = std::make_shared<VirtualHosts>();
     for (Route &route : catalogue.routes_)
-        configuration.virtualHosts_[route.host_].push_back(std::move(route));
-    for (auto &[host, routes] : configuration.virtualHosts_) {
+        (*virtualHosts)[route.host_].push_back(std::move(route));
+    for (auto &[host, routes] : *virtualHosts) {
         std::stable_sort(routes.begin(), routes.end(), [](const Route &a, const Route &b) {
             return a.prefix_.size() > b.prefix_.size();
         });
     }
+    configuration.virtualHosts_ = std::move(virtualHosts);
 }
 
 void addCatalogue(const StoredObject &object, Configuration &configuration)
--- a/tests/LargeCatalogueTest.cpp
+++ b/tests/LargeCatalogueTest.cpp
@@ -1,4 +1,5 @@
 #include "pimentostage/platform/ConfigState.h"
+#include "pimentostage/platform/ObjectCodec.h"
 #include "platform/StoreWire.h"
 
 #include <string>
@@ -59,6 +60,33 @@
     std::string error;
     EXPECT_EQ(state.apply(page->listing_.objects_.front(), &error), ApplyResult::Applied) << error;
     const auto configuration = state.configuration();
-    ASSERT_TRUE(configuration->virtualHosts_.contains("a.example"));
-    EXPECT_EQ(configuration->virtualHosts_.at("a.example").size(), config.routes_);
+    ASSERT_TRUE(configuration->virtualHosts_->contains("a.example"));
+    EXPECT_EQ(configuration->virtualHosts_->at("a.example").size(), config.routes_);
+}
+
+// Guards against hosts that copy thousands of routes for each change of a back end, which keeps
+// them from serving for seconds after a configuration has grown.
+TEST(LargeCatalogue, AChangeOfAnotherObjectSharesTheRoutes)
+{
+    Catalogue catalogue;
+    catalogue.services_.emplace_back().name_ = ServiceName("huts");
+    Route &route = catalogue.routes_.emplace_back();
+    route.name_ = RouteName("r");
+    route.host_ = "a.example";
+    route.prefix_ = "/p/";
+    route.timeout_ = std::chrono::seconds(1);
+    route.services_ = { { ServiceName("huts"), 1 } };
+    ConfigState state;
+    state.apply(
+        { { ObjectKind::Catalogue, "main" }, Version { 1 }, false, formatCatalogue(catalogue) });
+    const auto before = state.configuration();
+    ASSERT_EQ(before->virtualHosts_->size(), 1U);
+    state.apply({ { ObjectKind::Zone, "north" }, Version { 2 }, false, formatZone(Zone {}) });
+    EXPECT_TRUE(state.configuration()->zones_.contains(ZoneName("north")));
+    EXPECT_EQ(state.configuration()->virtualHosts_, before->virtualHosts_);
+    catalogue.routes_.clear();
+    state.apply(
+        { { ObjectKind::Catalogue, "main" }, Version { 3 }, false, formatCatalogue(catalogue) });
+    EXPECT_TRUE(state.configuration()->virtualHosts_->empty());
+    EXPECT_EQ(before->virtualHosts_->size(), 1U) << "a published configuration must not change";
 }
