Limit the replies to orders to their own size

Cause: the clients of orders used the limit of answers to requests, 4 MiB. Change: 16 KiB for replies about ranges, 256 KiB for replies to grants of leases and probes, as named constants. A range order whose reply is cut ends as "broken", as before for 4 MiB: the ledger still assumes that it may have been applied.

--- a/src/backend/HttpBackendLink.cpp
+++ b/src/backend/HttpBackendLink.cpp
@@ -9,6 +9,9 @@
 
 constexpr int kOk = 200;
 constexpr Duration kTimeout = 4 * kGrantPeriod;
+// Bytes of a reply's body: a reply lists the withdrawn units whose requests still run, with at most
+// 24 bytes each, and a back end runs far fewer than the 10,000 requests for which this is enough.
+constexpr std::size_t kMaxReplyBytes = 256 * 1024;
 
 HttpClientOptions httpClientOptions()
 {
@@ -16,6 +19,7 @@
     options.threadName_ = "grants";
     options.connectionsPerPeer_ = 8;
     options.connectTimeout_ = kTimeout;
+    options.maxAnswerBytes_ = kMaxReplyBytes;
     return options;
 }
 
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kGrantTimeout = std::chrono::milliseconds(600);
 // A back end replies to a release only after the work that runs on the keys has ended.
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(3000);
+// Bytes of a reply's body: a reply consists of its status and headers, and the rest is a margin for
+// an error text.
+constexpr std::size_t kMaxReplyBytes = 16 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
 // Back ends limit their connections, and a new connection occupies a slot there for a moment.
@@ -34,6 +37,7 @@
     options.threadName_ = "ranges";
     options.connectionsPerPeer_ = connections;
     options.connectTimeout_ = kConnectTimeout;
+    options.maxAnswerBytes_ = kMaxReplyBytes;
     return options;
 }
 
