--- a/tests/SiblingListenerTest.cpp
+++ b/tests/SiblingListenerTest.cpp
@@ -2,18 +2,19 @@
 #include "src/sibling/FrameCodec.h"
 #include "src/sibling/SiblingLinks.h"
 #include "tests/fakes/NullLog.h"
+#include "tests/fakes/ResidentMemory.h"
 
 #include <array>
-#include <fstream>
 #include <future>
 #include <memory>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 using namespace pimentostage;
 using namespace std::chrono_literals;
@@ -26,15 +27,8 @@
 constexpr std::size_t kConnections = 16;
 /// Maximum growth of the process by connections of unidentified senders.
 constexpr std::size_t kMaxGrowthBytes = std::size_t { 24 } << 20U;
-
-std::size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
+/// Maximum growth by unfinished frames of identified senders; a quarter of an entry host's memory.
+constexpr std::size_t kMaxUnfinishedGrowthBytes = std::size_t { 64 } << 20U;
 
 std::array<std::uint8_t, kFrameLengthBytes> lengthPrefix(std::uint32_t length)
 {
@@ -68,7 +62,8 @@
             links_ = std::make_unique<SiblingLinks>(
                 loop_.context(), MemberUpdate {}, [](const HostName &) { return std::nullopt; },
                 [this](const MemberUpdate &, const SiblingMessage &message) {
-                    received_.set_value(message);
+                    if (!std::exchange(hasReceived_, true))
+                        received_.set_value(message);
                 },
                 log_, metrics_);
             isListening = valueOr(
@@ -86,11 +81,23 @@
         loop_.run([this] { links_.reset(); });
     }
 
+    /// Waits until @p count frames have arrived, at most 5 s.
+    void waitForFrames(std::uint64_t count)
+    {
+        const Counter &frames = metrics_.counter("pimento_sibling_received_frames_total", "");
+        const TimePoint limit = BootClock::now() + 5s;
+        while (frames.value() < count && BootClock::now() < limit)
+            std::this_thread::sleep_for(5ms);
+        EXPECT_EQ(frames.value(), count);
+        loop_.run([] {}); // the length that follows the last frame may still be unread
+    }
+
     EventLoop loop_ { "control" };
     NullLog log_;
     MetricRegistry metrics_;
     asio::io_context context_;
     const Tcp::endpoint endpoint_ = freeEndpoint(context_);
+    bool hasReceived_ = false;
     std::promise<SiblingMessage> received_;
     std::unique_ptr<SiblingLinks> links_;
 };
@@ -130,3 +137,64 @@
     ASSERT_TRUE(std::holds_alternative<LeavingHosts>(message));
     EXPECT_EQ(std::get<LeavingHosts>(message).names_.size(), large.names_.size());
 }
+
+// Guards against a host that runs out of memory because each of many senders that have identified
+// themselves announces a large frame, and none of them sends it.
+TEST_F(SiblingListenerTest, AnAnnouncedFrameTakesNoMemoryBeforeItArrives)
+{
+    const std::size_t before = residentBytes();
+    std::vector<Tcp::socket> sockets;
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+        asio::write(socket, asio::buffer(lengthPrefix(kMaxFrameBytes)));
+    }
+    waitForFrames(kConnections);
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
+}
+
+// Guards against a host that runs out of memory because many senders leave large frames unfinished:
+// what all connections keep together is bounded, and other senders are still heard.
+TEST_F(SiblingListenerTest, UnfinishedFramesOfAllSendersAreBoundedTogether)
+{
+    const std::size_t before = residentBytes();
+    const std::vector<std::uint8_t> part(kMaxFrameBytes - 1, 0xc0);
+    std::vector<Tcp::socket> sockets;
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        boost::system::error_code ignored;
+        asio::write(socket, asio::buffer(encodeFrame(Hello {})), ignored);
+        asio::write(socket, asio::buffer(lengthPrefix(kMaxFrameBytes)), ignored);
+        asio::write(socket, asio::buffer(part), ignored);
+    }
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxUnfinishedGrowthBytes) << "bytes grown";
+    Tcp::socket socket(context_);
+    socket.connect(endpoint_);
+    asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+    asio::write(socket, asio::buffer(encodeFrame(LeavingHosts {})));
+    EXPECT_EQ(received_.get_future().wait_for(5s), std::future_status::ready);
+}
+
+// Guards against connections that keep the memory of the largest frame that they have received.
+TEST_F(SiblingListenerTest, AFinishedFrameTakesNoMemory)
+{
+    std::vector<Tcp::socket> sockets;
+    LeavingHosts large;
+    for (int i = 0; i < 20'000; ++i)
+        large.names_.emplace_back(std::string(150, 'x'));
+    const std::vector<std::uint8_t> frame = encodeFrame(large);
+    const std::size_t before = residentBytes();
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+        asio::write(socket, asio::buffer(frame));
+    }
+    waitForFrames(2 * kConnections);
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
+}
