Bound what callers make a host keep

Callers would see: one of them sends bytes without end after its last request, in a chunk's extension or in a trailer, or several send large bodies whose requests wait for back ends; the host runs out of memory (260 MB) and the requests of all its callers end. Or one caller announces 64 MiB, sends nothing, and every other request with a body is refused for up to 30 s.

Causes: BeastSession went on to collect bytes after the last request; Boost 1.81 limits neither the extensions of a chunk nor trailers; the sum of bodies counted only those in transfer, and made no difference by size. The refusal did not have the form of the caller package's refusals.

Fix: ByteBudget, a decision class without sockets. A body counts until its request is answered (its Responder holds the bytes, also after the caller has left). Small bodies have bytes of their own, and may use those of large ones. The refusal comes from the Refusal table, "not run" with Retry-After, is counted and logged. Bytes after the last request are read and dropped; an unfinished chunk header or trailer is refused with 431 once it exceeds the limit of a head.

--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -118,7 +118,7 @@
 
 leaf::result<void> BeastServer::start(const HttpServerOptions &options, HandlerFactory factory)
 {
-    auto bufferedBytes = std::make_shared<std::atomic<std::size_t>>(0);
+    const auto bodyBudget = std::make_shared<ByteBudget>(options.maxBufferedBytes_);
     try {
         const int threads = sharedLoop_ ? 1 : options.threads_;
         for (int i = 0; i < threads; ++i) {
@@ -126,7 +126,7 @@
                 ownLoops_.push_back(std::make_unique<EventLoop>(options.threadName_));
             EventLoop &loop = sharedLoop_ ? *sharedLoop_ : *ownLoops_.back();
             workers_.push_back(
-                std::make_shared<Worker>(loop, options, factory(), halfClose_, bufferedBytes));
+                std::make_shared<Worker>(loop, options, factory(), halfClose_, bodyBudget));
         }
         workers_.front()->listen(
             { asio::ip::make_address(options.address_.ip_), options.address_.port_ });
--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -66,10 +66,11 @@
 {
 public:
     Responder(const std::shared_ptr<Session> &session, asio::io_context &context,
-              std::uint64_t number)
+              std::uint64_t number, ByteBudget::Reservation bodyBytes)
         : session_(session)
         , context_(context)
         , number_(number)
+        , bodyBytes_(std::move(bodyBytes))
     { }
 
     ~Responder() override
@@ -83,8 +84,11 @@
 
     void send(ServerAnswer answer) override
     {
+        if (sent_.exchange(true))
+            return;
+        bodyBytes_.release();
         const std::shared_ptr<Session> session = session_.lock();
-        if (sent_.exchange(true) || !session)
+        if (!session)
             return;
         asio::dispatch(context_, [session, number = number_, answer = std::move(answer)]() mutable {
             session->onAnswer(number, std::move(answer));
@@ -102,6 +106,8 @@
     asio::io_context &context_;
     const std::uint64_t number_;
     std::atomic<bool> sent_ { false };
+    // Also an abandoned request keeps its body until it has ended.
+    ByteBudget::Reservation bodyBytes_;
 };
 
 void BeastServer::Session::start()
@@ -183,7 +189,7 @@
     error_code ignored;
     socket_.close(ignored);
     abandonAll();
-    releaseReservedBytes();
+    bodyBytes_.release();
     worker_->sessions_.erase(shared_from_this());
 }
 
@@ -225,7 +231,8 @@
         onReadError(error);
         return;
     }
-    if (isLingering_) {
+    // What follows the last request is read only to notice that the caller disconnects.
+    if (isLingering_ || hasReceivedLastRequest_) {
         buffer_.consume(buffer_.size());
         read();
         return;
@@ -294,6 +301,11 @@
             dispatch();
             continue;
         }
+        // The parser does not limit the extensions of a chunk and the trailer.
+        if (parser_->is_header_done() && buffer_.size() > worker_->options_.maxHeaderBytes_) {
+            refuse(kHeaderTooLarge);
+            return;
+        }
         if (error == http::error::need_more || consumed == 0)
             return;
     }
@@ -334,34 +346,26 @@
 // The size of a chunked body is not known in advance, so it is reserved as the body grows.
 bool BeastServer::Session::reserveBody()
 {
-    const std::size_t bodySize = parser_->get().body().size();
-    return bodySize <= reservedBytes_ || reserve(bodySize);
+    return reserve(parser_->get().body().size());
 }
 
 bool BeastServer::Session::reserve(std::size_t bytes)
 {
-    const std::size_t additional = bytes - std::min(bytes, reservedBytes_);
-    const std::size_t before
-        = worker_->bufferedBytes_->fetch_add(additional, std::memory_order_relaxed);
-    reservedBytes_ += additional;
-    if (before + additional <= worker_->options_.maxBufferedBytes_)
+    if (worker_->bodyBudget_->reserve(bodyBytes_, bytes))
         return true;
     refuse(kUnavailable);
     return false;
 }
 
-void BeastServer::Session::releaseReservedBytes()
-{
-    worker_->bufferedBytes_->fetch_sub(std::exchange(reservedBytes_, 0), std::memory_order_relaxed);
-}
-
 void BeastServer::Session::refuse(int status)
 {
     parser_.reset();
-    releaseReservedBytes();
+    bodyBytes_.release();
     PendingRequest pending;
     ServerAnswer answer { status, "", {}, "" };
-    if (status == kUnavailable)
+    if (status == kUnavailable && worker_->options_.overloadAnswer_)
+        answer = worker_->options_.overloadAnswer_();
+    else if (status == kUnavailable)
         answer.headers_.push_back({ "Retry-After", "1" });
     answer.closesConnection_ = true;
     pending.answer_ = std::move(answer);
@@ -444,7 +448,6 @@
     pending.isHeadRequest_ = message.method() == http::verb::head;
     pending.isSafeMethod_ = pending.isHeadRequest_ || message.method() == http::verb::get;
     parser_.reset();
-    releaseReservedBytes();
     ServerRequest request;
     request.method_ = std::string(message.method_string());
     request.target_ = std::string(message.target());
@@ -456,7 +459,8 @@
     const std::uint64_t number = firstPendingNumber_ + pendingRequests_.size();
     pendingRequests_.push_back(std::move(pending));
     worker_->handler_(std::move(request),
-                      std::make_shared<Responder>(shared_from_this(), worker_->context_, number));
+                      std::make_shared<Responder>(shared_from_this(), worker_->context_, number,
+                                                  std::move(bodyBytes_)));
 }
 
 } // namespace pimentostage
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -27,8 +27,6 @@
         , lastActivityAt_(openedAt_)
     { }
 
-    ~Session() { releaseReservedBytes(); }
-
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
 
@@ -91,12 +89,11 @@
     /// @return whether it is within the limit; if not, the request has been refused.
     bool reserveBody();
 
-    /// Counts a body of @p bytes against the limit for the bodies of all connections.
+    /// Counts a body of @p bytes, until its request is answered, against the limit for the bodies
+    /// of all connections.
     /// @return whether it is within the limit; if not, the request has been refused.
     bool reserve(std::size_t bytes);
 
-    void releaseReservedBytes();
-
     void dispatch();
 
     /// Answers the request that is being read with @p status and closes the connection.
@@ -119,7 +116,7 @@
     std::deque<PendingRequest> pendingRequests_; ///< in the order of arrival
     std::uint64_t firstPendingNumber_ = 0; ///< of pendingRequests_.front()
     std::string writeBuffer_;
-    std::size_t reservedBytes_ = 0; ///< bytes counted in Worker::bufferedBytes_
+    ByteBudget::Reservation bodyBytes_; ///< of the request that is being read
     const TimePoint openedAt_;
     TimePoint lastActivityAt_;
     TimePoint parseStartedAt_ {};
--- a/src/base/BeastWorker.h
+++ b/src/base/BeastWorker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/base/ByteBudget.h"
 #include "src/base/BeastServer.h"
 
 #include <atomic>
@@ -17,11 +18,11 @@
 {
 public:
     Worker(EventLoop &loop, const HttpServerOptions &options, Handler handler,
-           HalfClosePolicy halfClose, std::shared_ptr<std::atomic<std::size_t>> bufferedBytes)
+           HalfClosePolicy halfClose, std::shared_ptr<ByteBudget> bodyBudget)
         : options_(options)
         , handler_(std::move(handler))
         , halfClose_(halfClose)
-        , bufferedBytes_(std::move(bufferedBytes))
+        , bodyBudget_(std::move(bodyBudget))
         , context_(loop.context())
         , acceptor_(context_)
         , sweepTimer_(context_)
@@ -42,7 +43,7 @@
     const HttpServerOptions options_;
     const Handler handler_;
     const HalfClosePolicy halfClose_;
-    const std::shared_ptr<std::atomic<std::size_t>> bufferedBytes_; ///< of all workers' bodies
+    const std::shared_ptr<ByteBudget> bodyBudget_; ///< of all workers' bodies
     boost::asio::io_context &context_;
     std::set<std::shared_ptr<Session>> sessions_;
     std::atomic<std::size_t> activeConnections_ { 0 }; ///< sessions that owe or expect something
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -70,7 +70,12 @@
     std::string threadName_;
     std::size_t maxHeaderBytes_ = std::size_t { 16 } << 10U;
     std::size_t maxRequestBytes_ = std::size_t { 1 } << 20U; ///< of one body
-    std::size_t maxBufferedBytes_ = std::size_t { 64 } << 20U; ///< of all bodies being received
+    /// Of the bodies of all requests that are being received or are not answered yet, except small
+    /// ones (ByteBudget); a quarter of the memory of an entry host on the platform, 260 MB.
+    std::size_t maxBufferedBytes_ = std::size_t { 64 } << 20U;
+    /// @return the answer to a request that exceeds maxBufferedBytes_. Called on the server's
+    ///         threads.
+    std::function<ServerAnswer()> overloadAnswer_;
     std::size_t maxAnswerBytes_ = std::size_t { 8 } << 20U;
     Duration headerTimeout_ = std::chrono::seconds(60);
     Duration bodyTimeout_ = std::chrono::seconds(60);
--- a/src/caller/CallerServer.cpp
+++ b/src/caller/CallerServer.cpp
@@ -24,7 +24,15 @@
 
 leaf::result<void> CallerServer::start(const HttpServerOptions &options)
 {
-    return server_->start(options, [this] { return makeHandler(); });
+    HttpServerOptions withAnswer = options;
+    withAnswer.overloadAnswer_ = [this] { return refuseBody(); };
+    return server_->start(withAnswer, [this] { return makeHandler(); });
+}
+
+ServerAnswer CallerServer::refuseBody()
+{
+    const RequestId id = nextId();
+    return protocol_.encodeRefusal_(service_.refuseBody(id), id);
 }
 
 HttpServer::Handler CallerServer::makeHandler()
--- a/src/caller/CallerServer.h
+++ b/src/caller/CallerServer.h
@@ -37,6 +37,8 @@
 
 private:
     HttpServer::Handler makeHandler();
+    /// @return the refusal of a request whose body would exceed the limit for all bodies.
+    ServerAnswer refuseBody();
     [[nodiscard]] ServerAnswer encode(CallerAnswer answer, const RequestId &id) const;
     RequestId nextId();
 
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kOverRateRetryAfter = std::chrono::seconds(1);
 // A caller is asked to wait at most its remaining time divided by this before it retries.
 constexpr int kRetryAfterDivisor = 3;
+// As for other refusals because of overload (Refusal.cpp).
+constexpr Duration kBodyRetryAfter = std::chrono::seconds(1);
 constexpr Duration kGaugeUpdatePeriod = std::chrono::seconds(1);
 
 std::uint32_t priorityOf(const RoutedRequest &routed)
@@ -125,6 +127,20 @@
     service_.admit(pending);
 }
 
+Refusal CallerService::refuseBody(const RequestId &id)
+{
+    Refusal refusal { RefusalReason::Overloaded, Outcome::NotRun, kBodyRetryAfter,
+                      "the bodies of other requests use the memory for bodies" };
+    requests_.add();
+    refused_.at(static_cast<std::size_t>(refusal.reason_))->add();
+    log_.write(LogLine(Severity::Info, "refuse")
+                   .add("request", id.str())
+                   .add("reason", toString(refusal.reason_))
+                   .add("outcome", toString(refusal.outcome_))
+                   .add("detail", refusal.detail_));
+    return refusal;
+}
+
 bool CallerService::isWithinConnectionLimits(const PendingRequest &pending)
 {
     const std::shared_ptr<CallerConnection> &connection = pending.request_.connection_;
--- a/src/caller/CallerService.h
+++ b/src/caller/CallerService.h
@@ -54,6 +54,12 @@
         SnapshotReader<TrafficView> view_;
     };
 
+    /// Records that a request is refused because the bodies of other requests use the memory for
+    /// bodies.
+    /// @param id given to the request, whose own id may not be known.
+    /// @return the refusal. The request has not run.
+    Refusal refuseBody(const RequestId &id);
+
     /// Refuses every new request from now on, for a planned stop.
     void stopAccepting() { stopping_.store(true, std::memory_order_release); }
 
