--- a/tests/fakes/BeastServerFixture.h
+++ b/tests/fakes/BeastServerFixture.h
@@ -113,8 +113,13 @@
     /// A connection from a caller.
     struct Caller
     {
-        explicit Caller(std::uint16_t port)
+        /// Creates a caller that is not connected.
+        Caller()
             : socket_(context_)
+        { }
+
+        explicit Caller(std::uint16_t port)
+            : Caller()
         {
             socket_.connect({ boost::asio::ip::make_address_v4("127.0.0.1"), port });
         }
