End answers that nobody reads; take no bodies for operators' pages

Would be seen: callers ask for large answers and read nothing; the host keeps each answer for as long as the connection stays open, and runs out of memory. The same by bodies sent to the operators' addresses, which no page reads.

The operators' pages take at most 16 KiB a body and 256 KiB of all bodies.

Open: answers count in no sum, so many of them may be kept within the timeout.

--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::size_t kMaxReadSize
     = std::size_t { 16 } * 1024; // bytes; limits the time for which one caller occupies a thread
+constexpr std::size_t kMaxWriteSize = std::size_t { 64 } * 1024; // bytes between two checks
 constexpr std::size_t kMaxPipelinedRequests = 64; // unanswered requests per connection
 // Time for a caller to read the last answer on a connection before it is closed.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
@@ -170,6 +171,8 @@
     if (isLingering_) {
         if (now - lastActivityAt_ >= kLingerTimeout)
             close();
+    } else if (isWriting_ && now - lastWriteAt_ >= options.bodyTimeout_) {
+        close();
     } else if (parser_) {
         const bool hasHeader = parser_->is_header_done();
         const Duration timeout = hasHeader ? options.bodyTimeout_ : options.headerTimeout_;
@@ -392,7 +395,12 @@
 void BeastServer::Session::write()
 {
     isWriting_ = true;
-    asio::async_write(socket_, asio::buffer(writeBuffer_),
+    lastWriteAt_ = BootClock::now();
+    const auto nextSize = [self = shared_from_this()](const error_code &error, std::size_t) {
+        self->lastWriteAt_ = BootClock::now();
+        return error ? std::size_t { 0 } : kMaxWriteSize;
+    };
+    asio::async_write(socket_, asio::buffer(writeBuffer_), nextSize,
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->onWritten(error);
                       });
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -119,6 +119,7 @@
     ByteBudget::Reservation bodyBytes_; ///< of the request that is being read
     const TimePoint openedAt_;
     TimePoint lastActivityAt_;
+    TimePoint lastWriteAt_ {}; ///< at which the caller's system last took a part of an answer
     TimePoint parseStartedAt_ {};
     bool isHeaderChecked_ = false;
     bool isReading_ = false;
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -78,6 +78,7 @@
     std::function<ServerAnswer()> overloadAnswer_;
     std::size_t maxAnswerBytes_ = std::size_t { 8 } << 20U;
     Duration headerTimeout_ = std::chrono::seconds(60);
+    /// For receiving a body, and for the next part of an answer to be taken by the caller.
     Duration bodyTimeout_ = std::chrono::seconds(60);
     Duration keepAliveTimeout_ = std::chrono::seconds(300);
 };
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -6,6 +6,8 @@
 
 constexpr int kNotFound = 404;
 constexpr int kUnavailable = 503;
+constexpr std::size_t kMaxRequestBytes = std::size_t { 16 } << 10U; // no page takes a body
+constexpr std::size_t kMaxBufferedBytes = std::size_t { 256 } << 10U; // of all connections
 constexpr const char *kText = "text/plain; charset=utf-8";
 constexpr const char *kJson = "application/json";
 
@@ -31,6 +33,8 @@
     options.address_ = address;
     options.threads_ = 1;
     options.threadName_ = "operator";
+    options.maxRequestBytes_ = kMaxRequestBytes;
+    options.maxBufferedBytes_ = kMaxBufferedBytes;
     return server_->start(options, [this] {
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -71,7 +71,9 @@
     SettingRow { "caller", "header_timeout_ms", &Settings::callerHeaderTimeout_, Presence::Optional,
                  100, kDayMs, "Timeout for receiving the headers of a request." },
     SettingRow { "caller", "body_timeout_ms", &Settings::callerBodyTimeout_, Presence::Optional,
-                 100, kDayMs, "Timeout for receiving the body of a request." },
+                 100, kDayMs,
+                 "Timeout for receiving the body of a request, and for the next part of an answer "
+                 "to be read." },
     SettingRow { "caller", "keep_alive_ms", &Settings::callerKeepAlive_, Presence::Optional, 1000,
                  kDayMs, "Timeout after which an idle caller connection is closed." },
     SettingRow { "caller", "shared_thread", &Settings::callerSharedThread_, Presence::Optional, 0,
