Tell traffic threads which addressing applies and when the configuration was confirmed

Callers see no difference yet: nothing reads the new values.

Change: TrafficView holds the addressing, which the control core derives from the store's feeds: one with catalogues means virtual hosts. ConfigValidity holds the time of the last confirmation by the store and the change deadline. configKnowledge() tells from these whether the configuration is missing, outdated or current.

--- a/include/pimentostage/caller/TrafficView.h
+++ b/include/pimentostage/caller/TrafficView.h
@@ -24,6 +24,12 @@
     };
 };
 
+/// How a request names what it is for.
+enum class Addressing {
+    Path, ///< by the service in the first segment of its path
+    VirtualHost, ///< by its host and a prefix of its path; the routes come from a catalogue
+};
+
 /// Snapshot of everything that traffic threads read.
 ///
 /// It is immutable; the control thread replaces it as a whole.
@@ -33,6 +39,7 @@
     std::shared_ptr<const RoutingTable> routing_;
     std::map<TeamName, std::shared_ptr<LocalTokenBucket>> tokenBuckets_;
     Readiness readiness_ = Readiness::Starting;
+    Addressing addressing_ = Addressing::Path;
     std::shared_ptr<const ConfigValidity> configValidity_ = std::make_shared<ConfigValidity>();
 
     /// @return whether requests that require a team key must be refused at @p now.
@@ -40,6 +47,17 @@
     {
         return readiness_ == Readiness::Stale || !configValidity_->isValid(now);
     }
+
+    /// @return what this host knows at @p now of the configuration in force.
+    [[nodiscard]] ConfigKnowledge configKnowledge(TimePoint now) const
+    {
+        const bool lacksCatalogue
+            = addressing_ == Addressing::VirtualHost && !configuration_->hasCatalogue_;
+        if (readiness_ == Readiness::Starting || lacksCatalogue)
+            return ConfigKnowledge::Missing;
+        const bool isOutdated = isStale(now) || !configValidity_->isCurrent(now);
+        return isOutdated ? ConfigKnowledge::Outdated : ConfigKnowledge::Current;
+    }
 };
 
 } // namespace pimentostage
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -52,6 +52,16 @@
     return kinds;
 }
 
+/// @return how requests name what they are for, where @p store has the configuration.
+Addressing addressingOf(const ObjectStore &store)
+{
+    const std::vector<StoreFeed> feeds = store.feeds();
+    const bool hasCatalogue = std::any_of(feeds.begin(), feeds.end(), [](const StoreFeed &feed) {
+        return feed.kinds_.contains(ObjectKind::Catalogue);
+    });
+    return hasCatalogue ? Addressing::VirtualHost : Addressing::Path;
+}
+
 } // namespace
 
 ControlCore::ControlCore(const MemberUpdate &self, const ControlOptions &options,
@@ -68,6 +78,8 @@
     , views_(views)
     , log_(log)
     , metrics_(metrics)
+    , addressing_(addressingOf(ports.store_))
+    , configValidity_(std::make_shared<ConfigValidity>(options_.changeDeadline_))
     , config_(confirmedKinds(ports.store_))
     , random_(seedFor(ports.seed_, RandomStream::Hosts))
     , routers_(self_.member_.host_, siblings_,
@@ -365,8 +377,10 @@
     allowance_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
-    if (const auto age = config_.age(now))
+    if (const auto age = config_.age(now)) {
         configValidity_->setValidUntil(configValidUntil(*age, now));
+        configValidity_->setConfirmedAt(now - *age);
+    }
     if (readinessAt(now) != publishedReadiness_)
         publish(now);
     if (now >= nextGaugeUpdate_) {
@@ -471,6 +485,7 @@
     view->routing_ = tableBuilder_.build(*view->configuration_, fleetState_, now);
     view->tokenBuckets_ = tokenBuckets_.tokenBuckets();
     view->readiness_ = readinessAt(now);
+    view->addressing_ = addressing_;
     view->configValidity_ = configValidity_;
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -123,7 +123,8 @@
     MetricRegistry &metrics_;
     std::atomic<Readiness> readiness_ { Readiness::Starting };
     bool isLeaving_ = false;
-    const std::shared_ptr<ConfigValidity> configValidity_ = std::make_shared<ConfigValidity>();
+    const Addressing addressing_;
+    const std::shared_ptr<ConfigValidity> configValidity_;
 
     ConfigState config_;
     std::uint64_t publishedDigest_ = 0;
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -15,6 +15,9 @@
     /// Requests that need a team's key are refused if neither the store nor a sibling has confirmed
     /// the configuration for this long.
     Duration maxConfigAge_ = std::chrono::seconds(3);
+    /// Time within which a change must be in force on all hosts; zero for none. A host whose
+    /// configuration was confirmed longer ago does not refuse requests for good.
+    Duration changeDeadline_ {};
     /// Whether agreement with a majority of the entry hosts also confirms an older configuration.
     /// Valid only where the store is reachable either by all hosts or by none.
     bool majorityConfirms_ = true;
