Refuse for good only by a configuration that is current

Cause: route() took a host without a catalogue for one whose platform has none, and looked for a service in the path; and it decided a missing route, method or key before the configuration's age. Even then the age was compared with the withdrawal deadline, so that for 2.5 s on the users' platform a host answered 404 or 401 by a configuration that must not be in force any more. Change: each RefusalReason has a RefusalBasis in the table of refusals. withKnowledge() replaces a final refusal that rests on the configuration by configurationStale() (503, not run, Retry-After 0.5 s) unless the host's configuration is current; route() calls it for each refusal. Which addressing applies comes from the store's feeds. What the configuration allows is served as before. Why it works: a change that the host lacks was acknowledged after the last confirmation, so if that is younger than the change deadline, the configuration before it may still be in force.

--- a/include/pimentostage/caller/Refusal.h
+++ b/include/pimentostage/caller/Refusal.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Attempt.h"
 #include "pimentostage/base/EnumNames.h"
 #include "pimentostage/base/Time.h"
+#include "pimentostage/caller/ConfigValidity.h"
 
 #include <optional>
 #include <string>
@@ -61,6 +62,35 @@
     };
 };
 
+/// The knowledge that a refusal rests on.
+enum class RefusalBasis {
+    Request, ///< the request alone
+    Configuration, ///< routes, services, contracts and keys
+    Routing, ///< the back ends and who owns a key
+    Allowance, ///< what is left of a team's contract
+    Backend, ///< the answer of a back end, or its absence
+    Host, ///< this host's own load and state
+};
+
+template <>
+struct EnumTable<RefusalBasis>
+{
+    static constexpr std::array kRows {
+        EnumName<RefusalBasis> { RefusalBasis::Request, "request" },
+        EnumName<RefusalBasis> { RefusalBasis::Configuration, "configuration" },
+        EnumName<RefusalBasis> { RefusalBasis::Routing, "routing" },
+        EnumName<RefusalBasis> { RefusalBasis::Allowance, "allowance" },
+        EnumName<RefusalBasis> { RefusalBasis::Backend, "backend" },
+        EnumName<RefusalBasis> { RefusalBasis::Host, "host" },
+    };
+};
+
+/// @return the knowledge that a refusal for @p reason rests on.
+RefusalBasis basisOf(RefusalReason reason);
+
+/// @return whether a refusal for @p reason tells the caller not to retry.
+bool isFinal(RefusalReason reason);
+
 /// @return the HTTP status code for @p reason.
 int httpStatusOf(RefusalReason reason);
 
@@ -74,8 +104,19 @@
     Outcome outcome_ = Outcome::NotRun;
     std::optional<Duration> retryAfter_; ///< delay after which the caller may retry
     std::string detail_;
+    std::optional<RefusalReason> replaced_ {}; ///< reason that an older configuration gives
 };
 
+/// @return a refusal of a host whose configuration does not suffice to decide; the request has not
+///         run and may be repeated.
+Refusal configurationStale();
+
+/// Decides whether @p refusal may be given.
+/// @param knowledge what the host knows of the configuration in force.
+/// @return @p refusal, or if it is final and rests on a configuration that is not current,
+///         configurationStale().
+Refusal withKnowledge(Refusal refusal, ConfigKnowledge knowledge);
+
 /// @return the refusal for a request whose execution was given up.
 Refusal refusalFor(const GiveUp &giveUp);
 
--- a/include/pimentostage/caller/RequestRouter.h
+++ b/include/pimentostage/caller/RequestRouter.h
@@ -31,11 +31,14 @@
 {
 public:
     /// @param view the current configuration and routing table.
-    /// @return the routed request, or the refusal.
+    /// @return the routed request, or the refusal; a final one only if the host's configuration is
+    ///         current.
     static RouteDecision route(const TrafficView &view, const CallerRequest &request,
                                TimePoint now);
 
 private:
+    static RouteDecision routePath(const TrafficView &view, const CallerRequest &request,
+                                   TimePoint now);
     static RouteDecision routeVirtualHost(const TrafficView &view, const CallerRequest &request,
                                           TimePoint now);
 };
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -10,30 +10,32 @@
 {
     int status_;
     std::string_view title_;
+    RefusalBasis basis_;
 };
 
 // One row per RefusalReason, in the order of the enumerators.
 constexpr std::array<RefusalRow, kEnumCount<RefusalReason>> kRows { {
-    { 400, "The request is malformed." },
-    { 404, "There is no such service." },
-    { 404, "The service has no such route." },
-    { 405, "The route does not take this method." },
-    { 401, "The route needs a team key." },
-    { 401, "The team key is unknown or was withdrawn." },
-    { 403, "The team has no contract." },
-    { 403, "The team's contract does not cover this kind of request." },
-    { 400, "The path holds no key." },
-    { 429, "Too many connections are open." },
-    { 429, "The team is over its contract's rate." },
-    { 503, "The holder of the team's allowance did not answer." },
-    { 503, "The service is overloaded." },
-    { 504, "The request's deadline has passed." },
-    { 503, "No back end can take the request." },
-    { 502, "The back end failed." },
-    { 502, "The back end's answer was not usable." },
-    { 503, "This host's configuration may be out of date." },
-    { 503, "This host is stopping." },
-    { 503, "The caller left before the answer." },
+    { 400, "The request is malformed.", RefusalBasis::Request },
+    { 404, "There is no such service.", RefusalBasis::Configuration },
+    { 404, "The service has no such route.", RefusalBasis::Configuration },
+    { 405, "The route does not take this method.", RefusalBasis::Configuration },
+    { 401, "The route needs a team key.", RefusalBasis::Configuration },
+    { 401, "The team key is unknown or was withdrawn.", RefusalBasis::Configuration },
+    { 403, "The team has no contract.", RefusalBasis::Configuration },
+    { 403, "The team's contract does not cover this kind of request.",
+      RefusalBasis::Configuration },
+    { 400, "The path holds no key.", RefusalBasis::Configuration },
+    { 429, "Too many connections are open.", RefusalBasis::Host },
+    { 429, "The team is over its contract's rate.", RefusalBasis::Allowance },
+    { 503, "The holder of the team's allowance did not answer.", RefusalBasis::Allowance },
+    { 503, "The service is overloaded.", RefusalBasis::Host },
+    { 504, "The request's deadline has passed.", RefusalBasis::Request },
+    { 503, "No back end can take the request.", RefusalBasis::Routing },
+    { 502, "The back end failed.", RefusalBasis::Backend },
+    { 502, "The back end's answer was not usable.", RefusalBasis::Backend },
+    { 503, "This host's configuration may be out of date.", RefusalBasis::Configuration },
+    { 503, "This host is stopping.", RefusalBasis::Host },
+    { 503, "The caller left before the answer.", RefusalBasis::Request },
 } };
 
 const RefusalRow &rowOf(RefusalReason reason)
@@ -42,6 +44,12 @@
 }
 
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
+// A host that missed a change learns of it from a sibling's next probe and one pull.
+constexpr Duration kConfigurationRetryAfter = std::chrono::milliseconds(500);
+
+constexpr int kFirstClientError = 400;
+constexpr int kFirstServerError = 500;
+constexpr int kTooManyRequests = 429;
 
 // One entry per GiveUpReason, in the order of the enumerators.
 constexpr std::array<RefusalReason, kEnumCount<GiveUpReason>> kReasonOfGiveUp {
@@ -57,6 +65,35 @@
     return rowOf(reason).status_;
 }
 
+RefusalBasis basisOf(RefusalReason reason)
+{
+    return rowOf(reason).basis_;
+}
+
+bool isFinal(RefusalReason reason)
+{
+    const int status = httpStatusOf(reason);
+    return status >= kFirstClientError && status < kFirstServerError && status != kTooManyRequests;
+}
+
+Refusal configurationStale()
+{
+    return Refusal {
+        RefusalReason::ConfigurationStale, Outcome::NotRun, kConfigurationRetryAfter, {}
+    };
+}
+
+Refusal withKnowledge(Refusal refusal, ConfigKnowledge knowledge)
+{
+    const bool isDecidable = knowledge == ConfigKnowledge::Current || !isFinal(refusal.reason_)
+                             || basisOf(refusal.reason_) != RefusalBasis::Configuration;
+    if (isDecidable)
+        return refusal;
+    Refusal undecided = configurationStale();
+    undecided.replaced_ = refusal.reason_;
+    return undecided;
+}
+
 std::string_view titleOf(RefusalReason reason)
 {
     return rowOf(reason).title_;
--- a/src/caller/RequestRouter.cpp
+++ b/src/caller/RequestRouter.cpp
@@ -155,7 +155,7 @@
     if (!route)
         return refuse(RefusalReason::UnknownRoute);
     if (route->access_ == Access::Team && view.isStale(now))
-        return refuse(RefusalReason::ConfigurationStale);
+        return configurationStale();
     const Authentication authentication = authenticate(*view.configuration_, request, *route);
     if (const auto *refusal = std::get_if<Refusal>(&authentication))
         return *refusal;
@@ -181,13 +181,9 @@
     return routed;
 }
 
-RouteDecision RequestRouter::route(const TrafficView &view, const CallerRequest &request,
-                                   TimePoint now)
+RouteDecision RequestRouter::routePath(const TrafficView &view, const CallerRequest &request,
+                                       TimePoint now)
 {
-    if (view.readiness_ == Readiness::Starting)
-        return refuse(RefusalReason::ConfigurationStale, "starting");
-    if (view.configuration_->hasCatalogue_)
-        return routeVirtualHost(view, request, now);
     const SplitPath path = splitPath(request.path_);
     const auto found = view.routing_->services_.find(std::string(path.service_));
     if (found == view.routing_->services_.end())
@@ -201,7 +197,7 @@
     const Route &route = *matched.route_;
     const bool requiresTeam = route.access_ == Access::Team;
     if (requiresTeam && view.isStale(now))
-        return refuse(RefusalReason::ConfigurationStale);
+        return configurationStale();
     const Authentication authentication = authenticate(*view.configuration_, request, route);
     if (const auto *refusal = std::get_if<Refusal>(&authentication))
         return *refusal;
@@ -223,4 +219,18 @@
     return routed;
 }
 
+RouteDecision RequestRouter::route(const TrafficView &view, const CallerRequest &request,
+                                   TimePoint now)
+{
+    if (view.readiness_ == Readiness::Starting)
+        return configurationStale();
+    const bool namesVirtualHost
+        = view.addressing_ == Addressing::VirtualHost || view.configuration_->hasCatalogue_;
+    RouteDecision decision
+        = namesVirtualHost ? routeVirtualHost(view, request, now) : routePath(view, request, now);
+    if (const auto *refusal = std::get_if<Refusal>(&decision))
+        return withKnowledge(*refusal, view.configKnowledge(now));
+    return decision;
+}
+
 } // namespace pimentostage
--- a/tests/RefusalKnowledgeTest.cpp
+++ b/tests/RefusalKnowledgeTest.cpp
@@ -198,6 +198,24 @@
     EXPECT_EQ(reasonOf(requestTo("/r1/x", "wrong")), RefusalReason::InvalidTeamKey);
 }
 
+// Guards against a new final refusal that rests on knowledge which no check covers, such as
+// routing.
+TEST(RefusalKnowledge, AFinalRefusalRestsOnTheRequestOrTheConfiguration)
+{
+    for (const auto &row : EnumTable<RefusalReason>::kRows) {
+        if (!isFinal(row.value_))
+            continue;
+        const RefusalBasis basis = basisOf(row.value_);
+        const bool isChecked
+            = basis == RefusalBasis::Request || basis == RefusalBasis::Configuration;
+        EXPECT_TRUE(isChecked) << row.name_ << " rests on " << toString(basis);
+        const Refusal refusal { row.value_, Outcome::NotRun, {}, {} };
+        const Refusal outdated = withKnowledge(refusal, ConfigKnowledge::Outdated);
+        EXPECT_EQ(outdated.reason_ == row.value_, basis == RefusalBasis::Request) << row.name_;
+        EXPECT_EQ(withKnowledge(refusal, ConfigKnowledge::Current).reason_, row.value_);
+    }
+}
+
 /// A version of the configuration and its way into force.
 struct HistoryVersion
 {
