Refuse as not run where a team's token bucket is missing

What callers would see: 403, after which they don't retry, for a team whose contract is in force. Cause: ControlCore::tick() publishes a view when the readiness changes. If a host became complete because its digest equals a sibling's (MemberControl::compareConfig), no configuration change was processed before, so the view has the contracts but not the buckets, until the next reply of a feed. Found by reading. Change: the refusal is allowance-unavailable (503, not run, Retry-After 1 s). Evidence: AHostWithoutTheTeamsTokenBucketRefusesAsNotRun fails before (reason 6, no-contract) and passes. Open: that such a view is published at all.

--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -156,7 +156,10 @@
     }
     const auto found = pending->view_->tokenBuckets_.find(contract->team_);
     if (found == pending->view_->tokenBuckets_.end()) {
-        refuse(pending, Refusal { RefusalReason::NoContract, Outcome::NotRun, {}, {} });
+        // The contract is in force; only this host has not prepared for it yet.
+        refuse(pending,
+               Refusal {
+                   RefusalReason::AllowanceUnavailable, Outcome::NotRun, kOverRateRetryAfter, {} });
         return;
     }
     const auto onSpendResult = [this, pending](SpendResult result) {
--- a/tests/CallerServiceTest.cpp
+++ b/tests/CallerServiceTest.cpp
@@ -1,4 +1,5 @@
 #include "src/caller/CallerService.h"
+#include "pimentostage/base/Hash.h"
 #include "pimentostage/base/MetricRegistry.h"
 #include "pimentostage/platform/Generation.h"
 #include "src/backend/BackendClient.h"
@@ -117,4 +118,45 @@
     EXPECT_EQ(log_.lines_[2]["config"], "missing");
 }
 
+/// @return a view with one limited route, but without the team's token bucket.
+std::shared_ptr<TrafficView> withoutBucket(const std::shared_ptr<TrafficView> &view)
+{
+    auto configuration = std::make_shared<Configuration>(*view->configuration_);
+    const TeamName team("caxias");
+    Contract contract;
+    contract.team_ = team;
+    contract.isLimited_ = true;
+    configuration->contracts_[team] = contract;
+    configuration->keysByHash_[sha256Hex("secret")] = { "caxias", team, sha256Hex("secret") };
+    Service north;
+    north.name_ = ServiceName("north");
+    configuration->services_[north.name_] = north;
+    Route route;
+    route.name_ = RouteName("limited");
+    route.prefix_ = "/a/";
+    route.access_ = Access::Team;
+    route.timeout_ = 2s;
+    route.services_ = { { north.name_, 1 } };
+    configuration->virtualHosts_["huts.example"] = { route };
+    RoutingTableBuilder builder;
+    view->routing_ = builder.build(*configuration, FleetState {}, BootClock::now());
+    view->configuration_ = configuration;
+    return view;
+}
+
+// Guards against a 403 for a team whose contract is in force: a host that has just started
+// published its configuration before it had made the team's token bucket.
+TEST_F(CallerServiceTest, AHostWithoutTheTeamsTokenBucketRefusesAsNotRun)
+{
+    CallerRequest request;
+    request.method_ = "GET";
+    request.host_ = "huts.example";
+    request.path_ = "/a/x";
+    request.teamKey_ = "secret";
+    const Refusal refusal = refusalAt(withoutBucket(viewOfAge(0ms)), request);
+    EXPECT_EQ(refusal.reason_, RefusalReason::AllowanceUnavailable);
+    EXPECT_EQ(refusal.outcome_, Outcome::NotRun);
+    EXPECT_TRUE(refusal.retryAfter_);
+}
+
 } // namespace
