--- a/tests/CatalogueWireTest.cpp
+++ b/tests/CatalogueWireTest.cpp
@@ -1,4 +1,6 @@
+#include "pimentostage/caller/RequestRouter.h"
 #include "pimentostage/platform/ConfigState.h"
+#include "platform/CallerWire.h"
 #include "platform/StoreWire.h"
 
 #include <string>
@@ -10,6 +12,8 @@
 
 namespace {
 
+constexpr TimePoint kNow { std::chrono::hours(1) };
+
 /// @return the members of an object of the store that hold a catalogue with one route.
 std::string catalogueOn(const std::string &host)
 {
@@ -43,4 +47,34 @@
     }
 }
 
+CallerRequest requestOn(const std::string &host)
+{
+    ServerRequest request;
+    request.method_ = "GET";
+    request.target_ = "/x/y";
+    request.headers_ = { { "Host", host } };
+    return std::get<CallerRequest>(
+        wire::callerProtocol().decode_(std::move(request), RequestId("r1")));
+}
+
+// Guards against a 404 for all requests of a host that the operator and the caller write
+// differently.
+TEST(CatalogueWire, HostsMatchWithoutRegardToCasePortAndFinalDot)
+{
+    for (const char *written : { "a.example", "A.Example", "a.example.", "a.example:8080" }) {
+        ConfigState state;
+        ASSERT_EQ(state.apply(eventOf(catalogueOn(written), 9)), ApplyResult::Applied);
+        TrafficView view;
+        view.configuration_ = state.configuration();
+        RoutingTableBuilder builder;
+        view.routing_ = builder.build(*view.configuration_, FleetState {}, kNow);
+        view.readiness_ = Readiness::Ready;
+        for (const char *asked : { "a.example", "A.EXAMPLE:80", "a.example.", "a.example.:80" }) {
+            const RouteDecision decision = RequestRouter::route(view, requestOn(asked), kNow);
+            EXPECT_TRUE(std::holds_alternative<RoutedRequest>(decision))
+                << "written " << written << ", asked " << asked;
+        }
+    }
+}
+
 } // namespace
