Be ready only with a catalogue where the platform has one

Cause: the store's reply confirms the configuration also if its object was rejected, and sets the revision that counts as complete. Change: without a catalogue, where the store's feeds have one, the readiness is Starting. Open: that a rejected object is confirmed, and that a sibling's good version then counts as deleted (ConfigState::applyFromSibling).

--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -381,7 +381,7 @@
         configValidity_->setValidUntil(configValidUntil(*age, now));
         configValidity_->setConfirmedAt(now - *age);
     }
-    if (readinessAt(now) != publishedReadiness_)
+    if (readinessAt(*configuration, now) != publishedReadiness_)
         publish(now);
     if (now >= nextGaugeUpdate_) {
         nextGaugeUpdate_ = now + kGaugePeriod;
@@ -404,12 +404,15 @@
     registrar_.removeAbsent(configuration, view, now);
 }
 
-Readiness ControlCore::readinessAt(TimePoint now) const
+Readiness ControlCore::readinessAt(const Configuration &configuration, TimePoint now) const
 {
     if (isLeaving_)
         return Readiness::Stopping;
     const auto age = config_.age(now);
-    if (!age || !isConfigurationComplete())
+    // The store's confirmation also covers a catalogue that this host had to reject.
+    const bool lacksCatalogue
+        = addressing_ == Addressing::VirtualHost && !configuration.hasCatalogue_;
+    if (!age || !isConfigurationComplete() || lacksCatalogue)
         return Readiness::Starting;
     return now < configValidUntil(*age, now) ? Readiness::Ready : Readiness::Stale;
 }
@@ -484,7 +487,7 @@
     view->configuration_ = config_.configuration();
     view->routing_ = tableBuilder_.build(*view->configuration_, fleetState_, now);
     view->tokenBuckets_ = tokenBuckets_.tokenBuckets();
-    view->readiness_ = readinessAt(now);
+    view->readiness_ = readinessAt(*view->configuration_, now);
     view->addressing_ = addressing_;
     view->configValidity_ = configValidity_;
     publishedReadiness_ = view->readiness_;
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -105,7 +105,7 @@
     void trackZones(const Configuration &configuration, TimePoint now);
     void updateGauges(TimePoint now);
     void maintainRegistrations(const Configuration &configuration, TimePoint now);
-    [[nodiscard]] Readiness readinessAt(TimePoint now) const;
+    [[nodiscard]] Readiness readinessAt(const Configuration &configuration, TimePoint now) const;
     [[nodiscard]] TimePoint configValidUntil(Duration age, TimePoint now) const;
 
     /// Routes a sibling's message to its handler; one overload per message type.
