--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -105,7 +105,7 @@
     void trackZones(const Configuration &configuration, TimePoint now);
     void updateGauges(TimePoint now);
     void maintainRegistrations(const Configuration &configuration, TimePoint now);
-    [[nodiscard]] Readiness readinessAt(TimePoint now) const;
+    [[nodiscard]] Readiness readinessAt(const Configuration &configuration, TimePoint now) const;
     [[nodiscard]] TimePoint configValidUntil(Duration age, TimePoint now) const;
 
     /// Routes a sibling's message to its handler; one overload per message type.
@@ -123,7 +123,8 @@
     MetricRegistry &metrics_;
     std::atomic<Readiness> readiness_ { Readiness::Starting };
     bool isLeaving_ = false;
-    const std::shared_ptr<ConfigValidity> configValidity_ = std::make_shared<ConfigValidity>();
+    const Addressing addressing_;
+    const std::shared_ptr<ConfigValidity> configValidity_;
 
     ConfigState config_;
     std::uint64_t publishedDigest_ = 0;
