Log the catalogue's revision with a refusal

Joins the log line of refusals with the version of the catalogue that the configuration keeps now: config_revision is the highest of all kinds and does not tell which routes decided. CallerServiceTest checks the field.

--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -57,6 +57,8 @@
     line.add("config", toString(view.configKnowledge(now)))
         .add("config_generation", generationOf(revision).value_)
         .add("config_revision", revisionOf(revision));
+    if (view.configuration_->hasCatalogue_)
+        line.add("catalogue_revision", revisionOf(view.configuration_->catalogueVersion_));
     if (const auto age = view.configValidity_->age(now))
         line.add("config_age_ms", static_cast<std::int64_t>(toMilliseconds(*age)));
 }
--- a/tests/CallerServiceTest.cpp
+++ b/tests/CallerServiceTest.cpp
@@ -59,6 +59,7 @@
         auto configuration = std::make_shared<Configuration>();
         configuration->hasCatalogue_ = true;
         configuration->revision_ = makeVersion(Generation { 2 }, 417);
+        configuration->catalogueVersion_ = makeVersion(Generation { 2 }, 400);
         auto view = std::make_shared<TrafficView>();
         view->configuration_ = configuration;
         view->routing_ = std::make_shared<RoutingTable>();
@@ -101,6 +102,7 @@
     EXPECT_EQ(noMatch["config"], "current");
     EXPECT_EQ(noMatch["config_generation"], 2);
     EXPECT_EQ(noMatch["config_revision"], 417);
+    EXPECT_EQ(noMatch["catalogue_revision"], 400);
     EXPECT_GE(noMatch["config_age_ms"], 100);
 
     EXPECT_EQ(refusalAt(viewOfAge(kChangeDeadline)).reason_, RefusalReason::ConfigurationStale);
@@ -137,7 +139,8 @@
     route.access_ = Access::Team;
     route.timeout_ = 2s;
     route.services_ = { { north.name_, 1 } };
-    configuration->virtualHosts_["huts.example"] = { route };
+    configuration->virtualHosts_
+        = std::make_shared<const VirtualHosts>(VirtualHosts { { "huts.example", { route } } });
     RoutingTableBuilder builder;
     view->routing_ = builder.build(*configuration, FleetState {}, BootClock::now());
     view->configuration_ = configuration;
--- a/tests/CatalogueWireTest.cpp
+++ b/tests/CatalogueWireTest.cpp
@@ -43,7 +43,7 @@
         ASSERT_EQ(state.apply(eventOf(catalogueOn("a.example"), 9)), ApplyResult::Applied);
         EXPECT_EQ(state.apply(eventOf(members, 10)), ApplyResult::Rejected) << members;
         EXPECT_TRUE(state.configuration()->hasCatalogue_) << members;
-        EXPECT_TRUE(state.configuration()->virtualHosts_.contains("a.example")) << members;
+        EXPECT_TRUE(state.configuration()->virtualHosts_->contains("a.example")) << members;
     }
 }
 
