Tests: a bad version is reported, kept out whole, and not confirmed

Operators saw no line for some objects that a host could not read, and callers would be answered 404 on every route after a catalogue entry without `Spec`.

--- a/tests/HostRegistrarTest.cpp
+++ b/tests/HostRegistrarTest.cpp
@@ -1,7 +1,7 @@
 #include "src/daemon/HostRegistrar.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "tests/fakes/FakeObjectStore.h"
-#include "tests/fakes/NullLog.h"
+#include "tests/fakes/RecordingLog.h"
 
 #include <gtest/gtest.h>
 
@@ -48,7 +48,7 @@
     MemberUpdate self_;
     FakeObjectStore store_;
     ConfigState config_;
-    NullLog log_;
+    RecordingLog log_;
     std::vector<std::function<void()>> later_;
     std::unique_ptr<HostRegistrar> registrar_;
 };
@@ -160,4 +160,40 @@
     EXPECT_TRUE(store_.find(refOf("a")).deleted_);
 }
 
+// Guards against an entry of a host that is gone staying in the store, with no line that says why.
+TEST_F(HostRegistrarTest, LogsARemovalThatFails)
+{
+    registrar_->start();
+    add("gone");
+    store_.loseWrites_ = 1;
+    const std::set<HostName> view { HostName("a") };
+    const TimePoint now { 1h };
+    registrar_->removeAbsent(*config_.configuration(), view, now);
+    registrar_->removeAbsent(*config_.configuration(), view, now + 4s);
+    registrar_->removeAbsent(*config_.configuration(), view, now + HostRegistrar::kAbsenceTimeout);
+    EXPECT_EQ(log_.count({ "host-removal-failed", R"("host":"gone")", "lost" }), 1U);
+    EXPECT_EQ(log_.count({ "host-removed" }), 0U);
+}
+
+// Guards against a removal that is lost without a line: another host has written the entry since.
+TEST_F(HostRegistrarTest, LogsARemovalThatTheStoreRefuses)
+{
+    registrar_->start();
+    const EntryHost entry { HostName("a"), Incarnation { 8 }, ZoneName("north"),
+                            Address { "10.0.0.9", 7100 } };
+    store_.set(refOf("a"), formatEntryHost(entry));
+    bool isDone = false;
+    registrar_->unregister([&] { isDone = true; });
+    EXPECT_TRUE(isDone);
+    EXPECT_EQ(log_.count({ "host-removal-failed", R"("host":"a")", "another version" }), 1U);
+}
+
+// Guards against a host that is missing from the store with no line that says why: its write fails.
+TEST_F(HostRegistrarTest, LogsAWriteThatFails)
+{
+    store_.loseWrites_ = 1;
+    registrar_->start();
+    EXPECT_EQ(log_.count({ "registration-failed", "lost" }), 1U);
+}
+
 } // namespace
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -231,6 +231,26 @@
     EXPECT_FALSE(control_.agreesWithMajority(kStart + 10s));
 }
 
+// Guards against a fleet that counts its agreement as a confirmation although no host of it could
+// read the version that the store has.
+TEST_F(MemberControlTest, AMajorityThatRejectedAVersionDoesNotConfirm)
+{
+    ListedHost listed;
+    listed.kind_ = HostKind::Entry;
+    listed.name_ = "host-1";
+    control_.updateListed({ listed });
+    config_.apply({ { ObjectKind::Zone, "north" }, Version { 6 }, false, "[]" });
+    control_.tick(kStart);
+    const Probe probe = sent_.lastProbe();
+    control_.onMessage(other_.member_.host_, answerTo(probe, 100ms), kStart + 1ms);
+    EXPECT_FALSE(control_.agreesWithMajority(kStart + 1ms));
+    config_.apply({ { ObjectKind::Zone, "north" }, Version { 7 }, true, {} });
+    control_.tick(kStart + 1s);
+    const Probe next = sent_.lastProbe();
+    control_.onMessage(other_.member_.host_, answerTo(next, 100ms), kStart + 1001ms);
+    EXPECT_TRUE(control_.agreesWithMajority(kStart + 1001ms));
+}
+
 // While a change spreads over 69 hosts, their digests differ briefly. Guards against each host
 // pulling all objects from others every 50 ms: the replies saturated the links that the change
 // itself needed.
--- a/tests/OddEntryTest.cpp
+++ b/tests/OddEntryTest.cpp
@@ -1,3 +1,4 @@
+#include "pimentostage/platform/ConfigState.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "platform/StoreWire.h"
 #include "src/base/EventLoop.h"
@@ -243,3 +244,162 @@
             << list;
     }
 }
+
+namespace {
+
+const char *const kUsualCatalogue = R"({"Version":7,
+    "Services":[{"Name":"huts","Sharded":false,"HealthCheckPath":"/health","MaxConnections":110,
+        "WarmupS":3.0,"WarmupPerS":6.6}],
+    "Tenants":[{"Name":"caxias","ApiKeys":["secret"],"Priority":1,"RatePerS":81,"Burst":40}],
+    "VirtualHosts":[{"Host":"a.example","Paths":[
+        {"Name":"r1","PathPrefix":"/x/","RouteType":"safe","TimeoutMs":1000,"TargetLatencyMs":500,
+         "Priority":2,"MaxAttempts":2,"Public":false,
+         "WeightedClusters":[{"Service":"huts","Weight":90}]}]}]})";
+
+/// @return the one object in a reply of the store that holds @p entry.
+StoredObject storedFrom(const char *kind, const std::string &entry)
+{
+    const auto events = wire::parseEvents(kind, eventsOf({ entry }));
+    EXPECT_TRUE(events && events->objects_.size() == 1) << entry;
+    return events && events->objects_.size() == 1 ? events->objects_.front() : StoredObject {};
+}
+
+/// Applies the usual catalogue and after it the one in @p entry.
+/// @return the result of the second; Applied also if it deletes the first.
+ApplyResult resultAfterUsual(const std::string &entry, ConfigState &state)
+{
+    StoredObject usual = storedFrom("config", item("main", kUsualCatalogue));
+    usual.version_ = Version { 5 };
+    EXPECT_EQ(state.apply(usual), ApplyResult::Applied);
+    return state.apply(storedFrom("config", entry));
+}
+
+/// A change that makes a catalogue one that must not come into force.
+struct OddField
+{
+    const char *from_; ///< text in kUsualCatalogue
+    const char *to_; ///< what replaces it
+};
+
+constexpr OddField kOddFields[] = {
+    { R"("Services":[)", R"("Services":7,"A":[)" },
+    { R"("Services":[)", R"("A":[)" },
+    { R"("Services":[)", R"("Services":null,"A":[)" },
+    { R"("Services":[)", R"("Services":[7,)" },
+    { R"("Name":"huts")", R"("Name":7)" },
+    { R"("Name":"huts")", R"("A":7)" },
+    { R"("Sharded":false)", R"("Sharded":"false")" },
+    { R"("HealthCheckPath":"/health")", R"("HealthCheckPath":7)" },
+    { R"("MaxConnections":110)", R"("MaxConnections":"110")" },
+    { R"("MaxConnections":110)", R"("MaxConnections":-1)" },
+    { R"("MaxConnections":110)", R"("MaxConnections":1e30)" },
+    { R"("WarmupS":3.0)", R"("WarmupS":"3")" },
+    { R"("WarmupS":3.0)", R"("WarmupS":-3)" },
+    { R"("WarmupS":3.0)", R"("WarmupS":1e30)" },
+    { R"("WarmupPerS":6.6)", R"("WarmupPerS":[])" },
+    { R"("WarmupPerS":6.6)", R"("WarmupPerS":-6)" },
+    { R"("Tenants":[)", R"("Tenants":{},"A":[)" },
+    { R"("Tenants":[)", R"("A":[)" },
+    { R"("Tenants":[)", R"("Tenants":["x",)" },
+    { R"("Name":"caxias")", R"("Name":[])" },
+    { R"("Name":"caxias")", R"("A":7)" },
+    { R"("ApiKeys":["secret"])", R"("ApiKeys":"secret")" },
+    { R"("ApiKeys":["secret"])", R"("ApiKeys":["secret",7])" },
+    { R"("Priority":1)", R"("Priority":"1")" },
+    { R"("Priority":1)", R"("Priority":-1)" },
+    { R"("RatePerS":81)", R"("RatePerS":"81")" },
+    { R"("RatePerS":81)", R"("RatePerS":-81)" },
+    { R"("RatePerS":81)", R"("RatePerS":1e300)" },
+    { R"("Burst":40)", R"("Burst":"40")" },
+    { R"("Burst":40)", R"("Burst":-1)" },
+    { R"("VirtualHosts":[)", R"("VirtualHosts":{},"A":[)" },
+    { R"("VirtualHosts":[)", R"("A":[)" },
+    { R"("VirtualHosts":[)", R"("VirtualHosts":null,"A":[)" },
+    { R"("VirtualHosts":[)", R"("VirtualHosts":[7,)" },
+    { R"("Host":"a.example")", R"("Host":7)" },
+    { R"("Host":"a.example")", R"("A":7)" },
+    { R"("Paths":[)", R"("Paths":7,"A":[)" },
+    { R"("Paths":[)", R"("A":[)" },
+    { R"("Paths":[)", R"("Paths":[null,)" },
+    { R"("Name":"r1")", R"("Name":7)" },
+    { R"("Name":"r1")", R"("A":7)" },
+    { R"("PathPrefix":"/x/")", R"("PathPrefix":7)" },
+    { R"("PathPrefix":"/x/")", R"("PathPrefix":"x")" },
+    { R"("PathPrefix":"/x/")", R"("A":7)" },
+    { R"("RouteType":"safe")", R"("RouteType":7)" },
+    { R"("TimeoutMs":1000)", R"("TimeoutMs":"1000")" },
+    { R"("TimeoutMs":1000)", R"("TimeoutMs":1e300)" },
+    { R"("TimeoutMs":1000)", R"("TimeoutMs":-1)" },
+    { R"("TimeoutMs":1000)", R"("A":7)" },
+    { R"("TargetLatencyMs":500)", R"("TargetLatencyMs":"500")" },
+    { R"("TargetLatencyMs":500)", R"("TargetLatencyMs":-500)" },
+    { R"("Priority":2)", R"("Priority":"2")" },
+    { R"("Priority":2)", R"("Priority":-2)" },
+    { R"("MaxAttempts":2)", R"("MaxAttempts":"2")" },
+    { R"("MaxAttempts":2)", R"("MaxAttempts":0)" },
+    { R"("Public":false)", R"("Public":"false")" },
+    { R"("WeightedClusters":[)", R"("WeightedClusters":7,"A":[)" },
+    { R"("WeightedClusters":[)", R"("A":[)" },
+    { R"("WeightedClusters":[)", R"("WeightedClusters":[7,)" },
+    { R"("Service":"huts")", R"("Service":7)" },
+    { R"("Weight":90)", R"("Weight":"90")" },
+    { R"("Weight":90)", R"("Weight":-90)" },
+};
+
+} // namespace
+
+// Guards against a catalogue without a value, or with a value that is no object, that counts as
+// deleted and so clears every route: all callers were answered 404.
+TEST(OddCatalogue, WithoutAReadableValueLeavesTheLastGoodOneInForce)
+{
+    std::vector<std::string> entries {
+        R"({"Metadata":{"Name":"main","Revision":7}})",
+        R"({"Metadata":{"Name":"main","Revision":7},"Status":{}})",
+    };
+    for (const char *spec : { "null", "7", "[]", R"("text")", "true", "{}", "[}" })
+        entries.push_back(item("main", spec));
+    for (const std::string &entry : entries) {
+        ConfigState state;
+        EXPECT_EQ(resultAfterUsual(entry, state), ApplyResult::Rejected) << entry;
+        EXPECT_TRUE(state.configuration()->virtualHosts_.contains("a.example")) << entry;
+        EXPECT_EQ(state.configuration()->keysByHash_.size(), 1U) << entry;
+    }
+}
+
+// Guards against a part of a bad version in force: a rate that is no number meant no limit, and
+// a list that is none removed all routes or all teams.
+TEST(OddCatalogue, IsRejectedWholeForEachOddField)
+{
+    for (const auto &[from, to] : kOddFields) {
+        std::string spec = kUsualCatalogue;
+        const std::size_t position = spec.find(from);
+        ASSERT_NE(position, std::string::npos) << from;
+        spec.replace(position, std::string(from).size(), to);
+        ConfigState state;
+        EXPECT_EQ(resultAfterUsual(item("main", spec), state), ApplyResult::Rejected)
+            << from << " -> " << to;
+        EXPECT_TRUE(state.configuration()->virtualHosts_.contains("a.example")) << to;
+    }
+}
+
+// Guards against a catalogue that is rejected although its optional fields are only missing.
+TEST(OddCatalogue, NeedsNoOptionalField)
+{
+    const char *const spec = R"({"Services":[{"Name":"huts"}],"VirtualHosts":[{"Host":"a.example",
+        "Paths":[{"Name":"r1","PathPrefix":"/","TimeoutMs":900,"Service":"huts","Public":true,
+        "RouteType":null,"WeightedClusters":null}]}]})";
+    ConfigState state;
+    EXPECT_EQ(resultAfterUsual(item("main", spec), state), ApplyResult::Applied);
+    EXPECT_TRUE(state.configuration()->contracts_.empty()) << "all its routes are public";
+}
+
+// Guards against a data centre that is in use again because the entry that takes it out has lost
+// its value, and against a role without a holder for the same reason.
+TEST(OddEntry, WithoutAValueDoesNotCountAsDeletedIfItIsNoBackend)
+{
+    const std::string north = R"({"Metadata":{"Name":"north","Revision":7}})";
+    EXPECT_FALSE(storedFrom("evacuations", north).deleted_);
+    const std::string role = R"({"Metadata":{"Name":"role.accounts","Revision":7}})";
+    EXPECT_FALSE(storedFrom("pimentostage-state", role).deleted_);
+    EXPECT_TRUE(storedFrom("servers", north).deleted_);
+}
