A bad version is kept out whole, reported once, and not confirmed

Operators saw a line for each poll, or none (an entry without a readable version, or a second parse that failed); callers were served an older configuration that counted as confirmed while its successor could be in force on other hosts.

Cause: ConfigState parsed twice and dropped the second error (`[] {}`), and confirm() knew nothing of what had been rejected.

Now an object is parsed once, in apply(); the parsed form (ParsedObject) goes into the configuration, so no later step can fail. The rejected version is kept with its reason (rejected()) until a newer good one or the removal of the object. While one of a confirmed kind stands, neither store, sibling nor majority confirms: the host becomes stale and refuses as "not run"; at a first start it is never ready. The digests contain it, so that hosts without it differ and read the store. RejectedBefore keeps later polls out of the log, and out of the counter pimento_config_rejected_versions_total.

The bound of IsNotConfirmedByAWatch was wrong (it expected a confirmation from the reply's time, not the watch's send time) and is now an exact value.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -3,6 +3,7 @@
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Time.h"
 #include "pimentostage/platform/Configuration.h"
+#include "pimentostage/platform/ObjectCodec.h"
 
 #include <map>
 #include <memory>
@@ -14,7 +15,13 @@
 namespace pimentostage {
 
 /// Result of applying an object version to a ConfigState.
-enum class ApplyResult { Applied, Unchanged, Older, Rejected };
+enum class ApplyResult {
+    Applied,
+    Unchanged,
+    Older,
+    Rejected, ///< invalid, and reported for the first time
+    RejectedBefore, ///< invalid, and this or a newer version was reported as rejected
+};
 
 template <>
 struct EnumTable<ApplyResult>
@@ -24,13 +31,22 @@
         EnumName<ApplyResult> { ApplyResult::Unchanged, "unchanged" },
         EnumName<ApplyResult> { ApplyResult::Older, "older" },
         EnumName<ApplyResult> { ApplyResult::Rejected, "rejected" },
+        EnumName<ApplyResult> { ApplyResult::RejectedBefore, "rejected-before" },
     };
 };
 
+/// A version that this host did not apply. The version in force before it stays in force.
+struct RejectedVersion
+{
+    Version version_; ///< zero if it cannot be read
+    std::string reason_;
+};
+
 /// The newest valid version of each object that this host has received.
 ///
 /// Versions arrive from the store directly or through siblings, in any order. An object never
-/// returns to an older version, and a version that does not parse never replaces a valid one.
+/// returns to an older version, and a version that does not parse never replaces a valid one; while
+/// it stands, this state is not confirmed, since the version may be in force elsewhere.
 /// Versions of different generations of the store are ordered by their writer's position, if it is
 /// known: a restored store has content that is older than what it replaces.
 class ConfigState
@@ -56,7 +72,8 @@
     std::size_t applyListing(const std::vector<StoredObject> &objects, Version revision,
                              const std::set<ObjectKind> &kinds = {});
 
-    /// Records that the store confirmed the objects of the confirmed kinds.
+    /// Records that the store confirmed the objects of the confirmed kinds. Has no effect while a
+    /// rejected version of such an object stands.
     /// @param sentAt when the confirming request was sent.
     void confirm(TimePoint sentAt);
 
@@ -65,7 +82,7 @@
     void adoptRevision(Version revision);
 
     /// Records that the store confirmed a sibling's state. Has no effect unless the state of this
-    /// host has the same confirmedDigest().
+    /// host has the same confirmedDigest(), or while a rejected version of a confirmed kind stands.
     /// @param digest the sibling's confirmedDigest().
     /// @param age age of the sibling's confirmation when it received the request.
     /// @param requestSentAt when this host sent the request that the sibling replied to.
@@ -89,14 +106,27 @@
     /// @return all objects of a version above @p version, deletions included, by ascending version.
     [[nodiscard]] std::vector<StoredObject> changesSince(Version version) const;
 
-    /// @return a hash of the names and versions of all objects; equal on hosts with equal state.
+    /// @return for each object the newest version that was rejected, if neither a newer one was
+    ///         applied since nor the object was removed.
+    [[nodiscard]] const std::map<ObjectRef, RejectedVersion> &rejected() const { return rejected_; }
+    /// @return the number of versions that have been rejected.
+    [[nodiscard]] std::uint64_t rejections() const { return rejections_; }
+    /// @return whether no rejected version of a confirmed kind stands.
+    [[nodiscard]] bool isConfirmable() const;
+
+    /// @return a hash of the names and versions of all objects, and of the rejected versions; equal
+    /// on hosts with equal state.
     [[nodiscard]] std::uint64_t digest() const { return digest_; }
     /// @return as digest(), over the objects of the confirmed kinds.
     [[nodiscard]] std::uint64_t confirmedDigest() const { return confirmedDigest_; }
 
 private:
-    void accept(const StoredObject &object);
-    void toggleDigest(const StoredObject &object);
+    /// @param content of @p object; nothing if it is deleted.
+    void accept(StoredObject object, std::optional<ParsedObject> content);
+    ApplyResult reject(const StoredObject &object, const std::string &reason);
+    void endRejection(const ObjectRef &ref, Version version);
+    void toggleDigest(const ObjectRef &ref, std::uint64_t digest);
+    [[nodiscard]] bool isConfirmed(ObjectKind kind) const;
     void rebuild();
 
     const std::set<ObjectKind> confirmedKinds_;
@@ -106,7 +136,10 @@
     std::optional<TimePoint> confirmedAt_;
     std::uint64_t digest_ = 0;
     std::uint64_t confirmedDigest_ = 0;
-    std::set<ObjectRef> changed_; ///< objects changed since configuration_ was built
+    /// Content of the objects that changed since configuration_ was built; nothing if deleted.
+    std::map<ObjectRef, std::optional<ParsedObject>> changed_;
+    std::map<ObjectRef, RejectedVersion> rejected_;
+    std::uint64_t rejections_ = 0;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -4,6 +4,7 @@
 #include "pimentostage/platform/Objects.h"
 
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace pimentostage {
@@ -26,9 +27,17 @@
 leaf::result<EntryHost> parseEntryHost(const std::string &name, const std::string &value);
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
 
-/// Checks that @p value is valid as the value of @p ref.
-/// @return nothing, or the Error of the matching parse function; of code TooLarge if @p value
+/// The content of an object; one alternative for each ObjectKind, in its order.
+using ParsedObject = std::variant<Service, Contract, TeamKey, Zone, Backend, LostHost, RoleRecord,
+                                  Placement, Catalogue, RangePlacement, EntryHost>;
+
+/// Parses @p value as the value of @p ref.
+/// @return the content, or the Error of the matching parse function; of code TooLarge if @p value
 /// exceeds kMaxObjectBytes.
+leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value);
+
+/// Checks that @p value is valid as the value of @p ref.
+/// @return nothing, or the Error of parseObject().
 leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value);
 
 /// Each format function writes the JSON value that the matching parse function reads.
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -237,6 +237,9 @@
 
 bool MemberControl::agreesWithMajority(TimePoint now) const
 {
+    // Hosts that rejected the same version agree, but none of them has what may be in force.
+    if (!config_.isConfirmable())
+        return false;
     const auto agrees = [&](const auto &entry) {
         const PeerReport &report = entry.second;
         return report.probeSentAt_ + kPeerReportLifetime > now
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -1,9 +1,7 @@
 #include "pimentostage/platform/ConfigState.h"
 
 #include "pimentostage/base/Hash.h"
-#include "pimentostage/platform/CoordinationCodec.h"
 #include "pimentostage/platform/Generation.h"
-#include "pimentostage/platform/ObjectCodec.h"
 
 #include <algorithm>
 #include <array>
@@ -20,40 +18,20 @@
     return object.deleted_ ? 0 : hash64(object.ref_.str(), object.version_.value_);
 }
 
-/// Adds objects of one kind to a configuration and removes them.
-struct KindHandler
+std::uint64_t digestOf(const ObjectRef &ref, const RejectedVersion &rejected)
 {
-    void (*add_)(const StoredObject &, Configuration &);
-    void (*remove_)(const std::string &name, Configuration &);
-    /// Reads the writer's position from the value; nullptr if only the platform's store knows it.
-    WriterPosition (*position_)(const StoredObject &) = nullptr;
-};
+    // Differs from the digest of a host that accepted this version.
+    return hash64(ref.str() + "/rejected", rejected.version_.value_);
+}
 
-/// Handles a kind that the configuration keeps in a map by name.
-template <auto kParse, auto kMember>
-struct ByName
+void clearCatalogue(Configuration &configuration)
 {
-    static void add(const StoredObject &object, Configuration &configuration)
-    {
-        leaf::try_handle_all(
-            [&]() -> leaf::result<void> {
-                BOOST_LEAF_AUTO(parsed, kParse(object.ref_.name_, object.value_));
-                (configuration.*kMember)
-                    .insert_or_assign(Key(object.ref_.name_), std::move(parsed));
-                return {};
-            },
-            [] {});
-    }
-
-    static void remove(const std::string &name, Configuration &configuration)
-    {
-        (configuration.*kMember).erase(Key(name));
-    }
-
-    using Map = std::remove_reference_t<decltype(std::declval<Configuration &>().*kMember)>;
-    using Key = typename Map::key_type;
-    static constexpr KindHandler kHandler { &add, &remove };
-};
+    configuration.services_.clear();
+    configuration.contracts_.clear();
+    configuration.keysByHash_.clear();
+    configuration.virtualHosts_.clear();
+    configuration.hasCatalogue_ = false;
+}
 
 void removeTeamKey(const std::string &name, Configuration &configuration)
 {
@@ -61,136 +39,111 @@
                   [&](const auto &entry) { return entry.second.name_ == name; });
 }
 
-void addTeamKey(const StoredObject &object, Configuration &configuration)
-{
-    // The name may have identified another key before.
-    removeTeamKey(object.ref_.name_, configuration);
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(key, parseTeamKey(object.ref_.name_, object.value_));
-            const std::string hash = key.sha256_;
-            configuration.keysByHash_.emplace(hash, std::move(key));
-            return {};
-        },
-        [] {});
-}
-
-void addPlacement(const StoredObject &object, Configuration &configuration)
+/// Puts the content of one object into a configuration; one overload for each kind.
+struct Adder
 {
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(placement, parsePlacement(object.ref_.name_, object.value_));
-            const ServiceName service = placement.service_;
-            configuration.placements_[service]
-                = std::make_shared<const Placement>(std::move(placement));
-            return {};
-        },
-        [] {});
-}
+    const std::string &name_;
+    Configuration &configuration_;
+
+    void operator()(Service content) const { set(configuration_.services_, std::move(content)); }
+    void operator()(Contract content) const { set(configuration_.contracts_, std::move(content)); }
+    void operator()(Zone content) const { set(configuration_.zones_, std::move(content)); }
+    void operator()(Backend content) const { set(configuration_.backends_, std::move(content)); }
+    void operator()(LostHost content) const { set(configuration_.lostHosts_, std::move(content)); }
+    void operator()(RoleRecord content) const { set(configuration_.roles_, std::move(content)); }
+    void operator()(EntryHost content) const
+    {
+        set(configuration_.entryHosts_, std::move(content));
+    }
 
-void removePlacement(const std::string &name, Configuration &configuration)
-{
-    configuration.placements_.erase(ServiceName(name));
-}
+    void operator()(Placement content) const
+    {
+        set(configuration_.placements_, std::make_shared<const Placement>(std::move(content)));
+    }
 
-void clearCatalogue(const std::string &, Configuration &configuration)
-{
-    configuration.services_.clear();
-    configuration.contracts_.clear();
-    configuration.keysByHash_.clear();
-    configuration.virtualHosts_.clear();
-    configuration.hasCatalogue_ = false;
-}
+    void operator()(RangePlacement content) const
+    {
+        set(configuration_.ranges_, std::make_shared<const RangePlacement>(std::move(content)));
+    }
 
-void setCatalogue(Catalogue catalogue, Configuration &configuration)
-{
-    clearCatalogue("", configuration);
-    configuration.hasCatalogue_ = true;
-    for (Service &service : catalogue.services_)
-        configuration.services_.insert_or_assign(service.name_, std::move(service));
-    for (Contract &contract : catalogue.contracts_)
-        configuration.contracts_.insert_or_assign(contract.team_, std::move(contract));
-    for (TeamKey &key : catalogue.keys_)
-        configuration.keysByHash_.insert_or_assign(key.sha256_, std::move(key));
-    for (Route &route : catalogue.routes_)
-        configuration.virtualHosts_[route.host_].push_back(std::move(route));
-    for (auto &[host, routes] : configuration.virtualHosts_) {
-        std::stable_sort(routes.begin(), routes.end(), [](const Route &a, const Route &b) {
-            return a.prefix_.size() > b.prefix_.size();
-        });
+    void operator()(TeamKey content) const
+    {
+        // The name may have identified another key before.
+        removeTeamKey(name_, configuration_);
+        const std::string hash = content.sha256_;
+        configuration_.keysByHash_.emplace(hash, std::move(content));
     }
-}
 
-void addCatalogue(const StoredObject &object, Configuration &configuration)
-{
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(catalogue, parseCatalogue(object.ref_.name_, object.value_));
-            setCatalogue(std::move(catalogue), configuration);
-            return {};
-        },
-        [] {});
-}
+    void operator()(Catalogue content) const
+    {
+        clearCatalogue(configuration_);
+        configuration_.hasCatalogue_ = true;
+        for (Service &service : content.services_)
+            configuration_.services_.insert_or_assign(service.name_, std::move(service));
+        for (Contract &contract : content.contracts_)
+            configuration_.contracts_.insert_or_assign(contract.team_, std::move(contract));
+        for (TeamKey &key : content.keys_)
+            configuration_.keysByHash_.insert_or_assign(key.sha256_, std::move(key));
+        for (Route &route : content.routes_)
+            configuration_.virtualHosts_[route.host_].push_back(std::move(route));
+        for (auto &[host, routes] : configuration_.virtualHosts_) {
+            std::stable_sort(routes.begin(), routes.end(), [](const Route &a, const Route &b) {
+                return a.prefix_.size() > b.prefix_.size();
+            });
+        }
+    }
 
-void addRanges(const StoredObject &object, Configuration &configuration)
-{
-    leaf::try_handle_all(
-        [&]() -> leaf::result<void> {
-            BOOST_LEAF_AUTO(ranges, parseRangePlacement(object.ref_.name_, object.value_));
-            const ServiceName service = ranges.service_;
-            configuration.ranges_[service]
-                = std::make_shared<const RangePlacement>(std::move(ranges));
-            return {};
-        },
-        [] {});
-}
+private:
+    template <typename Map>
+    void set(Map &map, typename Map::mapped_type content) const
+    {
+        map.insert_or_assign(typename Map::key_type(name_), std::move(content));
+    }
+};
 
-void removeRanges(const std::string &name, Configuration &configuration)
-{
-    configuration.ranges_.erase(ServiceName(name));
-}
+using Remove = void (*)(const std::string &name, Configuration &configuration);
 
-WriterPosition rolePosition(const StoredObject &object)
+template <auto kMember>
+void removeByName(const std::string &name, Configuration &configuration)
 {
-    return valueOr(
-        [&]() -> leaf::result<WriterPosition> {
-            BOOST_LEAF_AUTO(record, parseRoleRecord(object.ref_.name_, object.value_));
-            return WriterPosition { record.epoch_.value_, 0 };
-        },
-        [](const Error &) { return WriterPosition {}; });
+    using Map = std::remove_reference_t<decltype(configuration.*kMember)>;
+    (configuration.*kMember).erase(typename Map::key_type(name));
 }
 
-WriterPosition rangesPosition(const StoredObject &object)
+void removeCatalogue(const std::string &, Configuration &configuration)
 {
-    return valueOr(
-        [&]() -> leaf::result<WriterPosition> {
-            BOOST_LEAF_AUTO(ranges, parseRangePlacement(object.ref_.name_, object.value_));
-            return WriterPosition { ranges.roleEpoch_.value_, ranges.epoch_.value_ };
-        },
-        [](const Error &) { return WriterPosition {}; });
+    clearCatalogue(configuration);
 }
 
 // One row for each ObjectKind, in its order.
-constexpr std::array<KindHandler, kEnumCount<ObjectKind>> kHandlers {
-    ByName<&parseService, &Configuration::services_>::kHandler,
-    ByName<&parseContract, &Configuration::contracts_>::kHandler,
-    KindHandler { &addTeamKey, &removeTeamKey },
-    ByName<&parseZone, &Configuration::zones_>::kHandler,
-    ByName<&parseBackend, &Configuration::backends_>::kHandler,
-    ByName<&parseLostHost, &Configuration::lostHosts_>::kHandler,
-    KindHandler { &ByName<&parseRoleRecord, &Configuration::roles_>::add,
-                  &ByName<&parseRoleRecord, &Configuration::roles_>::remove, &rolePosition },
-    KindHandler { &addPlacement, &removePlacement },
-    KindHandler { &addCatalogue, &clearCatalogue },
-    KindHandler { &addRanges, &removeRanges, &rangesPosition },
-    ByName<&parseEntryHost, &Configuration::entryHosts_>::kHandler,
+constexpr std::array<Remove, kEnumCount<ObjectKind>> kRemove {
+    &removeByName<&Configuration::services_>,
+    &removeByName<&Configuration::contracts_>,
+    &removeTeamKey,
+    &removeByName<&Configuration::zones_>,
+    &removeByName<&Configuration::backends_>,
+    &removeByName<&Configuration::lostHosts_>,
+    &removeByName<&Configuration::roles_>,
+    &removeByName<&Configuration::placements_>,
+    &removeCatalogue,
+    &removeByName<&Configuration::ranges_>,
+    &removeByName<&Configuration::entryHosts_>,
 };
 
-WriterPosition positionOf(const StoredObject &object)
+/// @return whether the value of an object of @p kind holds the writer's position.
+bool hasPositionInValue(ObjectKind kind)
 {
-    const KindHandler &handler = kHandlers.at(static_cast<std::size_t>(object.ref_.kind_));
-    const bool isInValue = handler.position_ && !object.deleted_ && object.position_.isUnknown();
-    return isInValue ? handler.position_(object) : object.position_;
+    return kind == ObjectKind::Role || kind == ObjectKind::RangePlacement;
+}
+
+/// @return the writer's position in @p content; unknown if only the platform's store knows it.
+WriterPosition positionIn(const ParsedObject &content)
+{
+    if (const auto *record = std::get_if<RoleRecord>(&content))
+        return WriterPosition { record->epoch_.value_, 0 };
+    if (const auto *ranges = std::get_if<RangePlacement>(&content))
+        return WriterPosition { ranges->roleEpoch_.value_, ranges->epoch_.value_ };
+    return {};
 }
 
 /// @return whether @p object is older than @p current, another version of the same object.
@@ -198,13 +151,11 @@
 {
     if (generationOf(object.version_) == generationOf(current.version_))
         return object.version_ < current.version_;
-    const WriterPosition position = positionOf(object);
-    const WriterPosition currentPosition = positionOf(current);
-    if (position.isUnknown() || currentPosition.isUnknown())
+    if (object.position_.isUnknown() || current.position_.isUnknown())
         return object.version_ < current.version_;
     // A restored store may again have what was deleted, at the position of the deletion.
-    return std::tie(position, object.deleted_, object.version_)
-           < std::tie(currentPosition, current.deleted_, current.version_);
+    return std::tie(object.position_, object.deleted_, object.version_)
+           < std::tie(current.position_, current.deleted_, current.version_);
 }
 
 } // namespace
@@ -222,27 +173,43 @@
     const bool deletesCurrent
         = object.deleted_ && current && !current->deleted_ && object.version_ == currentVersion;
     if (deletesCurrent) {
-        accept(StoredObject { object.ref_, currentVersion.next(), true, {} });
+        accept(StoredObject { object.ref_, currentVersion.next(), true, {} }, std::nullopt);
         return ApplyResult::Applied;
     }
-    if (object.version_ == currentVersion)
+    const bool hasVersion = object.deleted_ || object.version_ > Version {};
+    if (hasVersion && object.version_ == currentVersion) {
+        endRejection(object.ref_, object.version_);
         return ApplyResult::Unchanged;
-    if (current && isOlder(object, *current))
+    }
+    StoredObject next = object;
+    std::optional<ParsedObject> content;
+    std::string reason = hasVersion ? "" : "version is missing or cannot be read";
+    const bool isOrderKnown
+        = object.deleted_ || !object.position_.isUnknown() || !hasPositionInValue(object.ref_.kind_)
+          || (current && generationOf(object.version_) == generationOf(current->version_));
+    if (hasVersion && current && isOrderKnown && isOlder(next, *current))
         return ApplyResult::Older;
-    if (!object.deleted_) {
-        const std::string parseError = valueOr(
+    if (hasVersion && !object.deleted_) {
+        const auto standing = rejected_.find(object.ref_);
+        if (standing != rejected_.end() && standing->second.version_ == object.version_)
+            return reject(object, standing->second.reason_);
+        reason = valueOr(
             [&]() -> leaf::result<std::string> {
-                BOOST_LEAF_CHECK(checkObject(object.ref_, object.value_));
+                BOOST_LEAF_ASSIGN(content, parseObject(object.ref_, object.value_));
                 return std::string();
             },
-            [](const Error &reason) { return reason.describe(); });
-        if (!parseError.empty()) {
-            if (error)
-                *error = parseError;
-            return ApplyResult::Rejected;
-        }
+            [](const Error &failure) { return failure.describe(); });
     }
-    accept(object);
+    if (content && next.position_.isUnknown())
+        next.position_ = positionIn(*content);
+    if (hasVersion && current && isOlder(next, *current))
+        return ApplyResult::Older;
+    if (!reason.empty()) {
+        if (error)
+            *error = reason;
+        return reject(object, reason);
+    }
+    accept(std::move(next), std::move(content));
     return ApplyResult::Applied;
 }
 
@@ -254,25 +221,60 @@
     return wasDeleted ? ApplyResult::Older : apply(object, error);
 }
 
-void ConfigState::accept(const StoredObject &object)
+void ConfigState::accept(StoredObject object, std::optional<ParsedObject> content)
 {
-    const auto [entry, isNew] = objects_.try_emplace(object.ref_, object);
-    if (!isNew) {
-        const WriterPosition lastPosition = positionOf(entry->second);
-        toggleDigest(entry->second);
-        entry->second = object;
+    endRejection(object.ref_, object.version_);
+    const auto entry = objects_.find(object.ref_);
+    if (entry != objects_.end()) {
+        toggleDigest(object.ref_, digestOf(entry->second));
         if (object.deleted_ && object.position_.isUnknown())
-            entry->second.position_ = lastPosition;
+            object.position_ = entry->second.position_;
     }
-    toggleDigest(object);
-    changed_.insert(object.ref_);
+    toggleDigest(object.ref_, digestOf(object));
+    changed_.insert_or_assign(object.ref_, std::move(content));
+    objects_.insert_or_assign(object.ref_, std::move(object));
+}
+
+ApplyResult ConfigState::reject(const StoredObject &object, const std::string &reason)
+{
+    const auto [entry, isNew]
+        = rejected_.try_emplace(object.ref_, RejectedVersion { object.version_, reason });
+    if (!isNew) {
+        if (object.version_ <= entry->second.version_)
+            return ApplyResult::RejectedBefore;
+        toggleDigest(object.ref_, digestOf(object.ref_, entry->second));
+        entry->second = RejectedVersion { object.version_, reason };
+    }
+    toggleDigest(object.ref_, digestOf(object.ref_, entry->second));
+    ++rejections_;
+    return ApplyResult::Rejected;
+}
+
+/// Ends the rejection of @p ref if it is not newer than @p version, which is in force.
+void ConfigState::endRejection(const ObjectRef &ref, Version version)
+{
+    const auto entry = rejected_.find(ref);
+    if (entry == rejected_.end() || entry->second.version_ > version)
+        return;
+    toggleDigest(ref, digestOf(ref, entry->second));
+    rejected_.erase(entry);
 }
 
-void ConfigState::toggleDigest(const StoredObject &object)
+bool ConfigState::isConfirmed(ObjectKind kind) const
+{
+    return confirmedKinds_.empty() || confirmedKinds_.contains(kind);
+}
+
+bool ConfigState::isConfirmable() const
+{
+    return std::none_of(rejected_.begin(), rejected_.end(),
+                        [&](const auto &entry) { return isConfirmed(entry.first.kind_); });
+}
+
+void ConfigState::toggleDigest(const ObjectRef &ref, std::uint64_t digest)
 {
-    const std::uint64_t digest = digestOf(object);
     digest_ ^= digest;
-    if (confirmedKinds_.empty() || confirmedKinds_.contains(object.ref_.kind_))
+    if (isConfirmed(ref.kind_))
         confirmedDigest_ ^= digest;
 }
 
@@ -294,13 +296,21 @@
             removed.push_back(StoredObject { ref, revision, true, {} });
     }
     for (const StoredObject &object : removed)
-        accept(object);
+        accept(object, std::nullopt);
+    std::vector<ObjectRef> gone;
+    for (const auto &[ref, rejection] : rejected_) {
+        const bool isOfKind = kinds.empty() || kinds.contains(ref.kind_);
+        if (isOfKind && rejection.version_ < revision && !listed.contains(ref))
+            gone.push_back(ref);
+    }
+    for (const ObjectRef &ref : gone)
+        endRejection(ref, revision);
     return changes + removed.size();
 }
 
 void ConfigState::confirm(TimePoint sentAt)
 {
-    if (!confirmedAt_ || *confirmedAt_ < sentAt)
+    if (isConfirmable() && (!confirmedAt_ || *confirmedAt_ < sentAt))
         confirmedAt_ = sentAt;
 }
 
@@ -329,18 +339,15 @@
     return configuration_;
 }
 
-// Parses only the changed objects.
 void ConfigState::rebuild()
 {
     auto next = std::make_shared<Configuration>(*configuration_);
-    for (const ObjectRef &ref : changed_) {
-        const StoredObject &object = objects_.at(ref);
-        const KindHandler &handler = kHandlers.at(static_cast<std::size_t>(ref.kind_));
-        next->revision_ = std::max(next->revision_, object.version_);
-        if (object.deleted_)
-            handler.remove_(ref.name_, *next);
+    for (auto &[ref, content] : changed_) {
+        next->revision_ = std::max(next->revision_, versionOf(ref));
+        if (content)
+            std::visit(Adder { ref.name_, *next }, std::move(*content));
         else
-            handler.add_(object, *next);
+            kRemove.at(static_cast<std::size_t>(ref.kind_))(ref.name_, *next);
     }
     configuration_ = std::move(next);
     changed_.clear();
--- a/src/platform/ConfigUpdate.cpp
+++ b/src/platform/ConfigUpdate.cpp
@@ -2,6 +2,8 @@
 
 #include "pimentostage/platform/Generation.h"
 
+#include <algorithm>
+
 namespace pimentostage {
 
 void applyObjects(const std::vector<StoredObject> &objects, ObjectOrigin origin, ConfigState &state,
@@ -24,10 +26,26 @@
             .add("generation", generationOf(object.version_).value_)
             .add("version", revisionOf(object.version_))
             .add("result", toString(result));
-        if (isRejected)
-            line.add("error", error);
+        if (isRejected) {
+            const StoredObject *inForce = state.find(object.ref_);
+            line.add("error", error)
+                .add("in_force", inForce && !inForce->deleted_ ? revisionOf(inForce->version_)
+                                                               : std::uint64_t { 0 })
+                .add("is_confirmable", state.isConfirmable());
+        }
         log.write(line);
     }
 }
 
+void updateRejectionMetrics(const ConfigState &state, MetricRegistry &metrics)
+{
+    metrics
+        .gauge("pimento_config_rejected_objects",
+               "Objects whose newest version this host has rejected and not applied.")
+        .set(static_cast<double>(state.rejected().size()));
+    Counter &counter = metrics.counter("pimento_config_rejected_versions_total",
+                                       "Object versions that this host has rejected.");
+    counter.add(state.rejections() - std::min(counter.value(), state.rejections()));
+}
+
 } // namespace pimentostage
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -3,6 +3,7 @@
 #include "pimentostage/platform/CoordinationCodec.h"
 #include "src/platform/ObjectReader.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <arpa/inet.h>
@@ -240,7 +241,7 @@
     ObjectReader reader({ ObjectKind::Catalogue, name }, value);
     Catalogue catalogue;
     std::size_t index = 0;
-    for (const Json &item : reader.array("services")) {
+    for (const Json &item : reader.requiredArray("services")) {
         ObjectReader row = reader.child(item, "services", index++);
         Service service;
         service.name_ = ServiceName(row.requiredText("name"));
@@ -249,14 +250,18 @@
         catalogue.services_.push_back(service);
     }
     index = 0;
-    for (const Json &item : reader.array("routes")) {
+    for (const Json &item : reader.requiredArray("routes")) {
         Route route = readRoute(reader.child(item, "routes", index++));
         if (route.host_.empty() && route.services_.empty())
             reader.addError("routes", "must name at least one service each");
         catalogue.routes_.push_back(std::move(route));
     }
     index = 0;
-    for (const Json &item : reader.array("teams"))
+    // Without the list, no key would be valid any more; a catalogue of open routes needs none.
+    const bool needsTeams
+        = std::any_of(catalogue.routes_.begin(), catalogue.routes_.end(),
+                      [](const Route &route) { return route.access_ == Access::Team; });
+    for (const Json &item : needsTeams ? reader.requiredArray("teams") : reader.array("teams"))
         readTeam(reader.child(item, "teams", index++), catalogue);
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
@@ -299,30 +304,37 @@
 namespace {
 
 template <auto kParse>
-leaf::result<void> check(const std::string &name, const std::string &value)
+leaf::result<ParsedObject> parse(const std::string &name, const std::string &value)
 {
-    BOOST_LEAF_CHECK(kParse(name, value));
-    return {};
+    BOOST_LEAF_AUTO(content, kParse(name, value));
+    return ParsedObject(std::move(content));
 }
 
-using CheckObject = leaf::result<void> (*)(const std::string &, const std::string &);
+using ParseObject = leaf::result<ParsedObject> (*)(const std::string &, const std::string &);
 
 // One row for each ObjectKind, in its order.
-constexpr std::array<CheckObject, kEnumCount<ObjectKind>> kCheckObject {
-    &check<&parseService>,        &check<&parseContract>,  &check<&parseTeamKey>,
-    &check<&parseZone>,           &check<&parseBackend>,   &check<&parseLostHost>,
-    &check<&parseRoleRecord>,     &check<&parsePlacement>, &check<&parseCatalogue>,
-    &check<&parseRangePlacement>, &check<&parseEntryHost>,
+constexpr std::array<ParseObject, kEnumCount<ObjectKind>> kParseObject {
+    &parse<&parseService>,        &parse<&parseContract>,  &parse<&parseTeamKey>,
+    &parse<&parseZone>,           &parse<&parseBackend>,   &parse<&parseLostHost>,
+    &parse<&parseRoleRecord>,     &parse<&parsePlacement>, &parse<&parseCatalogue>,
+    &parse<&parseRangePlacement>, &parse<&parseEntryHost>,
 };
+static_assert(std::variant_size_v<ParsedObject> == kEnumCount<ObjectKind>);
 
 } // namespace
 
-leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value)
+leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value)
 {
     if (value.size() > kMaxObjectBytes)
         return fail(Error { Step::ParseObject, Peer { PeerKind::Platform, ref.str() },
                             ErrorCode::TooLarge, std::to_string(value.size()) + " bytes" });
-    return kCheckObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+    return kParseObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+}
+
+leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value)
+{
+    BOOST_LEAF_CHECK(parseObject(ref, value));
+    return {};
 }
 
 namespace {
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -160,6 +160,14 @@
         return *value;
     }
 
+    /// As array(), but a missing field is an error.
+    nlohmann::json requiredArray(const char *field)
+    {
+        if (!find(field))
+            addError(field, "must be an array");
+        return array(field);
+    }
+
     ObjectReader child(const nlohmann::json &json, const char *field, std::size_t index)
     {
         return { this, json, path_ + field + '[' + std::to_string(index) + "]." };
--- a/tests/RejectedVersionTest.cpp
+++ b/tests/RejectedVersionTest.cpp
@@ -183,8 +183,31 @@
     EXPECT_EQ(log.count({ R"("result":"rejected")" }), 1U);
     store.set(ref, catalogue(0, "permits").value_);
     events.runUntil(4s, [] {});
-    EXPECT_LT(state.age(now()), 1100ms);
+    // A reply confirms from when its watch was sent: after the reply with the bad version.
+    EXPECT_EQ(state.age(now()), 4s - 1001ms);
     EXPECT_TRUE(isInForce(state, "permits"));
 }
 
+// Guards against rejected versions that no metric shows, and against counting one for each poll.
+TEST(RejectedVersion, IsCountedOnce)
+{
+    ConfigState state;
+    MetricRegistry metrics;
+    const auto shows = [&](const std::string &line) {
+        updateRejectionMetrics(state, metrics);
+        return metrics.exposition().find(line + '\n') != std::string::npos;
+    };
+    state.apply(catalogue(5, "huts"));
+    EXPECT_TRUE(shows("pimento_config_rejected_versions_total 0"));
+    for (int poll = 0; poll < 3; ++poll) {
+        state.apply(badCatalogue(6));
+        EXPECT_TRUE(shows("pimento_config_rejected_versions_total 1"));
+        EXPECT_TRUE(shows("pimento_config_rejected_objects 1"));
+    }
+    state.apply(badCatalogue(7));
+    state.apply(catalogue(8, "huts"));
+    EXPECT_TRUE(shows("pimento_config_rejected_versions_total 2"));
+    EXPECT_TRUE(shows("pimento_config_rejected_objects 0"));
+}
+
 } // namespace
