HostRegistrar logs writes and removals that fail

Operators saw no line when the removal of an entry host, or its own registration, failed; the entry stayed and later holders waited for its leases.

Cause: the replies' errors were dropped. Now `host-removal-failed` and `registration-failed` have the error, or say that the store has another version.

--- a/src/daemon/HostRegistrar.cpp
+++ b/src/daemon/HostRegistrar.cpp
@@ -19,6 +19,13 @@
     return EntryHost { self.member_.host_, self.member_.incarnation_, self.zone_, self.address_ };
 }
 
+/// @return why the store did not write; @p reply must not be that of a write that took effect.
+std::string reasonOf(const Reply<WriteResult> &reply)
+{
+    const auto *error = std::get_if<Error>(&reply);
+    return error ? error->describe() : "the store has another version";
+}
+
 } // namespace
 
 HostRegistrar::HostRegistrar(const MemberUpdate &self, ObjectStore &store,
@@ -84,7 +91,12 @@
     store_.remove(ref, version,
                   [this, ref, version, done = std::move(done)](const Reply<WriteResult> &reply) {
                       const auto *result = std::get_if<WriteResult>(&reply);
-                      if (result && result->written_) {
+                      if (!result || !result->written_) {
+                          log_.write(LogLine(Severity::Warning, "host-removal-failed")
+                                         .add("host", ref.name_)
+                                         .add("expected", version.value_)
+                                         .add("error", reasonOf(reply)));
+                      } else {
                           log_.write(
                               LogLine(Severity::Info, "host-removed").add("host", ref.name_));
                           onWritten_(StoredObject { ref, version, true, {} });
@@ -118,6 +130,7 @@
         onWritten_(*result->current_);
         return;
     }
+    log_.write(LogLine(Severity::Warning, "registration-failed").add("error", reasonOf(reply)));
     const Version expected = result && result->current_ ? result->current_->version_ : Version {};
     runAfter_(backoff_.next(random_), [this, expected] { write(expected); });
 }
