--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -487,6 +487,7 @@
         .set(age ? toSeconds(*age) : -1);
     metrics_.gauge("pimento_config_revision", "Revision of the configuration in force.")
         .set(static_cast<double>(config_.revision().value_));
+    updateRejectionMetrics(config_, metrics_);
     metrics_.gauge("pimento_view_hosts", "Entry hosts believed to be alive, this one included.")
         .set(static_cast<double>(members_.membership().view().size()));
     std::size_t held = 0;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -11,6 +11,20 @@
 
 namespace {
 
+/// @return the rejected versions that stand, by object, each with what is in force instead.
+nlohmann::json rejectedJson(const ConfigState &config)
+{
+    nlohmann::json rows = nlohmann::json::object();
+    for (const auto &[ref, rejected] : config.rejected()) {
+        const StoredObject *inForce = config.find(ref);
+        const bool isInForce = inForce && !inForce->deleted_;
+        rows[ref.str()] = { { "version", rejected.version_.value_ },
+                            { "reason", rejected.reason_ },
+                            { "in_force", isInForce ? inForce->version_.value_ : 0 } };
+    }
+    return rows;
+}
+
 constexpr Duration kLeavePollPeriod = std::chrono::milliseconds(10);
 constexpr Duration kRegistrationEndTimeout = std::chrono::milliseconds(300);
 constexpr Duration kLeaveTimeout = std::chrono::seconds(1);
@@ -162,6 +176,8 @@
                    { "store_connected", core_.isStoreConnected() } };
         if (const auto age = core_.config().age(now))
             status["config_age_ms"] = toMilliseconds(*age);
+        status["config_confirmable"] = core_.config().isConfirmable();
+        status["rejected"] = rejectedJson(core_.config());
         for (const MemberUpdate &member : core_.membership().all()) {
             status["members"][member.member_.host_.str()]
                 = { { "incarnation", member.member_.incarnation_.value_ },
