--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -509,6 +509,7 @@
         .gauge("pimento_catalogue_revision",
                "Revision of the catalogue in force; 0 if there is none.")
         .set(static_cast<double>(revisionOf(config_.configuration()->catalogueVersion_)));
+    updateRejectionMetrics(config_, metrics_);
     metrics_.gauge("pimento_view_hosts", "Entry hosts believed to be alive, this one included.")
         .set(static_cast<double>(members_.membership().view().size()));
     std::size_t held = 0;
