Wait longer before an object is pulled again

Change: the first pull has 1 s for its reply, and the time doubles with each further pull of the same difference, up to 4 s. How much it helps on the site is not measured yet.

--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -78,6 +78,7 @@
     void applyReport(const HostName &from, const std::vector<MemberUpdate> &updates,
                      const ConfigSummary &config, TimePoint now);
     void compareConfig(const HostName &from, const ConfigSummary &config, TimePoint now);
+    void endDifference();
     [[nodiscard]] bool isPullDue(const ConfigSummary &config, TimePoint now) const;
     void logViewChange();
 
@@ -98,6 +99,7 @@
     /// there is no source.
     std::optional<TimePoint> differsSince_;
     TimePoint nextPull_ {};
+    Duration pullTimeout_; ///< after the next pull
 };
 
 } // namespace pimentostage
