--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -20,7 +20,7 @@
 constexpr std::uint32_t kMaxKeySegment = 16;
 constexpr double kMaxRate = 1e9;
 constexpr double kMinTimeoutMs = 1;
-constexpr double kMaxTimeoutMs = 600'000;
+constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
 constexpr double kMaxRampMs = 3'600'000;
 constexpr std::size_t kSha256HexLength = 64;
 
@@ -49,7 +49,7 @@
     if (!route.host_.empty() && route.services_.empty())
         reader.addError("services", "must name at least one service");
     route.method_ = reader.text("method", route.host_.empty() ? "GET" : "");
-    const std::uint32_t kMaxAttempts = 100;
+    const std::uint32_t kMaxAttempts = 1'000'000;
     const std::uint32_t kDefaultAttempts = 3;
     route.maxAttempts_ = reader.count("attempts", kDefaultAttempts, 1, kMaxAttempts);
     const std::uint32_t kMaxPriority = 1'000'000;
--- a/tests/LargeCatalogueTest.cpp
+++ b/tests/LargeCatalogueTest.cpp
@@ -64,8 +64,7 @@
     EXPECT_EQ(configuration->virtualHosts_->at("a.example").size(), config.routes_);
 }
 
-// Guards against hosts that copy thousands of routes for each change of a back end, which keeps
-// them from serving for seconds after a configuration has grown.
+// Guards against hosts that copy the routes of a catalogue for each change of any object.
 TEST(LargeCatalogue, AChangeOfAnotherObjectSharesTheRoutes)
 {
     Catalogue catalogue;
@@ -90,3 +89,20 @@
     EXPECT_TRUE(state.configuration()->virtualHosts_->empty());
     EXPECT_EQ(before->virtualHosts_->size(), 1U) << "a published configuration must not change";
 }
+
+// Guards against a configuration that the store accepted and that every host rejects because one
+// route has a value beyond a limit of this project's own form.
+TEST(LargeCatalogue, ARouteWithALargeValueDoesNotHoldUpTheOthers)
+{
+    const auto page = wire::parsePage(
+        "config",
+        R"({"items":[{"Metadata":{"Name":"main","Revision":9},"Spec":{"Version":7,)"
+        R"("Services":[{"Name":"huts"}],"VirtualHosts":[{"Host":"a.example","Paths":[)"
+        R"({"Name":"a","PathPrefix":"/a/","TimeoutMs":1500,"Service":"huts","MaxAttempts":2},)"
+        R"({"Name":"b","PathPrefix":"/b/","TimeoutMs":700000,"Service":"huts","MaxAttempts":101})"
+        R"(]}]}}],"HasMore":false,"AsOf":9})");
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    ConfigState state;
+    std::string error;
+    EXPECT_EQ(state.apply(page->listing_.objects_.front(), &error), ApplyResult::Applied) << error;
+}
