--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -50,6 +50,27 @@
     return lone.store_.listCalls_;
 }
 
+// Guards against a withdrawn key that stays valid without end: a host that rejects the version
+// which withdraws it must not count its older version as confirmed by the store.
+TEST(ConfigWatcher, DoesNotConfirmAStateThatLacksARejectedVersion)
+{
+    LoneWatcher lone;
+    lone.store_.feed_ = { { ObjectKind::Catalogue }, 500ms, {}, true };
+    lone.store_.defer_
+        = [&](std::function<void()> task) { lone.events_.after(1ms, std::move(task)); };
+    const ObjectRef ref { ObjectKind::Catalogue, "main" };
+    lone.store_.set(ref, "{}");
+    lone.watcher().start();
+    lone.events_.runUntil(5s, [] {});
+    lone.store_.set(ref, "{\"services\":1}");
+    lone.events_.runUntil(10s, [] {});
+    ASSERT_EQ(lone.state_.versionOf(ref), Version { 1 }) << "the second version is rejected";
+    // Ends the watch that was sent after the rejection.
+    lone.store_.set({ ObjectKind::Zone, "north" }, formatZone(Zone {}));
+    lone.events_.runUntil(11s, [] {});
+    EXPECT_GE(lone.state_.age(TimePoint(1h) + 11s).value_or(1h), 10s);
+}
+
 // Guards against a burst of calls: 69 hosts made 991 calls in the first second of an outage of the
 // store, and each call is billed.
 TEST(ConfigWatcher, SlowRetryMakesFewCallsToAStoreThatIsDown)
