Test of ByteBudget without the use of a moved object

The moved reservation is now destroyed, where it was released before; the same double release would show.

--- a/tests/ByteBudgetTest.cpp
+++ b/tests/ByteBudgetTest.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t kMaxLarge = 64 * 1024;
+constexpr std::size_t kMaxLarge = std::size_t { 64 } * 1024;
 constexpr std::size_t kSmall = kMaxLarge / ByteBudget::kSmallMessageDivisor;
 constexpr std::size_t kMaxSmall = kMaxLarge / ByteBudget::kSmallMessagesDivisor;
 
@@ -77,10 +77,12 @@
 // Guards against a release that is counted twice after a move.
 TEST_F(ByteBudgetTest, AMovedReservationIsReleasedOnce)
 {
-    ByteBudget::Reservation first;
-    ASSERT_TRUE(budget_->reserve(first, kMaxLarge));
-    ByteBudget::Reservation second = std::move(first);
-    first.release();
+    ByteBudget::Reservation second;
+    {
+        ByteBudget::Reservation first;
+        ASSERT_TRUE(budget_->reserve(first, kMaxLarge));
+        second = std::move(first);
+    }
     ByteBudget::Reservation third;
     EXPECT_FALSE(budget_->reserve(third, kMaxLarge));
     second = ByteBudget::Reservation();
