Let a tick pass over what has not changed: the view and warm back ends

Each tick copied and sorted the view, built a set of it and compared that with the last, and looked up all 400 back ends to end cold starts that none had begun. The view is now copied when its number changes, and only back ends whose cold start has begun are looked at.

--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -353,11 +353,10 @@
     readerTree_.update(members_.membership());
     members_.setSource(readerTree_.source());
     members_.tick(now);
-    const std::vector<Member> view = members_.membership().view();
     // Before it knows the other hosts, each would be among the readers of its view.
     const bool isReader = readerTree_.isReader() && members_.isSettled(now);
     feedReader_.update(isReader, members_.hasDiverged(now), now);
-    placement_.setRouters({ view.begin(), view.end() });
+    updateRouters();
     roles_.tick(*configuration, now);
     placement_.tick(now);
     ranges_.setStoreGeneration(generationOf(config_.revision()));
@@ -376,6 +375,17 @@
     }
 }
 
+// The view is copied only when it changes, and not with each tick.
+void ControlCore::updateRouters()
+{
+    const Membership &membership = members_.membership();
+    if (membership.viewNumber() == routersViewNumber_)
+        return;
+    routersViewNumber_ = membership.viewNumber();
+    const std::vector<Member> view = membership.view();
+    placement_.setRouters({ view.begin(), view.end() });
+}
+
 void ControlCore::maintainRegistrations(const Configuration &configuration, TimePoint now)
 {
     if (store_.hasHostList() || !feedReader_.isComplete() || isLeaving_)
@@ -512,10 +522,12 @@
     const std::vector<Member> ranked = rankedFor(RoleName(coldState.backend_.str()), view);
     const bool isAssignedHere = !ranked.empty() && ranked.front() == self_.member_;
     bool hasChanged = true;
-    if (coldState.isCold_)
+    if (coldState.isCold_) {
         hasChanged = stats->warmup().start(isAssignedHere, backend->second.slots_, now);
-    else
+        coldBackends_.insert(coldState.backend_);
+    } else {
         stats->warmup().finish();
+    }
     if (!isObservedHere || !hasChanged)
         return;
     log_.write(LogLine(Severity::Info, coldState.isCold_ ? "backend-cold" : "backend-warm")
@@ -564,12 +576,18 @@
     keyLoads_.clear();
 }
 
+// Nothing but applyBackendColdState() begins a cold start, so only those back ends are looked at.
 void ControlCore::expireWarmups(TimePoint now)
 {
-    for (const auto &[name, backend] : config_.configuration()->backends_) {
-        if (const auto stats = tableBuilder_.stats(name))
+    if (coldBackends_.empty())
+        return;
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    std::erase_if(coldBackends_, [&](const BackendName &name) {
+        const auto stats = tableBuilder_.stats(name);
+        if (stats && configuration->backends_.contains(name))
             stats->warmup().expire(now);
-    }
+        return !stats || !stats->warmup().isCold();
+    });
 }
 
 } // namespace pimentostage
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -24,6 +24,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace pimentostage {
@@ -102,6 +103,7 @@
     void reportKeyLoads(TimePoint now);
     void expireWarmups(TimePoint now);
     void publish(TimePoint now);
+    void updateRouters();
     void trackZones(const Configuration &configuration, TimePoint now);
     void updateGauges(TimePoint now);
     void maintainRegistrations(const Configuration &configuration, TimePoint now);
@@ -129,6 +131,7 @@
     std::uint64_t publishedDigest_ = 0;
     Readiness publishedReadiness_ = Readiness::Starting;
     RoutingTableBuilder tableBuilder_;
+    std::set<BackendName> coldBackends_; ///< whose cold start has begun; may have ended since
     FleetState fleetState_;
     std::map<ZoneName, ZoneState> zoneStates_;
     LocalTokenBuckets tokenBuckets_;
@@ -145,6 +148,7 @@
     FeedReader feedReader_;
     HostRegistrar registrar_;
     TimePoint nextGaugeUpdate_ {};
+    std::uint64_t routersViewNumber_ = 0; ///< of the view last passed to placement_; 0 for none
     MemberControl members_;
     ConfigPublisher publisher_;
     RoleControl roles_;
