Keep the planned back ends without a second copy

planMoves() copied the back ends to plan with on each tick and each reply, also if nothing had changed.

--- a/src/backend/ShardCoordinator.cpp
+++ b/src/backend/ShardCoordinator.cpp
@@ -232,6 +232,7 @@
 std::vector<PlacementBackend> ShardCoordinator::placementBackends(TimePoint now) const
 {
     std::vector<PlacementBackend> backends;
+    backends.reserve(backends_.size());
     for (const auto &[name, backend] : backends_) {
         if (backend.takesNewWork_ && !fence_->isLost(name, now))
             backends.push_back({ name, backend.capacity_, fence_->isResponsive(name, now) });
@@ -254,11 +255,12 @@
 
 void ShardCoordinator::planMoves(TimePoint now, CoordinatorActions &actions)
 {
-    const std::vector<PlacementBackend> backends = placementBackends(now);
+    std::vector<PlacementBackend> backends = placementBackends(now);
     const bool hasChanged = backends != plannedBackends_ || plannedPlacement_ != placement_;
-    plannedBackends_ = backends;
-    if (hasChanged)
+    if (hasChanged) {
+        plannedBackends_ = std::move(backends);
         planShards(now, actions);
+    }
     plannedPlacement_ = placement_;
     planHotKeys(now, actions);
 }
