Copy no view to see whether a host has settled

MemberControl::isSettled() copied and sorted the view twice with each tick to count its hosts, also after the time by which it is settled in any case.

--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -255,9 +255,10 @@
 {
     if (startedAt_ == TimePoint {})
         return false;
-    const bool areAllInView
-        = listedHosts_ >= kMinFleetSize && membership_.view().size() >= listedHosts_;
-    return areAllInView || now >= startedAt_ + kSettlingTimeout;
+    // Checked first, because the view is copied to count its hosts.
+    if (now >= startedAt_ + kSettlingTimeout)
+        return true;
+    return listedHosts_ >= kMinFleetSize && membership_.view().size() >= listedHosts_;
 }
 
 void MemberControl::logViewChange()
