--- a/src/backend/HttpBackendLink.cpp
+++ b/src/backend/HttpBackendLink.cpp
@@ -11,7 +11,7 @@
 constexpr Duration kTimeout = 4 * kGrantPeriod;
 // Bytes of a reply's body: a reply lists the withdrawn units whose requests still run, with at most
 // 24 bytes each, and a back end runs far fewer than the 10,000 requests for which this is enough.
-constexpr std::size_t kMaxReplyBytes = 256 * 1024;
+constexpr std::size_t kMaxReplyBytes = std::size_t { 256 } << 10U;
 
 HttpClientOptions httpClientOptions()
 {
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kReleaseTimeout = std::chrono::milliseconds(3000);
 // Bytes of a reply's body: a reply consists of its status and headers, and the rest is a margin for
 // an error text.
-constexpr std::size_t kMaxReplyBytes = 16 * 1024;
+constexpr std::size_t kMaxReplyBytes = std::size_t { 16 } << 10U;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(300);
 
 // Back ends limit their connections, and a new connection occupies a slot there for a moment.
--- a/tests/EndlessOrderReplyTest.cpp
+++ b/tests/EndlessOrderReplyTest.cpp
@@ -21,7 +21,8 @@
 constexpr Duration kGrantTimeout = 600ms; ///< as in HttpRangeLink
 constexpr Duration kReleaseTimeout = 3s; ///< as in HttpRangeLink
 constexpr Duration kLeaseTimeout = 4 * kGrantPeriod; ///< as in HttpBackendLink
-constexpr std::size_t kHeldBytes = 512 * 1024; ///< more than any reply to an order has
+constexpr std::size_t kHeldBytes = std::size_t { 512 }
+                                   << 10U; ///< more than any reply to an order has
 
 /// A reply that is far longer than that to an order, and that then goes on slowly.
 EndlessServer::Reply longReply()
