Revert "Wait longer before an object is pulled again"

MemberControlTest.DoesNotPullWhatIsInTransit failed on (1 pull by 1 s, 2 expected; it also wants all objects pulled by 1.5 s): a change whose push was lost has to be in force within the change deadline of 2 s, which longer waits use up. The test states the target, so the change was wrong.

--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -18,12 +18,8 @@
 constexpr std::size_t kMinFleetSize = 3;
 // A change that other hosts relay arrives within this time over a link of 10 Mbit/s.
 constexpr Duration kPullDelay = std::chrono::milliseconds(300);
-// Time to wait for the reply to the first pull, which takes 0.9 s if it holds the largest object of
-// the store over a link of 10 Mbit/s; an earlier second pull would transfer the objects twice. It
-// doubles with each further pull, because copies that wait for each other on a link delay all of
-// them.
-constexpr Duration kPullTimeout = std::chrono::milliseconds(1000);
-constexpr Duration kMaxPullTimeout = std::chrono::milliseconds(4000);
+// Time to wait for the reply to a pull; an earlier second pull would transfer the objects twice.
+constexpr Duration kPullTimeout = std::chrono::milliseconds(500);
 // A difference that lasts longer is not just one recent change that was lost in transit, so all
 // objects are pulled.
 constexpr Duration kFullPullDelay = std::chrono::milliseconds(1200);
@@ -54,7 +50,6 @@
     , sender_(sender)
     , log_(log)
     , onConfig_(std::move(onConfig))
-    , pullTimeout_(kPullTimeout)
 { }
 
 void MemberControl::addSeeds(const std::vector<Address> &seeds)
@@ -91,7 +86,7 @@
     if (source == source_)
         return;
     source_ = source;
-    endDifference();
+    differsSince_.reset();
     membership_.setAlwaysProbedHost(source);
 }
 
@@ -182,26 +177,19 @@
     if (source_ && from != *source_)
         return;
     if (isEqual) {
-        endDifference();
+        differsSince_.reset();
         return;
     }
     if (!differsSince_)
         differsSince_ = now;
     if (!isPullDue(config, now))
         return;
-    nextPull_ = now + pullTimeout_;
-    pullTimeout_ = std::min(2 * pullTimeout_, kMaxPullTimeout);
+    nextPull_ = now + kPullTimeout;
     // The changes since this host's revision suffice unless an earlier one was missed.
     const bool needsAll = now >= *differsSince_ + kFullPullDelay;
     sender_.send(from, ConfigPull { needsAll ? Version {} : config_.revision() });
 }
 
-void MemberControl::endDifference()
-{
-    differsSince_.reset();
-    pullTimeout_ = kPullTimeout;
-}
-
 // A pull is not due while the missing objects are probably in transit.
 bool MemberControl::isPullDue(const ConfigSummary &config, TimePoint now) const
 {
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -78,7 +78,6 @@
     void applyReport(const HostName &from, const std::vector<MemberUpdate> &updates,
                      const ConfigSummary &config, TimePoint now);
     void compareConfig(const HostName &from, const ConfigSummary &config, TimePoint now);
-    void endDifference();
     [[nodiscard]] bool isPullDue(const ConfigSummary &config, TimePoint now) const;
     void logViewChange();
 
@@ -99,7 +98,6 @@
     /// there is no source.
     std::optional<TimePoint> differsSince_;
     TimePoint nextPull_ {};
-    Duration pullTimeout_; ///< after the next pull
 };
 
 } // namespace pimentostage
