Name the routes of virtual hosts in this project's words

bin/check-names found the type of named like a field of the platform; clang-tidy found three products of int that are widened. No change in behaviour.

--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -11,7 +11,7 @@
 namespace pimentostage {
 
 /// The routes of each virtual host, longest prefix first.
-using VirtualHosts = std::unordered_map<std::string, std::vector<Route>>;
+using RoutesByHost = std::unordered_map<std::string, std::vector<Route>>;
 
 /// All current objects; immutable once published.
 struct Configuration
@@ -27,7 +27,7 @@
     std::map<ServiceName, std::shared_ptr<const RangePlacement>> ranges_;
     std::map<HostName, EntryHost> entryHosts_;
     /// Shared by the configurations of one catalogue, which may have thousands of routes.
-    std::shared_ptr<const VirtualHosts> virtualHosts_ = std::make_shared<const VirtualHosts>();
+    std::shared_ptr<const RoutesByHost> virtualHosts_ = std::make_shared<const RoutesByHost>();
     bool hasCatalogue_ = false; ///< services and contracts come from one object
     Version catalogueVersion_; ///< of that object; zero if there is none
     Version revision_; ///< the highest object version applied
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -29,7 +29,7 @@
     configuration.services_.clear();
     configuration.contracts_.clear();
     configuration.keysByHash_.clear();
-    configuration.virtualHosts_ = std::make_shared<const VirtualHosts>();
+    configuration.virtualHosts_ = std::make_shared<const RoutesByHost>();
     configuration.hasCatalogue_ = false;
     configuration.catalogueVersion_ = {};
 }
@@ -87,7 +87,7 @@
             configuration_.contracts_.insert_or_assign(contract.team_, std::move(contract));
         for (TeamKey &key : content.keys_)
             configuration_.keysByHash_.insert_or_assign(key.sha256_, std::move(key));
-        auto virtualHosts = std::make_shared<VirtualHosts>();
+        auto virtualHosts = std::make_shared<RoutesByHost>();
         for (Route &route : content.routes_)
             (*virtualHosts)[route.host_].push_back(std::move(route));
         for (auto &[host, routes] : *virtualHosts) {
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kMaxElements = 1'000'000;
 // Smaller payloads are sent as they are: they fit into a few packets.
-constexpr std::size_t kMinCompressedBytes = 16 * 1024;
+constexpr std::size_t kMinCompressedBytes = std::size_t { 16 } * 1024;
 // First byte of a compressed payload, which no value begins with in MessagePack. It is followed by
 // the size of the payload before the compression, encoded like a frame's length.
 constexpr std::uint8_t kCompressedMark = 0xc1;
--- a/tests/CallerServiceTest.cpp
+++ b/tests/CallerServiceTest.cpp
@@ -140,7 +140,7 @@
     route.timeout_ = 2s;
     route.services_ = { { north.name_, 1 } };
     configuration->virtualHosts_
-        = std::make_shared<const VirtualHosts>(VirtualHosts { { "huts.example", { route } } });
+        = std::make_shared<const RoutesByHost>(RoutesByHost { { "huts.example", { route } } });
     RoutingTableBuilder builder;
     view->routing_ = builder.build(*configuration, FleetState {}, BootClock::now());
     view->configuration_ = configuration;
--- a/tests/SiblingListenerTest.cpp
+++ b/tests/SiblingListenerTest.cpp
@@ -155,7 +155,7 @@
 TEST_F(SiblingListenerTest, ASenderThatHasIdentifiedItselfMaySendALargeFrame)
 {
     LeavingHosts large;
-    const std::string text = incompressibleText(2000 * 100);
+    const std::string text = incompressibleText(200'000);
     for (std::size_t i = 0; i < 2000; ++i)
         large.names_.push_back(text.substr(i * 100, 100));
     Tcp::socket socket(context_);
@@ -213,7 +213,7 @@
 {
     std::vector<Tcp::socket> sockets;
     LeavingHosts large;
-    const std::string text = incompressibleText(300 * 10'000);
+    const std::string text = incompressibleText(3'000'000);
     for (std::size_t i = 0; i < 300; ++i)
         large.names_.push_back(text.substr(i * 10'000, 10'000));
     const std::vector<std::uint8_t> frame = encodeFrame(large);
