--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -3,6 +3,7 @@
 #include "src/base/Deflate.h"
 #include "src/base/MessagePack.h"
 
+#include <algorithm>
 #include <array>
 #include <map>
 #include <type_traits>
@@ -458,11 +459,11 @@
 
 std::vector<std::uint8_t> compressPayload(const std::vector<std::uint8_t> &payload)
 {
-    std::vector<std::uint8_t> compressed(kCompressedHeaderBytes);
+    const std::vector<std::uint8_t> data = deflate(payload.data(), payload.size());
+    std::vector<std::uint8_t> compressed(kCompressedHeaderBytes + data.size());
     compressed[0] = kCompressedMark;
     writeLength(payload.size(), compressed.data() + 1);
-    const std::vector<std::uint8_t> data = deflate(payload.data(), payload.size());
-    compressed.insert(compressed.end(), data.begin(), data.end());
+    std::copy(data.begin(), data.end(), compressed.begin() + kCompressedHeaderBytes);
     return compressed;
 }
 
@@ -505,9 +506,9 @@
     std::vector<std::uint8_t> payload = Json::to_msgpack(envelope);
     if (payload.size() >= kMinCompressedBytes)
         payload = compressPayload(payload);
-    std::vector<std::uint8_t> frame(kFrameLengthBytes);
+    std::vector<std::uint8_t> frame(kFrameLengthBytes + payload.size());
     writeLength(payload.size(), frame.data());
-    frame.insert(frame.end(), payload.begin(), payload.end());
+    std::copy(payload.begin(), payload.end(), frame.begin() + kFrameLengthBytes);
     return frame;
 }
 
