--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -1,6 +1,7 @@
 #include "src/caller/CallerService.h"
 
 #include "pimentostage/caller/ConnectionLimits.h"
+#include "pimentostage/platform/Generation.h"
 
 namespace pimentostage {
 
@@ -11,6 +12,8 @@
 constexpr Duration kOverRateRetryAfter = std::chrono::seconds(1);
 // A caller is asked to wait at most its remaining time divided by this before it retries.
 constexpr int kRetryAfterDivisor = 3;
+// As for other refusals because of overload (Refusal.cpp).
+constexpr Duration kBodyRetryAfter = std::chrono::seconds(1);
 constexpr Duration kGaugeUpdatePeriod = std::chrono::seconds(1);
 
 std::uint32_t priorityOf(const RoutedRequest &routed)
@@ -47,6 +50,19 @@
     return forward;
 }
 
+/// Adds to @p line what the host knew of the configuration when it decided at @p now.
+void addConfiguration(const TrafficView &view, TimePoint now, LogLine &line)
+{
+    const Version revision = view.configuration_->revision_;
+    line.add("config", toString(view.configKnowledge(now)))
+        .add("config_generation", generationOf(revision).value_)
+        .add("config_revision", revisionOf(revision));
+    if (view.configuration_->hasCatalogue_)
+        line.add("catalogue_revision", revisionOf(view.configuration_->catalogueVersion_));
+    if (const auto age = view.configValidity_->age(now))
+        line.add("config_age_ms", static_cast<std::int64_t>(toMilliseconds(*age)));
+}
+
 } // namespace
 
 /// A request that has arrived and is not yet answered or refused.
@@ -125,6 +141,20 @@
     service_.admit(pending);
 }
 
+Refusal CallerService::refuseBody(const RequestId &id)
+{
+    Refusal refusal { RefusalReason::Overloaded, Outcome::NotRun, kBodyRetryAfter,
+                      "the bodies of other requests use the memory for bodies" };
+    requests_.add();
+    refused_.at(static_cast<std::size_t>(refusal.reason_))->add();
+    log_.write(LogLine(Severity::Info, "refuse")
+                   .add("request", id.str())
+                   .add("reason", toString(refusal.reason_))
+                   .add("outcome", toString(refusal.outcome_))
+                   .add("detail", refusal.detail_));
+    return refusal;
+}
+
 bool CallerService::isWithinConnectionLimits(const PendingRequest &pending)
 {
     const std::shared_ptr<CallerConnection> &connection = pending.request_.connection_;
@@ -144,7 +174,10 @@
     }
     const auto found = pending->view_->tokenBuckets_.find(contract->team_);
     if (found == pending->view_->tokenBuckets_.end()) {
-        refuse(pending, Refusal { RefusalReason::NoContract, Outcome::NotRun, {}, {} });
+        // The contract is in force; only this host has not prepared for it yet.
+        refuse(pending,
+               Refusal {
+                   RefusalReason::AllowanceUnavailable, Outcome::NotRun, kOverRateRetryAfter, {} });
         return;
     }
     const auto onSpendResult = [this, pending](SpendResult result) {
@@ -199,6 +232,10 @@
     line.add("request", pending->request_.id_.str())
         .add("reason", toString(refusal.reason_))
         .add("outcome", toString(refusal.outcome_));
+    if (refusal.replaced_)
+        line.add("replaces", toString(*refusal.replaced_));
+    if (basisOf(refusal.reason_) == RefusalBasis::Configuration)
+        addConfiguration(*pending->view_, pending->arrivedAt_, line);
     if (pending->routed_.routes_)
         line.add("service", pending->routed_.routes_->service_.name_.str());
     if (pending->routed_.contract_)
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -52,6 +52,16 @@
     return kinds;
 }
 
+/// @return how requests name what they are for, where @p store has the configuration.
+Addressing addressingOf(const ObjectStore &store)
+{
+    const std::vector<StoreFeed> feeds = store.feeds();
+    const bool hasCatalogue = std::any_of(feeds.begin(), feeds.end(), [](const StoreFeed &feed) {
+        return feed.kinds_.contains(ObjectKind::Catalogue);
+    });
+    return hasCatalogue ? Addressing::VirtualHost : Addressing::Path;
+}
+
 } // namespace
 
 ControlCore::ControlCore(const MemberUpdate &self, const ControlOptions &options,
@@ -68,6 +78,8 @@
     , views_(views)
     , log_(log)
     , metrics_(metrics)
+    , addressing_(addressingOf(ports.store_))
+    , configValidity_(std::make_shared<ConfigValidity>(options_.changeDeadline_))
     , config_(confirmedKinds(ports.store_))
     , random_(seedFor(ports.seed_, RandomStream::Hosts))
     , routers_(self_.member_.host_, siblings_,
@@ -353,11 +365,10 @@
     readerTree_.update(members_.membership());
     members_.setSource(readerTree_.source());
     members_.tick(now);
-    const std::vector<Member> view = members_.membership().view();
     // Before it knows the other hosts, each would be among the readers of its view.
     const bool isReader = readerTree_.isReader() && members_.isSettled(now);
     feedReader_.update(isReader, members_.hasDiverged(now), now);
-    placement_.setRouters({ view.begin(), view.end() });
+    updateRouters();
     roles_.tick(*configuration, now);
     placement_.tick(now);
     ranges_.setStoreGeneration(generationOf(config_.revision()));
@@ -365,9 +376,11 @@
     allowance_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
-    if (const auto age = config_.age(now))
+    if (const auto age = config_.age(now)) {
         configValidity_->setValidUntil(configValidUntil(*age, now));
-    if (readinessAt(now) != publishedReadiness_)
+        configValidity_->setConfirmedAt(now - *age);
+    }
+    if (readinessAt(*configuration, now) != publishedReadiness_)
         publish(now);
     if (now >= nextGaugeUpdate_) {
         nextGaugeUpdate_ = now + kGaugePeriod;
@@ -376,6 +389,17 @@
     }
 }
 
+// The view is copied only when it changes, and not with each tick.
+void ControlCore::updateRouters()
+{
+    const Membership &membership = members_.membership();
+    if (membership.viewNumber() == routersViewNumber_)
+        return;
+    routersViewNumber_ = membership.viewNumber();
+    const std::vector<Member> view = membership.view();
+    placement_.setRouters({ view.begin(), view.end() });
+}
+
 void ControlCore::maintainRegistrations(const Configuration &configuration, TimePoint now)
 {
     if (store_.hasHostList() || !feedReader_.isComplete() || isLeaving_)
@@ -390,12 +414,15 @@
     registrar_.removeAbsent(configuration, view, now);
 }
 
-Readiness ControlCore::readinessAt(TimePoint now) const
+Readiness ControlCore::readinessAt(const Configuration &configuration, TimePoint now) const
 {
     if (isLeaving_)
         return Readiness::Stopping;
     const auto age = config_.age(now);
-    if (!age || !isConfigurationComplete())
+    // The store's confirmation also covers a catalogue that this host had to reject.
+    const bool lacksCatalogue
+        = addressing_ == Addressing::VirtualHost && !configuration.hasCatalogue_;
+    if (!age || !isConfigurationComplete() || lacksCatalogue)
         return Readiness::Starting;
     return now < configValidUntil(*age, now) ? Readiness::Ready : Readiness::Stale;
 }
@@ -470,7 +497,8 @@
     view->configuration_ = config_.configuration();
     view->routing_ = tableBuilder_.build(*view->configuration_, fleetState_, now);
     view->tokenBuckets_ = tokenBuckets_.tokenBuckets();
-    view->readiness_ = readinessAt(now);
+    view->readiness_ = readinessAt(*view->configuration_, now);
+    view->addressing_ = addressing_;
     view->configValidity_ = configValidity_;
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
@@ -491,6 +519,7 @@
         .gauge("pimento_catalogue_revision",
                "Revision of the catalogue in force; 0 if there is none.")
         .set(static_cast<double>(revisionOf(config_.configuration()->catalogueVersion_)));
+    updateRejectionMetrics(config_, metrics_);
     metrics_.gauge("pimento_view_hosts", "Entry hosts believed to be alive, this one included.")
         .set(static_cast<double>(members_.membership().view().size()));
     std::size_t held = 0;
@@ -516,10 +545,12 @@
     const std::vector<Member> ranked = rankedFor(RoleName(coldState.backend_.str()), view);
     const bool isAssignedHere = !ranked.empty() && ranked.front() == self_.member_;
     bool hasChanged = true;
-    if (coldState.isCold_)
+    if (coldState.isCold_) {
         hasChanged = stats->warmup().start(isAssignedHere, backend->second.slots_, now);
-    else
+        coldBackends_.insert(coldState.backend_);
+    } else {
         stats->warmup().finish();
+    }
     if (!isObservedHere || !hasChanged)
         return;
     log_.write(LogLine(Severity::Info, coldState.isCold_ ? "backend-cold" : "backend-warm")
@@ -568,12 +599,18 @@
     keyLoads_.clear();
 }
 
+// Nothing but applyBackendColdState() begins a cold start, so only those back ends are looked at.
 void ControlCore::expireWarmups(TimePoint now)
 {
-    for (const auto &[name, backend] : config_.configuration()->backends_) {
-        if (const auto stats = tableBuilder_.stats(name))
+    if (coldBackends_.empty())
+        return;
+    const std::shared_ptr<const Configuration> configuration = config_.configuration();
+    std::erase_if(coldBackends_, [&](const BackendName &name) {
+        const auto stats = tableBuilder_.stats(name);
+        if (stats && configuration->backends_.contains(name))
             stats->warmup().expire(now);
-    }
+        return !stats || !stats->warmup().isCold();
+    });
 }
 
 } // namespace pimentostage
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -24,6 +24,7 @@
 
 #include <atomic>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace pimentostage {
@@ -102,10 +103,11 @@
     void reportKeyLoads(TimePoint now);
     void expireWarmups(TimePoint now);
     void publish(TimePoint now);
+    void updateRouters();
     void trackZones(const Configuration &configuration, TimePoint now);
     void updateGauges(TimePoint now);
     void maintainRegistrations(const Configuration &configuration, TimePoint now);
-    [[nodiscard]] Readiness readinessAt(TimePoint now) const;
+    [[nodiscard]] Readiness readinessAt(const Configuration &configuration, TimePoint now) const;
     [[nodiscard]] TimePoint configValidUntil(Duration age, TimePoint now) const;
 
     /// Routes a sibling's message to its handler; one overload per message type.
@@ -123,12 +125,14 @@
     MetricRegistry &metrics_;
     std::atomic<Readiness> readiness_ { Readiness::Starting };
     bool isLeaving_ = false;
-    const std::shared_ptr<ConfigValidity> configValidity_ = std::make_shared<ConfigValidity>();
+    const Addressing addressing_;
+    const std::shared_ptr<ConfigValidity> configValidity_;
 
     ConfigState config_;
     std::uint64_t publishedDigest_ = 0;
     Readiness publishedReadiness_ = Readiness::Starting;
     RoutingTableBuilder tableBuilder_;
+    std::set<BackendName> coldBackends_; ///< whose cold start has begun; may have ended since
     FleetState fleetState_;
     std::map<ZoneName, ZoneState> zoneStates_;
     LocalTokenBuckets tokenBuckets_;
@@ -145,6 +149,7 @@
     FeedReader feedReader_;
     HostRegistrar registrar_;
     TimePoint nextGaugeUpdate_ {};
+    std::uint64_t routersViewNumber_ = 0; ///< of the view last passed to placement_; 0 for none
     MemberControl members_;
     ConfigPublisher publisher_;
     RoleControl roles_;
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -237,6 +237,9 @@
 
 bool MemberControl::agreesWithMajority(TimePoint now) const
 {
+    // Hosts that rejected the same version agree, but none of them has what may be in force.
+    if (!config_.isConfirmable())
+        return false;
     const auto agrees = [&](const auto &entry) {
         const PeerReport &report = entry.second;
         return report.probeSentAt_ + kPeerReportLifetime > now
@@ -255,9 +258,10 @@
 {
     if (startedAt_ == TimePoint {})
         return false;
-    const bool areAllInView
-        = listedHosts_ >= kMinFleetSize && membership_.view().size() >= listedHosts_;
-    return areAllInView || now >= startedAt_ + kSettlingTimeout;
+    // Checked first, because the view is copied to count its hosts.
+    if (now >= startedAt_ + kSettlingTimeout)
+        return true;
+    return listedHosts_ >= kMinFleetSize && membership_.view().size() >= listedHosts_;
 }
 
 void MemberControl::logViewChange()
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -3,6 +3,7 @@
 #include "pimentostage/platform/CoordinationCodec.h"
 #include "src/platform/ObjectReader.h"
 
+#include <algorithm>
 #include <charconv>
 
 #include <arpa/inet.h>
@@ -19,7 +20,7 @@
 constexpr std::uint32_t kMaxKeySegment = 16;
 constexpr double kMaxRate = 1e9;
 constexpr double kMinTimeoutMs = 1;
-constexpr double kMaxTimeoutMs = 600'000;
+constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
 constexpr double kMaxRampMs = 3'600'000;
 constexpr std::size_t kSha256HexLength = 64;
 
@@ -48,7 +49,7 @@
     if (!route.host_.empty() && route.services_.empty())
         reader.addError("services", "must name at least one service");
     route.method_ = reader.text("method", route.host_.empty() ? "GET" : "");
-    const std::uint32_t kMaxAttempts = 100;
+    const std::uint32_t kMaxAttempts = 1'000'000;
     const std::uint32_t kDefaultAttempts = 3;
     route.maxAttempts_ = reader.count("attempts", kDefaultAttempts, 1, kMaxAttempts);
     const std::uint32_t kMaxPriority = 1'000'000;
@@ -240,7 +241,7 @@
     ObjectReader reader({ ObjectKind::Catalogue, name }, value);
     Catalogue catalogue;
     std::size_t index = 0;
-    for (const Json &item : reader.array("services")) {
+    for (const Json &item : reader.requiredArray("services")) {
         ObjectReader row = reader.child(item, "services", index++);
         Service service;
         service.name_ = ServiceName(row.requiredText("name"));
@@ -249,14 +250,18 @@
         catalogue.services_.push_back(service);
     }
     index = 0;
-    for (const Json &item : reader.array("routes")) {
+    for (const Json &item : reader.requiredArray("routes")) {
         Route route = readRoute(reader.child(item, "routes", index++));
         if (route.host_.empty() && route.services_.empty())
             reader.addError("routes", "must name at least one service each");
         catalogue.routes_.push_back(std::move(route));
     }
     index = 0;
-    for (const Json &item : reader.array("teams"))
+    // Without the list, no key would be valid any more; a catalogue of open routes needs none.
+    const bool needsTeams
+        = std::any_of(catalogue.routes_.begin(), catalogue.routes_.end(),
+                      [](const Route &route) { return route.access_ == Access::Team; });
+    for (const Json &item : needsTeams ? reader.requiredArray("teams") : reader.array("teams"))
         readTeam(reader.child(item, "teams", index++), catalogue);
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
@@ -299,27 +304,34 @@
 namespace {
 
 template <auto kParse>
-leaf::result<void> check(const std::string &name, const std::string &value)
+leaf::result<ParsedObject> parse(const std::string &name, const std::string &value)
 {
-    BOOST_LEAF_CHECK(kParse(name, value));
-    return {};
+    BOOST_LEAF_AUTO(content, kParse(name, value));
+    return ParsedObject(std::move(content));
 }
 
-using CheckObject = leaf::result<void> (*)(const std::string &, const std::string &);
+using ParseObject = leaf::result<ParsedObject> (*)(const std::string &, const std::string &);
 
 // One row for each ObjectKind, in its order.
-constexpr std::array<CheckObject, kEnumCount<ObjectKind>> kCheckObject {
-    &check<&parseService>,        &check<&parseContract>,  &check<&parseTeamKey>,
-    &check<&parseZone>,           &check<&parseBackend>,   &check<&parseLostHost>,
-    &check<&parseRoleRecord>,     &check<&parsePlacement>, &check<&parseCatalogue>,
-    &check<&parseRangePlacement>, &check<&parseEntryHost>,
+constexpr std::array<ParseObject, kEnumCount<ObjectKind>> kParseObject {
+    &parse<&parseService>,        &parse<&parseContract>,  &parse<&parseTeamKey>,
+    &parse<&parseZone>,           &parse<&parseBackend>,   &parse<&parseLostHost>,
+    &parse<&parseRoleRecord>,     &parse<&parsePlacement>, &parse<&parseCatalogue>,
+    &parse<&parseRangePlacement>, &parse<&parseEntryHost>,
 };
+static_assert(std::variant_size_v<ParsedObject> == kEnumCount<ObjectKind>);
 
 } // namespace
 
+leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value)
+{
+    return kParseObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+}
+
 leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value)
 {
-    return kCheckObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+    BOOST_LEAF_CHECK(parseObject(ref, value));
+    return {};
 }
 
 namespace {
--- a/tests/SiblingListenerTest.cpp
+++ b/tests/SiblingListenerTest.cpp
@@ -1,19 +1,21 @@
 #include "src/base/EventLoop.h"
 #include "src/sibling/FrameCodec.h"
 #include "src/sibling/SiblingLinks.h"
+#include "tests/fakes/IncompressibleText.h"
 #include "tests/fakes/NullLog.h"
+#include "tests/fakes/ResidentMemory.h"
 
 #include <array>
-#include <fstream>
 #include <future>
 #include <memory>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 using namespace pimentostage;
 using namespace std::chrono_literals;
@@ -26,15 +28,8 @@
 constexpr std::size_t kConnections = 16;
 /// Maximum growth of the process by connections of unidentified senders.
 constexpr std::size_t kMaxGrowthBytes = std::size_t { 24 } << 20U;
-
-std::size_t residentBytes()
-{
-    std::ifstream file("/proc/self/statm");
-    std::size_t total = 0;
-    std::size_t resident = 0;
-    file >> total >> resident;
-    return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
-}
+/// Maximum growth by unfinished frames of identified senders; a quarter of an entry host's memory.
+constexpr std::size_t kMaxUnfinishedGrowthBytes = std::size_t { 64 } << 20U;
 
 std::array<std::uint8_t, kFrameLengthBytes> lengthPrefix(std::uint32_t length)
 {
@@ -57,6 +52,35 @@
     return size == 0 || (size < 0 && errno == ECONNRESET);
 }
 
+/// An identified sender of a frame of the largest size, all but its last byte.
+class UnfinishedFrame
+{
+public:
+    UnfinishedFrame(asio::io_context &context, const Tcp::endpoint &endpoint)
+        : socket_(context)
+    {
+        socket_.connect(endpoint);
+        asio::write(socket_, asio::buffer(encodeFrame(Hello {})));
+        asio::write(socket_, asio::buffer(lengthPrefix(kMaxFrameBytes)));
+        socket_.non_blocking(true);
+    }
+
+    /// Sends as much as the peer takes without waiting.
+    void sendMore()
+    {
+        static const std::vector<std::uint8_t> part(kPartBytes, 0xc0);
+        boost::system::error_code ignored;
+        sent_ += socket_.write_some(
+            asio::buffer(part, std::min(kPartBytes, kMaxFrameBytes - 1 - sent_)), ignored);
+    }
+
+private:
+    static constexpr std::size_t kPartBytes = std::size_t { 1 } << 20U;
+
+    Tcp::socket socket_;
+    std::size_t sent_ = 0;
+};
+
 /// A host's links that listen on a port of the loopback interface.
 class SiblingListenerTest : public testing::Test
 {
@@ -68,7 +92,8 @@
             links_ = std::make_unique<SiblingLinks>(
                 loop_.context(), MemberUpdate {}, [](const HostName &) { return std::nullopt; },
                 [this](const MemberUpdate &, const SiblingMessage &message) {
-                    received_.set_value(message);
+                    if (!std::exchange(hasReceived_, true))
+                        received_.set_value(message);
                 },
                 log_, metrics_);
             isListening = valueOr(
@@ -86,11 +111,23 @@
         loop_.run([this] { links_.reset(); });
     }
 
+    /// Waits until @p count frames have arrived, at most 5 s.
+    void waitForFrames(std::uint64_t count)
+    {
+        const Counter &frames = metrics_.counter("pimento_sibling_received_frames_total", "");
+        const TimePoint limit = BootClock::now() + 5s;
+        while (frames.value() < count && BootClock::now() < limit)
+            std::this_thread::sleep_for(5ms);
+        EXPECT_EQ(frames.value(), count);
+        loop_.run([] {}); // the length that follows the last frame may still be unread
+    }
+
     EventLoop loop_ { "control" };
     NullLog log_;
     MetricRegistry metrics_;
     asio::io_context context_;
     const Tcp::endpoint endpoint_ = freeEndpoint(context_);
+    bool hasReceived_ = false;
     std::promise<SiblingMessage> received_;
     std::unique_ptr<SiblingLinks> links_;
 };
@@ -118,8 +155,9 @@
 TEST_F(SiblingListenerTest, ASenderThatHasIdentifiedItselfMaySendALargeFrame)
 {
     LeavingHosts large;
-    for (int i = 0; i < 2000; ++i)
-        large.names_.emplace_back(std::string(100, 'x'));
+    const std::string text = incompressibleText(200'000);
+    for (std::size_t i = 0; i < 2000; ++i)
+        large.names_.push_back(text.substr(i * 100, 100));
     Tcp::socket socket(context_);
     socket.connect(endpoint_);
     asio::write(socket, asio::buffer(encodeFrame(Hello {})));
@@ -130,3 +168,63 @@
     ASSERT_TRUE(std::holds_alternative<LeavingHosts>(message));
     EXPECT_EQ(std::get<LeavingHosts>(message).names_.size(), large.names_.size());
 }
+
+// Guards against a host that runs out of memory because each of many senders that have identified
+// themselves announces a large frame, and none of them sends it.
+TEST_F(SiblingListenerTest, AnAnnouncedFrameTakesNoMemoryBeforeItArrives)
+{
+    const std::size_t before = residentBytes();
+    std::vector<Tcp::socket> sockets;
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+        asio::write(socket, asio::buffer(lengthPrefix(kMaxFrameBytes)));
+    }
+    waitForFrames(kConnections);
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
+}
+
+// Guards against a host that runs out of memory because many senders leave large frames unfinished:
+// what all connections keep together is bounded, and other senders are still heard.
+TEST_F(SiblingListenerTest, UnfinishedFramesOfAllSendersAreBoundedTogether)
+{
+    const std::size_t before = residentBytes();
+    std::vector<UnfinishedFrame> senders;
+    for (std::size_t i = 0; i < kConnections; ++i)
+        senders.emplace_back(context_, endpoint_);
+    const TimePoint limit = BootClock::now() + 1s;
+    while (BootClock::now() < limit) {
+        for (UnfinishedFrame &sender : senders)
+            sender.sendMore();
+    }
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxUnfinishedGrowthBytes) << "bytes grown";
+    Tcp::socket socket(context_);
+    socket.connect(endpoint_);
+    asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+    asio::write(socket, asio::buffer(encodeFrame(LeavingHosts {})));
+    EXPECT_EQ(received_.get_future().wait_for(5s), std::future_status::ready);
+}
+
+// Guards against connections that keep the memory of the largest frame that they have received.
+TEST_F(SiblingListenerTest, AFinishedFrameTakesNoMemory)
+{
+    std::vector<Tcp::socket> sockets;
+    LeavingHosts large;
+    const std::string text = incompressibleText(3'000'000);
+    for (std::size_t i = 0; i < 300; ++i)
+        large.names_.push_back(text.substr(i * 10'000, 10'000));
+    const std::vector<std::uint8_t> frame = encodeFrame(large);
+    const std::size_t before = residentBytes();
+    for (std::size_t i = 0; i < kConnections; ++i) {
+        Tcp::socket &socket = sockets.emplace_back(context_);
+        socket.connect(endpoint_);
+        asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+        asio::write(socket, asio::buffer(frame));
+    }
+    waitForFrames(2 * kConnections);
+    const std::size_t after = residentBytes();
+    EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
+}
