Review case 1: a loss of most machines for good leaves roles vacant for good

No host may claim a role of which a majority of the recorded members is missing, and nothing on the users' platform confirms a host as lost.

--- a/review/common/stage.hpp
+++ b/review/common/stage.hpp
@@ -333,6 +333,13 @@
         const std::lock_guard lock(mutex_);
         erase(kind, name);
     }
+    Json get(const std::string &kind, const std::string &name)
+    {
+        const std::lock_guard lock(mutex_);
+        const auto &objects = kinds_[kind];
+        const auto found = objects.find(name);
+        return found == objects.end() ? Json() : found->second.spec_;
+    }
     /// Called for each call before it is done; may wait. Returns false to reset the connection.
     std::function<bool(const Message &)> before_;
     /// Called for each answer after the call is done; returns false to send nothing.
@@ -552,6 +559,8 @@
                  { "born", born_ } };
     }
     const std::string &id() const { return id_; }
+    /// The service is divided by key: only requests for granted keys run.
+    void setSharded() { hold_.assign(65536, Hold {}); }
 
     std::vector<Run> runs()
     {
@@ -585,6 +594,10 @@
                 200, "Pimentostage-Upstream-Instance: " + id_ + "\r\n" + load, ""));
         const std::string id = request.header("Pimentostage-Request-Id");
         const std::string echo = "Pimentostage-Request-Id: " + id + "\r\n";
+        if (request.second_ == "/pimentostage/grant")
+            return channel.write(grant(Json::parse(request.body_, nullptr, false)));
+        if (request.second_ == "/pimentostage/release")
+            return channel.write(release(Json::parse(request.body_, nullptr, false)));
         const std::string expected = request.header("Pimentostage-Expected-Instance");
         if (!expected.empty() && expected != id_)
             return channel.write(httpAnswer(
@@ -594,8 +607,16 @@
             return channel.write(
                 httpAnswer(503, echo + load + "Pimentostage-Not-Executed: 1\r\n", ""));
         }
+        const int key = hold_.empty() ? -1 : std::atoi(request.header("Pimentostage-Shard-Key").c_str());
         {
             const std::lock_guard lock(mutex_);
+            if (key >= 0 && hold_.at(static_cast<std::size_t>(key)).until_ <= now()) {
+                running_.fetch_sub(1);
+                return channel.write(
+                    httpAnswer(421, echo + load + "Pimentostage-Not-Executed: 1\r\n", ""));
+            }
+            if (key >= 0)
+                ++runningKeys_[key];
             runs_.push_back({ now(), id, id_ });
         }
         if (answer_) {
@@ -605,10 +626,70 @@
         }
         sleepFor(workSeconds_);
         running_.fetch_sub(1);
+        if (key >= 0) {
+            const std::lock_guard lock(mutex_);
+            --runningKeys_[key];
+        }
         return channel.write(httpAnswer(
             200, echo + load + "Pimentostage-Upstream-Signature: s." + id + "\r\n", bodyFor(id)));
     }
 
+    struct Hold
+    {
+        std::uint64_t fence_ = 0;
+        double until_ = 0;
+    };
+
+    std::string grant(const Json &order)
+    {
+        const std::size_t from = order.at("From"), to = order.at("Target");
+        const std::uint64_t fence = order.at("fence");
+        const std::lock_guard lock(mutex_);
+        for (std::size_t key = from; key <= to; ++key) {
+            if (hold_.at(key).fence_ > fence)
+                return httpAnswer(409, "", "");
+        }
+        const double until = now() + order.at("HoldMs").get<double>() / 1000;
+        for (std::size_t key = from; key <= to; ++key)
+            hold_[key] = Hold { fence, until };
+        return httpAnswer(200, "", "");
+    }
+
+    std::string release(const Json &order)
+    {
+        const std::size_t from = order.at("From"), to = order.at("Target");
+        const std::uint64_t fence = order.at("fence");
+        {
+            const std::lock_guard lock(mutex_);
+            for (std::size_t key = from; key <= to; ++key) {
+                hold_.at(key).until_ = 0;
+                hold_[key].fence_ = std::max(hold_[key].fence_, fence);
+            }
+        }
+        for (;;) {
+            {
+                const std::lock_guard lock(mutex_);
+                const bool isRunning
+                    = std::any_of(runningKeys_.begin(), runningKeys_.end(), [&](const auto &entry) {
+                          return entry.second > 0 && entry.first >= static_cast<int>(from)
+                                 && entry.first <= static_cast<int>(to);
+                      });
+                if (!isRunning)
+                    break;
+            }
+            sleepFor(0.005);
+        }
+        return httpAnswer(200, "Pimentostage-Handover: h" + newHandover() + "\r\n", "");
+    }
+
+    static std::string newHandover()
+    {
+        static std::atomic<unsigned> count { 0 };
+        return std::to_string(++count);
+    }
+
+    std::vector<Hold> hold_; ///< by key; empty if the service is not divided
+    std::map<int, int> runningKeys_;
     const std::string id_, service_, zone_;
     const double workSeconds_;
     const int slots_;
