--- a/review/common/stage.hpp
+++ b/review/common/stage.hpp
@@ -340,6 +340,8 @@
         const auto found = objects.find(name);
         return found == objects.end() ? Json() : found->second.spec_;
     }
+    /// All channels that are open now go silent for good, without a reset; new ones work.
+    void silenceOpenChannels() { silentUpTo_ = openedChannels_.load(); }
     /// Called for each call before it is done; may wait. Returns false to reset the connection.
     std::function<bool(const Message &)> before_;
     /// Called for each answer after the call is done; returns false to send nothing.
@@ -412,10 +414,13 @@
 
     void serve(Channel &channel)
     {
+        const std::uint64_t number = ++openedChannels_;
         for (;;) {
             const Message call = channel.read(now() + 300);
             if (!call.isComplete_)
                 return;
+            if (number <= silentUpTo_) // what arrives is lost, and nothing is sent
+                continue;
             if (before_ && !before_(call))
                 return;
             const std::string answer = handle(call);
@@ -423,7 +428,7 @@
                 sleepFor(8); // nothing further on this channel
                 return;
             }
-            if (!channel.write(answer))
+            if (number > silentUpTo_ && !channel.write(answer))
                 return;
         }
     }
@@ -520,6 +525,7 @@
         return reply(200, { { "events", events }, { "AsOf", revision_ } });
     }
 
+    std::atomic<std::uint64_t> openedChannels_ { 0 }, silentUpTo_ { 0 };
     std::mutex mutex_;
     std::condition_variable changed_;
     std::uint64_t revision_ = 100;
