--- a/review/common/stage.hpp
+++ b/review/common/stage.hpp
@@ -552,7 +552,7 @@
         , zone_(std::move(zone))
         , workSeconds_(workSeconds)
         , slots_(slots)
-        , born_(static_cast<std::uint64_t>(std::time(nullptr)) * 1000)
+        , born_(unixMilliseconds())
         , listener_(ip, [this](Channel &channel) { serve(channel); })
     { }
 
@@ -562,9 +562,22 @@
                  { "Zone", zone_ },       { "Version", "v1" },
                  { "MaxConcurrency", slots_ }, { "State", state },
                  { "WarmupLeftMs", 0 },   { "Sequence", 4 },
-                 { "born", born_ } };
+                 { "born", born_.load() } };
     }
     const std::string &id() const { return id_; }
+    int life() const { return life_; }
+    /// The process ends and starts again under its id; it then holds and knows nothing of before.
+    /// Its address refuses to talk for @p downSeconds meanwhile.
+    void restart(double downSeconds)
+    {
+        isDown_ = true;
+        endLife();
+        sleepFor(downSeconds);
+        isDown_ = false;
+    }
+
+    /// Called for each grant that is taken: keys from, to, fence.
+    std::function<void(std::size_t, std::size_t, std::uint64_t)> onGrant_;
     /// The service is divided by key: only requests for granted keys run.
     void setSharded() { hold_.assign(65536, Hold {}); }
 
@@ -579,15 +592,40 @@
     std::function<void(Channel &, const Message &)> answer_;
 
 private:
+    void endLife()
+    {
+        const std::lock_guard lock(mutex_);
+        ++life_;
+        for (const int fd : open_)
+            ::shutdown(fd, SHUT_RDWR);
+        std::fill(hold_.begin(), hold_.end(), Hold {});
+        runningKeys_.clear();
+        born_ = unixMilliseconds();
+    }
+
+    static std::uint64_t unixMilliseconds()
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(
+                                              std::chrono::system_clock::now().time_since_epoch())
+                                              .count());
+    }
+
     void serve(Channel &channel)
     {
+        const int fd = channel.fd();
+        if (isDown_)
+            return;
+        {
+            const std::lock_guard lock(mutex_);
+            open_.insert(fd);
+        }
         for (;;) {
             const Message request = channel.read(now() + 10);
-            if (!request.isComplete_)
-                return;
-            if (!handle(channel, request))
-                return;
+            if (!request.isComplete_ || !handle(channel, request))
+                break;
         }
+        const std::lock_guard lock(mutex_);
+        open_.erase(fd);
     }
 
     bool handle(Channel &channel, const Message &request)
@@ -658,6 +696,8 @@
         const double until = now() + order.at("HoldMs").get<double>() / 1000;
         for (std::size_t key = from; key <= to; ++key)
             hold_[key] = Hold { fence, until };
+        if (onGrant_)
+            onGrant_(from, to, fence);
         return httpAnswer(200, "", "");
     }
 
@@ -699,7 +739,10 @@
     const std::string id_, service_, zone_;
     const double workSeconds_;
     const int slots_;
-    const std::uint64_t born_;
+    std::atomic<std::uint64_t> born_;
+    std::atomic<int> life_ { 1 };
+    std::atomic<bool> isDown_ { false };
+    std::set<int> open_; ///< descriptors of its channels
     std::atomic<int> running_ { 0 };
     std::mutex mutex_;
     std::vector<Run> runs_;
