--- a/review/common/stage.hpp
+++ b/review/common/stage.hpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
 #include <sys/wait.h>
@@ -817,6 +818,7 @@
         const std::string log = folder_ + "/" + name_ + ".log";
         const pid_t pid = ::fork();
         if (pid == 0) {
+            ::prctl(PR_SET_PDEATHSIG, SIGKILL); // it does not outlive the script
             const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
             ::dup2(out, 1);
             ::dup2(out, 2);
