--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -1,5 +1,5 @@
 // Case 5: after the channels to the store went silent, hosts send to a worker that has left.
-#include "../common/stage.hpp"
+#include "../stage.hpp"
 
 using namespace stage;
 
