Know the age of what a reader knows of back ends and data centres

Callers saw: nothing.

Behind it: a watch that waits confirms nothing, and only the configuration had an age.

Change: the store's content is divided into areas with a deadline for changes (KnowledgeArea), and each has its own age. A reply confirms every feed that has been read up to the revision of the store that it tells, so in calm times the replies to the watch of the configuration confirm all. A feed that stays behind is read again beside its watch. New: gauge pimento_knowledge_age_seconds, log lines knowledge-stale, knowledge-confirmed, store-refresh-failed, settings leave_deadline_ms and evacuation_deadline_ms.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -48,6 +48,8 @@
     Duration controlReaderSilence_ = std::chrono::milliseconds(1700);
     Duration controlChangeDeadline_ {}; ///< zero for none
     Duration controlWithdrawalDeadline_ {}; ///< zero for none
+    Duration controlLeaveDeadline_ = std::chrono::seconds(2);
+    Duration controlEvacuationDeadline_ = std::chrono::seconds(5);
     bool controlMajorityConfirms_ = true;
 
     std::string platformUrl_;
@@ -72,6 +74,10 @@
 [[nodiscard]] Duration drainTimeoutOf(const Settings &settings);
 /// @return the age of the last confirmation from which a host reads the store itself.
 [[nodiscard]] Duration readerSilenceOf(const Settings &settings);
+/// @return the age of what a host knows of back ends from which it reads the store itself.
+[[nodiscard]] Duration maxBackendsAgeOf(const Settings &settings);
+/// @return the age of what a host knows of data centres from which it reads the store itself.
+[[nodiscard]] Duration maxZonesAgeOf(const Settings &settings);
 /// @return the age of the configuration from which requests with a team key are refused.
 [[nodiscard]] Duration maxConfigAgeOf(const Settings &settings);
 
--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -3,8 +3,10 @@
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Time.h"
 #include "pimentostage/platform/Configuration.h"
+#include "pimentostage/platform/KnowledgeArea.h"
 #include "pimentostage/platform/ObjectCodec.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <optional>
@@ -52,8 +54,7 @@
 class ConfigState
 {
 public:
-    /// @param confirmedKinds kinds that the store's confirmations cover: those that decide whether
-    ///        requests are accepted; empty for all.
+    /// @param confirmedKinds kinds of KnowledgeArea::Configuration; empty for all.
     explicit ConfigState(std::set<ObjectKind> confirmedKinds = {});
 
     /// Applies one version of an object that the store sent.
@@ -72,24 +73,26 @@
     std::size_t applyListing(const std::vector<StoredObject> &objects, Version revision,
                              const std::set<ObjectKind> &kinds = {});
 
-    /// Records that the store confirmed the objects of the confirmed kinds. Has no effect while a
-    /// rejected version of such an object stands.
+    /// Records that the store confirmed the objects of @p area. Has no effect on the configuration
+    /// while a rejected version of one of its objects stands.
     /// @param sentAt when the confirming request was sent.
-    void confirm(TimePoint sentAt);
+    void confirm(TimePoint sentAt, KnowledgeArea area = KnowledgeArea::Configuration);
 
     /// Records that every change up to @p revision has been applied. This does not count as a
     /// confirmation.
     void adoptRevision(Version revision);
 
-    /// Records that the store confirmed a sibling's state. Has no effect unless the state of this
-    /// host has the same confirmedDigest(), or while a rejected version of a confirmed kind stands.
+    /// Records that the store confirmed a sibling's objects of @p area, if this host has the same;
+    /// otherwise as confirm().
     /// @param digest the sibling's confirmedDigest().
     /// @param age age of the sibling's confirmation when it received the request.
     /// @param requestSentAt when this host sent the request that the sibling replied to.
-    void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint requestSentAt);
+    void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint requestSentAt,
+                               KnowledgeArea area = KnowledgeArea::Configuration);
 
-    /// @return the time since the last confirmation, or nothing if there was none.
-    [[nodiscard]] std::optional<Duration> age(TimePoint now) const;
+    /// @return the time since the last confirmation of @p area, or nothing if there was none.
+    [[nodiscard]] std::optional<Duration> age(TimePoint now, KnowledgeArea area
+                                                             = KnowledgeArea::Configuration) const;
 
     /// @return the store revision up to which this state is complete.
     [[nodiscard]] Version revision() const { return revision_; }
@@ -117,25 +120,36 @@
     /// @return a hash of the names and versions of all objects, and of the rejected versions; equal
     /// on hosts with equal state.
     [[nodiscard]] std::uint64_t digest() const { return digest_; }
-    /// @return as digest(), over the objects of the confirmed kinds.
-    [[nodiscard]] std::uint64_t confirmedDigest() const { return confirmedDigest_; }
+    /// @return as digest(), over the objects of @p area.
+    [[nodiscard]] std::uint64_t confirmedDigest(KnowledgeArea area
+                                                = KnowledgeArea::Configuration) const
+    {
+        return areas_.at(static_cast<std::size_t>(area)).digest_;
+    }
 
 private:
+    /// What is known about the objects of one KnowledgeArea.
+    struct AreaState
+    {
+        std::uint64_t digest_ = 0;
+        std::optional<TimePoint> confirmedAt_;
+    };
+
     /// @param content of @p object; nothing if it is deleted.
     void accept(StoredObject object, std::optional<ParsedObject> content);
     ApplyResult reject(const StoredObject &object, const std::string &reason);
     void endRejection(const ObjectRef &ref, Version version);
     void toggleDigest(const ObjectRef &ref, std::uint64_t digest);
     [[nodiscard]] bool isConfirmed(ObjectKind kind) const;
+    [[nodiscard]] bool isInArea(ObjectKind kind, KnowledgeArea area) const;
     void rebuild();
 
     const std::set<ObjectKind> confirmedKinds_;
     std::map<ObjectRef, StoredObject> objects_;
     std::shared_ptr<const Configuration> configuration_;
     Version revision_;
-    std::optional<TimePoint> confirmedAt_;
+    std::array<AreaState, kEnumCount<KnowledgeArea>> areas_; ///< in the order of KnowledgeArea
     std::uint64_t digest_ = 0;
-    std::uint64_t confirmedDigest_ = 0;
     /// Content of the objects that changed since configuration_ was built; nothing if deleted.
     std::map<ObjectRef, std::optional<ParsedObject>> changed_;
     std::map<ObjectRef, RejectedVersion> rejected_;
--- a/include/pimentostage/platform/ObjectStore.h
+++ b/include/pimentostage/platform/ObjectStore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/base/Error.h"
+#include "pimentostage/platform/KnowledgeArea.h"
 #include "pimentostage/platform/Objects.h"
 
 #include <functional>
@@ -44,6 +45,13 @@
     /// Whether a reply confirms the configuration: the objects that decide whether requests are
     /// accepted.
     bool confirms_ = true;
+
+    /// @return whether a reply confirms @p area.
+    [[nodiscard]] bool covers(KnowledgeArea area) const
+    {
+        const std::optional<ObjectKind> kind = kindOf(area);
+        return kind ? kinds_.empty() || kinds_.contains(*kind) : confirms_;
+    }
 };
 
 /// How up to date the reply to a read must be.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -513,6 +513,14 @@
         .gauge("pimento_config_age_seconds",
                "Time since the store confirmed this host's configuration.")
         .set(age ? toSeconds(*age) : -1);
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        const auto areaAge = config_.age(now, row.value_);
+        metrics_
+            .gauge("pimento_knowledge_age_seconds",
+                   "Time since the store confirmed a part of its content, by part; -1 for never.",
+                   { Label { "area", std::string(row.name_) } })
+            .set(areaAge ? toSeconds(*areaAge) : -1);
+    }
     metrics_.gauge("pimento_config_revision", "Revision up to which the store has been read.")
         .set(static_cast<double>(config_.revision().value_));
     metrics_
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -26,10 +26,14 @@
     /// The whole fleet starts for the first time: nothing was withdrawn or has left yet, so what a
     /// host reads at its start may be some seconds old.
     bool isFirstStart_ = false;
-    /// A host reads the store itself if the last confirmation received from the readers is older
-    /// than this. Together with one read of the store this stays below the 2 s within which a
-    /// change must be in force.
+    /// A host reads the store itself if the last confirmation of the configuration received from
+    /// the readers is older than this. Together with one read of the store this stays below the 2 s
+    /// within which a change must be in force.
     Duration readerSilence_ = std::chrono::milliseconds(1700);
+    /// As readerSilence_, for back ends: one that leaves gets no requests after 2 s.
+    Duration maxBackendsAge_ = std::chrono::milliseconds(1700);
+    /// As readerSilence_, for data centres: one that is taken out gets no requests after 5 s.
+    Duration maxZonesAge_ = std::chrono::milliseconds(4250);
     /// Siblings' addresses that are probed until another host is in the view.
     std::vector<Address> seeds_;
     MembershipTiming membership_;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -39,6 +39,8 @@
     options.isFirstStart_ = settings.hostFirstStart_;
     options.readers_ = static_cast<std::size_t>(settings.controlReaders_);
     options.readerSilence_ = readerSilenceOf(settings);
+    options.maxBackendsAge_ = maxBackendsAgeOf(settings);
+    options.maxZonesAge_ = maxZonesAgeOf(settings);
     options.majorityConfirms_ = settings.controlMajorityConfirms_;
     options.membership_.probePeriod_ = settings.siblingProbePeriod_;
     options.membership_.directTimeout_ = settings.siblingProbeTimeout_;
--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/FeedReader.h"
 
 #include <algorithm>
+#include <array>
 
 namespace pimentostage {
 
@@ -9,6 +10,24 @@
 // A host that has started to read the store continues for this long, so that short gaps in the
 // readers' confirmations do not start and stop it each time.
 constexpr Duration kMinReadDuration = std::chrono::seconds(5);
+// Share of an area's maximum age after which a reader reads it again. The rest is for the hops to
+// the hosts that are farthest from the readers.
+constexpr double kRefreshShare = 0.5;
+// Maximum time in which a sound store replies once a watch has ended, and the control thread runs.
+constexpr Duration kReplyTime = std::chrono::milliseconds(100);
+
+using MaxAge = Duration ControlOptions::*;
+// The maximum age of each KnowledgeArea, in its order.
+constexpr std::array<MaxAge, kEnumCount<KnowledgeArea>> kMaxAges {
+    &ControlOptions::readerSilence_,
+    &ControlOptions::maxBackendsAge_,
+    &ControlOptions::maxZonesAge_,
+};
+
+Duration maxAgeOf(const ControlOptions &options, KnowledgeArea area)
+{
+    return options.*kMaxAges.at(static_cast<std::size_t>(area));
+}
 
 } // namespace
 
@@ -17,13 +36,17 @@
                        LogSink &log, OnRead onRead)
     : options_(options)
     , config_(config)
+    , log_(log)
     , onRead_(std::move(onRead))
 {
-    const std::size_t feeds = store.feeds().size();
-    for (std::size_t feed = 0; feed < feeds; ++feed) {
+    const std::vector<StoreFeed> feeds = store.feeds();
+    for (std::size_t feed = 0; feed < feeds.size(); ++feed) {
+        // A confirmation counts from when its watch was sent, and is replaced when the next ends.
+        if (feeds[feed].confirms_)
+            confirmationAge_ = 2 * feeds[feed].watchTimeout_ + kReplyTime;
         watchers_.push_back(std::make_unique<ConfigWatcher>(store, feed, config, runAfter, clock,
                                                             Random(seed + feed), log,
-                                                            [this] { onFeedRead(); }));
+                                                            [this, feed] { onFeedRead(feed); }));
     }
 }
 
@@ -50,8 +73,13 @@
                        [](const auto &watcher) { return watcher->isConnected(); });
 }
 
-void FeedReader::onFeedRead()
+void FeedReader::onFeedRead(std::size_t feed)
 {
+    const ConfigWatcher &read = *watchers_[feed];
+    for (const auto &watcher : watchers_) {
+        if (read.readAt() && watcher->revision() >= read.revision())
+            watcher->confirm(*read.readAt());
+    }
     Version complete = watchers_.front()->revision();
     for (const auto &watcher : watchers_)
         complete = std::min(complete, watcher->revision());
@@ -63,10 +91,11 @@
 
 void FeedReader::update(bool isReader, bool hasDiverged, TimePoint now)
 {
+    readStaleFeeds(now);
+    logStaleAreas(now);
     if (options_.readers_ == 0)
         return;
-    const Duration unconfirmed = config_.age(now).value_or(now - startedAt_);
-    if (unconfirmed >= options_.readerSilence_ || hasDiverged)
+    if (isConfigurationStale(now) || hasDiverged)
         readsUntil_ = now + kMinReadDuration;
     const bool shouldWatch = isReader || now < readsUntil_;
     for (const auto &watcher : watchers_) {
@@ -84,4 +113,44 @@
     }
 }
 
+bool FeedReader::isConfigurationStale(TimePoint now) const
+{
+    return config_.age(now).value_or(now - startedAt_) >= options_.readerSilence_;
+}
+
+// The feed that confirms the configuration has short watches and is not read in addition to them.
+void FeedReader::readStaleFeeds(TimePoint now)
+{
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        const Duration refreshAge
+            = std::max(confirmationAge_,
+                       fromSeconds(toSeconds(maxAgeOf(options_, row.value_)) * kRefreshShare));
+        const auto age = config_.age(now, row.value_);
+        if (age && *age < refreshAge)
+            continue;
+        for (const auto &watcher : watchers_) {
+            if (!watcher->feed().confirms_ && watcher->feed().covers(row.value_))
+                watcher->refresh(refreshAge);
+        }
+    }
+}
+
+void FeedReader::logStaleAreas(TimePoint now)
+{
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        const auto age = config_.age(now, row.value_);
+        const bool isStale = age && *age >= maxAgeOf(options_, row.value_);
+        if (isStale == staleAreas_.contains(row.value_))
+            continue;
+        log_.write(LogLine(isStale ? Severity::Warning : Severity::Info,
+                           isStale ? "knowledge-stale" : "knowledge-confirmed")
+                       .add("area", row.name_)
+                       .add("age_ms", toMilliseconds(*age)));
+        if (isStale)
+            staleAreas_.insert(row.value_);
+        else
+            staleAreas_.erase(row.value_);
+    }
+}
+
 } // namespace pimentostage
--- a/src/daemon/FeedReader.h
+++ b/src/daemon/FeedReader.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace pimentostage {
@@ -19,6 +20,10 @@
 /// these are. Every other host reads each feed once after its start. It watches them too while it
 /// receives no recent confirmation from the readers.
 ///
+/// A watch that waits confirms nothing, and its connection may have gone silent. So each reply is
+/// taken as the confirmation of every feed that has been read up to the store's revision in it, and
+/// a feed that stays behind is read again in addition to its watch.
+///
 /// Lives on the control thread.
 class FeedReader
 {
@@ -44,13 +49,20 @@
 
 private:
     [[nodiscard]] ReadConsistency consistencyAtStart() const;
-    void onFeedRead();
+    void onFeedRead(std::size_t feed);
+    void readStaleFeeds(TimePoint now);
+    /// @return whether the configuration has not been confirmed within its maximum age.
+    [[nodiscard]] bool isConfigurationStale(TimePoint now) const;
+    void logStaleAreas(TimePoint now);
 
     const ControlOptions options_;
     ConfigState &config_;
+    LogSink &log_;
     const OnRead onRead_;
     std::vector<std::unique_ptr<ConfigWatcher>> watchers_; ///< one for each feed of the store
     bool isComplete_ = false;
+    Duration confirmationAge_ {}; ///< that the confirmations of a reader reach in calm times
+    std::set<KnowledgeArea> staleAreas_; ///< as logged last
     TimePoint startedAt_ {};
     TimePoint readsUntil_ {}; ///< reads at least until then, even if it is not a reader
 };
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -123,6 +123,12 @@
                  Presence::Optional, 0, kDayMs,
                  "Time within which a withdrawn key must be refused; replaces max_config_age_ms "
                  "unless it is 0." },
+    SettingRow { "control", "leave_deadline_ms", &Settings::controlLeaveDeadline_,
+                 Presence::Optional, 100, kDayMs,
+                 "Time after which a back end that leaves must get no requests." },
+    SettingRow { "control", "evacuation_deadline_ms", &Settings::controlEvacuationDeadline_,
+                 Presence::Optional, 100, kDayMs,
+                 "Time after which a data centre that is taken out must get no requests." },
     SettingRow { "control", "majority_vouches", &Settings::controlMajorityConfirms_,
                  Presence::Optional, 0, 0,
                  "Whether a majority of the hosts can confirm an older configuration." },
@@ -390,6 +396,16 @@
                                         : fromSeconds(toSeconds(deadline) * kReaderSilenceShare);
 }
 
+Duration maxBackendsAgeOf(const Settings &settings)
+{
+    return fromSeconds(toSeconds(settings.controlLeaveDeadline_) * kReaderSilenceShare);
+}
+
+Duration maxZonesAgeOf(const Settings &settings)
+{
+    return fromSeconds(toSeconds(settings.controlEvacuationDeadline_) * kReaderSilenceShare);
+}
+
 Duration maxConfigAgeOf(const Settings &settings)
 {
     const Duration deadline = settings.controlWithdrawalDeadline_;
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -270,6 +270,11 @@
     return confirmedKinds_.empty() || confirmedKinds_.contains(kind);
 }
 
+bool ConfigState::isInArea(ObjectKind kind, KnowledgeArea area) const
+{
+    return area == KnowledgeArea::Configuration ? isConfirmed(kind) : kind == kindOf(area);
+}
+
 bool ConfigState::isConfirmable() const
 {
     return std::none_of(rejected_.begin(), rejected_.end(),
@@ -279,8 +284,10 @@
 void ConfigState::toggleDigest(const ObjectRef &ref, std::uint64_t digest)
 {
     digest_ ^= digest;
-    if (isConfirmed(ref.kind_))
-        confirmedDigest_ ^= digest;
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        if (isInArea(ref.kind_, row.value_))
+            areas_.at(static_cast<std::size_t>(row.value_)).digest_ ^= digest;
+    }
 }
 
 std::size_t ConfigState::applyListing(const std::vector<StoredObject> &objects, Version revision,
@@ -313,10 +320,13 @@
     return changes + removed.size();
 }
 
-void ConfigState::confirm(TimePoint sentAt)
+// A rejected entry of a back end names no back end to use, so it delays no confirmation.
+void ConfigState::confirm(TimePoint sentAt, KnowledgeArea area)
 {
-    if (isConfirmable() && (!confirmedAt_ || *confirmedAt_ < sentAt))
-        confirmedAt_ = sentAt;
+    std::optional<TimePoint> &confirmedAt = areas_.at(static_cast<std::size_t>(area)).confirmedAt_;
+    const bool isNewer = !confirmedAt || *confirmedAt < sentAt;
+    if (isNewer && (area != KnowledgeArea::Configuration || isConfirmable()))
+        confirmedAt = sentAt;
 }
 
 void ConfigState::adoptRevision(Version revision)
@@ -324,17 +334,20 @@
     revision_ = std::max(revision_, revision);
 }
 
-void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint requestSentAt)
+void ConfigState::confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint requestSentAt,
+                                        KnowledgeArea area)
 {
-    if (digest == confirmedDigest_)
-        confirm(requestSentAt - kClockDrift.stretched(age));
+    if (digest == confirmedDigest(area))
+        confirm(requestSentAt - kClockDrift.stretched(age), area);
 }
 
-std::optional<Duration> ConfigState::age(TimePoint now) const
+std::optional<Duration> ConfigState::age(TimePoint now, KnowledgeArea area) const
 {
-    if (!confirmedAt_)
+    const std::optional<TimePoint> &confirmedAt
+        = areas_.at(static_cast<std::size_t>(area)).confirmedAt_;
+    if (!confirmedAt)
         return std::nullopt;
-    return now - *confirmedAt_;
+    return now - *confirmedAt;
 }
 
 std::shared_ptr<const Configuration> ConfigState::configuration()
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -54,8 +54,12 @@
     const bool mayBeStale = mode_ == Mode::ReadingOnce && !feed_.confirms_;
     const ReadConsistency consistency = mayBeStale ? consistency_ : ReadConsistency::Linearizable;
     const TimePoint sentAt = clock_();
-    store_.listFeed(feedIndex_, consistency,
-                    [this, sentAt](const Reply<StoreListing> &reply) { onListing(reply, sentAt); });
+    store_.listFeed(
+        feedIndex_, consistency,
+        [this, consistency, sentAt, call = ++lastCall_](const Reply<StoreListing> &reply) {
+            if (call == lastCall_)
+                onListing(reply, consistency, sentAt);
+        });
 }
 
 void ConfigWatcher::watch()
@@ -66,12 +70,50 @@
     if (!isCallPending_)
         return;
     const TimePoint sentAt = clock_();
-    store_.watchFeed(
-        feedIndex_, revision_, feed_.watchTimeout_,
-        [this, sentAt](const Reply<StoreListing> &reply) { onChanges(reply, sentAt); });
+    store_.watchFeed(feedIndex_, revision_, feed_.watchTimeout_,
+                     [this, sentAt, call = ++lastCall_](const Reply<StoreListing> &reply) {
+                         if (call == lastCall_)
+                             onChanges(reply, sentAt);
+                     });
 }
 
-void ConfigWatcher::onListing(const Reply<StoreListing> &reply, TimePoint sentAt)
+void ConfigWatcher::refresh(Duration minPeriod)
+{
+    const TimePoint now = clock_();
+    const bool isDue = !refreshedAt_ || now >= *refreshedAt_ + minPeriod;
+    if (!isWatching() || !connected_ || isRefreshPending_ || !isDue)
+        return;
+    isRefreshPending_ = true;
+    refreshedAt_ = now;
+    store_.watchFeed(feedIndex_, revision_, Duration::zero(),
+                     [this, now](const Reply<StoreListing> &reply) { onRefresh(reply, now); });
+}
+
+void ConfigWatcher::onRefresh(const Reply<StoreListing> &reply, TimePoint sentAt)
+{
+    isRefreshPending_ = false;
+    const auto *error = std::get_if<Error>(&reply);
+    if (error) {
+        log_.write(LogLine(Severity::Warning, "store-refresh-failed")
+                       .add("feed", static_cast<std::uint64_t>(feedIndex_))
+                       .add("error", error->describe()));
+        if (error->code_ == ErrorCode::Stale && isWatching())
+            list();
+        return;
+    }
+    const auto &changes = std::get<StoreListing>(reply);
+    if (!continues(changes.revision_)) {
+        if (isWatching())
+            list();
+        return;
+    }
+    applyObjects(changes.objects_, ObjectOrigin::Store, state_, log_);
+    onRead(changes.revision_, sentAt);
+    onChange_();
+}
+
+void ConfigWatcher::onListing(const Reply<StoreListing> &reply, ReadConsistency consistency,
+                              TimePoint sentAt)
 {
     if (const auto *error = std::get_if<Error>(&reply)) {
         hasListFailed_ = true;
@@ -91,7 +133,8 @@
         runAfter_(kReregistrationPeriod, [this] { relistAfterOutage(); });
     else
         state_.applyListing(listing.objects_, listing.revision_, feed_.kinds_);
-    onSuccess(listing.revision_, sentAt, Duration::zero());
+    const bool isFresh = consistency == ReadConsistency::Linearizable;
+    onSuccess(listing.revision_, isFresh ? std::optional(sentAt) : std::nullopt, Duration::zero());
 }
 
 void ConfigWatcher::logRestored(Version revision)
@@ -107,16 +150,27 @@
 // Runs in addition to the watches: a watch reports only changes, not entries that are missing.
 void ConfigWatcher::relistAfterOutage()
 {
-    store_.listFeed(feedIndex_, ReadConsistency::Linearizable,
-                    [this](const Reply<StoreListing> &reply) {
-                        const auto *listing = std::get_if<StoreListing>(&reply);
-                        // After another restoration, its own listing waits for the missing entries.
-                        if (!listing || generationOf(listing->revision_) > generationOf(revision_))
-                            return;
-                        applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
-                        state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
-                        onChange_();
-                    });
+    const TimePoint sentAt = clock_();
+    store_.listFeed(
+        feedIndex_, ReadConsistency::Linearizable,
+        [this, sentAt](const Reply<StoreListing> &reply) { onRelisting(reply, sentAt); });
+}
+
+void ConfigWatcher::onRelisting(const Reply<StoreListing> &reply, TimePoint sentAt)
+{
+    const auto *listing = std::get_if<StoreListing>(&reply);
+    // After another restoration, its own listing waits for the missing entries.
+    if (!listing || generationOf(listing->revision_) > generationOf(revision_))
+        return;
+    applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
+    state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
+    confirm(sentAt);
+    onChange_();
+}
+
+bool ConfigWatcher::continues(Version revision) const
+{
+    return generationOf(revision) == generationOf(revision_) && revision >= revision_;
 }
 
 void ConfigWatcher::onChanges(const Reply<StoreListing> &reply, TimePoint sentAt)
@@ -126,9 +180,7 @@
         return;
     }
     const auto &changes = std::get<StoreListing>(reply);
-    const bool isRestored = generationOf(changes.revision_) != generationOf(revision_);
-    if (isRestored || changes.revision_ < revision_) {
-        // The changes do not follow from what was read before, so all objects are read again.
+    if (!continues(changes.revision_)) {
         list();
         return;
     }
@@ -138,7 +190,24 @@
     onSuccess(changes.revision_, sentAt, isDelayed ? feed_.batchDelay_ : Duration::zero());
 }
 
-void ConfigWatcher::onSuccess(Version revision, TimePoint sentAt, Duration delay)
+void ConfigWatcher::confirm(TimePoint sentAt)
+{
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        if (feed_.covers(row.value_))
+            state_.confirm(sentAt, row.value_);
+    }
+}
+
+void ConfigWatcher::onRead(Version revision, std::optional<TimePoint> sentAt)
+{
+    revision_ = std::max(revision_, revision);
+    if (!sentAt)
+        return;
+    readAt_ = readAt_ ? std::max(*readAt_, *sentAt) : *sentAt;
+    confirm(*sentAt);
+}
+
+void ConfigWatcher::onSuccess(Version revision, std::optional<TimePoint> sentAt, Duration delay)
 {
     if (!connected_)
         log_.write(LogLine(Severity::Info, "store-connected")
@@ -148,12 +217,13 @@
     connected_ = true;
     backoff_.reset();
     slowBackoff_.reset();
-    revision_ = std::max(revision_, revision);
-    if (feed_.confirms_)
-        state_.confirm(sentAt);
+    onRead(revision, sentAt);
     onChange_();
     if (delay > Duration::zero())
-        runAfter_(delay, [this] { watch(); });
+        runAfter_(delay, [this, call = lastCall_] {
+            if (call == lastCall_)
+                watch();
+        });
     else
         watch();
 }
@@ -172,7 +242,9 @@
         return;
     }
     Backoff &backoff = isSlowRetry_ ? slowBackoff_ : backoff_;
-    runAfter_(backoff.next(random_), [this] {
+    runAfter_(backoff.next(random_), [this, call = lastCall_] {
+        if (call != lastCall_)
+            return;
         if (mode_ == Mode::Paused)
             isCallPending_ = false;
         else
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -8,6 +8,7 @@
 #include "pimentostage/platform/ObjectStore.h"
 
 #include <functional>
+#include <optional>
 
 namespace pimentostage {
 
@@ -31,6 +32,12 @@
     void setSlowRetry(bool isSlowRetry) { isSlowRetry_ = isSlowRetry; }
     /// Starts no further call. A call in progress completes.
     void pause() { mode_ = Mode::Paused; }
+    /// Reads the changes since the last reply beside the watch in progress, whose connection may
+    /// have gone silent, unless it did so less than @p minPeriod ago.
+    void refresh(Duration minPeriod);
+    /// Records that the store confirmed what this feed has read.
+    /// @param sentAt when the confirming request was sent.
+    void confirm(TimePoint sentAt);
     /// @return whether it watches the feed, and does not just read it once.
     [[nodiscard]] bool isWatching() const { return mode_ == Mode::Watching; }
 
@@ -38,6 +45,9 @@
     [[nodiscard]] bool isConnected() const { return connected_; }
     /// @return the revision up to which the feed has been read; zero before the first listing.
     [[nodiscard]] Version revision() const { return revision_; }
+    /// @return when the last successful call that may not return stale data was sent.
+    [[nodiscard]] std::optional<TimePoint> readAt() const { return readAt_; }
+    [[nodiscard]] const StoreFeed &feed() const { return feed_; }
 
 private:
     enum class Mode { Paused, ReadingOnce, Watching };
@@ -45,9 +55,15 @@
     void list();
     void relistAfterOutage();
     void watch();
-    void onListing(const Reply<StoreListing> &reply, TimePoint sentAt);
+    void onListing(const Reply<StoreListing> &reply, ReadConsistency consistency, TimePoint sentAt);
     void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
-    void onSuccess(Version revision, TimePoint sentAt, Duration delay);
+    void onRefresh(const Reply<StoreListing> &reply, TimePoint sentAt);
+    void onRelisting(const Reply<StoreListing> &reply, TimePoint sentAt);
+    /// @return whether changes up to @p revision follow from what was read before.
+    [[nodiscard]] bool continues(Version revision) const;
+    /// Records a successful call. @p sentAt is empty if the reply may be stale.
+    void onRead(Version revision, std::optional<TimePoint> sentAt);
+    void onSuccess(Version revision, std::optional<TimePoint> sentAt, Duration delay);
     void onFailure(const Error &error);
     void logRestored(Version revision);
 
@@ -69,6 +85,10 @@
     ReadConsistency consistency_ = ReadConsistency::Linearizable; ///< of a single read
     bool isCallPending_ = false; ///< a call is in progress or scheduled
     bool hasListFailed_ = false; ///< since the last successful listing
+    std::optional<TimePoint> readAt_;
+    std::optional<TimePoint> refreshedAt_; ///< when the last refresh was sent
+    bool isRefreshPending_ = false;
+    std::uint64_t lastCall_ = 0; ///< number of the call whose reply continues the watch
 };
 
 } // namespace pimentostage
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -74,6 +74,8 @@
         "[control]\nchange_deadline_ms = 3000\nwithdrawal_deadline_ms = 5000\n", "x.ini");
     EXPECT_EQ(readerSilenceOf(result.settings_), 2550ms);
     EXPECT_EQ(maxConfigAgeOf(result.settings_), 4500ms);
+    EXPECT_EQ(maxBackendsAgeOf(Settings()), 1700ms);
+    EXPECT_EQ(maxZonesAgeOf(Settings()), 4250ms);
     EXPECT_EQ(readerSilenceOf(Settings()), Settings().controlReaderSilence_);
     EXPECT_EQ(maxConfigAgeOf(Settings()), Settings().controlMaxConfigAge_);
 }
