Push what a reader reads, also if it is older than a relayed object of another kind

Callers saw: nothing.

Hypotheses and what each would show: (1) the reader counts the entry as published, since an object of another kind with a newer version was relayed to it: entries that were overtaken reach the other hosts late, by pulls; (2) pushes are lost or slow for want of processor time: entries reach single hosts late, overtaken or not; (3) a host knows and sends all the same: the object line is in time.

Cause: one mark of publication stood for objects of all kinds. The entries of back ends come from a feed of their own, 150 ms late on purpose, and a placement that is relayed in that time has a newer version. Other hosts got them by a pull, or not at all from a source that lacked them too.

Change: a mark for each kind. Within one kind versions are read in order, so a mark is exact there.

Before: with one mark, SendsAnObjectThatIsOlderThanARelayedOneOfAnotherKind fails. After: it passes.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -37,6 +37,9 @@
     };
 };
 
+/// A version for each ObjectKind, in its order.
+using VersionsByKind = std::array<Version, kEnumCount<ObjectKind>>;
+
 /// A version that this host did not apply. The version in force before it stays in force.
 struct RejectedVersion
 {
@@ -108,6 +111,8 @@
 
     /// @return all objects of a version above @p version, deletions included, by ascending version.
     [[nodiscard]] std::vector<StoredObject> changesSince(Version version) const;
+    /// As above, with a version for each kind.
+    [[nodiscard]] std::vector<StoredObject> changesSince(const VersionsByKind &versions) const;
 
     /// @return for each object the newest version that was rejected, if neither a newer one was
     ///         applied since nor the object was removed.
--- a/src/daemon/ConfigPublisher.cpp
+++ b/src/daemon/ConfigPublisher.cpp
@@ -27,9 +27,8 @@
 
 void ConfigPublisher::publishRead(bool isReader)
 {
-    std::vector<StoredObject> changes = config_.changesSince(publishedVersion_);
-    for (const StoredObject &object : changes)
-        publishedVersion_ = std::max(publishedVersion_, object.version_);
+    std::vector<StoredObject> changes = config_.changesSince(publishedVersions_);
+    markPublished(changes);
     if (!isReader)
         return;
     std::erase_if(
@@ -59,11 +58,18 @@
 
 void ConfigPublisher::relay(const ConfigPush &push)
 {
-    for (const StoredObject &object : push.objects_)
-        publishedVersion_ = std::max(publishedVersion_, object.version_);
+    markPublished(push.objects_);
     send(push.objects_, fanOut(push.relayTo_));
 }
 
+void ConfigPublisher::markPublished(const std::vector<StoredObject> &objects)
+{
+    for (const StoredObject &object : objects) {
+        Version &published = publishedVersions_.at(static_cast<std::size_t>(object.ref_.kind_));
+        published = std::max(published, object.version_);
+    }
+}
+
 // The push carries no revision because the receiver may have missed earlier changes.
 void ConfigPublisher::send(const std::vector<StoredObject> &objects,
                            const std::vector<FanOutBranch> &branches)
--- a/src/daemon/ConfigPublisher.h
+++ b/src/daemon/ConfigPublisher.h
@@ -32,6 +32,7 @@
     void relay(const ConfigPush &push);
 
 private:
+    void markPublished(const std::vector<StoredObject> &objects);
     void send(const std::vector<StoredObject> &objects, const std::vector<FanOutBranch> &branches);
 
     const MemberUpdate self_;
@@ -39,7 +40,9 @@
     const Membership &membership_;
     SiblingSender &siblings_;
     Random random_;
-    Version publishedVersion_; ///< newest object version already sent to all other hosts
+    /// Newest version of each kind that was already sent to all other hosts. The store's feeds are
+    /// read at different times, so a newer object of one kind says nothing about another kind.
+    VersionsByKind publishedVersions_ {};
 };
 
 } // namespace pimentostage
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -384,10 +384,17 @@
 }
 
 std::vector<StoredObject> ConfigState::changesSince(Version version) const
+{
+    VersionsByKind versions;
+    versions.fill(version);
+    return changesSince(versions);
+}
+
+std::vector<StoredObject> ConfigState::changesSince(const VersionsByKind &versions) const
 {
     std::vector<StoredObject> changes;
     for (const auto &[ref, object] : objects_) {
-        if (object.version_ > version)
+        if (object.version_ > versions.at(static_cast<std::size_t>(ref.kind_)))
             changes.push_back(object);
     }
     std::sort(changes.begin(), changes.end(),
--- a/tests/ConfigPublisherTest.cpp
+++ b/tests/ConfigPublisherTest.cpp
@@ -1,5 +1,7 @@
 #include "src/daemon/ConfigPublisher.h"
 
+#include "pimentostage/platform/ObjectCodec.h"
+
 #include <gtest/gtest.h>
 
 #include <map>
@@ -109,6 +111,31 @@
     EXPECT_EQ(host.sent_, kZones);
 }
 
+// Guards against a back end that is in use after it has left: a reader withheld its entry because
+// an object of another kind with a newer version had been relayed to the reader before.
+TEST(ConfigPublisher, SendsAnObjectThatIsOlderThanARelayedOneOfAnotherKind)
+{
+    PublishingFleet fleet;
+    Backend entry;
+    entry.name_ = BackendName("s1");
+    entry.service_ = ServiceName("map");
+    entry.zone_ = ZoneName("serra-a");
+    entry.address_ = Address { "10.0.0.1", 80 };
+    entry.slots_ = 1;
+    entry.connections_ = 1;
+    const StoredObject backend {
+        { ObjectKind::Backend, "s1" }, Version { 84 }, false, formatBackend(entry)
+    };
+    fleet.hosts_[1]->publisher_.publish({ zoneOut(89) });
+    PublishingFleet::Host &reader = *fleet.hosts_[0];
+    ASSERT_EQ(reader.received_, 1U);
+    const std::size_t sent = reader.sent_;
+    ASSERT_EQ(reader.config_.apply(backend), ApplyResult::Applied);
+    reader.publisher_.publishRead(true);
+    EXPECT_EQ(reader.sent_ - sent, kZones);
+    EXPECT_EQ(fleet.hosts_[2]->config_.versionOf(backend.ref_), Version { 84 });
+}
+
 TEST(ConfigPublisher, DoesNotResendWhatAnotherHostPushed)
 {
     PublishingFleet fleet;
