Pass on the ages of back ends and data centres, and read the store when they are old

Callers saw: nothing.

The confirmations that hosts pass on covered the configuration only, so a host whose source lacked a change of a back end saw equal digests and a young confirmation, and did not read the store.

Change: a probe's summary tells the digest and the age of each area; a reply confirms an area if the digests are equal, dated from the probe.

Hosts of the former version cannot read the new summaries: update all hosts at once, or expect them to read the store for themselves meanwhile.

--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/Grant.h"
 #include "pimentostage/backend/HotKeyTracker.h"
+#include "pimentostage/platform/KnowledgeArea.h"
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Allowance.h"
 #include "pimentostage/sibling/Membership.h"
@@ -19,13 +20,22 @@
     MemberUpdate self_;
 };
 
-/// Revision, digests and age of a host's configuration.
+/// Digest and age of what a host knows of one KnowledgeArea other than the configuration.
+struct AreaSummary
+{
+    KnowledgeArea area_ = KnowledgeArea::Backends;
+    std::uint64_t digest_ = 0;
+    std::optional<Duration> age_; ///< time since the store confirmed it
+};
+
+/// Revision, digests and ages of what a host knows of the store's content.
 struct ConfigSummary
 {
     Version revision_;
     std::uint64_t digest_ = 0;
     std::uint64_t confirmedDigest_ = 0; ///< of the part to which `age_` refers
     std::optional<Duration> age_; ///< time since the store confirmed that part
+    std::vector<AreaSummary> areas_ {};
 };
 
 /// Checks whether `target_` is alive; a host that is not the target forwards the probe.
--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -95,7 +95,7 @@
     logStaleAreas(now);
     if (options_.readers_ == 0)
         return;
-    if (isConfigurationStale(now) || hasDiverged)
+    if (hasStaleArea(now) || hasDiverged)
         readsUntil_ = now + kMinReadDuration;
     const bool shouldWatch = isReader || now < readsUntil_;
     for (const auto &watcher : watchers_) {
@@ -113,9 +113,14 @@
     }
 }
 
-bool FeedReader::isConfigurationStale(TimePoint now) const
+bool FeedReader::hasStaleArea(TimePoint now) const
 {
-    return config_.age(now).value_or(now - startedAt_) >= options_.readerSilence_;
+    const auto isStale = [&](const auto &row) {
+        return config_.age(now, row.value_).value_or(now - startedAt_)
+               >= maxAgeOf(options_, row.value_);
+    };
+    return std::any_of(EnumTable<KnowledgeArea>::kRows.begin(),
+                       EnumTable<KnowledgeArea>::kRows.end(), isStale);
 }
 
 // The feed that confirms the configuration has short watches and is not read in addition to them.
--- a/src/daemon/FeedReader.h
+++ b/src/daemon/FeedReader.h
@@ -18,7 +18,7 @@
 ///
 /// ControlOptions::readers_ hosts do so on behalf of the fleet; the view determines which hosts
 /// these are. Every other host reads each feed once after its start. It watches them too while it
-/// receives no recent confirmation from the readers.
+/// receives no recent confirmation of some KnowledgeArea from the readers.
 ///
 /// A watch that waits confirms nothing, and its connection may have gone silent. So each reply is
 /// taken as the confirmation of every feed that has been read up to the store's revision in it, and
@@ -51,8 +51,8 @@
     [[nodiscard]] ReadConsistency consistencyAtStart() const;
     void onFeedRead(std::size_t feed);
     void readStaleFeeds(TimePoint now);
-    /// @return whether the configuration has not been confirmed within its maximum age.
-    [[nodiscard]] bool isConfigurationStale(TimePoint now) const;
+    /// @return whether some area has not been confirmed within its maximum age.
+    [[nodiscard]] bool hasStaleArea(TimePoint now) const;
     void logStaleAreas(TimePoint now);
 
     const ControlOptions options_;
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -108,8 +108,14 @@
 
 ConfigSummary MemberControl::summary(TimePoint now) const
 {
-    return ConfigSummary { config_.revision(), config_.digest(), config_.confirmedDigest(),
-                           config_.age(now) };
+    ConfigSummary summary { config_.revision(), config_.digest(), config_.confirmedDigest(),
+                            config_.age(now) };
+    for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
+        if (row.value_ != KnowledgeArea::Configuration)
+            summary.areas_.push_back(
+                { row.value_, config_.confirmedDigest(row.value_), config_.age(now, row.value_) });
+    }
+    return summary;
 }
 
 void MemberControl::onMessage(const HostName &from, const Probe &probe, TimePoint now)
@@ -149,12 +155,21 @@
         report.probeSentAt_ = *probeSentAt;
         report.confirmedDigest_ = ack.config_.confirmedDigest_;
     }
-    if (probeSentAt && ack.config_.age_)
-        config_.confirmThroughSibling(ack.config_.confirmedDigest_, *ack.config_.age_,
-                                      *probeSentAt);
+    if (probeSentAt)
+        confirmThrough(ack.config_, *probeSentAt);
     membership_.onAck(ack.responder_, ack.sequence_, now);
 }
 
+void MemberControl::confirmThrough(const ConfigSummary &summary, TimePoint probeSentAt)
+{
+    if (summary.age_)
+        config_.confirmThroughSibling(summary.confirmedDigest_, *summary.age_, probeSentAt);
+    for (const AreaSummary &area : summary.areas_) {
+        if (area.age_)
+            config_.confirmThroughSibling(area.digest_, *area.age_, probeSentAt, area.area_);
+    }
+}
+
 void MemberControl::applyReport(const HostName &from, const std::vector<MemberUpdate> &updates,
                                 const ConfigSummary &config, TimePoint now)
 {
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -75,6 +75,8 @@
     };
 
     ConfigSummary summary(TimePoint now) const;
+    /// Records what a host's reply to a probe confirms.
+    void confirmThrough(const ConfigSummary &summary, TimePoint probeSentAt);
     void applyReport(const HostName &from, const std::vector<MemberUpdate> &updates,
                      const ConfigSummary &config, TimePoint now);
     void compareConfig(const HostName &from, const ConfigSummary &config, TimePoint now);
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -80,10 +80,17 @@
             update.capacity_);
 }
 
+template <typename Archive>
+void visitFields(Archive &archive, AreaSummary &summary)
+{
+    archive(summary.area_, summary.digest_, summary.age_);
+}
+
 template <typename Archive>
 void visitFields(Archive &archive, ConfigSummary &summary)
 {
-    archive(summary.revision_, summary.digest_, summary.confirmedDigest_, summary.age_);
+    archive(summary.revision_, summary.digest_, summary.confirmedDigest_, summary.age_,
+            summary.areas_);
 }
 
 template <typename Archive>
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -47,7 +47,12 @@
     self.address_ = Address { "10.0.0.1", 7350 };
     self.zone_ = ZoneName("serra-a");
     self.liveness_ = Liveness::Suspect;
-    const ConfigSummary summary { Version { 9 }, 12345, 678, 250ms };
+    const ConfigSummary summary { Version { 9 },
+                                  12345,
+                                  678,
+                                  250ms,
+                                  { { KnowledgeArea::Backends, 91, 1s },
+                                    { KnowledgeArea::Zones, 92, std::nullopt } } };
     const StoredObject object { { ObjectKind::Zone, "a" }, Version { 3 }, false, "{}" };
     AllowanceRequest request;
     request.account_ = AccountName("team/caxias");
--- a/tests/KnowledgeAgeTest.cpp
+++ b/tests/KnowledgeAgeTest.cpp
@@ -56,6 +56,8 @@
         const Duration until = events_.now() + time;
         while (events_.now() < until) {
             events_.runUntil(std::min(until, events_.now() + kTick), [] {});
+            if (hasConfirmingSibling_)
+                config_.confirm(now());
             reader_.update(isReader_, false, now());
         }
     }
@@ -93,6 +95,8 @@
     FeedStore store_ { events_, feedsWithLongWatches() };
     RecordingLog log_;
     ConfigState config_ { { ObjectKind::Catalogue } };
+    /// Whether a sibling confirms the configuration, and nothing else, all the time.
+    bool hasConfirmingSibling_ = false;
 
 private:
     const bool isReader_;
@@ -141,6 +145,20 @@
     }
 }
 
+// Guards against requests to a back end that has left: the readers' confirmations of the
+// configuration say nothing about back ends, and a reader that the store turns away has none.
+TEST(KnowledgeAge, AHostReadsTheStoreIfNoReaderConfirmsTheBackEnds)
+{
+    for (Duration offset = 0s; offset < 6s; offset += 250ms) {
+        ReadingHost host(false);
+        host.hasConfirmingSibling_ = true;
+        host.run(offset);
+        host.setBackend("s1", BackendState::Draining);
+        host.run(kLeaveDeadline);
+        EXPECT_EQ(host.stateOf("s1"), BackendState::Draining) << toSeconds(offset);
+    }
+}
+
 // Guards against the cost of confirmations: each call to the store is billed.
 TEST(KnowledgeAge, WithoutChangesBackEndsAreConfirmedByRepliesToOtherCalls)
 {
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -179,6 +179,22 @@
     EXPECT_LE(*config_.age(kStart), 310ms);
 }
 
+// Guards against requests to a back end that has left: a host that has not received its entry must
+// not take the confirmation of a host that has.
+TEST_F(MemberControlTest, AConfirmationOfBackEndsCountsOnlyIfTheyAreEqual)
+{
+    control_.tick(kStart);
+    ProbeAck answer = answerTo(sent_.lastProbe(), 100ms);
+    const std::uint64_t digest = config_.confirmedDigest(KnowledgeArea::Backends);
+    answer.config_.areas_
+        = { { KnowledgeArea::Backends, digest + 1, 100ms }, { KnowledgeArea::Zones, 0, 200ms } };
+    control_.onMessage(other_.member_.host_, answer, kStart);
+    EXPECT_FALSE(config_.age(kStart, KnowledgeArea::Backends));
+    ASSERT_TRUE(config_.age(kStart, KnowledgeArea::Zones));
+    EXPECT_GE(*config_.age(kStart, KnowledgeArea::Zones), 200ms);
+    EXPECT_TRUE(config_.age(kStart)) << "the configuration is equal";
+}
+
 // A probe's delay in transit is unknown. If it confirmed the configuration, a key withdrawn in the
 // meantime would remain valid at a host that was frozen or isolated.
 TEST_F(MemberControlTest, ADelayedProbeConfirmsNothing)
