Replace a watch that missed a change; let the watches of areas wait longer

Cause: a watch on a silent connection stayed until it timed out, and each change in that time was found only when the age of its area passed its limit.

Change: a read beside a watch that returns changes replaces the watch. As dead connections are found by age, the watches of back ends and data centres wait 15 s instead of 5 s. The feed of the state keeps 5 s.

AWatchThatMissedAChangeIsReplaced fails without the replacement, and passes with it.

--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -110,6 +110,9 @@
     applyObjects(changes.objects_, ObjectOrigin::Store, state_, log_);
     onRead(changes.revision_, sentAt);
     onChange_();
+    // The watch has not reported these changes, so its connection may be dead.
+    if (!changes.objects_.empty() && isWatching())
+        watch();
 }
 
 void ConfigWatcher::onListing(const Reply<StoreListing> &reply, ReadConsistency consistency,
--- a/tests/KnowledgeAgeTest.cpp
+++ b/tests/KnowledgeAgeTest.cpp
@@ -24,8 +24,8 @@
 std::vector<StoreFeed> feedsWithLongWatches()
 {
     return { { { ObjectKind::Catalogue }, 500ms, {}, true },
-             { { ObjectKind::Backend }, 5s, 150ms, false },
-             { { ObjectKind::Zone }, 5s, {}, false },
+             { { ObjectKind::Backend }, 15s, 150ms, false },
+             { { ObjectKind::Zone }, 15s, {}, false },
              { { ObjectKind::Role }, 5s, 1s, false } };
 }
 
@@ -131,6 +131,19 @@
     }
 }
 
+// Guards against a dead watch that delays each further change until it times out.
+TEST(KnowledgeAge, AWatchThatMissedAChangeIsReplaced)
+{
+    ReadingHost host(true);
+    host.store_.silenceOpenConnections();
+    host.run(kStableAfter);
+    host.setBackend("s1", BackendState::Draining);
+    host.run(kLeaveDeadline);
+    host.setBackend("s2", BackendState::Draining);
+    host.run(300ms);
+    EXPECT_EQ(host.stateOf("s2"), BackendState::Draining);
+}
+
 // Guards against requests to a data centre that was taken out, as above.
 TEST(KnowledgeAge, AReaderLearnsInTimeOfAnEvacuationAfterItsConnectionsWentSilent)
 {
@@ -168,7 +181,7 @@
         host.run(1s);
         EXPECT_LT(host.config_.age(host.now(), KnowledgeArea::Backends).value_or(1h), 1100ms);
     }
-    EXPECT_LE(host.store_.calls(kBackendFeed) - before, 20 / 5 + 1);
+    EXPECT_LE(host.store_.calls(kBackendFeed) - before, 20 / 15 + 1);
 }
 
 // A refused call is no confirmation, and is not repeated more often than the age requires.
