Repeat the listing that finds out which entries are missing after an outage

Cause: the listing 2.2 s after an outage, the only one that deletes what is missing, was not repeated if it failed alone: the watches go on and report changes, not absences.

Change: it is repeated every 0.5 s until it succeeds or the store was restored again.

Before: RepeatsTheListingThatDeletesMissingObjects fails. After: it passes.

--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -9,6 +9,8 @@
 
 // Time after an outage of the store within which expired entries are registered again.
 constexpr Duration kReregistrationPeriod = std::chrono::milliseconds(2200);
+// Delay of another attempt to find out which entries are missing after an outage.
+constexpr Duration kRelistDelay = std::chrono::milliseconds(500);
 constexpr Duration kInitialDelay = std::chrono::milliseconds(50);
 constexpr Duration kMaxDelay = std::chrono::seconds(2);
 // When 69 hosts all retried with the readers' delays, they made 991 calls in one second.
@@ -162,8 +164,13 @@
 void ConfigWatcher::onRelisting(const Reply<StoreListing> &reply, TimePoint sentAt)
 {
     const auto *listing = std::get_if<StoreListing>(&reply);
+    if (!listing) {
+        // Nothing else would delete the missing entries before the next failure of a listing.
+        runAfter_(kRelistDelay, [this] { relistAfterOutage(); });
+        return;
+    }
     // After another restoration, its own listing waits for the missing entries.
-    if (!listing || generationOf(listing->revision_) > generationOf(revision_))
+    if (generationOf(listing->revision_) > generationOf(revision_))
         return;
     applyObjects(listing->objects_, ObjectOrigin::Store, state_, log_);
     state_.applyListing(listing->objects_, listing->revision_, feed_.kinds_);
--- a/tests/ConfigWatcherTest.cpp
+++ b/tests/ConfigWatcherTest.cpp
@@ -220,6 +220,25 @@
     EXPECT_FALSE(watched.isEvacuated("b")) << "nobody has written it again";
 }
 
+// Guards against a back end that is in use although its entry expired during an outage: the listing
+// that deletes missing entries failed once and was not repeated.
+TEST(ConfigWatcher, RepeatsTheListingThatDeletesMissingObjects)
+{
+    WatchedStore watched;
+    watched.evacuate("a");
+    watched.run();
+    watched.store_.copy();
+    watched.evacuate("b");
+    watched.run();
+    watched.store_.restoreCopy();
+    watched.run(2s);
+    watched.store_.isDown_ = true;
+    watched.run(400ms);
+    watched.store_.isDown_ = false;
+    watched.run(1s);
+    EXPECT_FALSE(watched.isEvacuated("b"));
+}
+
 // Guards against a change that is skipped: if the restored store already has the revision of a
 // watch, the watch continues in a history other than the one that was read.
 TEST(ConfigWatcher, ListsAgainIfARestoredStoreAlreadyHasTheRevisionOfItsWatch)
