Pass the time to ConfigWatcher::refresh(); ignore its reply if the watch overtook it

Cause: found on reading the change. refresh() read a clock to decide; and a reply that the watch had overtaken was taken for one of a restored store, which cost a listing of the feed.

Change: the time is an argument; an older revision of the same generation is ignored.

--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -73,6 +73,8 @@
                        [](const auto &watcher) { return watcher->isConnected(); });
 }
 
+// A reply contains the revision of the whole store, so it also confirms the other feeds that have
+// been read up to it.
 void FeedReader::onFeedRead(std::size_t feed)
 {
     const ConfigWatcher &read = *watchers_[feed];
@@ -135,7 +137,7 @@
             continue;
         for (const auto &watcher : watchers_) {
             if (!watcher->feed().confirms_ && watcher->feed().covers(row.value_))
-                watcher->refresh(refreshAge);
+                watcher->refresh(refreshAge, now);
         }
     }
 }
--- a/src/platform/ConfigWatcher.cpp
+++ b/src/platform/ConfigWatcher.cpp
@@ -79,9 +79,8 @@
                      });
 }
 
-void ConfigWatcher::refresh(Duration minPeriod)
+void ConfigWatcher::refresh(Duration minPeriod, TimePoint now)
 {
-    const TimePoint now = clock_();
     const bool isDue = !refreshedAt_ || now >= *refreshedAt_ + minPeriod;
     if (!isWatching() || !connected_ || isRefreshPending_ || !isDue)
         return;
@@ -104,11 +103,12 @@
         return;
     }
     const auto &changes = std::get<StoreListing>(reply);
-    if (!continues(changes.revision_)) {
-        if (isWatching())
-            list();
+    const bool isRestored = generationOf(changes.revision_) != generationOf(revision_);
+    if (isRestored && isWatching())
+        list();
+    // A reply that the watch has overtaken contains nothing new.
+    if (isRestored || changes.revision_ < revision_)
         return;
-    }
     applyObjects(changes.objects_, ObjectOrigin::Store, state_, log_);
     onRead(changes.revision_, sentAt);
     onChange_();
@@ -178,11 +178,6 @@
     onChange_();
 }
 
-bool ConfigWatcher::continues(Version revision) const
-{
-    return generationOf(revision) == generationOf(revision_) && revision >= revision_;
-}
-
 void ConfigWatcher::onChanges(const Reply<StoreListing> &reply, TimePoint sentAt)
 {
     if (const auto *error = std::get_if<Error>(&reply)) {
@@ -190,7 +185,9 @@
         return;
     }
     const auto &changes = std::get<StoreListing>(reply);
-    if (!continues(changes.revision_)) {
+    const bool isRestored = generationOf(changes.revision_) != generationOf(revision_);
+    if (isRestored || changes.revision_ < revision_) {
+        // The changes do not follow from what was read before, so all objects are read again.
         list();
         return;
     }
--- a/src/platform/ConfigWatcher.h
+++ b/src/platform/ConfigWatcher.h
@@ -34,7 +34,7 @@
     void pause() { mode_ = Mode::Paused; }
     /// Reads the changes since the last reply beside the watch in progress, whose connection may
     /// have gone silent, unless it did so less than @p minPeriod ago.
-    void refresh(Duration minPeriod);
+    void refresh(Duration minPeriod, TimePoint now);
     /// Records that the store confirmed what this feed has read.
     /// @param sentAt when the confirming request was sent.
     void confirm(TimePoint sentAt);
@@ -59,8 +59,6 @@
     void onChanges(const Reply<StoreListing> &reply, TimePoint sentAt);
     void onRefresh(const Reply<StoreListing> &reply, TimePoint sentAt);
     void onRelisting(const Reply<StoreListing> &reply, TimePoint sentAt);
-    /// @return whether changes up to @p revision follow from what was read before.
-    [[nodiscard]] bool continues(Version revision) const;
     /// Records a successful call. @p sentAt is empty if the reply may be stale.
     void onRead(Version revision, std::optional<TimePoint> sentAt);
     void onSuccess(Version revision, std::optional<TimePoint> sentAt, Duration delay);
