Log each order about a key range with its connection, epoch, hold and role

What was missing: an accepted grant left no line, and no line named the epoch, the incarnation and address, the connection, the hold, the epoch of the role or the version of the placement. So the log of an OWNER break could not tell a renewal that reached another process at the address from an order that took effect late or from two coordinators.

Change: RangeLink reports the connection of an order; RangeControl writes one line for each order once its outcome is known.

No logic is changed.

--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -135,6 +135,10 @@
 
     /// @return the placement last written, updated with the moves that have ended since.
     [[nodiscard]] const RangePlacement &placement() const { return placement_; }
+    /// @return the version of the placement that was last read or written.
+    [[nodiscard]] Version version() const { return version_; }
+    /// @return the epoch of the role under which it coordinates.
+    [[nodiscard]] Epoch roleEpoch() const { return roleEpoch_; }
     /// @return the number of ranges that are moving between owners.
     [[nodiscard]] std::size_t movingRanges() const;
 
--- a/include/pimentostage/backend/RangeLink.h
+++ b/include/pimentostage/backend/RangeLink.h
@@ -50,23 +50,28 @@
     Epoch epoch_;
 };
 
+/// What became of an order that was sent to a back end.
+struct RangeReply
+{
+    RangeOutcome outcome_ = RangeOutcome::NotDelivered;
+    ConnectionId connection_ = 0; ///< on which the order was sent; 0 if it was not sent
+    std::string handover_ {}; ///< of a release: token to pass to the next holder; may be empty
+};
+
 /// Sends a coordinator's orders to back ends that hold ranges.
 ///
 /// Callbacks run on the control thread.
 class RangeLink
 {
 public:
-    using OnGranted = std::function<void(RangeOutcome)>;
-    /// @param handover token to pass to the next holder; empty if there is none.
-    using OnReleased = std::function<void(RangeOutcome, const std::string &handover)>;
+    using OnReply = std::function<void(const RangeReply &)>;
 
     virtual ~RangeLink() = default;
 
-    virtual void grant(const Address &backend, const RangeGrantOrder &order, OnGranted done) = 0;
+    virtual void grant(const Address &backend, const RangeGrantOrder &order, OnReply done) = 0;
     /// @param done called only after the work that runs on the keys has ended, unless the order
     ///        fails.
-    virtual void release(const Address &backend, const RangeReleaseOrder &order, OnReleased done)
-        = 0;
+    virtual void release(const Address &backend, const RangeReleaseOrder &order, OnReply done) = 0;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/base/Ids.h
+++ b/include/pimentostage/base/Ids.h
@@ -81,6 +81,9 @@
     auto operator<=>(const Member &) const = default;
 };
 
+/// Number of a TCP connection, unique among those of one client; 0 is none.
+using ConnectionId = std::uint64_t;
+
 /// A TCP address with a numeric IP address.
 struct Address
 {
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -100,6 +100,16 @@
     return isTimeout ? RangeOutcome::Unanswered : RangeOutcome::Broken;
 }
 
+RangeReply replyOf(const HttpResult &result, const RangeProtocol &protocol)
+{
+    RangeReply reply;
+    reply.outcome_ = outcomeOf(result, protocol);
+    reply.connection_ = result.connection_;
+    if (result.answer_)
+        reply.handover_ = result.answer_->header(protocol.handoverHeader_);
+    return reply;
+}
+
 } // namespace
 
 const RangeProtocol &nativeRangeProtocol()
@@ -130,21 +140,19 @@
     return request;
 }
 
-void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnGranted done)
+void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnReply done)
 {
     grants_.start(prepare(protocol_.encodeGrant_(order), backend, kGrantTimeout),
                   [this, done = std::move(done)](const HttpResult &result) {
-                      done(outcomeOf(result, protocol_));
+                      done(replyOf(result, protocol_));
                   });
 }
 
-void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReleased done)
+void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReply done)
 {
     releases_.start(prepare(protocol_.encodeRelease_(order), backend, kReleaseTimeout),
                     [this, done = std::move(done)](const HttpResult &result) {
-                        done(outcomeOf(result, protocol_),
-                             result.answer_ ? result.answer_->header(protocol_.handoverHeader_)
-                                            : "");
+                        done(replyOf(result, protocol_));
                     });
 }
 
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -3,6 +3,7 @@
 #include "pimentostage/base/Attempt.h"
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/HttpHeader.h"
+#include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Time.h"
 
 #include <cstddef>
@@ -20,9 +21,6 @@
 /// Header that carries the id of a request, in the request and in its answer.
 inline constexpr const char *kRequestIdHeader = "Pimento-Request-Id";
 
-/// Number of a connection of an HttpClient; 0 is none.
-using ConnectionId = std::uint64_t;
-
 /// Limit of the memory of all unfinished answers, in bytes: a quarter of the 260 MB that an entry
 /// host has for everything.
 inline constexpr std::size_t kMaxUnfinishedBytes = std::size_t { 64 } << 20U;
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -213,16 +213,20 @@
 // The authority to act was checked by the call that decided to send the order.
 void RangeControl::perform(const ServiceName &service, const SendRangeGrant &grant)
 {
-    const auto done = [this, service, grant](RangeOutcome outcome) {
+    const RangeCoordinator &current = *services_.at(service).coordinator_;
+    const SentOrder sent { RangeOrderKind::Grant,      grant.to_,
+                           grant.order_.range_,        grant.order_.epoch_,
+                           grant.order_.holdDuration_, current.roleEpoch(),
+                           current.version(),          clock_() };
+    const auto done = [this, service, grant, sent](const RangeReply &reply) {
         const TimePoint now = clock_();
-        if (outcome != RangeOutcome::Accepted)
-            logOutcome(service, "grant", grant.to_, grant.order_.range_, outcome);
+        recordOutcome(service, sent, reply, now);
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
-            perform(service, coordinator->onGranted(grant, outcome, now));
+            perform(service, coordinator->onGranted(grant, reply.outcome_, now));
     };
     const Address *address = addressOf(service, grant.to_);
     if (!address) {
-        done(RangeOutcome::NotDelivered);
+        done(RangeReply {});
         return;
     }
     orders_.add();
@@ -231,15 +235,20 @@
 
 void RangeControl::perform(const ServiceName &service, const SendRangeRelease &release)
 {
-    const auto done = [this, service, release](RangeOutcome outcome, const std::string &handover) {
+    const RangeCoordinator &current = *services_.at(service).coordinator_;
+    const SentOrder sent { RangeOrderKind::Release, release.to_,      release.order_.range_,
+                           release.order_.epoch_,   Duration::zero(), current.roleEpoch(),
+                           current.version(),       clock_() };
+    const auto done = [this, service, release, sent](const RangeReply &reply) {
         const TimePoint now = clock_();
-        logOutcome(service, "release", release.to_, release.order_.range_, outcome);
+        recordOutcome(service, sent, reply, now);
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
-            perform(service, coordinator->onReleased(release, outcome, handover, now));
+            perform(service,
+                    coordinator->onReleased(release, reply.outcome_, reply.handover_, now));
     };
     const Address *address = addressOf(service, release.to_);
     if (!address) {
-        done(RangeOutcome::NotDelivered, "");
+        done(RangeReply {});
         return;
     }
     orders_.add();
@@ -258,20 +267,30 @@
                    .add("epoch", move.epoch_.value_));
 }
 
-void RangeControl::logOutcome(const ServiceName &service, const char *order,
-                              const BackendProcess &process, const KeyRange &range,
-                              RangeOutcome outcome)
+void RangeControl::recordOutcome(const ServiceName &service, const SentOrder &sent,
+                                 const RangeReply &reply, TimePoint now)
 {
-    const bool isAccepted = outcome == RangeOutcome::Accepted;
+    const bool isAccepted = reply.outcome_ == RangeOutcome::Accepted;
     if (!isAccepted)
         failures_.add();
+    const auto coordinated = services_.find(service);
+    const Address *address
+        = coordinated == services_.end() ? nullptr : addressOf(service, sent.to_);
     log_.write(LogLine(isAccepted ? Severity::Info : Severity::Warning, "range-order")
                    .add("service", service.str())
-                   .add("order", order)
-                   .add("backend", process.name_.str())
-                   .add("from_key", static_cast<std::uint64_t>(range.from_))
-                   .add("to_key", static_cast<std::uint64_t>(range.to_))
-                   .add("outcome", toString(outcome)));
+                   .add("order", toString(sent.kind_))
+                   .add("backend", sent.to_.name_.str())
+                   .add("incarnation", sent.to_.incarnation_.value_)
+                   .add("address", address ? address->str() : "")
+                   .add("connection", reply.connection_)
+                   .add("from_key", static_cast<std::uint64_t>(sent.range_.from_))
+                   .add("to_key", static_cast<std::uint64_t>(sent.range_.to_))
+                   .add("epoch", sent.epoch_.value_)
+                   .add("hold_ms", toMilliseconds(sent.holdDuration_))
+                   .add("role_epoch", sent.roleEpoch_.value_)
+                   .add("placement_version", sent.placement_.value_)
+                   .add("elapsed_ms", toMilliseconds(now - sent.sentAt_))
+                   .add("outcome", toString(reply.outcome_)));
 }
 
 } // namespace pimentostage
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -16,6 +16,18 @@
 
 namespace pimentostage {
 
+/// Kinds of orders about key ranges, for the log.
+enum class RangeOrderKind { Grant, Release };
+
+template <>
+struct EnumTable<RangeOrderKind>
+{
+    static constexpr std::array kRows {
+        EnumName<RangeOrderKind> { RangeOrderKind::Grant, "grant" },
+        EnumName<RangeOrderKind> { RangeOrderKind::Release, "release" },
+    };
+};
+
 /// Runs a RangeCoordinator for each service with ordered keys that this host coordinates.
 ///
 /// Used only on the control thread.
@@ -56,6 +68,20 @@
         std::map<BackendProcess, Address> addresses_; ///< includes processes that have ended
     };
 
+    /// What the log tells of an order when its outcome is known. By then this host may have lost
+    /// the role.
+    struct SentOrder
+    {
+        RangeOrderKind kind_ = RangeOrderKind::Grant;
+        BackendProcess to_;
+        KeyRange range_;
+        Epoch epoch_;
+        Duration holdDuration_ {};
+        Epoch roleEpoch_;
+        Version placement_;
+        TimePoint sentAt_ {};
+    };
+
     void updateCapacities(CoordinatedService &coordinated);
     void perform(const ServiceName &service, const RangeActions &actions);
     void perform(const ServiceName &service, const ReadRanges &read);
@@ -66,8 +92,9 @@
     void onReadReply(const ServiceName &service, const Reply<StoredObject> &reply);
     void onWriteReply(const ServiceName &service, const RangePlacement &placement,
                       const Reply<WriteResult> &reply);
-    void logOutcome(const ServiceName &service, const char *order, const BackendProcess &process,
-                    const KeyRange &range, RangeOutcome outcome);
+    /// Counts and logs the outcome of an order.
+    void recordOutcome(const ServiceName &service, const SentOrder &sent, const RangeReply &reply,
+                       TimePoint now);
     /// @return the coordinator of @p service if this host may act in its role at @p now, else
     ///         nullptr.
     RangeCoordinator *activeCoordinator(const ServiceName &service, TimePoint now);
--- a/tests/EndlessAnswerTest.cpp
+++ b/tests/EndlessAnswerTest.cpp
@@ -215,10 +215,9 @@
     loop.post([&] {
         const Address backend { "127.0.0.1", port };
         link.grant(backend, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
-                   [&](RangeOutcome outcome) { granted.set_value(outcome); });
-        link.release(
-            backend, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
-            [&](RangeOutcome outcome, const std::string &) { released.set_value(outcome); });
+                   [&](const RangeReply &reply) { granted.set_value(reply.outcome_); });
+        link.release(backend, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
+                     [&](const RangeReply &reply) { released.set_value(reply.outcome_); });
     });
     EXPECT_EQ(granted.get_future().get(), RangeOutcome::Unanswered);
     EXPECT_EQ(released.get_future().get(), RangeOutcome::Unanswered);
--- a/tests/EndlessOrderReplyTest.cpp
+++ b/tests/EndlessOrderReplyTest.cpp
@@ -107,7 +107,7 @@
 {
     const auto send = [this](const Address &address, const auto &done) {
         ranges_->grant(address, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
-                       [done](RangeOutcome outcome) { done(toString(outcome)); });
+                       [done](const RangeReply &reply) { done(toString(reply.outcome_)); });
     };
     expectCutEarly(send, kGrantTimeout, "broken", "accepted");
 }
@@ -116,9 +116,8 @@
 TEST_F(EndlessOrderReply, ToAReleaseIsCutEarly)
 {
     const auto send = [this](const Address &address, const auto &done) {
-        ranges_->release(
-            address, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
-            [done](RangeOutcome outcome, const std::string &) { done(toString(outcome)); });
+        ranges_->release(address, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
+                         [done](const RangeReply &reply) { done(toString(reply.outcome_)); });
     };
     expectCutEarly(send, kReleaseTimeout, "broken", "accepted");
 }
--- a/tests/OrderIdTest.cpp
+++ b/tests/OrderIdTest.cpp
@@ -30,7 +30,7 @@
     loop.run([&] {
         const std::string address = server.url().substr(std::string("http://").size());
         link->grant(*parseAddress(address), RangeGrantOrder {},
-                    [&](RangeOutcome result) { outcome.set_value(result); });
+                    [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     std::future<RangeOutcome> result = outcome.get_future();
     ASSERT_EQ(result.wait_for(std::chrono::seconds(5)), std::future_status::ready);
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -335,7 +335,7 @@
     std::promise<RangeOutcome> outcome;
     loop.post([&] {
         link.grant(Address { "127.0.0.1", 9 }, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
-                   [&](RangeOutcome result) { outcome.set_value(result); });
+                   [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     EXPECT_EQ(outcome.get_future().get(), RangeOutcome::NotDelivered);
 }
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -234,9 +234,10 @@
         const auto send = [&](const KeyRange &range, std::function<void(RangeOutcome)> done) {
             if (isRelease) {
                 link->release(address, RangeReleaseOrder { range, Epoch { 1 } },
-                              [done](RangeOutcome outcome, const std::string &) { done(outcome); });
+                              [done](const RangeReply &reply) { done(reply.outcome_); });
             } else {
-                link->grant(address, RangeGrantOrder { range, Epoch { 1 }, 1s, "" }, done);
+                link->grant(address, RangeGrantOrder { range, Epoch { 1 }, 1s, "" },
+                            [done](const RangeReply &reply) { done(reply.outcome_); });
             }
         };
         loop.post([&] {
@@ -288,7 +289,7 @@
     loop.post([&] {
         link->grant({ "127.0.0.1", portOf(server) },
                     RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
-                    [&](RangeOutcome result) { outcome.set_value(result); });
+                    [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     EXPECT_EQ(outcome.get_future().get(), RangeOutcome::Accepted);
     link.reset();
--- a/tests/fakes/UnreachableRangeLink.h
+++ b/tests/fakes/UnreachableRangeLink.h
@@ -8,13 +8,13 @@
 class UnreachableRangeLink : public RangeLink
 {
 public:
-    void grant(const Address &, const RangeGrantOrder &, OnGranted done) override
+    void grant(const Address &, const RangeGrantOrder &, OnReply done) override
     {
-        done(RangeOutcome::ProcessGone);
+        done(RangeReply { RangeOutcome::ProcessGone });
     }
-    void release(const Address &, const RangeReleaseOrder &, OnReleased done) override
+    void release(const Address &, const RangeReleaseOrder &, OnReply done) override
     {
-        done(RangeOutcome::ProcessGone, "");
+        done(RangeReply { RangeOutcome::ProcessGone });
     }
 };
 
