Tests that fail: the next process at an address gets the epoch of the former

The simulation of a service with ordered keys reported every connection that a back end's end had closed as a broken order. A real connection that is idle is closed silently, and the next order opens a new one. It models connections by number now, with the close of an idle one, and a process that listens at the address of a former one under another id while that one's entry is still in the store.

--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -279,6 +279,37 @@
     EXPECT_EQ(simulation.maxHolders_, 1U);
 }
 
+// Guards against two processes with one epoch (seen on natalina-serra-grown): a process ends while
+// the connection to it is idle, another listens at its address, and the next renewal reaches that
+// one over a new connection.
+TEST(RangeCoordinator, GrantsAHigherEpochToTheNextProcessAtAnAddress)
+{
+    for (Duration wait = 0ms; wait < 1s; wait += 20ms) {
+        RangeSimulation simulation(2);
+        simulation.run(kInitialPlacementTime + wait);
+        simulation.replace(0);
+        simulation.run(3s);
+        ASSERT_FALSE(simulation.hasEpochViolation_) << toMilliseconds(wait);
+        ASSERT_EQ(simulation.maxHolders_, 1U) << toMilliseconds(wait);
+        simulation.run(2s);
+        EXPECT_TRUE(simulation.areAllServed()) << toMilliseconds(wait);
+    }
+}
+
+// The same with a process that starts again under the name of the former one.
+TEST(RangeCoordinator, GrantsAHigherEpochToTheNextProcessOfTheSameName)
+{
+    for (Duration wait = 0ms; wait < 1s; wait += 20ms) {
+        RangeSimulation simulation(2);
+        simulation.run(kInitialPlacementTime + wait);
+        simulation.restart(0);
+        simulation.run(3s);
+        ASSERT_FALSE(simulation.hasEpochViolation_) << toMilliseconds(wait);
+        EXPECT_EQ(simulation.maxHolders_, 1U) << toMilliseconds(wait);
+        EXPECT_TRUE(simulation.areAllServed()) << toMilliseconds(wait);
+    }
+}
+
 RC_GTEST_PROP(RangeCoordinatorProperty, NoKeyHasTwoHolders, ())
 {
     const auto servers = *rc::gen::inRange<std::size_t>(1, 5);
--- a/tests/fakes/RangeSimulation.cpp
+++ b/tests/fakes/RangeSimulation.cpp
@@ -11,6 +11,8 @@
 constexpr Duration kReleaseTimeout = std::chrono::seconds(3);
 // Time until the store reports that a process has ended or was replaced.
 constexpr Duration kRegistrationDelay = std::chrono::milliseconds(400);
+// Time until the store removes the entry of a process that ended without notice.
+constexpr Duration kEntryLifetime = std::chrono::milliseconds(2600);
 constexpr Duration kTickPeriod = std::chrono::milliseconds(20);
 constexpr double kClockSlowdown = 1.02; // factor by which a server's clock is slow
 constexpr std::uint32_t kSampleStep = 1021; // distance between sampled keys
@@ -31,6 +33,7 @@
         Server server;
         server.process_
             = { BackendName("s" + std::to_string(i)), Incarnation { ++lastIncarnation_ } };
+        addresses_[server.process_.name_] = servers_.size();
         servers_.push_back(server);
     }
     changeCoordinator(Duration::zero());
@@ -41,7 +44,7 @@
     const std::uint64_t generation = ++generation_;
     coordinator_.reset();
     for (Server &server : servers_)
-        server.connectedProcess_ = {};
+        disconnect(server);
     events_.after(gap, [this, generation] {
         if (generation != generation_)
             return;
@@ -78,18 +81,39 @@
     for (const Server &server : servers_) {
         if (server.isUp_)
             backends[server.process_] = PlannedBackend { 6, server.takesNewWork_ };
+        for (const BackendProcess &process : server.formerProcesses_)
+            backends[process] = PlannedBackend { 6, true };
     }
     coordinator_->setBackends(backends);
 }
 
 void RangeSimulation::kill(std::size_t server)
 {
+    closeIdleConnection(server);
     servers_[server].isUp_ = false;
     servers_[server].holds_.clear();
     servers_[server].acceptedEpochs_.clear();
     events_.after(kRegistrationDelay, [this] { updateBackends(); });
 }
 
+// An order that is sent before the coordinator sees the close finds the connection broken.
+void RangeSimulation::closeIdleConnection(std::size_t server)
+{
+    const ConnectionId connection = servers_[server].connection_;
+    if (connection == 0 || servers_[server].isPartitioned_)
+        return;
+    events_.after(kDelay, [this, server, connection] {
+        if (servers_[server].connection_ == connection)
+            disconnect(servers_[server]);
+    });
+}
+
+void RangeSimulation::disconnect(Server &server) const
+{
+    server.connection_ = 0;
+    server.connectedProcess_ = {};
+}
+
 void RangeSimulation::restart(std::size_t server)
 {
     kill(server);
@@ -99,19 +123,32 @@
     events_.after(kRegistrationDelay, [this] { updateBackends(); });
 }
 
+void RangeSimulation::replace(std::size_t index)
+{
+    kill(index);
+    Server &server = servers_[index];
+    const BackendProcess former = server.process_;
+    server.isUp_ = true;
+    const Incarnation incarnation { ++lastIncarnation_ };
+    server.process_ = { BackendName("r" + std::to_string(incarnation.value_)), incarnation };
+    addresses_[server.process_.name_] = index;
+    server.formerProcesses_.push_back(former);
+    events_.after(kRegistrationDelay, [this] { updateBackends(); });
+    events_.after(kEntryLifetime, [this, index, former] {
+        std::erase(servers_[index].formerProcesses_, former);
+        updateBackends();
+    });
+}
+
 void RangeSimulation::setTakesNewWork(std::size_t server, bool takes)
 {
     servers_[server].takesNewWork_ = takes;
     updateBackends();
 }
 
-RangeSimulation::Server *RangeSimulation::find(const BackendProcess &process)
+RangeSimulation::Server &RangeSimulation::serverAt(const BackendProcess &process)
 {
-    // Orders are sent to an address, so that a new process receives orders for the one it replaced.
-    const auto found = std::find_if(servers_.begin(), servers_.end(), [&](const Server &server) {
-        return server.process_.name_ == process.name_;
-    });
-    return found == servers_.end() ? nullptr : &*found;
+    return servers_[addresses_.at(process.name_)];
 }
 
 void RangeSimulation::perform(const RangeActions &actions)
@@ -151,44 +188,54 @@
 
 void RangeSimulation::perform(const SendRangeGrant &grant)
 {
-    const std::uint64_t generation = generation_;
-    events_.after(kDelay, [this, generation, grant] {
-        Server *server = find(grant.to_);
-        const bool isConnectionBroken
-            = !server->connectedProcess_.isNone() && server->connectedProcess_ != server->process_;
-        if (!server->isPartitioned_ && (isConnectionBroken || !server->isUp_)) {
-            server->connectedProcess_ = {};
+    const ConnectionId connection = serverAt(grant.to_).connection_;
+    events_.after(kDelay, [this, generation = generation_, grant, connection] {
+        Server &server = serverAt(grant.to_);
+        const bool isNewConnection = connection == 0;
+        const bool isBroken = !isNewConnection
+                              && (server.connection_ != connection || !server.isUp_
+                                  || server.connectedProcess_ != server.process_);
+        const bool isRefused = isNewConnection && !server.isUp_;
+        if (!server.isPartitioned_ && (isBroken || isRefused)) {
+            disconnect(server);
             replyToGrant(generation, grant,
-                         isConnectionBroken ? RangeOutcome::Broken : RangeOutcome::ProcessGone);
-            return;
-        }
-        server->connectedProcess_ = server->process_;
-        const auto replyUnanswered = [this, generation, grant, server] {
-            events_.after(kOrderTimeout, [this, generation, grant, server] {
-                if (generation == generation_)
-                    server->connectedProcess_ = {};
-                replyToGrant(generation, grant, RangeOutcome::Unanswered);
-            });
-        };
-        if (server->isPartitioned_) {
-            replyUnanswered();
+                         isBroken ? RangeOutcome::Broken : RangeOutcome::ProcessGone);
             return;
         }
-        const Duration arrivedAt = events_.now();
-        if (server->applyDelay_ > Duration::zero()) {
-            replyUnanswered();
-            const BackendProcess process = server->process_;
-            events_.after(server->applyDelay_, [this, grant, arrivedAt, process] {
-                Server *current = find(grant.to_);
-                if (current->process_ == process && current->isUp_)
-                    apply(*current, grant.order_, arrivedAt);
-            });
-            return;
+        if (isNewConnection) {
+            server.connection_ = ++lastConnection_;
+            server.connectedProcess_ = server.process_;
         }
-        replyToGrant(generation, grant, apply(*server, grant.order_, arrivedAt));
+        deliver(server, grant, generation);
     });
 }
 
+void RangeSimulation::deliver(Server &server, const SendRangeGrant &grant, std::uint64_t generation)
+{
+    const auto replyUnanswered = [this, generation, &grant, &server] {
+        events_.after(kOrderTimeout, [this, generation, grant, &server] {
+            if (generation == generation_)
+                disconnect(server);
+            replyToGrant(generation, grant, RangeOutcome::Unanswered);
+        });
+    };
+    if (server.isPartitioned_) {
+        replyUnanswered();
+        return;
+    }
+    const Duration arrivedAt = events_.now();
+    if (server.applyDelay_ > Duration::zero()) {
+        replyUnanswered();
+        const BackendProcess process = server.process_;
+        events_.after(server.applyDelay_, [this, grant, arrivedAt, process, &server] {
+            if (server.process_ == process && server.isUp_)
+                apply(server, grant.order_, arrivedAt);
+        });
+        return;
+    }
+    replyToGrant(generation, grant, apply(server, grant.order_, arrivedAt));
+}
+
 void RangeSimulation::replyToGrant(std::uint64_t generation, const SendRangeGrant &grant,
                                    RangeOutcome outcome)
 {
@@ -258,18 +305,17 @@
             perform(coordinator_->onReleased(release, outcome, handover, coordinatorTime()));
     };
     events_.after(kDelay, [this, release, reply] {
-        Server *server = find(release.to_);
-        if (server->isPartitioned_) {
+        Server &server = serverAt(release.to_);
+        if (server.isPartitioned_) {
             events_.after(kReleaseTimeout, [reply] { reply(RangeOutcome::Unanswered, ""); });
             return;
         }
-        if (!server->isUp_) {
+        if (!server.isUp_) {
             events_.after(kDelay, [reply] { reply(RangeOutcome::ProcessGone, ""); });
             return;
         }
-        dropHolds(*server, release.order_.range_);
-        server->acceptedEpochs_.push_back(
-            Hold { release.order_.range_, release.order_.epoch_, {} });
+        dropHolds(server, release.order_.range_);
+        server.acceptedEpochs_.push_back(Hold { release.order_.range_, release.order_.epoch_, {} });
         events_.after(drainTime_ + kDelay, [reply] { reply(RangeOutcome::Accepted, "token"); });
     });
 }
--- a/tests/fakes/RangeSimulation.h
+++ b/tests/fakes/RangeSimulation.h
@@ -33,6 +33,10 @@
     void kill(std::size_t server);
     /// Replaces the server's process by a new one with the same name.
     void restart(std::size_t server);
+    /// Replaces the server's process by a new one at the same address but with another name.
+    void replace(std::size_t server);
+    /// Lets the server close the coordinator's connection to it, which is idle.
+    void closeIdleConnection(std::size_t server);
     void setTakesNewWork(std::size_t server, bool takes);
     /// Grants to the server get no reply and take effect @p delay after their arrival; zero
     /// restores replies.
@@ -63,11 +67,14 @@
         Epoch epoch_;
         Duration until_;
     };
+    /// A process and its address.
     struct Server
     {
         BackendProcess process_;
-        /// The process that the coordinator's connection leads to; none if there is no connection.
-        BackendProcess connectedProcess_;
+        /// Former processes at this address whose entries are still in the store.
+        std::vector<BackendProcess> formerProcesses_;
+        ConnectionId connection_ = 0; ///< the coordinator's connection; 0 if there is none
+        BackendProcess connectedProcess_; ///< to which connection_ leads
         bool isUp_ = true;
         bool isPartitioned_ = false;
         bool takesNewWork_ = true;
@@ -85,9 +92,13 @@
     void perform(const SendRangeRelease &release);
     void perform(const RangeMoveDecided &) { }
     void replyToGrant(std::uint64_t generation, const SendRangeGrant &grant, RangeOutcome outcome);
+    void disconnect(Server &server) const;
     RangeOutcome apply(Server &server, const RangeGrantOrder &order, Duration arrivedAt);
     void dropHolds(Server &server, const KeyRange &range);
-    Server *find(const BackendProcess &process);
+    /// @return the server at the address of @p process, which may have another process by now.
+    Server &serverAt(const BackendProcess &process);
+    /// Delivers @p grant to the process at the server's address and replies to it.
+    void deliver(Server &server, const SendRangeGrant &grant, std::uint64_t generation);
     void updateBackends();
     void updateMaxHolders();
 
@@ -95,6 +106,8 @@
     Duration drainTime_ {};
     std::map<std::uint32_t, double> load_;
     std::vector<Server> servers_;
+    std::map<BackendName, std::size_t> addresses_; ///< index of the server, by name of a process
+    ConnectionId lastConnection_ = 0;
     std::unique_ptr<RangeCoordinator> coordinator_;
     std::uint64_t generation_ = 0;
     std::uint64_t lastIncarnation_ = 0;
