Bind the grants of a range to one connection; a lost one costs an epoch

Cause: an order is sent to an address. A process ended while the coordinator's connection to it was idle; nothing was reported, and the next renewal opened a connection to the process that listened there by then, under the epoch of the former.

Change: a connection leads to one process. All grants under one epoch go over the connection over which the first was answered; if that is closed, the order is not sent (connection-lost), and the process gets its ranges under an epoch that was never sent, over a new connection. Each write of the placement reserves 256 epochs for that, so that a store outage does not stop renewals; the next coordinator starts above them. Epochs have 40 bits below the generation, since they are used up faster. A release no longer raises epochs: it says nothing of the grants' connection.

Ruled out: comparing ids (a process may start again under its id); asking the process for its id before each renewal (a call for each, and the id is not the life).

--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -31,6 +31,8 @@
     OrderNumber number_ = 0;
     BackendProcess to_;
     RangeGrantOrder order_;
+    /// The connection on which the order must be sent; 0 if no order was sent under its epoch yet.
+    ConnectionId connection_ = 0;
 };
 
 /// Send a release to `to_`; report the outcome with onReleased().
@@ -86,8 +88,12 @@
 /// 3. The range is granted to the new owner.
 ///
 /// The placement in the store names every process that may hold a range, so that the next
-/// coordinator can determine which holds must end first. A process that did not reply gets its
-/// ranges again only under a higher epoch, since another process may have replaced it.
+/// coordinator can determine which holds must end first.
+///
+/// An epoch of a range is given to one process only. An address may lead to another process at any
+/// time, a connection does not: all grants under one epoch are sent on one connection, and a
+/// process whose connection was lost gets its ranges again only under a higher epoch. Each write of
+/// the placement reserves epochs for that, so that no process waits for the store to get one.
 ///
 /// A placement that was written before the store was restored from a copy may lack holders and
 /// epochs. A new coordinator that reads one grants nothing until all holds have ended, and then
@@ -129,9 +135,8 @@
     /// The outcome of the write is unknown: it may or may not take effect.
     void onWriteFailed(TimePoint now);
 
-    RangeActions onGranted(const SendRangeGrant &sent, RangeOutcome outcome, TimePoint now);
-    RangeActions onReleased(const SendRangeRelease &sent, RangeOutcome outcome,
-                            const std::string &handover, TimePoint now);
+    RangeActions onGranted(const SendRangeGrant &sent, const RangeReply &reply, TimePoint now);
+    RangeActions onReleased(const SendRangeRelease &sent, const RangeReply &reply, TimePoint now);
 
     /// @return the placement last written, updated with the moves that have ended since.
     [[nodiscard]] const RangePlacement &placement() const { return placement_; }
@@ -161,8 +166,12 @@
         std::optional<TimePoint> endedAt_; ///< when the process was found to have ended
         /// Grants are sent one at a time: the outcome determines whether the next may be sent.
         bool hasPendingGrant_ = false;
-        bool needsNewEpoch_ = false; ///< another process may have replaced it
-        bool isEpochPending_ = false; ///< pendingWrite_ gives its ranges a new epoch
+        /// The only connection on which its grants are sent; 0 until the first reply to one.
+        ConnectionId connection_ = 0;
+        Epoch minEpoch_; ///< its grants have this epoch or a higher one
+        /// Whether its next grant needs an epoch under which none was sent: another process may
+        /// have replaced it, or it has received a higher one.
+        bool needsNewEpoch_ = false;
         std::uint32_t consecutiveFailures_ = 0; ///< orders in a row without a reply
     };
 
@@ -177,12 +186,17 @@
     bool awaitsBackends(TimePoint now);
     bool replaceRestarted(std::vector<RangeOwner> &ranges, Epoch epoch);
     [[nodiscard]] std::optional<BackendProcess> successorOf(const BackendProcess &process) const;
-    bool raiseEpochs(std::vector<RangeOwner> &ranges, Epoch epoch, TimePoint now);
+    bool raiseEpochs(std::vector<RangeOwner> &ranges, Epoch epoch) const;
+    /// Gives @p process the next reserved epoch if it needs one and may still run.
+    /// @return whether grants may be sent to it.
+    bool updateEpoch(const BackendProcess &process, TimePoint now);
     void setRanges(std::vector<RangeOwner> ranges);
     void sendDueOrders(RangeOwner &row, RangeActions &actions, TimePoint now);
     void advanceMove(RangeOwner &row, RowState &state, RangeActions &actions, TimePoint now);
-    void recordOutcome(const BackendProcess &process, RangeOutcome outcome, TimePoint now);
+    void recordOutcome(Holder &holder, RangeOutcome outcome, TimePoint now);
     Holder &holder(const BackendProcess &process);
+    /// @return whether @p process has not ended and replied recently, as far as known.
+    [[nodiscard]] bool isResponsive(const BackendProcess &process, TimePoint now) const;
     [[nodiscard]] bool isUsable(const BackendProcess &process, TimePoint now) const;
     [[nodiscard]] RangePlanner::Backends usableBackends(TimePoint now) const;
     /// @return the maximum duration, by this host's clock, for which a back end holds a range that
@@ -204,6 +218,8 @@
     bool isStoreCallPending_ = false; ///< a call to the store has no result yet
     bool hasEndedMoves_ = false; ///< moves have ended since the last write
     bool needsNewEpochs_ = false; ///< the placement was written by an earlier coordinator
+    Epoch lastEpoch_; ///< the last one given out; those up to placement_.epoch_ are reserved
+    bool needsReservation_ = false; ///< a process needs an epoch, and none is left
     TimePoint nextStoreCallAt_ {};
     TimePoint nextBalanceAt_ {};
     TimePoint lastDecayAt_ {};
--- a/include/pimentostage/backend/RangeLink.h
+++ b/include/pimentostage/backend/RangeLink.h
@@ -17,6 +17,7 @@
     Unanswered, ///< no reply in time; the order may still take effect
     Broken, ///< as Unanswered; the connection broke, as it does when the process ends
     NotDelivered, ///< the order did not reach the back end
+    ConnectionLost, ///< the connection that the order was bound to is closed; it was not sent
     ProcessGone, ///< nothing listens at the address: the addressed process has ended
 };
 
@@ -30,6 +31,7 @@
         EnumName<RangeOutcome> { RangeOutcome::Unanswered, "unanswered" },
         EnumName<RangeOutcome> { RangeOutcome::Broken, "broken" },
         EnumName<RangeOutcome> { RangeOutcome::NotDelivered, "not-delivered" },
+        EnumName<RangeOutcome> { RangeOutcome::ConnectionLost, "connection-lost" },
         EnumName<RangeOutcome> { RangeOutcome::ProcessGone, "process-gone" },
     };
 };
@@ -68,7 +70,11 @@
 
     virtual ~RangeLink() = default;
 
-    virtual void grant(const Address &backend, const RangeGrantOrder &order, OnReply done) = 0;
+    /// @param connection if not 0, the only connection on which the order may be sent. It leads to
+    ///        one process; a new one may lead to another that listens at the address by then.
+    virtual void grant(const Address &backend, const RangeGrantOrder &order,
+                       ConnectionId connection, OnReply done)
+        = 0;
     /// @param done called only after the work that runs on the keys has ended, unless the order
     ///        fails.
     virtual void release(const Address &backend, const RangeReleaseOrder &order, OnReply done) = 0;
--- a/include/pimentostage/base/Error.h
+++ b/include/pimentostage/base/Error.h
@@ -87,6 +87,7 @@
     Unavailable,
     Mismatch,
     Stale,
+    ConnectionClosed, ///< of the only connection on which a request may be sent
 };
 
 template <>
@@ -103,6 +104,7 @@
         EnumName<ErrorCode> { ErrorCode::Unavailable, "unavailable" },
         EnumName<ErrorCode> { ErrorCode::Mismatch, "mismatch" },
         EnumName<ErrorCode> { ErrorCode::Stale, "stale" },
+        EnumName<ErrorCode> { ErrorCode::ConnectionClosed, "connection-closed" },
     };
 };
 
--- a/include/pimentostage/platform/Generation.h
+++ b/include/pimentostage/platform/Generation.h
@@ -33,7 +33,7 @@
 }
 
 /// Epochs hold the generation in which they were given out in their high bits.
-inline constexpr unsigned kEpochBits = 32;
+inline constexpr unsigned kEpochBits = 40;
 
 /// A restored store lacks the latest epochs, so the next one given out after @p last is above all
 /// that may have been given out in generations before @p generation.
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -93,6 +93,8 @@
         return result.answer_->status_ == kConflict ? RangeOutcome::StaleEpoch
                                                     : RangeOutcome::Malformed;
     }
+    if (result.error_->code_ == ErrorCode::ConnectionClosed)
+        return RangeOutcome::ConnectionLost;
     const bool isTimeout = result.error_->code_ == ErrorCode::Timeout;
     if (result.state_ == AttemptState::NotSent)
         return !isTimeout && protocol.refusalMeansProcessEnded_ ? RangeOutcome::ProcessGone
@@ -140,12 +142,14 @@
     return request;
 }
 
-void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order, OnReply done)
+void HttpRangeLink::grant(const Address &backend, const RangeGrantOrder &order,
+                          ConnectionId connection, OnReply done)
 {
-    grants_.start(prepare(protocol_.encodeGrant_(order), backend, kGrantTimeout),
-                  [this, done = std::move(done)](const HttpResult &result) {
-                      done(replyOf(result, protocol_));
-                  });
+    HttpRequest request = prepare(protocol_.encodeGrant_(order), backend, kGrantTimeout);
+    request.requiredConnection_ = connection;
+    grants_.start(std::move(request), [this, done = std::move(done)](const HttpResult &result) {
+        done(replyOf(result, protocol_));
+    });
 }
 
 void HttpRangeLink::release(const Address &backend, const RangeReleaseOrder &order, OnReply done)
--- a/src/backend/HttpRangeLink.h
+++ b/src/backend/HttpRangeLink.h
@@ -31,7 +31,8 @@
     /// @param protocol must outlive this.
     HttpRangeLink(EventLoop &loop, const RangeProtocol &protocol);
 
-    void grant(const Address &backend, const RangeGrantOrder &order, OnReply done) override;
+    void grant(const Address &backend, const RangeGrantOrder &order, ConnectionId connection,
+               OnReply done) override;
     void release(const Address &backend, const RangeReleaseOrder &order, OnReply done) override;
 
 private:
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -16,6 +16,9 @@
 constexpr Duration kStoreRetryDelay = std::chrono::milliseconds(200);
 constexpr Duration kDecayPeriod = std::chrono::milliseconds(250);
 constexpr std::uint32_t kMaxRetryDoublings = 3;
+// Epochs that each write of the placement reserves, for processes whose connections are lost before
+// the next write.
+constexpr std::uint64_t kReservedEpochs = 256;
 // Lower bound of the limit on concurrent moves for balance: with several at once, a hot region is
 // spread over several back ends in one pause, and a range whose work takes long to end does not
 // delay the others.
@@ -24,6 +27,14 @@
 // the hottest two fifths of the load.
 constexpr std::size_t kBackendsPerBalanceMove = 6;
 
+/// @return whether another process than the addressed one may have received the order, or may
+///         receive the next.
+bool isProcessUncertain(RangeOutcome outcome)
+{
+    return outcome == RangeOutcome::Unanswered || outcome == RangeOutcome::Broken
+           || outcome == RangeOutcome::ConnectionLost;
+}
+
 bool isReply(RangeOutcome outcome)
 {
     return outcome == RangeOutcome::Accepted || outcome == RangeOutcome::StaleEpoch
@@ -60,6 +71,8 @@
     pendingWrite_.reset();
     isStoreCallPending_ = false;
     hasEndedMoves_ = false;
+    lastEpoch_ = Epoch {};
+    needsReservation_ = false;
     grantsFrom_ = TimePoint {};
     rowStates_.clear();
     holders_.clear();
@@ -141,6 +154,7 @@
         return;
     }
     placement_ = *placement;
+    lastEpoch_ = placement_.epoch_;
     for (const RangeOwner &row : placement_.ranges_) {
         for (const BackendProcess &process : { row.owner_, row.previous_ }) {
             if (!process.isNone())
@@ -166,10 +180,9 @@
     const RangePlacement written = std::move(*pendingWrite_);
     pendingWrite_.reset();
     needsNewEpochs_ = false;
-    for (auto &[process, state] : holders_) {
-        state.needsNewEpoch_ = state.needsNewEpoch_ && !state.isEpochPending_;
-        state.isEpochPending_ = false;
-    }
+    // The ranges of this write have the epoch below those that it reserves.
+    lastEpoch_ = Epoch { written.epoch_.value_ - kReservedEpochs };
+    needsReservation_ = false;
     // Moves that ended while the write was pending must stay ended: the write still has their
     // previous owners.
     std::vector<RangeOwner> ranges = written.ranges_;
@@ -265,7 +278,7 @@
     if (row.owner_.isNone() || state.pendingOrder_ != 0 || now < state.nextOrderAt_)
         return;
     Holder &owner = holder(row.owner_);
-    if (owner.endedAt_ || owner.needsNewEpoch_ || owner.hasPendingGrant_)
+    if (owner.endedAt_ || owner.hasPendingGrant_ || !updateEpoch(row.owner_, now))
         return;
     owner.hasPendingGrant_ = true;
     SendRangeGrant grant;
@@ -274,12 +287,31 @@
     // A process that did not reply may be lost; a long hold would delay the next owner of its keys.
     const Duration hold
         = owner.unresponsiveSince_ ? options_.shortHoldDuration_ : options_.holdDuration_;
-    grant.order_ = RangeGrantOrder { row.range_, row.epoch_, hold, state.handover_ };
+    const Epoch epoch = std::max(row.epoch_, owner.minEpoch_);
+    grant.order_ = RangeGrantOrder { row.range_, epoch, hold, state.handover_ };
+    grant.connection_ = owner.connection_;
     state.pendingOrder_ = grant.number_;
     owner.ledger_.onSent(grant.number_, row.range_, maxHoldDuration(hold));
     actions.emplace_back(std::move(grant));
 }
 
+bool RangeCoordinator::updateEpoch(const BackendProcess &process, TimePoint now)
+{
+    Holder &state = holder(process);
+    if (!state.needsNewEpoch_)
+        return true;
+    if (!backends_.contains(process) || !isResponsive(process, now))
+        return false;
+    needsReservation_ = lastEpoch_ >= placement_.epoch_;
+    if (needsReservation_)
+        return false;
+    lastEpoch_ = lastEpoch_.next();
+    state.minEpoch_ = lastEpoch_;
+    state.connection_ = 0;
+    state.needsNewEpoch_ = false;
+    return true;
+}
+
 void RangeCoordinator::advanceMove(RangeOwner &row, RowState &state, RangeActions &actions,
                                    TimePoint now)
 {
@@ -301,28 +333,14 @@
     actions.emplace_back(std::move(release));
 }
 
-void RangeCoordinator::recordOutcome(const BackendProcess &process, RangeOutcome outcome,
-                                     TimePoint now)
+void RangeCoordinator::recordOutcome(Holder &state, RangeOutcome outcome, TimePoint now)
 {
-    Holder &state = holder(process);
     if (isReply(outcome)) {
         state.unresponsiveSince_.reset();
         state.consecutiveFailures_ = 0;
-        if (outcome == RangeOutcome::StaleEpoch) {
-            state.needsNewEpoch_ = true;
-            state.isEpochPending_ = false;
-        }
         return;
     }
     ++state.consecutiveFailures_;
-    // The connection led to an address: another process may answer there next, whichever of the
-    // processes with this name the order was meant for.
-    for (auto &[other, otherState] : holders_) {
-        if (other.name_ != process.name_)
-            continue;
-        otherState.needsNewEpoch_ = true;
-        otherState.isEpochPending_ = false;
-    }
     if (!state.unresponsiveSince_)
         state.unresponsiveSince_ = now;
     if (outcome != RangeOutcome::ProcessGone)
@@ -331,16 +349,25 @@
     state.ledger_.clear();
 }
 
-RangeActions RangeCoordinator::onGranted(const SendRangeGrant &sent, RangeOutcome outcome,
+RangeActions RangeCoordinator::onGranted(const SendRangeGrant &sent, const RangeReply &reply,
                                          TimePoint now)
 {
     if (phase_ != Phase::Ready)
         return {};
-    holder(sent.to_).hasPendingGrant_ = false;
+    const RangeOutcome outcome = reply.outcome_;
+    Holder &addressee = holder(sent.to_);
+    addressee.hasPendingGrant_ = false;
     // If the process was restarted since, the order's entry is now in its successor's ledger.
     for (auto &[process, state] : holders_)
         state.ledger_.onOutcome(sent.number_, outcome, now);
-    recordOutcome(sent.to_, outcome, now);
+    if (isReply(outcome))
+        addressee.connection_ = reply.connection_;
+    if (isProcessUncertain(outcome) || outcome == RangeOutcome::StaleEpoch)
+        addressee.needsNewEpoch_ = true;
+    // Back ends close idle connections; that the order was not sent says nothing else of this one.
+    const bool isUnsent = outcome == RangeOutcome::ConnectionLost;
+    if (!isUnsent)
+        recordOutcome(addressee, outcome, now);
     RowState *row = pendingState(sent.order_.range_, sent.number_);
     if (row) {
         row->pendingOrder_ = 0;
@@ -352,40 +379,40 @@
             row->nextOrderAt_ = now
                                 + fromSeconds(toSeconds(options_.renewalPeriod_)
                                               * (minFactor + jitter * random_.unit()));
+        } else if (isUnsent) {
+            row->nextOrderAt_ = now;
         } else {
             const std::uint32_t doublings
-                = std::min(holder(sent.to_).consecutiveFailures_, kMaxRetryDoublings);
+                = std::min(addressee.consecutiveFailures_, kMaxRetryDoublings);
             row->nextOrderAt_ = now + options_.retryDelay_ * (1U << doublings) / 2;
         }
     }
     return tick(now);
 }
 
-RangeActions RangeCoordinator::onReleased(const SendRangeRelease &sent, RangeOutcome outcome,
-                                          const std::string &handover, TimePoint now)
+RangeActions RangeCoordinator::onReleased(const SendRangeRelease &sent, const RangeReply &reply,
+                                          TimePoint now)
 {
     if (phase_ != Phase::Ready)
         return {};
-    recordOutcome(sent.to_, outcome, now);
-    if (outcome == RangeOutcome::Accepted)
+    const bool isAccepted = reply.outcome_ == RangeOutcome::Accepted;
+    recordOutcome(holder(sent.to_), reply.outcome_, now);
+    if (isAccepted)
         holder(sent.to_).ledger_.onReleased(sent.order_.range_);
     RowState *row = pendingState(sent.order_.range_, sent.number_);
     if (row) {
         row->pendingOrder_ = 0;
         row->nextOrderAt_ = now + options_.retryDelay_;
-        if (outcome == RangeOutcome::Accepted) {
+        if (isAccepted) {
             row->isReleased_ = true;
-            row->handover_ = handover;
+            row->handover_ = reply.handover_;
         }
     }
     return tick(now);
 }
 
-bool RangeCoordinator::isUsable(const BackendProcess &process, TimePoint now) const
+bool RangeCoordinator::isResponsive(const BackendProcess &process, TimePoint now) const
 {
-    const auto backend = backends_.find(process);
-    if (backend == backends_.end() || !backend->second.takesNewWork_)
-        return false;
     const auto found = holders_.find(process);
     if (found == holders_.end())
         return true;
@@ -396,6 +423,13 @@
            || now < *state.unresponsiveSince_ + options_.unresponsiveTimeout_;
 }
 
+bool RangeCoordinator::isUsable(const BackendProcess &process, TimePoint now) const
+{
+    const auto backend = backends_.find(process);
+    return backend != backends_.end() && backend->second.takesNewWork_
+           && isResponsive(process, now);
+}
+
 RangePlanner::Backends RangeCoordinator::usableBackends(TimePoint now) const
 {
     RangePlanner::Backends usable;
@@ -448,22 +482,12 @@
     return isChange;
 }
 
-// A process that did not reply or rejected an epoch as stale, or that may have replaced another,
-// gets its ranges under a higher epoch.
-bool RangeCoordinator::raiseEpochs(std::vector<RangeOwner> &ranges, Epoch epoch, TimePoint now)
+// Back ends reject late orders of an earlier coordinator once they have a higher epoch.
+bool RangeCoordinator::raiseEpochs(std::vector<RangeOwner> &ranges, Epoch epoch) const
 {
     bool isChange = false;
     for (RangeOwner &row : ranges) {
-        if (row.owner_.isNone())
-            continue;
-        const auto owner = holders_.find(row.owner_);
-        const bool isUngranted = !row.previous_.isNone() && !needsNewEpochs_;
-        if (isUngranted)
-            continue;
-        const bool needsNew = needsNewEpochs_
-                              || (owner != holders_.end() && owner->second.needsNewEpoch_
-                                  && isUsable(row.owner_, now));
-        if (!needsNew)
+        if (!needsNewEpochs_ || row.owner_.isNone())
             continue;
         row.epoch_ = epoch;
         isChange = true;
@@ -499,8 +523,8 @@
     const Epoch epoch = nextEpoch(placement_.epoch_, storeGeneration_);
     std::vector<RangeOwner> next = placement_.ranges_;
     bool isChange = replaceRestarted(next, epoch);
-    isChange
-        = raiseEpochs(next, epoch, now) || hasEndedMoves_ || isGenerationWriteDue(now) || isChange;
+    isChange = raiseEpochs(next, epoch) || hasEndedMoves_ || needsReservation_
+               || isGenerationWriteDue(now) || isChange;
     const RangePlanner::Backends usable = usableBackends(now);
     std::vector<RangeMove> moves = RangePlanner::assignUnowned(next, load_, usable);
     RangeActions actions;
@@ -536,13 +560,12 @@
 {
     RangePlacement next = placement_;
     next.epoch_ = nextEpoch(placement_.epoch_, storeGeneration_);
+    next.epoch_.value_ += kReservedEpochs;
     next.roleEpoch_ = roleEpoch_;
     if (isGenerationWriteDue(now))
         next.generation_ = storeGeneration_;
     next.nonce_ = service_.str() + '-' + std::to_string(random_.engine()());
     next.ranges_ = std::move(ranges);
-    for (auto &[process, state] : holders_)
-        state.isEpochPending_ = isUsable(process, now);
     pendingWrite_ = std::move(next);
     isStoreCallPending_ = true;
     return { WriteRanges { *pendingWrite_, version_ } };
--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -76,12 +76,15 @@
         return;
     }
     PeerState &peer = peers_[transfer->url_.peer_];
-    const std::vector<ConnectionId> &avoided = transfer->request_.avoidedConnections_;
-    if (const std::shared_ptr<Connection> idle = takeIdle(peer, avoided)) {
+    if (transfer->request_.requiredConnection_ != 0) {
+        assignRequired(peer, transfer);
+        return;
+    }
+    if (const std::shared_ptr<Connection> idle = takeIdle(peer, transfer->request_)) {
         idle->send(transfer);
         return;
     }
-    if (peer.openCount_ >= options_.connectionsPerPeer_) {
+    if (!mayConnect(peer)) {
         if (peer.idleConnections_.empty()) {
             peer.waitingTransfers_.push_back(transfer->id_);
             return;
@@ -90,18 +93,35 @@
         const std::shared_ptr<Connection> leastRecent = peer.idleConnections_.back();
         leastRecent->close();
     }
-    ++peer.openCount_;
-    std::make_shared<Connection>(shared_from_this(), transfer->url_.peer_, ++lastConnectionId_)
-        ->connect(transfer);
+    const ConnectionId id = ++lastConnectionId_;
+    peer.openConnections_.insert(id);
+    std::make_shared<Connection>(shared_from_this(), transfer->url_.peer_, id)->connect(transfer);
 }
 
-std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::takeIdle(
-    PeerState &peer, const std::vector<ConnectionId> &avoided)
+void HttpClient::Impl::assignRequired(PeerState &peer, const std::shared_ptr<Transfer> &transfer)
 {
+    if (const std::shared_ptr<Connection> idle = takeIdle(peer, transfer->request_))
+        idle->send(transfer);
+    else if (peer.openConnections_.contains(transfer->request_.requiredConnection_))
+        peer.waitingTransfers_.push_back(transfer->id_);
+    else
+        fail(*transfer, Step::Connect, ErrorCode::ConnectionClosed,
+             "the connection that the request requires is closed");
+}
+
+std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::takeIdle(PeerState &peer,
+                                                                         const HttpRequest &request)
+{
+    const std::vector<ConnectionId> &avoided = request.avoidedConnections_;
+    const auto isEligible = [&](ConnectionId id) {
+        const bool isAvoided = std::find(avoided.begin(), avoided.end(), id) != avoided.end();
+        return !isAvoided
+               && (request.requiredConnection_ == 0 || request.requiredConnection_ == id);
+    };
     const TimePoint now = BootClock::now();
     for (auto next = peer.idleConnections_.begin(); next != peer.idleConnections_.end();) {
         const std::shared_ptr<Connection> connection = *next;
-        if (std::find(avoided.begin(), avoided.end(), connection->id()) != avoided.end()) {
+        if (!isEligible(connection->id())) {
             ++next;
             continue;
         }
@@ -118,22 +138,29 @@
     const auto peer = peers_.find(peerName);
     if (isClosed_ || peer == peers_.end())
         return;
-    while (!peer->second.waitingTransfers_.empty()) {
+    // A transfer that still waits for the connection it requires goes to the end of the queue, so
+    // each is looked at once only.
+    for (std::size_t left = peer->second.waitingTransfers_.size(); left > 0; --left) {
         const TransferId id = peer->second.waitingTransfers_.front();
         const auto found = transfers_.find(id);
         if (found == transfers_.end()) {
             peer->second.waitingTransfers_.pop_front();
             continue;
         }
-        const bool isAssignable = !peer->second.idleConnections_.empty()
-                                  || peer->second.openCount_ < options_.connectionsPerPeer_;
-        if (!isAssignable)
+        const ConnectionId required = found->second->request_.requiredConnection_;
+        const bool isClosed = required != 0 && !peer->second.openConnections_.contains(required);
+        if (!isClosed && peer->second.idleConnections_.empty() && !mayConnect(peer->second))
             return;
         peer->second.waitingTransfers_.pop_front();
         assign(found->second);
     }
 }
 
+bool HttpClient::Impl::mayConnect(const PeerState &peer) const
+{
+    return std::ssize(peer.openConnections_) < options_.connectionsPerPeer_;
+}
+
 void HttpClient::Impl::onTimeout(TransferId id)
 {
     const auto found = transfers_.find(id);
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -39,6 +39,10 @@
     /// Connections on which the request is not sent: those of earlier requests with the same id,
     /// whose answers could be repeated there.
     std::vector<ConnectionId> avoidedConnections_;
+    /// If not 0, the only connection on which the request may be sent: to the process that received
+    /// the requests before it, or to none. The request waits while the connection is in use, and
+    /// fails with ErrorCode::ConnectionClosed if it is closed.
+    ConnectionId requiredConnection_ = 0;
     /// If set, called immediately before the first byte is sent; if it returns false, the request
     /// is not sent and fails with ErrorCode::Stale.
     std::function<bool()> maySend_;
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -138,7 +138,7 @@
     if (found == client_->peers_.end())
         return;
     found->second.idleConnections_.remove(shared_from_this());
-    --found->second.openCount_;
+    found->second.openConnections_.erase(id_);
     asio::post(client_->context_, [client = client_, peer = peer_] { client->assignNext(peer); });
 }
 
--- a/src/base/HttpClientImpl.h
+++ b/src/base/HttpClientImpl.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -98,14 +99,17 @@
     {
         std::list<std::shared_ptr<Connection>> idleConnections_; ///< most recently used first
         std::deque<TransferId> waitingTransfers_; ///< wait for a connection, oldest first
-        long openCount_ = 0;
+        std::set<ConnectionId> openConnections_;
     };
 
     void assign(const std::shared_ptr<Transfer> &transfer);
     void assignNext(const std::string &peer);
-    /// @return an idle connection that is not one of @p avoided, or nullptr.
-    static std::shared_ptr<Connection> takeIdle(PeerState &peer,
-                                                const std::vector<ConnectionId> &avoided);
+    /// @return whether another connection to @p peer may be opened.
+    [[nodiscard]] bool mayConnect(const PeerState &peer) const;
+    /// Assigns the connection that the request of @p transfer requires.
+    void assignRequired(PeerState &peer, const std::shared_ptr<Transfer> &transfer);
+    /// @return an idle connection on which @p request may be sent, or nullptr.
+    static std::shared_ptr<Connection> takeIdle(PeerState &peer, const HttpRequest &request);
     void onTimeout(TransferId id);
     /// Records that the unfinished answer to @p id occupies @p bytes, and fails the transfers whose
     /// answers must be given up; that of @p id may be among them.
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -210,19 +210,33 @@
         *coordinator, reply, [&](const RangeActions &actions) { perform(service, actions); }, now);
 }
 
+template <typename Order>
+RangeControl::SentOrder RangeControl::describe(const ServiceName &service, RangeOrderKind kind,
+                                               const Order &order) const
+{
+    const RangeCoordinator &coordinator = *services_.at(service).coordinator_;
+    SentOrder sent;
+    sent.kind_ = kind;
+    sent.to_ = order.to_;
+    sent.range_ = order.order_.range_;
+    sent.epoch_ = order.order_.epoch_;
+    sent.roleEpoch_ = coordinator.roleEpoch();
+    sent.placement_ = coordinator.version();
+    sent.sentAt_ = clock_();
+    return sent;
+}
+
 // The authority to act was checked by the call that decided to send the order.
 void RangeControl::perform(const ServiceName &service, const SendRangeGrant &grant)
 {
-    const RangeCoordinator &current = *services_.at(service).coordinator_;
-    const SentOrder sent { RangeOrderKind::Grant,      grant.to_,
-                           grant.order_.range_,        grant.order_.epoch_,
-                           grant.order_.holdDuration_, current.roleEpoch(),
-                           current.version(),          clock_() };
+    SentOrder sent = describe(service, RangeOrderKind::Grant, grant);
+    sent.holdDuration_ = grant.order_.holdDuration_;
+    sent.requiredConnection_ = grant.connection_;
     const auto done = [this, service, grant, sent](const RangeReply &reply) {
         const TimePoint now = clock_();
         recordOutcome(service, sent, reply, now);
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
-            perform(service, coordinator->onGranted(grant, reply.outcome_, now));
+            perform(service, coordinator->onGranted(grant, reply, now));
     };
     const Address *address = addressOf(service, grant.to_);
     if (!address) {
@@ -230,21 +244,17 @@
         return;
     }
     orders_.add();
-    backends_.grant(*address, grant.order_, done);
+    backends_.grant(*address, grant.order_, grant.connection_, done);
 }
 
 void RangeControl::perform(const ServiceName &service, const SendRangeRelease &release)
 {
-    const RangeCoordinator &current = *services_.at(service).coordinator_;
-    const SentOrder sent { RangeOrderKind::Release, release.to_,      release.order_.range_,
-                           release.order_.epoch_,   Duration::zero(), current.roleEpoch(),
-                           current.version(),       clock_() };
+    const SentOrder sent = describe(service, RangeOrderKind::Release, release);
     const auto done = [this, service, release, sent](const RangeReply &reply) {
         const TimePoint now = clock_();
         recordOutcome(service, sent, reply, now);
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
-            perform(service,
-                    coordinator->onReleased(release, reply.outcome_, reply.handover_, now));
+            perform(service, coordinator->onReleased(release, reply, now));
     };
     const Address *address = addressOf(service, release.to_);
     if (!address) {
@@ -271,17 +281,23 @@
                                  const RangeReply &reply, TimePoint now)
 {
     const bool isAccepted = reply.outcome_ == RangeOutcome::Accepted;
-    if (!isAccepted)
+    // A renewal on the connection of the grant before it changes nothing.
+    const bool isRenewal = isAccepted && sent.requiredConnection_ != 0;
+    Severity severity = isRenewal ? Severity::Debug : Severity::Info;
+    if (!isAccepted) {
+        severity = Severity::Warning;
         failures_.add();
+    }
     const auto coordinated = services_.find(service);
     const Address *address
         = coordinated == services_.end() ? nullptr : addressOf(service, sent.to_);
-    log_.write(LogLine(isAccepted ? Severity::Info : Severity::Warning, "range-order")
+    log_.write(LogLine(severity, "range-order")
                    .add("service", service.str())
                    .add("order", toString(sent.kind_))
                    .add("backend", sent.to_.name_.str())
                    .add("incarnation", sent.to_.incarnation_.value_)
                    .add("address", address ? address->str() : "")
+                   .add("required_connection", sent.requiredConnection_)
                    .add("connection", reply.connection_)
                    .add("from_key", static_cast<std::uint64_t>(sent.range_.from_))
                    .add("to_key", static_cast<std::uint64_t>(sent.range_.to_))
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -77,6 +77,7 @@
         KeyRange range_;
         Epoch epoch_;
         Duration holdDuration_ {};
+        ConnectionId requiredConnection_ = 0; ///< see SendRangeGrant::connection_
         Epoch roleEpoch_;
         Version placement_;
         TimePoint sentAt_ {};
@@ -92,6 +93,10 @@
     void onReadReply(const ServiceName &service, const Reply<StoredObject> &reply);
     void onWriteReply(const ServiceName &service, const RangePlacement &placement,
                       const Reply<WriteResult> &reply);
+    /// @param order a SendRangeGrant or SendRangeRelease of @p service.
+    template <typename Order>
+    [[nodiscard]] SentOrder describe(const ServiceName &service, RangeOrderKind kind,
+                                     const Order &order) const;
     /// Counts and logs the outcome of an order.
     void recordOutcome(const ServiceName &service, const SentOrder &sent, const RangeReply &reply,
                        TimePoint now);
--- a/tests/EndlessAnswerTest.cpp
+++ b/tests/EndlessAnswerTest.cpp
@@ -214,7 +214,7 @@
     std::promise<RangeOutcome> released;
     loop.post([&] {
         const Address backend { "127.0.0.1", port };
-        link.grant(backend, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
+        link.grant(backend, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
                    [&](const RangeReply &reply) { granted.set_value(reply.outcome_); });
         link.release(backend, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
                      [&](const RangeReply &reply) { released.set_value(reply.outcome_); });
--- a/tests/EndlessOrderReplyTest.cpp
+++ b/tests/EndlessOrderReplyTest.cpp
@@ -106,7 +106,7 @@
 TEST_F(EndlessOrderReply, ToAGrantIsCutEarly)
 {
     const auto send = [this](const Address &address, const auto &done) {
-        ranges_->grant(address, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
+        ranges_->grant(address, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
                        [done](const RangeReply &reply) { done(toString(reply.outcome_)); });
     };
     expectCutEarly(send, kGrantTimeout, "broken", "accepted");
--- a/tests/OrderIdTest.cpp
+++ b/tests/OrderIdTest.cpp
@@ -29,7 +29,7 @@
     std::promise<RangeOutcome> outcome;
     loop.run([&] {
         const std::string address = server.url().substr(std::string("http://").size());
-        link->grant(*parseAddress(address), RangeGrantOrder {},
+        link->grant(*parseAddress(address), RangeGrantOrder {}, 0,
                     [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     std::future<RangeOutcome> result = outcome.get_future();
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -334,7 +334,7 @@
     HttpRangeLink link(loop, wire::rangeProtocol());
     std::promise<RangeOutcome> outcome;
     loop.post([&] {
-        link.grant(Address { "127.0.0.1", 9 }, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
+        link.grant(Address { "127.0.0.1", 9 }, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
                    [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     EXPECT_EQ(outcome.get_future().get(), RangeOutcome::NotDelivered);
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -236,7 +236,7 @@
                 link->release(address, RangeReleaseOrder { range, Epoch { 1 } },
                               [done](const RangeReply &reply) { done(reply.outcome_); });
             } else {
-                link->grant(address, RangeGrantOrder { range, Epoch { 1 }, 1s, "" },
+                link->grant(address, RangeGrantOrder { range, Epoch { 1 }, 1s, "" }, 0,
                             [done](const RangeReply &reply) { done(reply.outcome_); });
             }
         };
@@ -288,7 +288,7 @@
     std::promise<RangeOutcome> outcome;
     loop.post([&] {
         link->grant({ "127.0.0.1", portOf(server) },
-                    RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" },
+                    RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
                     [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
     });
     EXPECT_EQ(outcome.get_future().get(), RangeOutcome::Accepted);
--- a/tests/fakes/RangeSimulation.cpp
+++ b/tests/fakes/RangeSimulation.cpp
@@ -189,6 +189,10 @@
 void RangeSimulation::perform(const SendRangeGrant &grant)
 {
     const ConnectionId connection = serverAt(grant.to_).connection_;
+    if (grant.connection_ != 0 && grant.connection_ != connection) {
+        replyToGrant(generation_, grant, RangeOutcome::ConnectionLost, 0);
+        return;
+    }
     events_.after(kDelay, [this, generation = generation_, grant, connection] {
         Server &server = serverAt(grant.to_);
         const bool isNewConnection = connection == 0;
@@ -199,7 +203,7 @@
         if (!server.isPartitioned_ && (isBroken || isRefused)) {
             disconnect(server);
             replyToGrant(generation, grant,
-                         isBroken ? RangeOutcome::Broken : RangeOutcome::ProcessGone);
+                         isBroken ? RangeOutcome::Broken : RangeOutcome::ProcessGone, connection);
             return;
         }
         if (isNewConnection) {
@@ -216,7 +220,7 @@
         events_.after(kOrderTimeout, [this, generation, grant, &server] {
             if (generation == generation_)
                 disconnect(server);
-            replyToGrant(generation, grant, RangeOutcome::Unanswered);
+            replyToGrant(generation, grant, RangeOutcome::Unanswered, 0);
         });
     };
     if (server.isPartitioned_) {
@@ -233,15 +237,16 @@
         });
         return;
     }
-    replyToGrant(generation, grant, apply(server, grant.order_, arrivedAt));
+    replyToGrant(generation, grant, apply(server, grant.order_, arrivedAt), server.connection_);
 }
 
 void RangeSimulation::replyToGrant(std::uint64_t generation, const SendRangeGrant &grant,
-                                   RangeOutcome outcome)
+                                   RangeOutcome outcome, ConnectionId connection)
 {
-    events_.after(kDelay, [this, generation, grant, outcome] {
+    const RangeReply reply { outcome, connection };
+    events_.after(kDelay, [this, generation, grant, reply] {
         if (generation == generation_ && coordinator_)
-            perform(coordinator_->onGranted(grant, outcome, coordinatorTime()));
+            perform(coordinator_->onGranted(grant, reply, coordinatorTime()));
     });
 }
 
@@ -302,7 +307,8 @@
     const std::uint64_t generation = generation_;
     const auto reply = [this, generation, release](RangeOutcome outcome, const char *handover) {
         if (generation == generation_ && coordinator_)
-            perform(coordinator_->onReleased(release, outcome, handover, coordinatorTime()));
+            perform(coordinator_->onReleased(release, RangeReply { outcome, 0, handover },
+                                             coordinatorTime()));
     };
     events_.after(kDelay, [this, release, reply] {
         Server &server = serverAt(release.to_);
--- a/tests/fakes/RangeSimulation.h
+++ b/tests/fakes/RangeSimulation.h
@@ -91,7 +91,8 @@
     void perform(const SendRangeGrant &grant);
     void perform(const SendRangeRelease &release);
     void perform(const RangeMoveDecided &) { }
-    void replyToGrant(std::uint64_t generation, const SendRangeGrant &grant, RangeOutcome outcome);
+    void replyToGrant(std::uint64_t generation, const SendRangeGrant &grant, RangeOutcome outcome,
+                      ConnectionId connection);
     void disconnect(Server &server) const;
     RangeOutcome apply(Server &server, const RangeGrantOrder &order, Duration arrivedAt);
     void dropHolds(Server &server, const KeyRange &range);
--- a/tests/fakes/UnreachableRangeLink.h
+++ b/tests/fakes/UnreachableRangeLink.h
@@ -8,7 +8,7 @@
 class UnreachableRangeLink : public RangeLink
 {
 public:
-    void grant(const Address &, const RangeGrantOrder &, OnReply done) override
+    void grant(const Address &, const RangeGrantOrder &, ConnectionId, OnReply done) override
     {
         done(RangeReply { RangeOutcome::ProcessGone });
     }
