Range simulation: compare each accepted epoch with those of all other processes

What was missing: the simulation kept one epoch and one process for each sampled key. A process that accepted the epoch of another became that process, so that its next grant under it was not compared any more; and the last 16 s of each property case were not checked.

Change: the highest epoch of each process, also of those that have ended, is kept and compared at each accepted grant; the property and the test of late grants check it at their ends.

--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -164,6 +164,7 @@
     simulation.setTakesNewWork(owner, false);
     simulation.run(8s);
     EXPECT_EQ(simulation.maxHolders_, 1U);
+    EXPECT_FALSE(simulation.hasEpochViolation_);
     EXPECT_TRUE(simulation.areAllServed());
 }
 
@@ -386,6 +387,7 @@
     simulation.run(16s);
     RC_ASSERT(simulation.areAllServed());
     RC_ASSERT(simulation.maxHolders_ <= 1U);
+    RC_ASSERT(!simulation.hasEpochViolation_);
 }
 
 } // namespace
--- a/tests/fakes/RangeSimulation.cpp
+++ b/tests/fakes/RangeSimulation.cpp
@@ -258,17 +258,7 @@
         if (overlaps(accepted.range_, order.range_) && order.epoch_ < accepted.epoch_)
             return RangeOutcome::StaleEpoch;
     }
-    for (std::uint32_t key = 0; key <= kLastOrderedKey; key += kSampleStep) {
-        if (!order.range_.contains(key))
-            continue;
-        auto &[epoch, process] = lastAccepted_[key];
-        const bool isOther = process != server.process_ && !process.isNone();
-        hasEpochViolation_ = hasEpochViolation_ || (isOther && order.epoch_ <= epoch);
-        if (order.epoch_ >= epoch) {
-            epoch = order.epoch_;
-            process = server.process_;
-        }
-    }
+    checkEpochs(server.process_, order);
     handovers_ += order.handover_.empty() ? 0 : 1;
     dropHolds(server, order.range_);
     // An earlier epoch whose range is covered by the new grant is no longer needed.
@@ -284,6 +274,23 @@
     return RangeOutcome::Accepted;
 }
 
+// The epochs of processes that have ended count as well: another life of a back end is another
+// process.
+void RangeSimulation::checkEpochs(const BackendProcess &process, const RangeGrantOrder &order)
+{
+    for (std::uint32_t key = 0; key <= kLastOrderedKey; key += kSampleStep) {
+        if (!order.range_.contains(key))
+            continue;
+        auto &accepted = acceptedByKey_[key];
+        for (const auto &[other, epoch] : accepted) {
+            const bool isViolation = other != process && order.epoch_ <= epoch;
+            hasEpochViolation_ = hasEpochViolation_ || isViolation;
+        }
+        Epoch &highest = accepted[process];
+        highest = std::max(highest, order.epoch_);
+    }
+}
+
 void RangeSimulation::dropHolds(Server &server, const KeyRange &range)
 {
     std::vector<Hold> remaining;
--- a/tests/fakes/RangeSimulation.h
+++ b/tests/fakes/RangeSimulation.h
@@ -95,6 +95,7 @@
                       ConnectionId connection);
     void disconnect(Server &server) const;
     RangeOutcome apply(Server &server, const RangeGrantOrder &order, Duration arrivedAt);
+    void checkEpochs(const BackendProcess &process, const RangeGrantOrder &order);
     void dropHolds(Server &server, const KeyRange &range);
     /// @return the server at the address of @p process, which may have another process by now.
     Server &serverAt(const BackendProcess &process);
@@ -112,8 +113,8 @@
     std::unique_ptr<RangeCoordinator> coordinator_;
     std::uint64_t generation_ = 0;
     std::uint64_t lastIncarnation_ = 0;
-    /// The highest accepted epoch and the process that accepted it, by sampled key.
-    std::map<std::uint32_t, std::pair<Epoch, BackendProcess>> lastAccepted_;
+    /// The highest epoch that each process accepted, by sampled key.
+    std::map<std::uint32_t, std::map<BackendProcess, Epoch>> acceptedByKey_;
 };
 
 } // namespace pimentostage
