Range simulation: a grant that is applied after its hold has ended takes no key

Trace of the shrunk case, seconds: a grant of s0's keys under epoch 3 with a hold of 0.51 s arrives at 2.813 and gets no reply; s0 is cut off; at 4.781 two others are granted the keys under epoch 5, after the ledger's entries have ended; at 4.793 s0 applies the grant, 1.47 s after its hold ended, while the others hold the keys. At no time are there two holders.

The coordinator's ledger was right and is not changed.

--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -280,6 +280,28 @@
     EXPECT_EQ(simulation.maxHolders_, 1U);
 }
 
+// Found by the property test below: grants to a server without replies are applied after others
+// hold its keys under a higher epoch. Their holds, counted from their arrival, have ended by then.
+TEST(RangeCoordinator, LateGrantWhoseHoldHasEndedTakesNoKey)
+{
+    RangeSimulation simulation(3);
+    simulation.run(kInitialPlacementTime);
+    ASSERT_EQ(simulation.holdersOf(0), std::vector<std::size_t> { 0 });
+    simulation.setApplyDelay(0, 6s);
+    simulation.run(1400ms);
+    simulation.setPartitioned(0, true); // keeps the releases away, which would raise its epoch
+    simulation.run(4s);
+    const std::vector<std::size_t> holders = simulation.holdersOf(0);
+    ASSERT_EQ(holders.size(), 1U);
+    ASSERT_NE(holders.front(), 0U);
+    ASSERT_EQ(simulation.endedGrants_, 0);
+    simulation.run(2s);
+    EXPECT_GT(simulation.endedGrants_, 0);
+    EXPECT_EQ(simulation.holdersOf(0), holders);
+    EXPECT_EQ(simulation.maxHolders_, 1U);
+    EXPECT_FALSE(simulation.hasEpochViolation_);
+}
+
 // Guards against two processes with one epoch (seen on natalina-serra-grown): a process ends while
 // the connection to it is idle, another listens at its address, and the next renewal reaches that
 // one over a new connection.
