Count the holds of a replaced process until the placement names its successor

Cause: when a successor of a process was registered, its ledger was moved to the successor's before the write that names the successor was confirmed. Until then the former process went on to get grants, which the successor received and which no ledger counted; and a move away from the former process ended at once, since its ledger was empty.

Change: no grants to a process with a registered successor; its ledger is copied to the successor's and keeps its entries.

--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -3,6 +3,7 @@
 #include "pimentostage/platform/Generation.h"
 
 #include <algorithm>
+#include <set>
 
 namespace pimentostage {
 
@@ -278,6 +279,9 @@
     if (row.owner_.isNone() || state.pendingOrder_ != 0 || now < state.nextOrderAt_)
         return;
     Holder &owner = holder(row.owner_);
+    // Its successor may receive the grant, and gets the range itself with the next write.
+    if (successorOf(row.owner_))
+        return;
     if (owner.endedAt_ || owner.hasPendingGrant_ || !updateEpoch(row.owner_, now))
         return;
     owner.hasPendingGrant_ = true;
@@ -465,13 +469,16 @@
 bool RangeCoordinator::replaceRestarted(std::vector<RangeOwner> &ranges, Epoch epoch)
 {
     bool isChange = false;
+    std::set<BackendProcess> merged;
     for (RangeOwner &row : ranges) {
         for (BackendProcess *process : { &row.owner_, &row.previous_ }) {
             const auto successor = successorOf(*process);
             if (process->isNone() || !successor)
                 continue;
-            holder(*successor).ledger_.merge(holder(*process).ledger_);
-            holder(*process).ledger_.clear();
+            // The placement in force names the earlier process until the write is confirmed, so its
+            // ledger keeps the entries as well.
+            if (merged.insert(*process).second)
+                holder(*successor).ledger_.merge(holder(*process).ledger_);
             *process = *successor;
             row.epoch_ = epoch;
             isChange = true;
