Requests are not sent to a back end that was replaced at its address

What callers saw: after a back end ends and another starts at its address, the former one's entry stays for up to three check-in intervals. Requests to it reach the other process, which rejects them (421): each costs an attempt, and a wait of 20 ms. The former one has no load, so the balancing prefers it.

Cause: each entry counted as a back end of its own. That another process has started later at the same address, which only happens after the former one has ended, was known and not used.

Change: LatestProcesses finds the process that started last at each address, by `born`; a replaced one takes no new work. Entries of unknown services, and entries without a start, replace nothing (ABackEndIsReplacedOnlyByAKnownLaterOne), so that an entry of another writer that copies an address does not take a back end out unless it is complete and later.

--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -26,7 +26,9 @@
     std::uint32_t limit_ = 0; ///< maximum number of requests this host may have in flight
     bool usesLoadReports_ = false; ///< its service balances by reported load
     bool isLocal_ = true; ///< in this host's data centre
-    bool takesNewWork_ = true; ///< ready, not leaving, and its data centre is in service
+    /// Ready, not leaving, not replaced by another process at its address, and its data centre is
+    /// in service.
+    bool takesNewWork_ = true;
     TimePoint withdrawnAt_ {}; ///< when it stopped taking new work
     TimePoint rampStart_ {}; ///< when its data centre returned to service
     Duration ramp_ {}; ///< time over which its traffic share is restored; zero if at once
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -1,6 +1,7 @@
 #include "pimentostage/backend/RoutingTable.h"
 
 #include "pimentostage/backend/BalancingStrategy.h"
+#include "pimentostage/backend/LatestProcesses.h"
 #include "pimentostage/backend/Units.h"
 #include "pimentostage/base/Hash.h"
 
@@ -99,6 +100,7 @@
             routerLease = std::make_shared<RouterLease>(fleet.router_);
         routes.routerLease_ = routerLease;
     }
+    const LatestProcesses latest(configuration);
     for (const auto &[name, backend] : configuration.backends_) {
         const auto routes = table->services_.find(backend.service_.str());
         if (routes == table->services_.end())
@@ -111,9 +113,10 @@
         candidate.limit_ = hostLimit(backend, service, fleet.entryHosts_);
         candidate.usesLoadReports_ = service.balancing_ == Balancing::ExpectedTime;
         candidate.isLocal_ = backend.zone_ == fleet.zone_;
-        candidate.takesNewWork_ = configuration.isZoneIn(backend.zone_)
-                                  && !fleet.leavingHosts_.contains(name.str())
-                                  && backend.state_ == BackendState::Ready;
+        candidate.takesNewWork_
+            = configuration.isZoneIn(backend.zone_) && !fleet.leavingHosts_.contains(name.str())
+              && backend.state_ == BackendState::Ready
+              && !latest.replacementOf({ name, backend.incarnation_ }, backend.address_);
         // A back end that was withdrawn before this host first recorded it gets no handover time.
         if (candidate.takesNewWork_)
             withdrawnAt_.erase(name);
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -178,4 +178,55 @@
     EXPECT_NE(pick(), "worker-new") << "only one request until it has answered";
 }
 
+// Guards against requests that each cost an attempt: the entry of a back end that had ended
+// remained for 2 s, and the one that had started at its address rejected what was sent to the
+// former one. That one had no load, so that it was preferred (natalina-serra-grown, back ends that
+// return within 0.6 s).
+TEST_F(BackendSelectorTest, SendsNothingToABackEndReplacedAtItsAddress)
+{
+    Backend &former = configuration_.backends_.at(BackendName("worker-0"));
+    former.address_ = Address { "10.0.0.1", 80 };
+    former.incarnation_ = Incarnation { 100 };
+    Backend next = former;
+    next.name_ = BackendName("worker-next");
+    next.incarnation_ = Incarnation { 200 };
+    configuration_.backends_[next.name_] = next;
+    rebuild();
+    std::multiset<std::string> seen;
+    for (int i = 0; i < 20; ++i)
+        seen.insert(pick());
+    EXPECT_EQ(seen.count("worker-0"), 0U);
+    EXPECT_GT(seen.count("worker-next"), 0U);
+}
+
+TEST_F(BackendSelectorTest, ABackEndIsReplacedOnlyByAKnownLaterOne)
+{
+    Backend &current = configuration_.backends_.at(BackendName("worker-0"));
+    current.address_ = Address { "10.0.0.1", 80 };
+    current.incarnation_ = Incarnation { 100 };
+    Backend other = current;
+    const auto isStillUsed = [&] {
+        configuration_.backends_[other.name_] = other;
+        rebuild();
+        return routes().find(BackendName("worker-0"))->takesNewWork_;
+    };
+    other.name_ = BackendName("earlier");
+    other.incarnation_ = Incarnation { 99 };
+    EXPECT_TRUE(isStillUsed());
+    other.name_ = BackendName("as-early");
+    other.incarnation_ = Incarnation { 100 };
+    EXPECT_TRUE(isStillUsed());
+    other.name_ = BackendName("start-not-reported");
+    other.incarnation_ = {};
+    EXPECT_TRUE(isStillUsed());
+    other.name_ = BackendName("elsewhere");
+    other.incarnation_ = Incarnation { 200 };
+    other.address_ = Address { "10.0.0.1", 81 };
+    EXPECT_TRUE(isStillUsed());
+    other.name_ = BackendName("of-no-service");
+    other.address_ = current.address_;
+    other.service_ = ServiceName("unknown");
+    EXPECT_TRUE(isStillUsed());
+}
+
 } // namespace
