No grant for a process goes to another that is registered at its address

Cause: RangeControl kept the address of each process for good and sent every order there, also to a later process that the configuration names at that address: of another id, of the same id while the placement with its name is not written, or of another service.

Change: a replaced process takes no new work, so that its ranges move at once. A grant for it counts as not delivered. A release for it is sent only to a process of the same service: that one confirms by its existence that the former one has ended, and it gives up what it accepted in the former one's name. The ledger keeps orders in flight and uncertain ones, so such a release ends no hold that may still begin.

--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -51,6 +51,7 @@
                && found->second.division_ == KeyDivision::Ordered;
     };
     std::erase_if(services_, [&](const auto &entry) { return !isOrdered(entry.first); });
+    latest_ = LatestProcesses(configuration);
     for (const auto &[name, service] : configuration.services_) {
         if (!isOrdered(name))
             continue;
@@ -68,7 +69,8 @@
             planned.capacity_ = backend.slots_;
             planned.takesNewWork_ = configuration.isZoneIn(backend.zone_)
                                     && backend.state_ == BackendState::Ready
-                                    && !leavingHosts.contains(backendName.str());
+                                    && !leavingHosts.contains(backendName.str())
+                                    && !latest_.replacementOf(process, backend.address_);
             coordinated.addresses_[process] = backend.address_;
         }
         coordinated.backends_ = std::move(backends);
@@ -102,6 +104,20 @@
     return found == coordinated.addresses_.end() ? nullptr : &found->second;
 }
 
+// A process that replaces another at its address would accept what is meant for the former one. Of
+// the same service it may accept a release: it confirms that the former one has ended, and may hold
+// keys that were granted to the former one before it was known.
+const Address *RangeControl::addressFor(const ServiceName &service, const SentOrder &order) const
+{
+    const Address *address = addressOf(service, order.to_);
+    const LatestProcesses::Occupant *replacement
+        = address ? latest_.replacementOf(order.to_, *address) : nullptr;
+    const bool mayAccept
+        = !replacement
+          || (order.kind_ == RangeOrderKind::Release && replacement->service_ == service);
+    return mayAccept ? address : nullptr;
+}
+
 void RangeControl::setStoreGeneration(Generation generation)
 {
     for (auto &[name, coordinated] : services_)
@@ -238,7 +254,7 @@
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
             perform(service, coordinator->onGranted(grant, reply, now));
     };
-    const Address *address = addressOf(service, grant.to_);
+    const Address *address = addressFor(service, sent);
     if (!address) {
         done(RangeReply {});
         return;
@@ -256,7 +272,7 @@
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
             perform(service, coordinator->onReleased(release, reply, now));
     };
-    const Address *address = addressOf(service, release.to_);
+    const Address *address = addressFor(service, sent);
     if (!address) {
         done(RangeReply {});
         return;
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/HotKeyTracker.h"
+#include "pimentostage/backend/LatestProcesses.h"
 #include "pimentostage/backend/RangeCoordinator.h"
 #include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Log.h"
@@ -105,6 +106,9 @@
     RangeCoordinator *activeCoordinator(const ServiceName &service, TimePoint now);
     [[nodiscard]] const Address *addressOf(const ServiceName &service,
                                            const BackendProcess &process) const;
+    /// @return the address to which @p order may be sent, or nullptr if there is none.
+    [[nodiscard]] const Address *addressFor(const ServiceName &service,
+                                            const SentOrder &order) const;
 
     ObjectStore &store_;
     RangeLink &backends_;
@@ -120,6 +124,7 @@
     Counter &moves_;
     TimePoint nextCapacityUpdateAt_ {};
     std::map<ServiceName, CoordinatedService> services_;
+    LatestProcesses latest_;
 };
 
 } // namespace pimentostage
--- a/tests/fakes/FakeRangeLink.h
+++ b/tests/fakes/FakeRangeLink.h
@@ -2,13 +2,17 @@
 
 #include "pimentostage/backend/RangeLink.h"
 
+#include <utility>
+#include <vector>
+
 namespace pimentostage {
 
-/// Fake RangeLink whose back ends accept each order at once, over one connection at a time.
+/// Fake RangeLink whose back ends accept each order at once, over one connection at a time; records
+/// the orders.
 class FakeRangeLink : public RangeLink
 {
 public:
-    void grant(const Address &, const RangeGrantOrder &, ConnectionId required,
+    void grant(const Address &backend, const RangeGrantOrder &order, ConnectionId required,
                OnReply done) override
     {
         if (required != 0 && (required != connection_ || isClosed_)) {
@@ -18,16 +22,21 @@
         if (isClosed_)
             ++connection_;
         isClosed_ = false;
+        grants_.emplace_back(backend, order);
         done(RangeReply { RangeOutcome::Accepted, connection_ });
     }
-    void release(const Address &, const RangeReleaseOrder &, OnReply done) override
+    void release(const Address &backend, const RangeReleaseOrder &order, OnReply done) override
     {
+        releases_.emplace_back(backend, order);
         done(RangeReply { RangeOutcome::Accepted, connection_ });
     }
 
     /// Closes the connection; the next grant that needs none opens another.
     void closeConnection() { isClosed_ = true; }
 
+    std::vector<std::pair<Address, RangeGrantOrder>> grants_;
+    std::vector<std::pair<Address, RangeReleaseOrder>> releases_;
+
 private:
     ConnectionId connection_ = 0;
     bool isClosed_ = true;
