The absence of a host's former process does not count for the next

What callers saw: nothing so far; found by looking for the cause of the OWNER break elsewhere. A host that had registered again after a restart could lose its new entry at once, and was missing from the number of entry hosts until it had written it again (1 s).

Cause: HostRegistrar recorded since when a host is absent by its name. The time ran on over the entry of the next process, which was not in the view yet, and the removal used the new entry's version.

Evidence: HostRegistrarTest.AnAbsenceOfTheFormerProcessDoesNotCount failed before (the entry was deleted 1 s after it was written).

Change: absences are recorded by process, as of the entry.

--- a/src/daemon/HostRegistrar.cpp
+++ b/src/daemon/HostRegistrar.cpp
@@ -63,17 +63,20 @@
         absentSince_.clear();
     lastRemovalCheckAt_ = now;
     std::erase_if(absentSince_, [&](const auto &absence) {
-        return !configuration.entryHosts_.contains(absence.first);
+        const auto entry = configuration.entryHosts_.find(absence.first.host_);
+        return entry == configuration.entryHosts_.end()
+               || entry->second.incarnation_ != absence.first.incarnation_;
     });
     for (const auto &[host, entry] : configuration.entryHosts_) {
+        const Member process { host, entry.incarnation_ };
         if (view.contains(host)) {
-            absentSince_.erase(host);
+            absentSince_.erase(process);
             continue;
         }
-        const TimePoint since = absentSince_.try_emplace(host, now).first->second;
+        const TimePoint since = absentSince_.try_emplace(process, now).first->second;
         if (now < since + kAbsenceTimeout)
             continue;
-        absentSince_[host] = now;
+        absentSince_[process] = now;
         remove(host, [] {});
     }
 }
--- a/src/daemon/HostRegistrar.h
+++ b/src/daemon/HostRegistrar.h
@@ -37,9 +37,9 @@
     /// Writes this host's entry again if another host has removed it.
     void restoreIfRemoved(const Configuration &configuration);
 
-    /// Removes the entries of hosts that have been absent from the view for kAbsenceTimeout. Must
-    /// be called by one host only, such as the holder of a role, and at intervals shorter than
-    /// kAbsenceTimeout.
+    /// Removes the entries of processes whose hosts have been absent from the view for
+    /// kAbsenceTimeout. Must be called by one host only, such as the holder of a role, and at
+    /// intervals shorter than kAbsenceTimeout.
     /// @param view the hosts assumed to be alive.
     void removeAbsent(const Configuration &configuration, const std::set<HostName> &view,
                       TimePoint now);
@@ -62,7 +62,7 @@
     Backoff backoff_;
     bool isWriting_ = false;
     bool isUnregistered_ = false;
-    std::map<HostName, TimePoint> absentSince_;
+    std::map<Member, TimePoint> absentSince_; ///< by process, as of its entry
     TimePoint lastRemovalCheckAt_ {}; ///< time of the last call of removeAbsent()
 };
 
--- a/tests/HostRegistrarTest.cpp
+++ b/tests/HostRegistrarTest.cpp
@@ -37,9 +37,9 @@
     }
 
     /// Puts an entry of another host into the store and the configuration.
-    void add(const char *host)
+    void add(const char *host, Incarnation incarnation = { 3 })
     {
-        const EntryHost entry { HostName(host), Incarnation { 3 }, ZoneName("north"),
+        const EntryHost entry { HostName(host), incarnation, ZoneName("north"),
                                 Address { "10.0.0.9", 7100 } };
         store_.set(refOf(host), formatEntryHost(entry));
         config_.apply(store_.find(refOf(host)));
@@ -127,6 +127,24 @@
     EXPECT_FALSE(store_.find(refOf("back")).deleted_);
 }
 
+TEST_F(HostRegistrarTest, AnAbsenceOfTheFormerProcessDoesNotCount)
+{
+    registrar_->start();
+    add("back");
+    const std::set<HostName> view { HostName("a") };
+    const TimePoint now { 1h };
+    registrar_->removeAbsent(*config_.configuration(), view, now);
+    registrar_->removeAbsent(*config_.configuration(), view, now + 4s);
+    // Registered, but not in this host's view yet.
+    add("back", Incarnation { 9 });
+    registrar_->removeAbsent(*config_.configuration(), view, now + HostRegistrar::kAbsenceTimeout);
+    EXPECT_FALSE(store_.find(refOf("back")).deleted_);
+    registrar_->removeAbsent(*config_.configuration(), view, now + 9s);
+    registrar_->removeAbsent(*config_.configuration(), view,
+                             now + 2 * HostRegistrar::kAbsenceTimeout);
+    EXPECT_TRUE(store_.find(refOf("back")).deleted_);
+}
+
 TEST_F(HostRegistrarTest, AnAbsenceFromAnEarlierTermDoesNotCount)
 {
     registrar_->start();
