A 421 of another process counts against the back end that was addressed

What callers saw: requests of services without keys were rejected once, and waited 20 ms, for as long as the store did not tell of the process that had started at a back end's address; while the store is out, that lasts. All hosts preferred the back end that was gone.

Cause: 421 stands for a stale owner of a key and did not count as a failure of the back end, so that it was never ejected. A request without a key gets 421 only from another process than the one that its header names. The load and pace that this process reported were recorded for the former one.

Change: a 421 to a request without a key is a failure of the addressed back end, and its load report is not recorded. Keyed requests are as before.

--- a/src/backend/ActiveRequest.cpp
+++ b/src/backend/ActiveRequest.cpp
@@ -219,7 +219,7 @@
     const AttemptResult attemptResult = worker_.options_.protocol_->interpretResult_(result);
     updateConcurrencyLimit(inFlight, attemptResult, now);
     end(inFlight, attemptResult.state_, now);
-    if (attemptResult.load_)
+    if (attemptResult.load_ && !isFromOtherInstance(attemptResult))
         inFlight.stats_->onLoadReport(*attemptResult.load_, now);
     updateWarmup(inFlight, attemptResult, now);
     if (!attemptResult.failure_) {
@@ -231,7 +231,7 @@
         perform(execution_.onAnswered(attempt, now));
         return;
     }
-    countFailure(*inFlight.stats_, *attemptResult.failure_, now);
+    countFailure(*inFlight.stats_, attemptResult, now);
     if (result.error_ && result.error_->code_ == ErrorCode::TooLarge)
         worker_.counters_.givenUpAnswers_.add();
     logFailure(attempt, inFlight.backend_, attemptResult, result);
@@ -281,14 +281,22 @@
         worker_.listener_.onBackendWarm(inFlight.backend_);
 }
 
-void BackendClient::Worker::ActiveRequest::countFailure(BackendStats &stats, AttemptFailure failure,
+// Only a request with a key can have come to the right process under a stale epoch.
+bool BackendClient::Worker::ActiveRequest::isFromOtherInstance(
+    const AttemptResult &attemptResult) const
+{
+    return attemptResult.failure_ == AttemptFailure::StaleEpoch && request_.key_.empty();
+}
+
+void BackendClient::Worker::ActiveRequest::countFailure(BackendStats &stats,
+                                                        const AttemptResult &attemptResult,
                                                         TimePoint now)
 {
     worker_.counters_.failures_.add();
-    if (failure == AttemptFailure::Mismatched)
+    if (attemptResult.failure_ == AttemptFailure::Mismatched)
         worker_.counters_.mismatches_.add();
     // A stale epoch results from the placement, not from a fault of the back end.
-    if (failure != AttemptFailure::StaleEpoch)
+    if (attemptResult.failure_ != AttemptFailure::StaleEpoch || isFromOtherInstance(attemptResult))
         stats.onFailure(now);
 }
 
--- a/src/backend/ActiveRequest.h
+++ b/src/backend/ActiveRequest.h
@@ -80,7 +80,10 @@
     void updateWarmup(const InFlightAttempt &inFlight, const AttemptResult &attemptResult,
                       TimePoint now);
 
-    void countFailure(BackendStats &stats, AttemptFailure failure, TimePoint now);
+    /// @return whether another process than the addressed one answered at its address.
+    [[nodiscard]] bool isFromOtherInstance(const AttemptResult &attemptResult) const;
+
+    void countFailure(BackendStats &stats, const AttemptResult &attemptResult, TimePoint now);
 
     void logChoice(const SendAttempt &send, const BackendChoice &choice);
 
