An entry of a back end without the time of its start names no back end

What callers saw: nothing so far; found by reading. PROTOCOL.md: the field is always there, and an entry with a missing field comes from another writer and names no worker to use.

Cause: convertBackend() rejected a start of another type but accepted an entry without one, as incarnation 0. Two processes of one id then count as one: their observations and cold start are shared, and the coordinator of ordered keys renews the second one's ranges under the first one's epoch.

--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -126,6 +126,17 @@
     EXPECT_EQ(page->listing_.objects_[0].position_, (WriterPosition { 1700, 4 }));
 }
 
+// Guards against two processes of a back end that count as one: without its start, an entry does
+// not tell which process it is about, and it comes from another writer.
+TEST(PlatformStoreWire, AnEntryWithoutItsStartNamesNoBackEnd)
+{
+    const auto page = wire::parsePage(
+        "servers", backendEntry(R"({"Service":"huts","Address":"10.1.0.2:80","Zone":"north",
+            "MaxConcurrency":6,"State":"ready","WarmupLeftMs":0,"Sequence":4})"));
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    EXPECT_TRUE(page->listing_.objects_[0].deleted_);
+}
+
 TEST(PlatformStoreWire, TreatsAMalformedEntryAsDeleted)
 {
     for (const char *spec :
