Successive processes of a host number their probes differently

After a restart, a host's knowledge of the configuration, of back ends and of data centres could count as younger than it was.

Cause: each process numbered its probes from 1, and an answer is matched by its number. An answer to the former process, queued at a sibling until the next one listened, was taken for that to a later probe, and the age in it was dated from the time of that probe.

Evidence: MemberControlTest.AnAnswerToTheFormerProcessConfirmsNothing failed before (the configuration was confirmed).

Change: the numbers count on from the process's incarnation (microseconds of the wall clock), so that no other process of the host has used them.

--- a/include/pimentostage/sibling/Membership.h
+++ b/include/pimentostage/sibling/Membership.h
@@ -164,7 +164,9 @@
     std::map<std::uint64_t, PendingProbe> pendingProbes_;
     std::optional<HostName> alwaysProbed_;
     std::vector<HostName> probeRound_; ///< hosts not yet probed in this round
-    std::uint64_t lastSequence_ = 0;
+    /// Of the last probe. Counts on from the incarnation, whose unit of time is shorter than that
+    /// between two probes, so that successive processes of a host use different numbers.
+    std::uint64_t lastSequence_;
     std::uint64_t viewNumber_ = 1;
     std::size_t timesSelfSent_ = 0;
     TimePoint nextProbesAt_ {};
--- a/src/sibling/Membership.cpp
+++ b/src/sibling/Membership.cpp
@@ -23,6 +23,7 @@
     : self_(self)
     , random_(random)
     , timing_(timing)
+    , lastSequence_(self.member_.incarnation_.value_)
 { }
 
 void Membership::addListed(const HostName &host, const Address &address, const ZoneName &zone)
--- a/tests/MemberControlTest.cpp
+++ b/tests/MemberControlTest.cpp
@@ -93,6 +93,24 @@
     };
 };
 
+// Guards against knowledge that counts as younger than it is: an answer to a probe of this host's
+// former process was taken for that to the probe with the same number, which was sent later.
+TEST_F(MemberControlTest, AnAnswerToTheFormerProcessConfirmsNothing)
+{
+    control_.tick(kStart);
+    const Probe formerProbe = sent_.lastProbe();
+    MemberUpdate next = self_;
+    next.member_.incarnation_ = Incarnation { 2'000'000 };
+    MemberControl control(next, Random(1), {}, config_, sent_, log_, [](const ConfigPush &) {});
+    control.membership().merge(other_, kStart);
+    control.tick(kStart + 1s);
+    const Probe ownProbe = sent_.lastProbe();
+    control.onMessage(other_.member_.host_, answerTo(formerProbe, 100ms), kStart + 1s);
+    EXPECT_FALSE(config_.age(kStart + 1s));
+    control.onMessage(other_.member_.host_, answerTo(ownProbe, 100ms), kStart + 1s);
+    EXPECT_TRUE(config_.age(kStart + 1s));
+}
+
 // A fleet of 195 hosts starts at once: a read of the store shows none of them, and each believed
 // itself to be the reader for all.
 TEST(MemberControlSeeds, AreProbedUntilAnotherHostIsInTheView)
