A late entry of a former process does not end a back end's cold start

What callers saw: nothing so far; found by reading. A cold back end could get all of its traffic (FAILBACK) until its next check-in.

Cause: each change of `born` in an entry counted as a new process, also one to an earlier start. The store may apply a write seconds late, and within one generation the newer revision is in force, whatever its `born`: the entry of the former process, warm, replaced that of the cold one.

Evidence: BackendSelectorTest.ALateEntryOfTheFormerProcessDoesNotEndAColdStart failed before (capacity, and not cold after 2 s).

Change: only a later start than all before makes a process a new one without observations. An entry with an earlier start ends no cold start; it may begin one, since the clock of a back end may have been set back before it was restarted (AColdProcessWithAnEarlierStartIsCold).

--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -108,6 +108,7 @@
     {
         std::shared_ptr<BackendStats> stats_;
         Incarnation incarnation_;
+        Incarnation latest_; ///< the highest of all processes that were recorded
         Duration coldFor_ {};
     };
 
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -140,18 +140,22 @@
     return table;
 }
 
-// A new process starts without observations; those of its predecessor do not apply to it.
+// A new process starts without observations; those of its predecessor do not apply to it. An entry
+// with an earlier start than the last one is of a former process, and the store applied it late, or
+// of a new one on a host whose clock was set back; so it ends no cold start, but may begin one.
 const RoutingTableBuilder::BackendRecord &RoutingTableBuilder::updateRecord(const Backend &backend,
                                                                             const Service &service,
                                                                             const FleetState &fleet,
                                                                             TimePoint now)
 {
     BackendRecord &record = records_[backend.name_];
-    const bool isNewProcess = !record.stats_ || record.incarnation_ != backend.incarnation_;
-    if (isNewProcess)
+    const bool isOtherProcess = !record.stats_ || record.incarnation_ != backend.incarnation_;
+    const bool isLatest = !record.stats_ || backend.incarnation_ >= record.latest_;
+    if (!record.stats_ || backend.incarnation_ > record.latest_)
         record.stats_ = std::make_shared<BackendStats>();
     const bool startsCold = backend.coldFor_ > Duration::zero()
-                            && (isNewProcess || record.coldFor_ != backend.coldFor_);
+                            && (isOtherProcess || record.coldFor_ != backend.coldFor_)
+                            && (isLatest || !record.stats_->coldStart().isCold(now));
     if (startsCold && service.coldRate_ > 0) {
         const double rate = service.coldRate_ / static_cast<double>(fleet.entryHosts_);
         const std::uint64_t hash
@@ -160,6 +164,7 @@
                                          std::ldexp(static_cast<double>(hash), -64), now);
     }
     record.incarnation_ = backend.incarnation_;
+    record.latest_ = std::max(record.latest_, backend.incarnation_);
     record.coldFor_ = backend.coldFor_;
     return record;
 }
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -229,4 +229,58 @@
     EXPECT_TRUE(isStillUsed());
 }
 
+TEST_F(BackendSelectorTest, ARestartedProcessStartsWithoutObservations)
+{
+    Backend &backend = configuration_.backends_.at(BackendName("worker-0"));
+    backend.incarnation_ = Incarnation { 100 };
+    rebuild();
+    stats(0).onAnswer(5ms, now_);
+    stats(0).warmup().start(false, 6, now_);
+    backend.incarnation_ = Incarnation { 200 };
+    rebuild();
+    EXPECT_EQ(stats(0).latency(), Duration::zero());
+    EXPECT_FALSE(stats(0).warmup().isCold());
+}
+
+// Guards against a cold back end that gets all of its traffic: the store applied a write of the
+// former process late, and its entry, which was of a warm process, ended the cold start.
+TEST_F(BackendSelectorTest, ALateEntryOfTheFormerProcessDoesNotEndAColdStart)
+{
+    configuration_.services_.begin()->second.coldRate_ = 4;
+    Backend &backend = configuration_.backends_.at(BackendName("worker-0"));
+    backend.incarnation_ = Incarnation { 200 };
+    backend.coldFor_ = 3s;
+    rebuild();
+    while (stats(0).coldStart().tryAcquire(now_)) { }
+    backend.incarnation_ = Incarnation { 100 };
+    backend.coldFor_ = {};
+    rebuild();
+    EXPECT_FALSE(stats(0).coldStart().hasCapacity(now_));
+    backend.coldFor_ = 500ms;
+    rebuild();
+    EXPECT_TRUE(stats(0).coldStart().isCold(now_ + 2s));
+    backend.incarnation_ = Incarnation { 200 };
+    backend.coldFor_ = 2900ms;
+    rebuild();
+    EXPECT_FALSE(stats(0).coldStart().hasCapacity(now_)) << "it is still the same cold start";
+}
+
+// The clock of a back end may have been set back before it was restarted.
+TEST_F(BackendSelectorTest, AColdProcessWithAnEarlierStartIsCold)
+{
+    configuration_.services_.begin()->second.coldRate_ = 4;
+    Backend &backend = configuration_.backends_.at(BackendName("worker-0"));
+    backend.incarnation_ = Incarnation { 200 };
+    backend.coldFor_ = 3s;
+    rebuild();
+    now_ += 10s;
+    ASSERT_FALSE(stats(0).coldStart().isCold(now_));
+    backend.incarnation_ = Incarnation { 100 };
+    rebuild();
+    EXPECT_TRUE(stats(0).coldStart().isCold(now_ + 2900ms));
+    now_ += 10s;
+    rebuild();
+    EXPECT_FALSE(stats(0).coldStart().isCold(now_)) << "the same entry";
+}
+
 } // namespace
