Begin again after a lapse of the authority to coordinate

What callers saw: nothing so far; a service with ordered keys could stay without grants until the role changed hands.

Cause: replies to orders and to calls to the store are dropped while the authority has lapsed. The store may restore it before the role counts as lost; the order or the call then had no outcome for good.

Change: after a lapse the coordinator reads the placement again and grants under new epochs, as at the start of a term.

--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -91,9 +91,22 @@
 RangeCoordinator *RangeControl::activeCoordinator(const ServiceName &service, TimePoint now)
 {
     const auto found = services_.find(service);
-    const bool mayAct = found != services_.end() && found->second.hasRole_
-                        && holds_(coordinatorRoleOf(service), now);
-    return mayAct ? found->second.coordinator_.get() : nullptr;
+    if (found == services_.end() || !found->second.hasRole_)
+        return nullptr;
+    if (!holds_(coordinatorRoleOf(service), now))
+        found->second.hasLapsed_ = true;
+    return found->second.hasLapsed_ ? nullptr : found->second.coordinator_.get();
+}
+
+void RangeControl::recoverFromLapse(const ServiceName &service, TimePoint now)
+{
+    CoordinatedService &coordinated = services_.at(service);
+    const bool isRestored
+        = coordinated.hasRole_ && coordinated.hasLapsed_ && holds_(coordinatorRoleOf(service), now);
+    if (!isRestored)
+        return;
+    coordinated.hasLapsed_ = false;
+    perform(service, coordinated.coordinator_->begin(coordinated.roleEpoch_, now));
 }
 
 const Address *RangeControl::addressOf(const ServiceName &service,
@@ -130,6 +143,8 @@
         if (coordinatorRoleOf(name) != role)
             continue;
         coordinated.hasRole_ = true;
+        coordinated.hasLapsed_ = false;
+        coordinated.roleEpoch_ = epoch;
         perform(name, coordinated.coordinator_->begin(epoch, now));
     }
 }
@@ -150,6 +165,7 @@
     if (isCapacityUpdateDue)
         nextCapacityUpdateAt_ = now + kCapacityPeriod;
     for (auto &[name, coordinated] : services_) {
+        recoverFromLapse(name, now);
         RangeCoordinator *coordinator = activeCoordinator(name, now);
         if (!coordinator)
             continue;
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -64,6 +64,9 @@
     struct CoordinatedService
     {
         bool hasRole_ = false; ///< whether this host has the service's coordinator role
+        /// Whether the authority to act in the role lapsed, so that replies were dropped.
+        bool hasLapsed_ = false;
+        Epoch roleEpoch_;
         std::unique_ptr<RangeCoordinator> coordinator_;
         RangeCoordinator::Backends backends_;
         std::map<BackendProcess, Address> addresses_; ///< includes processes that have ended
@@ -101,8 +104,10 @@
     /// Counts and logs the outcome of an order.
     void recordOutcome(const ServiceName &service, const SentOrder &sent, const RangeReply &reply,
                        TimePoint now);
+    /// Begins again if the authority to act in the role had lapsed and is restored.
+    void recoverFromLapse(const ServiceName &service, TimePoint now);
     /// @return the coordinator of @p service if this host may act in its role at @p now, else
-    ///         nullptr.
+    ///         nullptr; after a lapse of the authority nullptr until recoverFromLapse().
     RangeCoordinator *activeCoordinator(const ServiceName &service, TimePoint now);
     [[nodiscard]] const Address *addressOf(const ServiceName &service,
                                            const BackendProcess &process) const;
--- a/tests/RangeControlTest.cpp
+++ b/tests/RangeControlTest.cpp
@@ -169,4 +169,83 @@
     EXPECT_GE(keys, std::uint64_t { kLastOrderedKey } + 1) << "all keys are held";
 }
 
+/// A coordinator whose authority, orders and writes a test holds up.
+class LapsedAuthorityTest : public testing::Test
+{
+protected:
+    LapsedAuthorityTest()
+        : control_(
+            store_, link_, {}, [this] { return now_; },
+            [this](const RoleName &, TimePoint) { return holds_; },
+            [](const BackendName &) { return 1.0; }, 1, log_, metrics_, [](const StoredObject &) {})
+    {
+        Service &service = configuration_.services_[service_];
+        service.name_ = service_;
+        service.keyed_ = true;
+        service.division_ = KeyDivision::Ordered;
+        addBackend("x", "10.0.0.1");
+    }
+
+    void addBackend(const char *name, const char *ip)
+    {
+        Backend &backend = configuration_.backends_[BackendName(name)];
+        backend.name_ = BackendName(name);
+        backend.service_ = service_;
+        backend.address_ = { ip, 80 };
+        backend.slots_ = 6;
+        backend.incarnation_ = Incarnation { 100 };
+        control_.onConfig(configuration_, {});
+    }
+
+    void run(Duration time)
+    {
+        for (const TimePoint until = now_ + time; now_ < until; now_ += kTick)
+            control_.tick(now_);
+    }
+
+    const ServiceName service_ { "map" };
+    const RoleName role_ = coordinatorRoleOf(service_);
+    TimePoint now_ { 1h };
+    bool holds_ = true;
+    FakeObjectStore store_;
+    FakeRangeLink link_;
+    NullLog log_;
+    MetricRegistry metrics_;
+    Configuration configuration_;
+    RangeControl control_;
+};
+
+// Guards against a service that gets no more grants: the reply to a grant arrived while the
+// authority had lapsed, and was dropped; the store restored the authority before the role was lost.
+TEST_F(LapsedAuthorityTest, GrantsAreRenewedAfterAReplyToOneWasDropped)
+{
+    control_.onRoleGained(role_, Epoch { 1 }, now_);
+    run(3s);
+    ASSERT_FALSE(link_.grants_.empty());
+    link_.holdsGrants_ = true;
+    run(800ms);
+    ASSERT_EQ(link_.heldGrants_.size(), 1U);
+    holds_ = false;
+    link_.heldGrants_.front()();
+    holds_ = true;
+    const std::size_t before = link_.grants_.size();
+    run(1s);
+    EXPECT_GT(link_.grants_.size(), before);
+}
+
+// The same with the reply to a write of the placement.
+TEST_F(LapsedAuthorityTest, GrantsBeginAfterAReplyToAWriteWasDropped)
+{
+    store_.holdsReplies_ = true;
+    control_.onRoleGained(role_, Epoch { 1 }, now_);
+    run(2s);
+    ASSERT_EQ(store_.heldReplies_.size(), 1U);
+    holds_ = false;
+    store_.holdsReplies_ = false;
+    store_.heldReplies_.front()();
+    holds_ = true;
+    run(1s);
+    EXPECT_FALSE(link_.grants_.empty());
+}
+
 } // namespace
--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -21,6 +21,8 @@
     int loseWrites_ = 0; ///< number of next writes that fail without effect
     int loseAnswers_ = 0; ///< number of next writes that take effect but return an error
     std::function<void()> beforeWrite_; ///< called before each write
+    bool holdsReplies_ = false; ///< replies to put() wait in heldReplies_
+    std::vector<std::function<void()>> heldReplies_;
     /// If set, list() and watch() reply through it, and a watch waits for a change.
     std::function<void(std::function<void()>)> defer_;
 
@@ -101,7 +103,14 @@
     void put(const ObjectRef &ref, const std::string &value, Version expected,
              Done<WriteResult> done) override
     {
-        write(StoredObject { ref, Version {}, false, value }, expected, done);
+        if (!holdsReplies_) {
+            write(StoredObject { ref, Version {}, false, value }, expected, done);
+            return;
+        }
+        write(StoredObject { ref, Version {}, false, value }, expected,
+              [this, done](const Reply<WriteResult> &reply) {
+                  heldReplies_.push_back([done, reply] { done(reply); });
+              });
     }
 
     void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) override
--- a/tests/fakes/FakeRangeLink.h
+++ b/tests/fakes/FakeRangeLink.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/RangeLink.h"
 
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -15,6 +16,13 @@
     void grant(const Address &backend, const RangeGrantOrder &order, ConnectionId required,
                OnReply done) override
     {
+        if (holdsGrants_) {
+            heldGrants_.push_back([this, backend, order, required, done] {
+                holdsGrants_ = false;
+                grant(backend, order, required, done);
+            });
+            return;
+        }
         if (required != 0 && (required != connection_ || isClosed_)) {
             done(RangeReply { RangeOutcome::ConnectionLost });
             return;
@@ -34,6 +42,8 @@
     /// Closes the connection; the next grant that needs none opens another.
     void closeConnection() { isClosed_ = true; }
 
+    bool holdsGrants_ = false; ///< grants wait in heldGrants_
+    std::vector<std::function<void()>> heldGrants_; ///< each delivers one, and ends holdsGrants_
     std::vector<std::pair<Address, RangeGrantOrder>> grants_;
     std::vector<std::pair<Address, RangeReleaseOrder>> releases_;
 
