A reply confirms only the write that it answers

What callers saw: nothing so far; two back ends could accept a key under one epoch.

Cause: a reply to a write of the placement from before the role was lost and gained again was taken for that to a later write, whose epochs the store had not reserved.

Change: the reply must be to the pending write, by its nonce.

--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -140,6 +140,11 @@
 
     /// @return the placement last written, updated with the moves that have ended since.
     [[nodiscard]] const RangePlacement &placement() const { return placement_; }
+    /// @return whether the write of @p placement has no known outcome yet.
+    [[nodiscard]] bool isWritePending(const RangePlacement &placement) const
+    {
+        return pendingWrite_ && pendingWrite_->nonce_ == placement.nonce_;
+    }
     /// @return the version of the placement that was last read or written.
     [[nodiscard]] Version version() const { return version_; }
     /// @return the epoch of the role under which it coordinates.
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -236,7 +236,8 @@
                                    formatRangePlacement(placement) });
     }
     RangeCoordinator *coordinator = activeCoordinator(service, now);
-    if (!coordinator)
+    // The reply may be to a write from before this host lost the role and gained it again.
+    if (!coordinator || !coordinator->isWritePending(placement))
         return;
     handleWriteReply(
         *coordinator, reply, [&](const RangeActions &actions) { perform(service, actions); }, now);
--- a/tests/RangeControlTest.cpp
+++ b/tests/RangeControlTest.cpp
@@ -203,6 +203,23 @@
             control_.tick(now_);
     }
 
+    /// Gains the role, loses it while the reply to the first write is held up, and gains it again
+    /// under @p epoch; the second write is lost. Then the reply to the first arrives.
+    void regainRoleDuringWrite(Epoch epoch)
+    {
+        store_.holdsReplies_ = true;
+        control_.onRoleGained(role_, Epoch { 1 }, now_);
+        run(2s);
+        ASSERT_EQ(store_.heldReplies_.size(), 1U);
+        control_.onRoleLost(role_);
+        store_.loseWrites_ = 1;
+        control_.onRoleGained(role_, epoch, now_);
+        run(50ms);
+        ASSERT_EQ(store_.heldReplies_.size(), 2U);
+        store_.heldReplies_.front()();
+        run(100ms);
+    }
+
     const ServiceName service_ { "map" };
     const RoleName role_ = coordinatorRoleOf(service_);
     TimePoint now_ { 1h };
@@ -248,4 +265,16 @@
     EXPECT_FALSE(link_.grants_.empty());
 }
 
+// Guards against two processes with one epoch: the reply to a write from before the role was lost
+// and gained again confirmed a later write, whose epochs the store did not reserve.
+TEST_F(LapsedAuthorityTest, AReplyFromBeforeTheRoleWasRegainedConfirmsNothing)
+{
+    regainRoleDuringWrite(Epoch { 2 });
+    EXPECT_TRUE(link_.grants_.empty()) << "no write of this term of the role is confirmed";
+    store_.holdsReplies_ = false;
+    store_.heldReplies_.back()();
+    run(2s);
+    EXPECT_FALSE(link_.grants_.empty());
+}
+
 } // namespace
