The outcome of a grant from before a term of the role ends no later grant

Cause: the outcome of any grant to a process allowed the next one. One from before begin() let two grants under one epoch go out at a time, neither bound to a connection.

Change: the number of the pending grant is kept, not only that there is one.

--- a/include/pimentostage/backend/RangeCoordinator.h
+++ b/include/pimentostage/backend/RangeCoordinator.h
@@ -169,8 +169,9 @@
         GrantLedger ledger_;
         std::optional<TimePoint> unresponsiveSince_; ///< time of the first consecutive failure
         std::optional<TimePoint> endedAt_; ///< when the process was found to have ended
-        /// Grants are sent one at a time: the outcome determines whether the next may be sent.
-        bool hasPendingGrant_ = false;
+        /// The grant without an outcome yet; 0 if there is none. Grants are sent one at a time: the
+        /// outcome determines whether the next may be sent.
+        OrderNumber pendingGrant_ = 0;
         /// The only connection on which its grants are sent; 0 until the first reply to one.
         ConnectionId connection_ = 0;
         Epoch minEpoch_; ///< its grants have this epoch or a higher one
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -282,11 +282,11 @@
     // Its successor may receive the grant, and gets the range itself with the next write.
     if (successorOf(row.owner_))
         return;
-    if (owner.endedAt_ || owner.hasPendingGrant_ || !updateEpoch(row.owner_, now))
+    if (owner.endedAt_ || owner.pendingGrant_ != 0 || !updateEpoch(row.owner_, now))
         return;
-    owner.hasPendingGrant_ = true;
     SendRangeGrant grant;
     grant.number_ = ++lastOrder_;
+    owner.pendingGrant_ = grant.number_;
     grant.to_ = row.owner_;
     // A process that did not reply may be lost; a long hold would delay the next owner of its keys.
     const Duration hold
@@ -359,11 +359,14 @@
     if (phase_ != Phase::Ready)
         return {};
     const RangeOutcome outcome = reply.outcome_;
-    Holder &addressee = holder(sent.to_);
-    addressee.hasPendingGrant_ = false;
-    // If the process was restarted since, the order's entry is now in its successor's ledger.
+    // If the process was restarted since, its successor's ledger has the order's entry too.
     for (auto &[process, state] : holders_)
         state.ledger_.onOutcome(sent.number_, outcome, now);
+    Holder &addressee = holder(sent.to_);
+    const bool isFromBeforeBegin = addressee.pendingGrant_ != sent.number_;
+    if (isFromBeforeBegin)
+        return {};
+    addressee.pendingGrant_ = 0;
     if (isReply(outcome))
         addressee.connection_ = reply.connection_;
     if (isProcessUncertain(outcome) || outcome == RangeOutcome::StaleEpoch)
--- /dev/null
+++ b/tests/RangeOrderOutcomeTest.cpp
@@ -0,0 +1,119 @@
+#include "pimentostage/backend/RangeCoordinator.h"
+
+#include <algorithm>
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool overlap(const KeyRange &a, const KeyRange &b)
+{
+    return a.from_ <= b.to_ && b.from_ <= a.to_;
+}
+
+/// A coordinator whose orders are answered on demand; writes are confirmed at once.
+class RangeOrderOutcome : public testing::Test
+{
+protected:
+    void run(Duration time)
+    {
+        for (const TimePoint until = now_ + time; now_ < until; now_ += 10ms) {
+            for (std::uint32_t bucket = 0; hasLoad_ && bucket < RangeLoad::kBuckets; ++bucket)
+                coordinator_.addLoad(
+                    bucket, hasHotMiddle_ && bucket / 4 == RangeLoad::kBuckets / 8 ? 100 : 1);
+            perform(coordinator_.tick(now_));
+        }
+    }
+    void start()
+    {
+        coordinator_.setBackends(backends_);
+        perform(coordinator_.begin(Epoch { 1 }, now_));
+    }
+    void perform(const RangeActions &actions)
+    {
+        for (const RangeAction &action : actions)
+            std::visit([this](const auto &step) { perform(step); }, action);
+    }
+    void perform(const ReadRanges &) { perform(coordinator_.onRead(stored_, version_, now_)); }
+    void perform(const WriteRanges &write)
+    {
+        stored_ = write.placement_;
+        version_ = version_.next();
+        perform(coordinator_.onWritten(version_, now_));
+    }
+    void perform(const SendRangeGrant &grant)
+    {
+        grants_.push_back(grant);
+        if (holdsGrantsTo_ == grant.to_.name_.str()) {
+            pendingGrants_.push_back(grant);
+            return;
+        }
+        accept(grant, grant.connection_ != 0 ? grant.connection_ : 1);
+    }
+    void accept(const SendRangeGrant &grant, ConnectionId connection)
+    {
+        perform(
+            coordinator_.onGranted(grant, RangeReply { RangeOutcome::Accepted, connection }, now_));
+    }
+    void perform(const SendRangeRelease &release)
+    {
+        if (holdsReleases_) {
+            pendingReleases_.push_back(release);
+            return;
+        }
+        perform(coordinator_.onReleased(release, RangeReply { RangeOutcome::Accepted, 1 }, now_));
+    }
+    void perform(const RangeMoveDecided &) { }
+
+    const BackendProcess x_ { BackendName("x"), Incarnation { 100 } };
+    const BackendProcess z_ { BackendName("z"), Incarnation { 100 } };
+    PlannedBackend usable_ { 6, true };
+    RangeCoordinator::Backends backends_;
+    RangeCoordinator coordinator_ { ServiceName("map"), {}, Random(1) };
+    std::optional<RangePlacement> stored_;
+    Version version_ { 1 };
+    TimePoint now_ { 1h };
+    bool hasLoad_ = false;
+    bool hasHotMiddle_ = false;
+    std::string holdsGrantsTo_;
+    bool holdsReleases_ = false;
+    std::vector<SendRangeGrant> grants_, pendingGrants_;
+    std::vector<SendRangeRelease> pendingReleases_;
+};
+
+// Guards against two processes with one epoch: the outcome of a grant from before begin() was taken
+// for that of a later one, so that two grants under one epoch were on their way, neither bound to a
+// connection.
+TEST_F(RangeOrderOutcome, AnOutcomeFromBeforeTheRoleWasRegainedEndsNoLaterOrder)
+{
+    backends_ = { { x_, usable_ } };
+    hasLoad_ = true;
+    hasHotMiddle_ = true;
+    start();
+    run(3s);
+    backends_[z_] = usable_;
+    coordinator_.setBackends(backends_);
+    run(5s);
+    hasLoad_ = false;
+    const auto &rows = coordinator_.placement().ranges_;
+    ASSERT_GE(std::count_if(rows.begin(), rows.end(),
+                            [&](const RangeOwner &row) { return row.owner_ == x_; }),
+              2);
+    holdsGrantsTo_ = "x";
+    run(700ms);
+    ASSERT_EQ(pendingGrants_.size(), 1U);
+    const SendRangeGrant former = pendingGrants_.front();
+    pendingGrants_.clear();
+    coordinator_.end();
+    perform(coordinator_.begin(Epoch { 2 }, now_));
+    run(100ms);
+    ASSERT_EQ(pendingGrants_.size(), 1U);
+    perform(coordinator_.onGranted(former, RangeReply { RangeOutcome::NotDelivered, 0 }, now_));
+    run(50ms);
+    EXPECT_EQ(pendingGrants_.size(), 1U) << "grants are sent one at a time";
+}
+
+} // namespace
