A late reply to a release does not end the hold of a later grant

Cause: the reply to a release ended all accepted grants of the range, also one that was sent after the release, to a process that had got the range again. The next move granted at once: two holders.

Change: only grants with a number below the release's end.

--- a/include/pimentostage/backend/GrantLedger.h
+++ b/include/pimentostage/backend/GrantLedger.h
@@ -25,7 +25,8 @@
     void onOutcome(OrderNumber number, RangeOutcome outcome, TimePoint now);
     /// Records that the process released @p range. An earlier grant without a
     /// reply may still take effect.
-    void onReleased(const KeyRange &range);
+    /// @param number of the release; grants sent after it remain.
+    void onReleased(OrderNumber number, const KeyRange &range);
     /// Records that an earlier coordinator may have granted @p range until @p until.
     void assumeGranted(const KeyRange &range, TimePoint until);
     /// Adds the entries of @p other, whose orders may have reached this process instead.
--- a/src/backend/GrantLedger.cpp
+++ b/src/backend/GrantLedger.cpp
@@ -43,11 +43,13 @@
     });
 }
 
-void GrantLedger::onReleased(const KeyRange &range)
+void GrantLedger::onReleased(OrderNumber number, const KeyRange &range)
 {
     std::vector<Entry> remaining;
     for (const Entry &entry : entries_) {
-        if (entry.state_ != State::Held || !overlaps(entry.range_, range)) {
+        const bool isReleased = entry.state_ == State::Held && entry.number_ < number
+                                && overlaps(entry.range_, range);
+        if (!isReleased) {
             remaining.push_back(entry);
             continue;
         }
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -405,7 +405,7 @@
     const bool isAccepted = reply.outcome_ == RangeOutcome::Accepted;
     recordOutcome(holder(sent.to_), reply.outcome_, now);
     if (isAccepted)
-        holder(sent.to_).ledger_.onReleased(sent.order_.range_);
+        holder(sent.to_).ledger_.onReleased(sent.number_, sent.order_.range_);
     RowState *row = pendingState(sent.order_.range_, sent.number_);
     if (row) {
         row->pendingOrder_ = 0;
--- a/tests/GrantLedgerTest.cpp
+++ b/tests/GrantLedgerTest.cpp
@@ -33,12 +33,12 @@
     GrantLedger ledger;
     ledger.onSent(1, kRange, kHold);
     ledger.onOutcome(1, RangeOutcome::Accepted, kNow);
-    ledger.onReleased({ 150, 199 });
+    ledger.onReleased(2, { 150, 199 });
     EXPECT_TRUE(ledger.mayHold({ 100, 149 }, kNow));
     EXPECT_FALSE(ledger.mayHold({ 150, 199 }, kNow));
-    ledger.onSent(2, kRange, kHold);
-    ledger.onOutcome(2, RangeOutcome::Unanswered, kNow);
-    ledger.onReleased(kRange);
+    ledger.onSent(3, kRange, kHold);
+    ledger.onOutcome(3, RangeOutcome::Unanswered, kNow);
+    ledger.onReleased(4, kRange);
     EXPECT_TRUE(ledger.mayHold(kRange, kNow + kHold - 1ms));
     EXPECT_FALSE(ledger.mayHold(kRange, kNow + kHold));
 }
@@ -58,7 +58,7 @@
 {
     GrantLedger ledger;
     ledger.assumeGranted(kRange, kNow + 1s);
-    ledger.onReleased(kRange);
+    ledger.onReleased(1, kRange);
     EXPECT_TRUE(ledger.mayHold(kRange, kNow))
         << "orders of the earlier coordinator may be in flight";
     EXPECT_FALSE(ledger.mayHold(kRange, kNow + 1s));
--- a/tests/RangeOrderOutcomeTest.cpp
+++ b/tests/RangeOrderOutcomeTest.cpp
@@ -84,6 +84,40 @@
     std::vector<SendRangeRelease> pendingReleases_;
 };
 
+// Guards against two holders: the reply to a release of an earlier move arrives after the process
+// was given the range again, and ended the hold of that grant too.
+TEST_F(RangeOrderOutcome, LateReplyToAReleaseDoesNotCountForALaterGrant)
+{
+    const auto useOnly = [&](const BackendProcess &only) {
+        backends_ = { { x_, usable_ }, { z_, usable_ } };
+        backends_[only == x_ ? z_ : x_].takesNewWork_ = false;
+        coordinator_.setBackends(backends_);
+    };
+    useOnly(x_);
+    start();
+    run(3s);
+    holdsReleases_ = true;
+    useOnly(z_);
+    run(2600ms);
+    ASSERT_EQ(pendingReleases_.size(), 1U);
+    ASSERT_EQ(coordinator_.movingRanges(), 0U) << "the hold has run out, z owns all";
+    const SendRangeRelease late = pendingReleases_.front();
+    holdsReleases_ = false;
+    grants_.clear();
+    useOnly(x_);
+    run(100ms);
+    ASSERT_FALSE(grants_.empty());
+    ASSERT_EQ(grants_.front().to_, x_) << "x has the range again";
+    // 2.7 s after the release was sent (its timeout is 3 s) the reply arrives.
+    perform(coordinator_.onReleased(late, RangeReply { RangeOutcome::Accepted, 1 }, now_));
+    holdsReleases_ = true;
+    useOnly(z_);
+    grants_.clear();
+    run(300ms);
+    for (const auto &grant : grants_)
+        EXPECT_NE(grant.to_, z_) << "x accepted a hold of 2.5 s at most 400 ms ago";
+}
+
 // Guards against two processes with one epoch: the outcome of a grant from before begin() was taken
 // for that of a later one, so that two grants under one epoch were on their way, neither bound to a
 // connection.
