A grant in flight counts after a refused connection

Cause: where a refused connection means that the process has ended (not on the users' platform), its ledger was emptied, with a grant in flight that the next process at the address may accept: two holders.

Change: what is in flight stays until its outcome is known.

--- a/include/pimentostage/backend/GrantLedger.h
+++ b/include/pimentostage/backend/GrantLedger.h
@@ -31,8 +31,8 @@
     void assumeGranted(const KeyRange &range, TimePoint until);
     /// Adds the entries of @p other, whose orders may have reached this process instead.
     void merge(const GrantLedger &other);
-    /// Removes all entries, after the process has ended.
-    void clear() { entries_.clear(); }
+    /// Records that the process has ended. A grant in flight may reach the next one at its address.
+    void onProcessEnded();
 
     /// @return whether the process may hold a key of @p range at @p now or later.
     [[nodiscard]] bool mayHold(const KeyRange &range, TimePoint now) const;
--- a/src/backend/GrantLedger.cpp
+++ b/src/backend/GrantLedger.cpp
@@ -65,6 +65,11 @@
     entries_ = std::move(remaining);
 }
 
+void GrantLedger::onProcessEnded()
+{
+    std::erase_if(entries_, [](const Entry &entry) { return entry.state_ != State::InFlight; });
+}
+
 void GrantLedger::assumeGranted(const KeyRange &range, TimePoint until)
 {
     entries_.push_back(Entry { range, State::Uncertain, 0, {}, until });
--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -350,7 +350,7 @@
     if (outcome != RangeOutcome::ProcessGone)
         return;
     state.endedAt_ = now;
-    state.ledger_.clear();
+    state.ledger_.onProcessEnded();
 }
 
 RangeActions RangeCoordinator::onGranted(const SendRangeGrant &sent, const RangeReply &reply,
--- a/tests/RangeOrderOutcomeTest.cpp
+++ b/tests/RangeOrderOutcomeTest.cpp
@@ -118,6 +118,31 @@
         EXPECT_NE(grant.to_, z_) << "x accepted a hold of 2.5 s at most 400 ms ago";
 }
 
+// Guards against two holders: a release finds the address refused while a grant is on its way,
+// which the next process takes, and which no ledger counted.
+TEST_F(RangeOrderOutcome, AGrantInFlightCountsAfterARefusedRelease)
+{
+    backends_ = { { x_, usable_ } };
+    hasLoad_ = true;
+    start();
+    run(3s);
+    holdsReleases_ = true;
+    holdsGrantsTo_ = "x";
+    backends_[z_] = usable_;
+    coordinator_.setBackends(backends_);
+    run(200ms);
+    ASSERT_FALSE(pendingReleases_.empty());
+    ASSERT_EQ(pendingGrants_.size(), 1U);
+    const SendRangeGrant inFlight = pendingGrants_.front();
+    grants_.clear();
+    perform(coordinator_.onReleased(pendingReleases_.front(),
+                                    RangeReply { RangeOutcome::ProcessGone, 0 }, now_));
+    accept(inFlight, 9);
+    run(500ms);
+    for (const auto &grant : grants_)
+        EXPECT_FALSE(grant.to_ == z_ && overlap(grant.order_.range_, inFlight.order_.range_));
+}
+
 // Guards against two processes with one epoch: the outcome of a grant from before begin() was taken
 // for that of a later one, so that two grants under one epoch were on their way, neither bound to a
 // connection.
