Random cases with processes of other names and closed connections; 1,024 epochs reserved

The property test of the coordinator had no step that puts another process at an address or closes an idle connection (independent review). A second property has both; the first and its cases are unchanged.

Each write reserves 1,024 now; a placement that is written four times a second uses up the 40 bits of a generation in 8 years.

--- a/src/backend/RangeCoordinator.cpp
+++ b/src/backend/RangeCoordinator.cpp
@@ -19,7 +19,7 @@
 constexpr std::uint32_t kMaxRetryDoublings = 3;
 // Epochs that each write of the placement reserves, for processes whose connections are lost before
 // the next write.
-constexpr std::uint64_t kReservedEpochs = 256;
+constexpr std::uint64_t kReservedEpochs = 1024;
 // Lower bound of the limit on concurrent moves for balance: with several at once, a hot region is
 // spread over several back ends in one pause, and a range whose work takes long to end does not
 // delay the others.
--- a/tests/RangeCoordinatorTest.cpp
+++ b/tests/RangeCoordinatorTest.cpp
@@ -333,64 +333,83 @@
     }
 }
 
-RC_GTEST_PROP(RangeCoordinatorProperty, NoKeyHasTwoHolders, ())
+constexpr int kStepsWithinOneName = 15;
+constexpr int kSteps = 17;
+
+/// Applies one step of a random case.
+/// @param kind less than kStepsWithinOneName if each process is to start under its server's name.
+/// @param number the server, and where a time is needed its milliseconds.
+void applyStep(RangeSimulation &simulation, std::size_t servers, int kind, int number)
+{
+    const std::size_t server = static_cast<std::size_t>(number) % servers;
+    const Duration time = std::chrono::milliseconds(number);
+    switch (kind) {
+    case 0:
+        simulation.setPartitioned(server, true);
+        break;
+    case 1:
+        simulation.setPartitioned(server, false);
+        break;
+    case 2:
+        simulation.kill(server);
+        break;
+    case 3:
+        simulation.restart(server);
+        break;
+    case 4:
+        simulation.setTakesNewWork(server, false);
+        break;
+    case 5:
+        simulation.setTakesNewWork(server, true);
+        break;
+    case 6:
+        simulation.changeCoordinator(time);
+        break;
+    case 7:
+        simulation.store_.faults_.down_ = !simulation.store_.faults_.down_;
+        break;
+    case 8:
+        simulation.store_.faults_.losesAnswers_ = !simulation.store_.faults_.losesAnswers_;
+        break;
+    case 9:
+        simulation.setApplyDelay(server, 3 * time);
+        break;
+    case 10:
+        simulation.setApplyDelay(server, Duration::zero());
+        break;
+    case 11:
+        simulation.setDrainTime(time);
+        break;
+    case 12:
+        simulation.store_.takeCopy();
+        break;
+    case 13:
+        simulation.store_.restore();
+        break;
+    case 14:
+        simulation.setLoad(static_cast<std::uint32_t>(4 * number), 6);
+        break;
+    case 15:
+        simulation.replace(server);
+        break;
+    default:
+        simulation.closeIdleConnection(server);
+        break;
+    }
+}
+
+/// Runs a random case, and then without faults until all is served.
+/// @param kinds number of kinds of steps, see applyStep().
+void checkRandomCase(int kinds)
 {
     const auto servers = *rc::gen::inRange<std::size_t>(1, 5);
     RangeSimulation simulation(servers, *rc::gen::inRange<std::uint64_t>(1, 1'000'000));
     simulation.run(kInitialPlacementTime);
     const auto steps = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
-        20, rc::gen::tuple(rc::gen::inRange(0, 15), rc::gen::inRange(0, 1000),
+        20, rc::gen::tuple(rc::gen::inRange(0, kinds), rc::gen::inRange(0, 1000),
                            rc::gen::inRange(0, 1200)));
     for (const auto &[kind, number, wait] : steps) {
-        const std::size_t server = static_cast<std::size_t>(number) % servers;
-        const Duration time = std::chrono::milliseconds(number);
-        switch (kind) {
-        case 0:
-            simulation.setPartitioned(server, true);
-            break;
-        case 1:
-            simulation.setPartitioned(server, false);
-            break;
-        case 2:
-            simulation.kill(server);
-            break;
-        case 3:
-            simulation.restart(server);
-            break;
-        case 4:
-            simulation.setTakesNewWork(server, false);
-            break;
-        case 5:
-            simulation.setTakesNewWork(server, true);
-            break;
-        case 6:
-            simulation.changeCoordinator(time);
-            break;
-        case 7:
-            simulation.store_.faults_.down_ = !simulation.store_.faults_.down_;
-            break;
-        case 8:
-            simulation.store_.faults_.losesAnswers_ = !simulation.store_.faults_.losesAnswers_;
-            break;
-        case 9:
-            simulation.setApplyDelay(server, 3 * time);
-            break;
-        case 10:
-            simulation.setApplyDelay(server, Duration::zero());
-            break;
-        case 11:
-            simulation.setDrainTime(time);
-            break;
-        case 12:
-            simulation.store_.takeCopy();
-            break;
-        case 13:
-            simulation.store_.restore();
-            break;
-        default:
-            simulation.setLoad(static_cast<std::uint32_t>(4 * number), 6);
-            break;
-        }
+        applyStep(simulation, servers, kind, number);
         simulation.run(std::chrono::milliseconds(wait));
         RC_ASSERT(simulation.maxHolders_ <= 1U);
         RC_ASSERT(!simulation.hasEpochViolation_);
@@ -412,4 +431,15 @@
     RC_ASSERT(!simulation.hasEpochViolation_);
 }
 
+RC_GTEST_PROP(RangeCoordinatorProperty, NoKeyHasTwoHolders, ())
+{
+    checkRandomCase(kStepsWithinOneName);
+}
+
+// With processes of another name at an address, and back ends that close idle connections.
+RC_GTEST_PROP(RangeCoordinatorProperty, NoEpochIsGivenToTwoProcesses, ())
+{
+    checkRandomCase(kSteps);
+}
+
 } // namespace
