Orders go to the next process of the same service at an address again

Change: a process that is replaced by one of its own service goes on to get orders: under a new epoch and over a new connection, as the coordinator binds them, so the rule does not depend on the entries. Orders to an address that belongs to another service by now are kept back, as before.

--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -70,7 +70,7 @@
             planned.takesNewWork_ = configuration.isZoneIn(backend.zone_)
                                     && backend.state_ == BackendState::Ready
                                     && !leavingHosts.contains(backendName.str())
-                                    && !latest_.replacementOf(process, backend.address_);
+                                    && !isOfOtherService(name, process, backend.address_);
             coordinated.addresses_[process] = backend.address_;
         }
         coordinated.backends_ = std::move(backends);
@@ -117,18 +117,18 @@
     return found == coordinated.addresses_.end() ? nullptr : &found->second;
 }
 
-// A process that replaces another at its address would accept what is meant for the former one. Of
-// the same service it may accept a release: it confirms that the former one has ended, and may hold
-// keys that were granted to the former one before it was known.
-const Address *RangeControl::addressFor(const ServiceName &service, const SentOrder &order) const
+bool RangeControl::isOfOtherService(const ServiceName &service, const BackendProcess &process,
+                                    const Address &address) const
 {
-    const Address *address = addressOf(service, order.to_);
-    const LatestProcesses::Occupant *replacement
-        = address ? latest_.replacementOf(order.to_, *address) : nullptr;
-    const bool mayAccept
-        = !replacement
-          || (order.kind_ == RangeOrderKind::Release && replacement->service_ == service);
-    return mayAccept ? address : nullptr;
+    const LatestProcesses::Occupant *replacement = latest_.replacementOf(process, address);
+    return replacement && replacement->service_ != service;
+}
+
+const Address *RangeControl::destinationOf(const ServiceName &service,
+                                           const BackendProcess &process) const
+{
+    const Address *address = addressOf(service, process);
+    return address && !isOfOtherService(service, process, *address) ? address : nullptr;
 }
 
 void RangeControl::setStoreGeneration(Generation generation)
@@ -271,7 +271,7 @@
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
             perform(service, coordinator->onGranted(grant, reply, now));
     };
-    const Address *address = addressFor(service, sent);
+    const Address *address = destinationOf(service, sent.to_);
     if (!address) {
         done(RangeReply {});
         return;
@@ -289,7 +289,7 @@
         if (RangeCoordinator *coordinator = activeCoordinator(service, now))
             perform(service, coordinator->onReleased(release, reply, now));
     };
-    const Address *address = addressFor(service, sent);
+    const Address *address = destinationOf(service, sent.to_);
     if (!address) {
         done(RangeReply {});
         return;
--- a/src/daemon/RangeControl.h
+++ b/src/daemon/RangeControl.h
@@ -111,9 +111,13 @@
     RangeCoordinator *activeCoordinator(const ServiceName &service, TimePoint now);
     [[nodiscard]] const Address *addressOf(const ServiceName &service,
                                            const BackendProcess &process) const;
-    /// @return the address to which @p order may be sent, or nullptr if there is none.
-    [[nodiscard]] const Address *addressFor(const ServiceName &service,
-                                            const SentOrder &order) const;
+    /// @return whether a process of another service has replaced @p process at @p address.
+    [[nodiscard]] bool isOfOtherService(const ServiceName &service, const BackendProcess &process,
+                                        const Address &address) const;
+    /// @return the address for orders to @p process, or nullptr if none may be sent: a process of
+    ///         another service would carry them out.
+    [[nodiscard]] const Address *destinationOf(const ServiceName &service,
+                                               const BackendProcess &process) const;
 
     ObjectStore &store_;
     RangeLink &backends_;
