--- a/include/pimentostage/backend/LatestProcesses.h
+++ b/include/pimentostage/backend/LatestProcesses.h
@@ -14,7 +14,7 @@
 {
 public:
     /// A process at an address, and the service to which it belongs.
-    struct Occupant
+    struct Registration
     {
         BackendProcess process_;
         ServiceName service_;
@@ -28,11 +28,11 @@
     /// @param address at which @p process runs or has run.
     /// @return the later process that runs there in place of @p process, or nullptr if none is
     ///         known.
-    [[nodiscard]] const Occupant *replacementOf(const BackendProcess &process,
-                                                const Address &address) const;
+    [[nodiscard]] const Registration *replacementOf(const BackendProcess &process,
+                                                    const Address &address) const;
 
 private:
-    std::map<Address, Occupant> occupants_;
+    std::map<Address, Registration> latest_;
 };
 
 } // namespace pimentostage
--- a/src/backend/LatestProcesses.cpp
+++ b/src/backend/LatestProcesses.cpp
@@ -9,20 +9,20 @@
                             && configuration.services_.contains(backend.service_);
         if (!counts)
             continue;
-        Occupant &occupant = occupants_[backend.address_];
-        if (occupant.process_.incarnation_ < backend.incarnation_)
-            occupant = Occupant { { name, backend.incarnation_ }, backend.service_ };
+        Registration &latest = latest_[backend.address_];
+        if (latest.process_.incarnation_ < backend.incarnation_)
+            latest = Registration { { name, backend.incarnation_ }, backend.service_ };
     }
 }
 
-const LatestProcesses::Occupant *LatestProcesses::replacementOf(const BackendProcess &process,
-                                                                const Address &address) const
+const LatestProcesses::Registration *LatestProcesses::replacementOf(const BackendProcess &process,
+                                                                    const Address &address) const
 {
     if (process.incarnation_ == Incarnation {})
         return nullptr;
-    const auto found = occupants_.find(address);
+    const auto found = latest_.find(address);
     const bool isReplaced
-        = found != occupants_.end() && found->second.process_.incarnation_ > process.incarnation_;
+        = found != latest_.end() && found->second.process_.incarnation_ > process.incarnation_;
     return isReplaced ? &found->second : nullptr;
 }
 
--- a/src/daemon/RangeControl.cpp
+++ b/src/daemon/RangeControl.cpp
@@ -120,7 +120,7 @@
 bool RangeControl::isOfOtherService(const ServiceName &service, const BackendProcess &process,
                                     const Address &address) const
 {
-    const LatestProcesses::Occupant *replacement = latest_.replacementOf(process, address);
+    const LatestProcesses::Registration *replacement = latest_.replacementOf(process, address);
     return replacement && replacement->service_ != service;
 }
 
