Test of waiting requests: the answer announces the close

Its server answered and closed. If the answer is read before the close, the waiting request is sent on the connection that it requires, which is right, and fails as broken.

--- a/tests/BoundOrderTest.cpp
+++ b/tests/BoundOrderTest.cpp
@@ -80,8 +80,12 @@
 // Guards against requests that never end: those that wait for a connection in use, when it closes.
 TEST(RequiredConnection, FailsTheRequestsThatWaitForItWhenItCloses)
 {
+    // The answer announces the close; otherwise the next request may be sent before it is seen.
     RawServer server([](const std::string &, int number) {
-        return number == 1 ? acceptAndKeep("", number) : acceptAndClose("", number);
+        return number == 1 ? acceptAndKeep("", number)
+                           : RawServer::Reply { "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+                                                "Content-Length: 0\r\n\r\n",
+                                                true };
     });
     HttpClientOptions options;
     options.connectionsPerPeer_ = 2;
