--- a/tests/fakes/FakeObjectStore.h
+++ b/tests/fakes/FakeObjectStore.h
@@ -109,7 +109,7 @@
         }
         write(StoredObject { ref, Version {}, false, value }, expected,
               [this, done](const Reply<WriteResult> &reply) {
-                  heldReplies_.push_back([done, reply] { done(reply); });
+                  heldReplies_.emplace_back([done, reply] { done(reply); });
               });
     }
 
--- a/tests/fakes/FakeRangeLink.h
+++ b/tests/fakes/FakeRangeLink.h
@@ -17,7 +17,7 @@
                OnReply done) override
     {
         if (holdsGrants_) {
-            heldGrants_.push_back([this, backend, order, required, done] {
+            heldGrants_.emplace_back([this, backend, order, required, done] {
                 holdsGrants_ = false;
                 grant(backend, order, required, done);
             });
