Accept catalogues without teams; their routes are open

A catalogue without teams was rejected as a whole, so the hosts of a deployment without teams never became ready. Missing or null teams now mean that a route which does not state its access is open. With a list of teams, also an empty one, nothing changes.

Where withdrawn keys have a deadline (control.withdrawal_deadline_ms), the deployment has teams and a catalogue without the list is probably truncated: it is rejected (TeamsRule::Required) and the one in force stays.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -58,7 +58,9 @@
 {
 public:
     /// @param confirmedKinds kinds of KnowledgeArea::Configuration; empty for all.
-    explicit ConfigState(std::set<ObjectKind> confirmedKinds = {});
+    /// @param teamsRule whether a catalogue without a list of teams is rejected.
+    explicit ConfigState(std::set<ObjectKind> confirmedKinds = {},
+                         TeamsRule teamsRule = TeamsRule::Optional);
 
     /// Applies one version of an object that the store sent.
     /// @param error receives the reason if the result is Rejected.
@@ -150,6 +152,7 @@
     void rebuild();
 
     const std::set<ObjectKind> confirmedKinds_;
+    const TeamsRule teamsRule_;
     std::map<ObjectRef, StoredObject> objects_;
     std::shared_ptr<const Configuration> configuration_;
     Version revision_;
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -92,6 +92,19 @@
     };
 };
 
+/// Whether a catalogue must list teams. Where withdrawn keys have a deadline, one without the list
+/// is probably truncated, and its routes would be open to everybody.
+enum class TeamsRule { Optional, Required };
+
+template <>
+struct EnumTable<TeamsRule>
+{
+    static constexpr std::array kRows {
+        EnumName<TeamsRule> { TeamsRule::Optional, "optional" },
+        EnumName<TeamsRule> { TeamsRule::Required, "required" },
+    };
+};
+
 /// Whether the back ends of a service check a request's fencing epoch against their grant.
 enum class Fencing { Checked, Unchecked };
 
@@ -247,6 +260,9 @@
     std::vector<Route> routes_;
     std::vector<Contract> contracts_;
     std::vector<TeamKey> keys_;
+    /// Whether it has a list of teams, which may be empty. Without one, a route that does not state
+    /// its access is open.
+    bool listsTeams_ = true;
 };
 
 /// A range of an ordered key space; both ends are inclusive.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -80,7 +80,7 @@
     , metrics_(metrics)
     , addressing_(addressingOf(ports.store_))
     , configValidity_(std::make_shared<ConfigValidity>(options_.changeDeadline_))
-    , config_(confirmedKinds(ports.store_))
+    , config_(confirmedKinds(ports.store_), options_.teamsRule_)
     , random_(seedFor(ports.seed_, RandomStream::Hosts))
     , routers_(self_.member_.host_, siblings_,
                [this](const SiblingMessage &message) {
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/RangeCoordinator.h"
+#include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Membership.h"
 
 namespace pimentostage {
@@ -18,6 +19,8 @@
     /// Time within which a change must be in force on all hosts; zero for none. A host whose
     /// configuration was confirmed longer ago does not refuse requests for good.
     Duration changeDeadline_ {};
+    /// Whether a catalogue without a list of teams is rejected.
+    TeamsRule teamsRule_ = TeamsRule::Optional;
     /// Whether agreement with a majority of the entry hosts also confirms an older configuration.
     /// Valid only where the store is reachable either by all hosts or by none.
     bool majorityConfirms_ = true;
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -40,7 +40,8 @@
     return shares;
 }
 
-Route readRoute(ObjectReader reader)
+/// @param unstatedAccess access of a route that does not state it.
+Route readRoute(ObjectReader reader, Access unstatedAccess)
 {
     Route route;
     route.name_ = RouteName(reader.requiredText("name"));
@@ -58,7 +59,7 @@
     route.prefix_ = reader.text("prefix", "/");
     if (route.prefix_.empty() || route.prefix_.front() != '/')
         reader.addError("prefix", "must start with /");
-    route.access_ = reader.enumValue("access", Access::Team);
+    route.access_ = reader.enumValue("access", unstatedAccess);
     route.idempotent_ = reader.flag("idempotent", false);
     route.kind_ = reader.text("kind", route.name_.str());
     const double kMinWeight = 0.001;
@@ -122,7 +123,7 @@
     service.fencing_ = reader.enumValue("fencing", Fencing::Checked);
     std::size_t index = 0;
     for (const Json &item : reader.array("routes"))
-        service.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
+        service.routes_.push_back(readRoute(reader.child(item, "routes", index++), Access::Team));
     if (service.routes_.empty())
         reader.addError("routes", "must hold at least one route");
     reader.rejectUnknownFields();
@@ -249,19 +250,23 @@
         row.rejectUnknownFields();
         catalogue.services_.push_back(service);
     }
+    catalogue.listsTeams_ = !reader.isAbsent("teams");
+    const Access unstatedAccess = catalogue.listsTeams_ ? Access::Team : Access::Open;
     index = 0;
     for (const Json &item : reader.requiredArray("routes")) {
-        Route route = readRoute(reader.child(item, "routes", index++));
+        Route route = readRoute(reader.child(item, "routes", index++), unstatedAccess);
         if (route.host_.empty() && route.services_.empty())
             reader.addError("routes", "must name at least one service each");
         catalogue.routes_.push_back(std::move(route));
     }
     index = 0;
-    // Without the list, no key would be valid any more; a catalogue of open routes needs none.
+    // Without the list, no key would be valid, so that no request could use such a route.
     const bool needsTeams
         = std::any_of(catalogue.routes_.begin(), catalogue.routes_.end(),
                       [](const Route &route) { return route.access_ == Access::Team; });
-    for (const Json &item : needsTeams ? reader.requiredArray("teams") : reader.array("teams"))
+    if (needsTeams && !catalogue.listsTeams_)
+        reader.addError("teams", "must be an array, since a route states access team");
+    for (const Json &item : catalogue.listsTeams_ ? reader.array("teams") : Json::array())
         readTeam(reader.child(item, "teams", index++), catalogue);
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
@@ -410,10 +415,13 @@
     Json routes = Json::array();
     for (const Route &route : catalogue.routes_)
         routes.push_back(toJson(route));
-    Json teams = Json::array();
+    Json json { { "services", services }, { "routes", routes } };
+    if (!catalogue.listsTeams_)
+        return json.dump();
+    json["teams"] = Json::array();
     for (const Contract &contract : catalogue.contracts_)
-        teams.push_back(toJson(contract, catalogue.keys_));
-    return Json({ { "services", services }, { "routes", routes }, { "teams", teams } }).dump();
+        json["teams"].push_back(toJson(contract, catalogue.keys_));
+    return json.dump();
 }
 
 std::string formatEntryHost(const EntryHost &host)
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -160,6 +160,13 @@
         return *value;
     }
 
+    /// @return whether @p field is missing or null, for fields in which null means the same.
+    bool isAbsent(const char *field)
+    {
+        const nlohmann::json *value = find(field);
+        return !value || value->is_null();
+    }
+
     /// As array(), but a missing field is an error.
     nlohmann::json requiredArray(const char *field)
     {
