Kinds of request as RouteKind in place of the idempotent flag

Route::routeKind_ (safe, unsafe, upload, download) replaces Route::idempotent_ in catalogues and service objects; isIdempotent(RouteKind) is the one place that says which kinds may be repeated. Downloads of the platform may now be repeated; before, only "safe" counted.

--- a/bench/BenchFleet.cpp
+++ b/bench/BenchFleet.cpp
@@ -59,13 +59,13 @@
     return Address { kLoopback, static_cast<std::uint16_t>(port + offset) };
 }
 
-Route makeRoute(const std::string &method, const std::string &kind, bool idempotent)
+Route makeRoute(const std::string &method, const std::string &kind, RouteKind routeKind)
 {
     Route route;
     route.name_ = RouteName(kind);
     route.method_ = method;
     route.prefix_ = "/items";
-    route.idempotent_ = idempotent;
+    route.routeKind_ = routeKind;
     route.kind_ = kind;
     route.timeout_ = std::chrono::seconds(2);
     return route;
@@ -156,7 +156,8 @@
         object.keySegment_ = 1;
         object.shardCount_ = 64;
         object.balancing_ = service.balancing_;
-        object.routes_ = { makeRoute("GET", "read", true), makeRoute("POST", "write", false) };
+        object.routes_ = { makeRoute("GET", "read", RouteKind::Safe),
+                           makeRoute("POST", "write", RouteKind::Unsafe) };
         apply({ ObjectKind::Service, service.name_ }, formatService(object));
         for (const Server &server : servers_.at(service.name_)) {
             Backend backend;
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -92,6 +92,32 @@
     };
 };
 
+/// What running a route's requests does, and which way most of their bytes go.
+enum class RouteKind {
+    Safe, ///< reads; changes nothing
+    Unsafe, ///< may change something, so that running it twice may do harm
+    Upload, ///< as Unsafe, with a large request body
+    Download, ///< as Safe, with a large answer
+};
+
+template <>
+struct EnumTable<RouteKind>
+{
+    static constexpr std::array kRows {
+        EnumName<RouteKind> { RouteKind::Safe, "safe" },
+        EnumName<RouteKind> { RouteKind::Unsafe, "unsafe" },
+        EnumName<RouteKind> { RouteKind::Upload, "upload" },
+        EnumName<RouteKind> { RouteKind::Download, "download" },
+    };
+};
+
+/// @return whether running a request of @p kind twice does no harm, so that it may be repeated even
+///         if it may have run.
+constexpr bool isIdempotent(RouteKind kind)
+{
+    return kind == RouteKind::Safe || kind == RouteKind::Download;
+}
+
 /// Whether a catalogue must list teams. Where withdrawn keys have a deadline, one without the list
 /// is probably truncated, and its routes would be open to everybody.
 enum class TeamsRule { Optional, Required };
@@ -187,7 +213,7 @@
     std::uint32_t maxAttempts_ = 3; ///< maximum number of back ends that one request is sent to
     Duration target_ {}; ///< latency objective; zero if unspecified
     Access access_ = Access::Team;
-    bool idempotent_ = false;
+    RouteKind routeKind_ = RouteKind::Unsafe;
     std::string kind_; ///< request kind that contracts refer to
     double weight_ = 1; ///< tokens that one request costs its team
     Duration timeout_ {};
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -45,7 +45,7 @@
     forward.path_ = routed.backendPath_;
     forward.headers_ = std::move(request.headers_);
     forward.body_ = std::move(request.body_);
-    forward.idempotent_ = routed.route_->idempotent_;
+    forward.idempotent_ = isIdempotent(routed.route_->routeKind_);
     forward.deadline_ = routed.deadline_;
     return forward;
 }
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -15,6 +15,15 @@
 
 namespace pimentostage {
 
+inline constexpr double kMinTimeoutMs = 1;
+inline constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
+
+/// @return @p duration as ObjectReader::milliseconds() reads it.
+inline double milliseconds(Duration duration)
+{
+    return static_cast<double>(toMilliseconds(duration));
+}
+
 /// Reads the fields of one JSON object and collects all errors.
 class ObjectReader
 {
@@ -160,6 +169,9 @@
         return *value;
     }
 
+    /// @return whether @p field is stated, even as null.
+    bool has(const char *field) { return find(field) != nullptr; }
+
     /// @return whether @p field is missing or null, for fields in which null means the same.
     bool isAbsent(const char *field)
     {
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -57,11 +57,11 @@
     EXPECT_EQ(catalogue.services_[1].division_, KeyDivision::Ordered);
     ASSERT_EQ(catalogue.routes_.size(), 2U);
     EXPECT_EQ(catalogue.routes_[0].host_, "a.example");
-    EXPECT_TRUE(catalogue.routes_[0].idempotent_);
+    EXPECT_EQ(catalogue.routes_[0].routeKind_, RouteKind::Safe);
     EXPECT_EQ(catalogue.routes_[0].services_.size(), 2U);
     EXPECT_EQ(catalogue.routes_[0].target_, 500ms);
     EXPECT_EQ(catalogue.routes_[1].access_, Access::Open);
-    EXPECT_FALSE(catalogue.routes_[1].idempotent_);
+    EXPECT_EQ(catalogue.routes_[1].routeKind_, RouteKind::Unsafe);
     ASSERT_EQ(catalogue.contracts_.size(), 2U);
     EXPECT_EQ(catalogue.contracts_[0].priority_, 1U);
     EXPECT_FALSE(catalogue.contracts_[1].isLimited_) << "no rate means no limit";
--- a/tests/fakes/CoreFleet.cpp
+++ b/tests/fakes/CoreFleet.cpp
@@ -36,7 +36,7 @@
         route.name_ = RouteName(isRead ? "read" : "write");
         route.method_ = isRead ? "GET" : "POST";
         route.prefix_ = "/items";
-        route.idempotent_ = isRead;
+        route.routeKind_ = isRead ? RouteKind::Safe : RouteKind::Unsafe;
         route.kind_ = route.name_.str();
         route.timeout_ = kRouteTimeout;
         service.routes_.push_back(route);
@@ -379,7 +379,7 @@
     if (!std::holds_alternative<RoutedRequest>(decision))
         return;
     auto routed = std::get<RoutedRequest>(std::move(decision));
-    work.request_ = oracle_.onRequest(routed.route_->idempotent_);
+    work.request_ = oracle_.onRequest(isIdempotent(routed.route_->routeKind_));
     const auto run = std::make_shared<Run>(*this, host, view, std::move(routed), work);
     if (!injected_.spendsTokens()) {
         oracle_.onSpent(events_.now());
--- a/tests/fakes/CoreFleetRun.cpp
+++ b/tests/fakes/CoreFleetRun.cpp
@@ -7,7 +7,7 @@
 ExecutionPolicy CoreFleet::Run::policy() const
 {
     ExecutionPolicy policy;
-    policy.idempotent_ = routed_.route_->idempotent_;
+    policy.idempotent_ = isIdempotent(routed_.route_->routeKind_);
     policy.waitsForOwner_ = !routed_.key_.empty();
     policy.deadline_ = routed_.deadline_;
     policy.hedgeAfter_ = 20ms;
