Keep the limits for callers that a catalogue states

The platform's Limits were not read. They become CallerLimits of the catalogue (limits, each field optional) and are kept in Configuration; nothing applies them yet. A limit that is no number, or out of range, rejects the catalogue, as other odd fields do.

ObjectFields has the new fields in its catalogue, with values out of range, and compares what is in force.

--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -28,6 +28,7 @@
     std::map<HostName, EntryHost> entryHosts_;
     /// Shared by the configurations of one catalogue, which may have thousands of routes.
     std::shared_ptr<const RoutesByHost> virtualHosts_ = std::make_shared<const RoutesByHost>();
+    CallerLimits callerLimits_; ///< of the catalogue; the host's own settings may be stricter
     bool hasCatalogue_ = false; ///< services and contracts come from one object
     Version catalogueVersion_; ///< of that object; zero if there is none
     Version revision_; ///< the highest object version applied
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -279,6 +279,17 @@
     Duration coldFor_ {}; ///< time left until it is warm, as of when the object was read
 };
 
+/// What a caller may send, and how long it may take; unset where the catalogue does not state it.
+struct CallerLimits
+{
+    std::optional<std::uint64_t> headerBytes_; ///< maximum size of a request's headers
+    std::optional<std::uint64_t> bodyBytes_; ///< maximum size of a request's body
+    std::optional<Duration> headerTimeout_; ///< maximum time for a request's headers to arrive
+    std::optional<Duration> idleTimeout_; ///< how long a connection may be idle
+
+    auto operator<=>(const CallerLimits &) const = default;
+};
+
 /// All services, routes, contracts and keys in one object, so that they change atomically.
 struct Catalogue
 {
@@ -289,6 +300,7 @@
     /// Whether it has a list of teams, which may be empty. Without one, a route that does not state
     /// its access is open.
     bool listsTeams_ = true;
+    CallerLimits limits_;
 };
 
 /// A range of an ordered key space; both ends are inclusive.
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -30,6 +30,7 @@
     configuration.contracts_.clear();
     configuration.keysByHash_.clear();
     configuration.virtualHosts_ = std::make_shared<const RoutesByHost>();
+    configuration.callerLimits_ = {};
     configuration.hasCatalogue_ = false;
     configuration.catalogueVersion_ = {};
 }
@@ -81,6 +82,7 @@
         clearCatalogue(configuration_);
         configuration_.hasCatalogue_ = true;
         configuration_.catalogueVersion_ = version_;
+        configuration_.callerLimits_ = content.limits_;
         for (Service &service : content.services_)
             configuration_.services_.insert_or_assign(service.name_, std::move(service));
         for (Contract &contract : content.contracts_)
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -1,6 +1,7 @@
 #include "pimentostage/platform/ObjectCodec.h"
 
 #include "pimentostage/platform/CoordinationCodec.h"
+#include "src/platform/CallerLimitsCodec.h"
 #include "src/platform/ObjectReader.h"
 #include "src/platform/RouteCodec.h"
 
@@ -214,6 +215,7 @@
         reader.addError("teams", "must be an array, since a route states access team");
     for (const Json &item : catalogue.listsTeams_ ? reader.array("teams") : Json::array())
         readTeam(reader.child(item, "teams", index++), catalogue);
+    catalogue.limits_ = readCallerLimits(reader.object("limits"));
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
     return catalogue;
@@ -339,7 +341,9 @@
     Json routes = Json::array();
     for (const Route &route : catalogue.routes_)
         routes.push_back(toJson(route));
-    Json json { { "services", services }, { "routes", routes } };
+    Json json { { "services", services },
+                { "routes", routes },
+                { "limits", toJson(catalogue.limits_) } };
     if (!catalogue.listsTeams_)
         return json.dump();
     json["teams"] = Json::array();
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -15,6 +15,7 @@
 
 namespace pimentostage {
 
+inline constexpr double kMillisecondsPerSecond = 1000;
 inline constexpr double kMinTimeoutMs = 1;
 inline constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
 
@@ -83,6 +84,12 @@
         return value->get<double>();
     }
 
+    /// @return the number in @p field; nothing if the field is missing or invalid.
+    std::optional<double> optionalNumber(const char *field, double min, double max)
+    {
+        return find(field) ? std::optional(number(field, min, min, max)) : std::nullopt;
+    }
+
     std::uint32_t count(const char *field, std::uint32_t defaultValue, std::uint32_t min,
                         std::uint32_t max)
     {
@@ -104,7 +111,6 @@
 
     Duration milliseconds(const char *field, double defaultValue, double min, double max)
     {
-        const double kMillisecondsPerSecond = 1000;
         return fromSeconds(number(field, defaultValue, min, max) / kMillisecondsPerSecond);
     }
 
@@ -192,6 +198,13 @@
         return { this, json, path_ + field + '[' + std::to_string(index) + "]." };
     }
 
+    /// @return the object in @p field; an empty one if the field is missing.
+    ObjectReader object(const char *field)
+    {
+        const nlohmann::json *value = find(field);
+        return { this, value ? *value : nlohmann::json::object(), path_ + field + '.' };
+    }
+
     void addError(const std::string &field, const std::string &what)
     {
         std::string &errors = root().errors_;
--- a/tests/ObjectFieldsTest.cpp
+++ b/tests/ObjectFieldsTest.cpp
@@ -159,7 +159,8 @@
               "services":[{"name":"huts","weight":90}],"method":"GET","attempts":2,"priority":2,
               "target_ms":500,"prefix":"/x/","access":"team","route_kind":"download","kind":"r1",
               "weight":1,"timeout_ms":1000}],"teams":[{"name":"caxias","rate_per_second":81,
-              "burst":40,"priority":1,"key_sha256":["ab"]}]})",
+              "burst":40,"priority":1,"key_sha256":["ab"]}],"limits":{"header_bytes":16384,
+              "body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})",
           { "/services", "/routes", "/teams", "/services/0/name", "/routes/0/name",
             "/routes/0/services", "/routes/0/services/0/name", "/teams/0/name" },
           { { "/services/0/name", "\"\"" },
@@ -181,6 +182,13 @@
             { "/teams/0/rate_per_second", "-1" },
             { "/teams/0/burst", "-1" },
             { "/teams/0/priority", "1000001" },
+            { "/limits/header_bytes", "0" },
+            { "/limits/header_bytes", "1e13" },
+            { "/limits/body_bytes", "-1" },
+            { "/limits/body_bytes", "1e13" },
+            { "/limits/header_timeout_ms", "0" },
+            { "/limits/idle_timeout_ms", "86400001" },
+            { "/limits/odd", "1" },
             { "/odd", "1" },
             { "/teams/0/odd", "1" } } },
         { ObjectKind::RangePlacement,
@@ -282,7 +290,10 @@
     std::map<std::string, std::vector<Route>> hosts { configuration.virtualHosts_->begin(),
                                                       configuration.virtualHosts_->end() };
     for (const auto &[host, routes] : hosts)
-        add(host, formatCatalogue(Catalogue { {}, routes, {}, {} }));
+        add(host, formatCatalogue(Catalogue { {}, routes, {}, {}, true, {} }));
+    if (configuration.callerLimits_ != CallerLimits {})
+        add("limits",
+            formatCatalogue(Catalogue { {}, {}, {}, {}, true, configuration.callerLimits_ }));
     return text;
 }
 
