A rejected version does not make each host read the store

No host confirms a version that it rejected, so none passed on a confirmation, and each host watched the store for as long as the version stood. Hosts now pass on when the store was read (ConfigState::readAge()): a sibling with the same digest has rejected the same versions. It decides on reading only; age() still decides on readiness and refusals. The wire format is unchanged.

A host that is no reader also stops its watches as soon as it has read the rejected version.

--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -78,8 +78,8 @@
     std::size_t applyListing(const std::vector<StoredObject> &objects, Version revision,
                              const std::set<ObjectKind> &kinds = {});
 
-    /// Records that the store confirmed the objects of @p area. Has no effect on the configuration
-    /// while a rejected version of one of its objects stands.
+    /// Records that the store confirmed the objects of @p area. While a rejected version of one of
+    /// the configuration's objects stands, this counts only for readAge().
     /// @param sentAt when the confirming request was sent.
     void confirm(TimePoint sentAt, KnowledgeArea area = KnowledgeArea::Configuration);
 
@@ -89,8 +89,8 @@
 
     /// Records that the store confirmed a sibling's objects of @p area, if this host has the same;
     /// otherwise as confirm().
-    /// @param digest the sibling's confirmedDigest().
-    /// @param age age of the sibling's confirmation when it received the request.
+    /// @param digest the sibling's confirmedDigest(), which differs if it rejected other versions.
+    /// @param age the sibling's readAge() when it received the request.
     /// @param requestSentAt when this host sent the request that the sibling replied to.
     void confirmThroughSibling(std::uint64_t digest, Duration age, TimePoint requestSentAt,
                                KnowledgeArea area = KnowledgeArea::Configuration);
@@ -99,6 +99,12 @@
     [[nodiscard]] std::optional<Duration> age(TimePoint now, KnowledgeArea area
                                                              = KnowledgeArea::Configuration) const;
 
+    /// @return as age(), but of the last confirmation that this state has what the store has: in
+    ///         force, or rejected. While it is young, reading the store again brings nothing new.
+    [[nodiscard]] std::optional<Duration> readAge(TimePoint now,
+                                                  KnowledgeArea area
+                                                  = KnowledgeArea::Configuration) const;
+
     /// @return the store revision up to which this state is complete.
     [[nodiscard]] Version revision() const { return revision_; }
 
@@ -140,6 +146,7 @@
     {
         std::uint64_t digest_ = 0;
         std::optional<TimePoint> confirmedAt_;
+        std::optional<TimePoint> readAt_; ///< as confirmedAt_, but rejected versions count too
     };
 
     /// @param content of @p object; nothing if it is deleted.
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -34,7 +34,8 @@
     Version revision_;
     std::uint64_t digest_ = 0;
     std::uint64_t confirmedDigest_ = 0; ///< of the part to which `age_` refers
-    std::optional<Duration> age_; ///< time since the store confirmed that part
+    /// Time since the store confirmed that this host has that part, in force or rejected.
+    std::optional<Duration> age_;
     std::vector<AreaSummary> areas_ {};
 };
 
--- a/src/daemon/FeedReader.cpp
+++ b/src/daemon/FeedReader.cpp
@@ -97,9 +97,13 @@
     logStaleAreas(now);
     if (options_.readers_ == 0)
         return;
-    if (hasStaleArea(now) || hasDiverged)
+    const bool needsRead = hasStaleArea(now) || hasDiverged;
+    if (needsRead)
         readsUntil_ = now + kMinReadDuration;
-    const bool shouldWatch = isReader || now < readsUntil_;
+    // All hosts read a version that they reject, each for itself; what follows it comes from the
+    // readers.
+    const bool mayStop = now >= readsUntil_ || !config_.isConfirmable();
+    const bool shouldWatch = isReader || needsRead || !mayStop;
     for (const auto &watcher : watchers_) {
         // Until its first complete read a host has no configuration to serve with, so it retries
         // fast.
@@ -118,7 +122,7 @@
 bool FeedReader::hasStaleArea(TimePoint now) const
 {
     const auto isStale = [&](const auto &row) {
-        return config_.age(now, row.value_).value_or(now - startedAt_)
+        return config_.readAge(now, row.value_).value_or(now - startedAt_)
                >= maxAgeOf(options_, row.value_);
     };
     return std::any_of(EnumTable<KnowledgeArea>::kRows.begin(),
--- a/src/daemon/MemberControl.cpp
+++ b/src/daemon/MemberControl.cpp
@@ -109,11 +109,11 @@
 ConfigSummary MemberControl::summary(TimePoint now) const
 {
     ConfigSummary summary { config_.revision(), config_.digest(), config_.confirmedDigest(),
-                            config_.age(now) };
+                            config_.readAge(now) };
     for (const auto &row : EnumTable<KnowledgeArea>::kRows) {
         if (row.value_ != KnowledgeArea::Configuration)
-            summary.areas_.push_back(
-                { row.value_, config_.confirmedDigest(row.value_), config_.age(now, row.value_) });
+            summary.areas_.push_back({ row.value_, config_.confirmedDigest(row.value_),
+                                       config_.readAge(now, row.value_) });
     }
     return summary;
 }
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -276,7 +276,14 @@
     if (entry == rejected_.end() || entry->second.version_ > version)
         return;
     toggleDigest(ref, digestOf(ref, entry->second));
+    // What was read before includes the version in force only if that one is known to be newer than
+    // the rejected one.
+    const bool isNewer = entry->second.version_ > Version {} && entry->second.version_ < version;
     rejected_.erase(entry);
+    for (AreaState &state : areas_) {
+        if (!isNewer)
+            state.readAt_ = state.confirmedAt_;
+    }
 }
 
 bool ConfigState::isConfirmed(ObjectKind kind) const
@@ -337,10 +344,12 @@
 // A rejected entry of a back end names no back end to use, so it delays no confirmation.
 void ConfigState::confirm(TimePoint sentAt, KnowledgeArea area)
 {
-    std::optional<TimePoint> &confirmedAt = areas_.at(static_cast<std::size_t>(area)).confirmedAt_;
-    const bool isNewer = !confirmedAt || *confirmedAt < sentAt;
-    if (isNewer && (area != KnowledgeArea::Configuration || isConfirmable()))
-        confirmedAt = sentAt;
+    AreaState &state = areas_.at(static_cast<std::size_t>(area));
+    const auto advance
+        = [&](std::optional<TimePoint> &time) { time = time ? std::max(*time, sentAt) : sentAt; };
+    advance(state.readAt_);
+    if (area != KnowledgeArea::Configuration || isConfirmable())
+        advance(state.confirmedAt_);
 }
 
 void ConfigState::adoptRevision(Version revision)
@@ -364,6 +373,12 @@
     return now - *confirmedAt;
 }
 
+std::optional<Duration> ConfigState::readAge(TimePoint now, KnowledgeArea area) const
+{
+    const std::optional<TimePoint> &readAt = areas_.at(static_cast<std::size_t>(area)).readAt_;
+    return readAt ? std::optional(now - *readAt) : std::nullopt;
+}
+
 std::shared_ptr<const Configuration> ConfigState::configuration()
 {
     if (!changed_.empty())
--- a/tests/RejectedVersionTest.cpp
+++ b/tests/RejectedVersionTest.cpp
@@ -107,6 +107,42 @@
     EXPECT_EQ(here.confirmedDigest(), there.confirmedDigest());
 }
 
+// Guards against hosts that each read the store because none of them can confirm a version that
+// they all rejected: what was read can be passed on, but does not confirm the configuration.
+TEST(RejectedVersion, IsKnownAsReadAndPassedOnAsRead)
+{
+    ConfigState here({ ObjectKind::Catalogue });
+    ConfigState there({ ObjectKind::Catalogue });
+    here.apply(badCatalogue(6));
+    here.confirm(kStart);
+    EXPECT_FALSE(here.age(kStart));
+    EXPECT_EQ(here.readAge(kStart + 1s), 1s);
+    there.confirmThroughSibling(here.confirmedDigest(), 1s, kStart + 1s);
+    EXPECT_FALSE(there.readAge(kStart + 1s)) << "it has not received the bad version yet";
+    there.apply(badCatalogue(6));
+    there.confirmThroughSibling(here.confirmedDigest(), 1s, kStart + 1s);
+    EXPECT_FALSE(there.age(kStart + 1s));
+    EXPECT_GE(there.readAge(kStart + 1s), 1s);
+    there.apply(catalogue(7, "huts"));
+    EXPECT_GE(there.readAge(kStart + 1s), 1s) << "a newer version is in force";
+    EXPECT_FALSE(there.age(kStart + 1s)) << "nothing has confirmed it yet";
+}
+
+// Guards against a confirmation that is passed on for a version that the store did not have when it
+// was read: the order of the rejected one and of that in force is not known.
+TEST(RejectedVersion, CountsAsReadNoLongerIfItsOrderIsNotKnown)
+{
+    ConfigState state({ ObjectKind::Catalogue });
+    state.apply(catalogue(5, "huts"));
+    state.confirm(kStart);
+    state.apply(catalogue(0, "permits"));
+    state.confirm(kStart + 1s);
+    EXPECT_EQ(state.age(kStart + 1s), 1s);
+    EXPECT_EQ(state.readAge(kStart + 1s), 0s);
+    state.apply(catalogue(5, "huts"));
+    EXPECT_EQ(state.readAge(kStart + 1s), 1s);
+}
+
 // Guards against hosts that differ for good because only one of them saw the bad version before the
 // good one that replaced it.
 TEST(RejectedVersion, LeavesNoTraceInTheDigestOnceReplaced)
--- a/tests/fakes/FeedStore.h
+++ b/tests/fakes/FeedStore.h
@@ -6,12 +6,15 @@
 #include <algorithm>
 #include <functional>
 #include <map>
+#include <numeric>
+#include <type_traits>
 #include <vector>
 
 namespace pimentostage {
 
-/// A store with several feeds, whose connections can go silent: a call on such a connection gets no
-/// reply and fails after its wait and a timeout, while new calls are served.
+/// A store with several feeds and without a host list, whose connections can go silent: a call on
+/// such a connection gets no reply and fails after its wait and a timeout, while new calls are
+/// served.
 class FeedStore : public ObjectStore
 {
 public:
@@ -25,11 +28,7 @@
 
     void set(const ObjectRef &ref, const std::string &value)
     {
-        revision_ = revision_.next();
-        objects_[ref] = StoredObject { ref, revision_, false, value };
-        for (Watch &watch : watches_)
-            endIfChanged(watch);
-        std::erase_if(watches_, [](const Watch &watch) { return !watch.done_; });
+        write(StoredObject { ref, revision_.next(), false, value });
     }
 
     /// The connections of all calls in progress go silent.
@@ -43,6 +42,13 @@
     }
 
     [[nodiscard]] int calls(std::size_t feed) const { return calls_.at(feed); }
+    /// @return the calls that read or write a single object.
+    [[nodiscard]] int objectCalls() const { return objectCalls_; }
+    /// @return all calls.
+    [[nodiscard]] int calls() const
+    {
+        return std::accumulate(calls_.begin(), calls_.end(), objectCalls_);
+    }
 
     [[nodiscard]] std::vector<StoreFeed> feeds() const override { return feeds_; }
 
@@ -71,12 +77,25 @@
 
     void list(Done<StoreListing> done) override { reply(done, error()); }
     void watch(Version, Duration, Done<StoreListing> done) override { reply(done, error()); }
-    void get(const ObjectRef &, Done<StoredObject> done) override { done(error()); }
-    void put(const ObjectRef &, const std::string &, Version, Done<WriteResult> done) override
+    void get(const ObjectRef &ref, Done<StoredObject> done) override
     {
-        done(error());
+        ++objectCalls_;
+        const auto found = objects_.find(ref);
+        reply(done,
+              found == objects_.end() ? StoredObject { ref, Version {}, true, {} } : found->second);
     }
-    void remove(const ObjectRef &, Version, Done<WriteResult> done) override { done(error()); }
+    void put(const ObjectRef &ref, const std::string &value, Version expected,
+             Done<WriteResult> done) override
+    {
+        ++objectCalls_;
+        writeIf(StoredObject { ref, revision_.next(), false, value }, expected, done);
+    }
+    void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) override
+    {
+        ++objectCalls_;
+        writeIf(StoredObject { ref, revision_.next(), true, {} }, expected, done);
+    }
+    [[nodiscard]] bool hasHostList() const override { return false; }
     void hosts(Done<std::vector<ListedHost>> done) override { done(error()); }
 
 private:
@@ -108,7 +127,31 @@
         return changes;
     }
 
-    void reply(const Done<StoreListing> &done, const Reply<StoreListing> &reply)
+    void write(const StoredObject &object)
+    {
+        revision_ = object.version_;
+        objects_[object.ref_] = object;
+        for (Watch &watch : watches_)
+            endIfChanged(watch);
+        std::erase_if(watches_, [](const Watch &watch) { return !watch.done_; });
+    }
+
+    void writeIf(const StoredObject &object, Version expected, const Done<WriteResult> &done)
+    {
+        const auto found = objects_.find(object.ref_);
+        const bool exists = found != objects_.end() && !found->second.deleted_;
+        const Version version = exists ? found->second.version_ : Version {};
+        if (version != expected) {
+            const auto current = exists ? std::optional(found->second) : std::nullopt;
+            reply(done, WriteResult { false, version, current });
+            return;
+        }
+        write(object);
+        reply(done, WriteResult { true, object.version_, std::nullopt });
+    }
+
+    template <typename T>
+    void reply(const Done<T> &done, const std::type_identity_t<Reply<T>> &reply)
     {
         events_.after(kLatency, [done, reply] { done(reply); });
     }
@@ -134,6 +177,7 @@
     const std::vector<StoreFeed> feeds_;
     EventQueue &events_;
     std::vector<int> calls_; ///< by feed
+    int objectCalls_ = 0;
     std::vector<Watch> watches_;
     std::map<ObjectRef, StoredObject> objects_;
     Version revision_;
