No roles of account groups where there is no contract

A deployment without teams elected a holder of an account group, with its messages and writes. AllowanceControl now wants no role and reports no leases while there is no contract. The first account group's role also decided which host removes registrations of absent hosts; now the first of the wanted roles does, or "registrations" where hosts register themselves and none is wanted.

ReadinessTest.ACatalogueWithoutTeamsNeedsNoRoleForThem failed without the change.

--- a/src/daemon/AllowanceControl.cpp
+++ b/src/daemon/AllowanceControl.cpp
@@ -53,6 +53,8 @@
 std::set<RoleName> AllowanceControl::roles() const
 {
     std::set<RoleName> roles;
+    if (configuration_->contracts_.empty())
+        return roles;
     for (std::uint64_t group = 0; group < groupCount_; ++group)
         roles.insert(roleOfGroup(group));
     return roles;
@@ -120,6 +122,9 @@
 // expired.
 void AllowanceControl::reportLeases(TimePoint now)
 {
+    // The store may still have the records of holders from when there were contracts.
+    if (configuration_->contracts_.empty())
+        return;
     for (const auto &[role, record] : configuration_->roles_) {
         if (role.str().rfind(kRolePrefix, 0) != 0)
             continue;
--- a/src/daemon/AllowanceControl.h
+++ b/src/daemon/AllowanceControl.h
@@ -31,7 +31,7 @@
     AllowanceControl(const HostName &self, LocalTokenBuckets &buckets, SiblingSender &sender,
                      std::uint64_t groupCount, HoldsRole holdsRole, MetricRegistry &metrics);
 
-    /// @return the roles of the holders of all groups.
+    /// @return the roles of the holders of all groups; none if there is no contract.
     [[nodiscard]] std::set<RoleName> roles() const;
     /// @return the role of the holder of @p account.
     [[nodiscard]] RoleName roleOf(const AccountName &account) const;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -21,6 +21,7 @@
 // How long a confirmation by a majority remains valid: the control thread renews it with every
 // tick, so that it expires only if that thread has stalled for this long.
 constexpr Duration kMajorityConfirmationLifetime = std::chrono::milliseconds(500);
+constexpr const char *kRegistrationRole = "registrations";
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
 /// The core's users of random numbers; each has its own stream.
@@ -405,8 +406,8 @@
     if (store_.hasHostList() || !feedReader_.isComplete() || isLeaving_)
         return;
     registrar_.restoreIfRemoved(configuration);
-    // Only one host may remove entries: the holder of the first account group's role.
-    if (!roles_.holds(*allowance_.roles().begin(), now))
+    // Only one host may remove entries.
+    if (!roles_.holds(registrationRole_, now))
         return;
     std::set<HostName> view;
     for (const Member &member : members_.membership().view())
@@ -465,6 +466,10 @@
     allowance_.onConfig(configuration, now);
     std::set<RoleName> roles = allowance_.roles();
     roles.merge(coordinatorRolesFor(*configuration));
+    // Any role will do, so that there is one of its own only where no other is wanted.
+    if (roles.empty() && !store_.hasHostList())
+        roles.insert(RoleName(kRegistrationRole));
+    registrationRole_ = roles.empty() ? RoleName() : *roles.begin();
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
     placement_.onConfig(*configuration, fleetState_.leavingHosts_, now);
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -148,6 +148,8 @@
     ReaderTree readerTree_;
     FeedReader feedReader_;
     HostRegistrar registrar_;
+    /// Its holder is the only host that removes registrations of absent hosts.
+    RoleName registrationRole_;
     TimePoint nextGaugeUpdate_ {};
     std::uint64_t routersViewNumber_ = 0; ///< of the view last passed to placement_; 0 for none
     MemberControl members_;
--- a/tests/ReadinessTest.cpp
+++ b/tests/ReadinessTest.cpp
@@ -103,6 +103,30 @@
     EXPECT_EQ(view().configKnowledge(now()), ConfigKnowledge::Current);
 }
 
+// Guards against roles, and so messages and writes, for teams that a catalogue does not have.
+TEST_F(ReadinessTest, ACatalogueWithoutTeamsNeedsNoRoleForThem)
+{
+    Catalogue catalogue;
+    catalogue.listsTeams_ = false;
+    store_.set(kCatalogue, formatCatalogue(catalogue));
+    core_->start();
+    run(2s);
+    EXPECT_EQ(core_->readiness(), Readiness::Ready);
+    EXPECT_TRUE(core_->roles().electors().empty());
+    Contract contract;
+    contract.team_ = TeamName("caxias");
+    catalogue.listsTeams_ = true;
+    catalogue.contracts_.push_back(contract);
+    store_.set(kCatalogue, formatCatalogue(catalogue));
+    run(2s);
+    EXPECT_TRUE(core_->roles().electors().contains(RoleName("accounts.0")));
+    catalogue.listsTeams_ = false;
+    catalogue.contracts_.clear();
+    store_.set(kCatalogue, formatCatalogue(catalogue));
+    run(2s);
+    EXPECT_TRUE(core_->roles().electors().empty()) << "the teams were removed";
+}
+
 // Guards against a final refusal by a configuration that the store has not confirmed for the time
 // within which a change has to be in force; the host stays ready for what it knows.
 TEST_F(ReadinessTest, AConfigurationIsOutdatedAfterTheChangeDeadline)
