A status that is no final answer never passes as an answer

The HTTP parser takes any three digits for a status, so that a back end in trouble that answered with 600 or 999, or with 000 to 099 and a body that ends with the connection, got through to the caller as an answer, and a probe counted it as alive. The body of an interim answer was taken for the final answer.

The client now fails such a transfer as soon as the head is read: the request may have run (502), and an idempotent one is repeated within the budget. Status 101 fails too, since no other protocol was asked for; other interim answers without a body are skipped, as before.

Signs, blanks, four digits, HTTP/0.9 and an HTTP/2 preface were rejected already and are in the table.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -31,6 +31,26 @@
     return bytes;
 }
 
+/// Checks the head of an answer, final or interim. The parser takes any three digits for a status.
+/// @return what is wrong with @p head, or nullptr.
+const char *faultOf(const http::response_header<> &head)
+{
+    constexpr unsigned kMinStatus = 100;
+    constexpr unsigned kMinFinalStatus = 200;
+    constexpr unsigned kMaxStatus = 599; // RFC 9110, 15: others are invalid
+    const unsigned status = head.result_int();
+    if (status < kMinStatus || status > kMaxStatus)
+        return "the status is not from 100 to 599";
+    if (status >= kMinFinalStatus)
+        return nullptr;
+    if (head.result() == http::status::switching_protocols)
+        return "the peer switches to another protocol, which was not asked for";
+    // Its body would be taken for the final answer.
+    const bool hasBody = head.find(http::field::content_length) != head.end()
+                         || head.find(http::field::transfer_encoding) != head.end();
+    return hasBody ? "an interim answer has a body" : nullptr;
+}
+
 /// @return the idle timeout in the Keep-Alive header of @p answer, or std::nullopt.
 std::optional<Duration> announcedIdleTime(const HttpAnswer &answer)
 {
@@ -266,6 +286,11 @@
         // until they are complete.
         if (error == http::error::need_more && buffer_.size() > kMaxHeaderBytes)
             error = http::error::header_limit;
+        const char *fault = parser_->is_header_done() ? faultOf(parser_->get()) : nullptr;
+        if (fault) {
+            fail(Step::CheckAnswer, ErrorCode::Malformed, fault);
+            return false;
+        }
         if (error == http::error::need_more)
             return true;
         if (error) {
--- /dev/null
+++ b/tests/StatusLineTest.cpp
@@ -0,0 +1,286 @@
+#include "platform/BackendWire.h"
+#include "src/backend/BackendClient.h"
+#include "src/backend/HttpBackendLink.h"
+#include "src/base/EventLoop.h"
+#include "src/base/HttpClient.h"
+#include "tests/fakes/NullLog.h"
+#include "tests/fakes/RawServer.h"
+
+#include <future>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+namespace wire = pimentostage::platform;
+
+namespace {
+
+/// What a client makes of the answer that begins with a status line.
+enum class Expected {
+    Answer, ///< a whole answer
+    Failure, ///< no answer: the request may have run, and the caller gets 502
+};
+
+struct StatusLineRow
+{
+    const char *line_;
+    Expected expected_;
+    int status_ = 0; ///< of the answer
+};
+
+const StatusLineRow kRows[] = {
+    { "HTTP/1.1 200 OK", Expected::Answer, 200 },
+    { "HTTP/1.1 200 ", Expected::Answer, 200 }, // the reason may be empty
+    { "HTTP/1.0 200 OK", Expected::Answer, 200 },
+    { "HTTP/1.1 299 Unusual", Expected::Answer, 299 },
+    { "HTTP/1.1 404 Not Found", Expected::Answer, 404 },
+    { "HTTP/1.1 599 Unusual", Expected::Answer, 599 },
+    { "HTTP/1.1 000 None", Expected::Failure },
+    { "HTTP/1.1 001 One", Expected::Failure },
+    { "HTTP/1.1 099 Low", Expected::Failure },
+    { "HTTP/1.1 100 Continue", Expected::Failure }, // with a body
+    { "HTTP/1.1 101 Switching Protocols", Expected::Failure },
+    { "HTTP/1.1 199 Interim", Expected::Failure }, // with a body
+    { "HTTP/1.1 600 High", Expected::Failure },
+    { "HTTP/1.1 999 High", Expected::Failure },
+    { "HTTP/1.1 -200 OK", Expected::Failure },
+    { "HTTP/1.1 +200 OK", Expected::Failure },
+    { "HTTP/1.1 -20 OK", Expected::Failure },
+    { "HTTP/1.1 +20 OK", Expected::Failure },
+    { "HTTP/1.1  200 OK", Expected::Failure },
+    { "HTTP/1.1 20 OK", Expected::Failure },
+    { "HTTP/1.1 2 00 OK", Expected::Failure },
+    { "HTTP/1.1 200", Expected::Failure }, // the blank before the reason is not optional
+    { "HTTP/1.1 2000 OK", Expected::Failure },
+    { "HTTP/1.1 0200 OK", Expected::Failure },
+    { "HTTP/1.1 20x OK", Expected::Failure },
+    { "HTTP/1.1 OK", Expected::Failure },
+    { "HTTP/1.1", Expected::Failure },
+    { " HTTP/1.1 200 OK", Expected::Failure },
+    { "HTTP/0.9 200 OK", Expected::Failure },
+    { "HTTP/2.0 200 OK", Expected::Failure },
+    { "<html>HTTP/0.9 has no status line</html>", Expected::Failure },
+    { "PRI * HTTP/2.0", Expected::Failure },
+};
+
+constexpr std::size_t kBodySize = 4;
+const std::string kBody(kBodySize, 'x');
+
+std::string valueIn(const std::string &head, const std::string &header)
+{
+    const std::size_t at = head.find(header);
+    if (at == std::string::npos)
+        return "";
+    const std::size_t begin = at + header.size() + 2;
+    return head.substr(begin, head.find('\r', begin) - begin);
+}
+
+/// How the end of a body is marked.
+enum class Framing { Length, EndOfConnection };
+
+/// @return an answer to the request with @p head.
+std::string answerWith(const std::string &statusLine, const std::string &head,
+                       Framing framing = Framing::Length)
+{
+    const std::string length
+        = framing == Framing::Length ? "Content-Length: " + std::to_string(kBodySize) + "\r\n" : "";
+    return statusLine + "\r\nPimentostage-Request-Id: " + valueIn(head, "Pimentostage-Request-Id")
+           + "\r\n" + length + "\r\n" + kBody;
+}
+
+std::uint16_t portOf(const RawServer &server)
+{
+    const std::string url = server.url();
+    return static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
+}
+
+HttpResult fetchFrom(const RawServer &server)
+{
+    HttpClient client({});
+    HttpRequest request;
+    request.url_ = server.url() + "/x";
+    request.timeout_ = 2s;
+    return client.fetch(std::move(request));
+}
+
+class NullTrafficListener : public TrafficListener
+{
+public:
+    void onBackendCold(const BackendName &) override { }
+    void onBackendWarm(const BackendName &) override { }
+    void onKeyLoad(const KeyLoad &) override { }
+};
+
+/// A client of a service with two back ends, of which one is in trouble.
+class TroubledService
+{
+public:
+    explicit TroubledService(const char *statusLine)
+        : troubled_([statusLine](const std::string &head, int) {
+            return RawServer::Reply { answerWith(statusLine, head), true };
+        })
+        , good_([](const std::string &head, int) {
+            return RawServer::Reply { answerWith("HTTP/1.1 200 OK", head) };
+        })
+    {
+        Configuration configuration;
+        Service service;
+        service.name_ = ServiceName("plain");
+        configuration.services_[service.name_] = service;
+        for (const auto &[name, server] :
+             { std::pair<const char *, RawServer *>("troubled", &troubled_),
+               std::pair<const char *, RawServer *>("good", &good_) }) {
+            Backend backend;
+            backend.name_ = BackendName(name);
+            backend.service_ = service.name_;
+            backend.address_ = { "127.0.0.1", portOf(*server) };
+            backend.slots_ = 6;
+            backend.connections_ = 40;
+            configuration.backends_[backend.name_] = backend;
+        }
+        routing_.publish(builder_.build(configuration, {}, BootClock::now()));
+        BackendClientOptions options;
+        options.protocol_ = &wire::backendProtocol();
+        options.threads_ = 1;
+        client_ = std::make_unique<BackendClient>(options, routing_, listener_, log_, metrics_);
+    }
+
+    ~TroubledService() { client_.reset(); }
+    TroubledService(const TroubledService &) = delete;
+    TroubledService &operator=(const TroubledService &) = delete;
+
+    ForwardResult forward(const std::string &id, bool isIdempotent)
+    {
+        ForwardRequest request;
+        request.id_ = RequestId(id);
+        request.service_ = ServiceName("plain");
+        request.method_ = "GET";
+        request.path_ = "/x";
+        request.idempotent_ = isIdempotent;
+        request.deadline_ = BootClock::now() + 2s;
+        std::promise<ForwardResult> result;
+        client_->forward(std::move(request), std::make_shared<Abandonment>(),
+                         [&](ForwardResult done) { result.set_value(std::move(done)); });
+        return result.get_future().get();
+    }
+
+    RawServer troubled_;
+    RawServer good_;
+
+private:
+    RoutingTableBuilder builder_;
+    SnapshotPublisher<RoutingTable> routing_ { std::make_shared<const RoutingTable>() };
+    NullTrafficListener listener_;
+    NullLog log_;
+    MetricRegistry metrics_;
+    std::unique_ptr<BackendClient> client_;
+};
+
+} // namespace
+
+// Guards against a reply of a peer in trouble that passes as its answer. The client is also that of
+// the store and of health checks.
+TEST(StatusLine, OfNoFinalAnswerIsAFailureOfARequestThatMayHaveRun)
+{
+    for (const StatusLineRow &row : kRows) {
+        for (const Framing framing : { Framing::Length, Framing::EndOfConnection }) {
+            RawServer server([&](const std::string &head, int) {
+                return RawServer::Reply { answerWith(row.line_, head, framing), true };
+            });
+            const HttpResult result = fetchFrom(server);
+            EXPECT_EQ(result.answer_.has_value(), row.expected_ == Expected::Answer) << row.line_;
+            if (result.answer_) {
+                EXPECT_EQ(result.answer_->status_, row.status_) << row.line_;
+            } else {
+                EXPECT_EQ(outcomeOf(result.state_), Outcome::Unknown) << row.line_;
+            }
+        }
+    }
+}
+
+// Guards against a back end in trouble that counts as alive: a probe takes each answer for a sign
+// of life.
+TEST(StatusLine, OfNoFinalAnswerIsNoSignOfLife)
+{
+    for (const StatusLineRow &row : kRows) {
+        RawServer server([&](const std::string &head, int) {
+            return RawServer::Reply { answerWith(row.line_, head, Framing::EndOfConnection), true };
+        });
+        EventLoop loop("probes");
+        auto link = std::make_unique<HttpBackendLink>(loop);
+        std::promise<bool> isAlive;
+        loop.post([&] {
+            link->probe(Address { "127.0.0.1", portOf(server) },
+                        [&](bool answered) { isAlive.set_value(answered); });
+        });
+        EXPECT_EQ(isAlive.get_future().get(), row.expected_ == Expected::Answer) << row.line_;
+        link.reset();
+        loop.run([] {}); // by then the link has closed its connections
+    }
+}
+
+// Guards against a final answer that is lost because an interim one without a body precedes it.
+TEST(StatusLine, OfAnInterimAnswerIsSkipped)
+{
+    for (const char *line : { "HTTP/1.1 100 Continue", "HTTP/1.1 102 Processing",
+                              "HTTP/1.1 103 Early Hints", "HTTP/1.1 199 Interim" }) {
+        RawServer server([&](const std::string &head, int) {
+            return RawServer::Reply { std::string(line) + "\r\n\r\n"
+                                      + answerWith("HTTP/1.1 200 OK", head) };
+        });
+        const HttpResult result = fetchFrom(server);
+        ASSERT_TRUE(result.answer_) << line;
+        EXPECT_EQ(result.answer_->status_, 200) << line;
+        EXPECT_EQ(result.answer_->body_, kBody) << line;
+    }
+}
+
+// Guards against the body of an interim answer, which has none, that passes as the final answer.
+TEST(StatusLine, InABodyIsNoAnswer)
+{
+    for (const char *line : { "HTTP/1.1 100 Continue", "HTTP/1.1 199 Interim" }) {
+        RawServer server([&](const std::string &head, int) {
+            const std::string body = answerWith("HTTP/1.1 200 OK", head);
+            return RawServer::Reply {
+                std::string(line) + "\r\nContent-Length: " + std::to_string(body.size())
+                    + "\r\n\r\n" + body,
+                true,
+            };
+        });
+        EXPECT_FALSE(fetchFrom(server).answer_) << line;
+    }
+}
+
+// Guards against a caller that gets such a reply, or is told that the request has not run; and
+// against an idempotent request that is not repeated although another back end would answer it.
+TEST(StatusLine, OfNoFinalAnswerDoesNotReachACaller)
+{
+    for (const char *line : { "HTTP/1.1 000 None", "HTTP/1.1 101 Switching Protocols",
+                              "HTTP/1.1 600 High", "HTTP/1.1 2000 OK" }) {
+        TroubledService service(line);
+        constexpr int kRequests = 4;
+        int failed = 0;
+        for (int i = 0; i < kRequests; ++i) {
+            const ForwardResult result = service.forward("u" + std::to_string(i), false);
+            if (const auto *answer = std::get_if<HttpAnswer>(&result)) {
+                EXPECT_EQ(answer->status_, 200) << line;
+                continue;
+            }
+            ++failed;
+            EXPECT_EQ(std::get<GiveUp>(result).outcome_, Outcome::Unknown) << line;
+        }
+        EXPECT_EQ(failed, service.troubled_.requestCount()) << line << ": none was repeated";
+        TroubledService other(line);
+        for (int i = 0; i < kRequests; ++i) {
+            const ForwardResult result = other.forward("s" + std::to_string(i), true);
+            ASSERT_TRUE(std::holds_alternative<HttpAnswer>(result)) << line;
+            EXPECT_EQ(std::get<HttpAnswer>(result).status_, 200) << line;
+        }
+        EXPECT_GE(other.troubled_.requestCount(), 1) << line;
+        EXPECT_EQ(other.good_.requestCount(), kRequests) << line;
+    }
+}
