--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Time.h"
+#include "pimentostage/platform/Objects.h"
 
 #include <cstdint>
 #include <string>
@@ -80,6 +81,8 @@
 [[nodiscard]] Duration maxZonesAgeOf(const Settings &settings);
 /// @return the age of the configuration from which requests with a team key are refused.
 [[nodiscard]] Duration maxConfigAgeOf(const Settings &settings);
+/// @return whether a catalogue must list teams: it must where withdrawn keys have a deadline.
+[[nodiscard]] TeamsRule teamsRuleOf(const Settings &settings);
 
 /// An invalid, missing or unknown setting in a settings file.
 struct SettingsError
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -80,6 +80,16 @@
     EXPECT_EQ(maxConfigAgeOf(Settings()), Settings().controlMaxConfigAge_);
 }
 
+// Guards against routes that are opened by a truncated catalogue in a deployment with teams.
+TEST(Settings, RequireTeamsWhereWithdrawnKeysHaveADeadline)
+{
+    const auto result = parseSettings("[control]\nwithdrawal_deadline_ms = 5000\n", "x.ini");
+    EXPECT_EQ(teamsRuleOf(result.settings_), TeamsRule::Required);
+    const auto none = parseSettings("[control]\nwithdrawal_deadline_ms = 0\n", "x.ini");
+    EXPECT_EQ(teamsRuleOf(none.settings_), TeamsRule::Optional);
+    EXPECT_EQ(teamsRuleOf(Settings()), TeamsRule::Optional);
+}
+
 TEST(Settings, ReadsAListOfAddresses)
 {
     const std::string text(kComplete);
