--- a/bench/AdmissionLoad.cpp
+++ b/bench/AdmissionLoad.cpp
@@ -31,6 +31,8 @@
 /// @return the work requested of @p route, relative to the capacity.
 double loadOf(std::size_t route, const AdmissionScenario &scenario, bool isOverload)
 {
+    if (scenario.isAlone_)
+        return route == *scenario.surging_ ? (isOverload ? scenario.load_ : kCalmLoad) : 0;
     const double share = kAdmissionRoutes[route].share_;
     if (!isOverload)
         return kCalmLoad * share;
@@ -47,6 +49,8 @@
     const Duration overloadEnd = kCalmTime + scenario.overload_;
     const Duration end = overloadEnd + kCalmTime;
     Duration at {};
+    if (loadOf(route, scenario, true) <= 0)
+        return;
     while (true) {
         const bool isOverload = at >= kCalmTime && at < overloadEnd;
         const double rate = loadOf(route, scenario, isOverload) * kAdmissionSlots / meanWork;
--- a/bench/AdmissionLoad.h
+++ b/bench/AdmissionLoad.h
@@ -43,6 +43,7 @@
     double load_; ///< requested work during the overload, relative to the capacity
     Duration overload_; ///< length of the overload
     std::optional<std::size_t> surging_ {}; ///< the route that causes it; all if empty
+    bool isAlone_ = false; ///< only the surging route has requests
 };
 
 inline constexpr std::size_t kOrderRoute = 0;
@@ -55,6 +56,7 @@
     { "1.2, 30 s", 1.2, std::chrono::seconds(30) },
     { "2, 30 s", 2, std::chrono::seconds(30) },
     { "4, 30 s", 4, std::chrono::seconds(30) },
+    { "2, 30 s, only read", 2, std::chrono::seconds(30), kReadRoute, true },
     { "2 by order, 30 s", 2, std::chrono::seconds(30), kOrderRoute },
     { "2 by read, 30 s", 2, std::chrono::seconds(30), kReadRoute },
 };
--- a/src/backend/FairQueue.cpp
+++ b/src/backend/FairQueue.cpp
@@ -32,7 +32,7 @@
     , dequeuedRate_(kRateSeconds)
 { }
 
-FairQueue::PushResult FairQueue::push(const WaitingRequest &request, TimePoint now)
+RequestQueue::PushResult FairQueue::push(const WaitingRequest &request, TimePoint now)
 {
     beginBusyPeriodIfEmpty(now);
     Team &team = teams_[request.team_];
