admission_bench: time in the queue for each refusal

Cause: the column divided the time before all refusals by the requests that were never answered, which gave 62 s where few were.

Change: divided by the refusals.

--- a/bench/AdmissionBench.cpp
+++ b/bench/AdmissionBench.cpp
@@ -116,16 +116,16 @@
     return relations;
 }
 
-/// @return the mean time in the queue of requests that were not answered, in milliseconds.
+/// @return the mean time in the queue before a refusal, in milliseconds.
 double meanHeldMs(const AdmissionResults &results)
 {
     double held = 0;
-    double unanswered = 0;
+    double refusals = 0;
     for (const AdmissionResult &result : results) {
         held += result.heldSeconds_;
-        unanswered += result.offered_ - result.inTime_ - result.late_;
+        refusals += result.refusals_;
     }
-    return unanswered > 0 ? 1000 * held / unanswered : 0;
+    return refusals > 0 ? 1000 * held / refusals : 0;
 }
 
 void printHeader()
--- a/bench/AdmissionRun.cpp
+++ b/bench/AdmissionRun.cpp
@@ -148,6 +148,7 @@
 
 void AdmissionRun::refuse(Request request)
 {
+    ++resultOf(request).refusals_;
     resultOf(request).heldSeconds_ += toSeconds(now() - request.offeredAt_);
     if (request.tries_ >= callerOf(request).maxTries_ || now() >= deadlineOf(request))
         return;
--- a/bench/AdmissionRun.h
+++ b/bench/AdmissionRun.h
@@ -41,7 +41,8 @@
     double offered_ = 0;
     double inTime_ = 0;
     double late_ = 0;
-    double heldSeconds_ = 0; ///< time in the queue of requests that were not answered
+    double refusals_ = 0; ///< a request may be refused at each of its tries
+    double heldSeconds_ = 0; ///< time in the queue before refusals
 
     [[nodiscard]] double answeredFraction() const
     {
