Retry-After from the time at which there is room; rule and queue in the refuse line

Cause: each overloaded service asked for a retry after 1 s. At an objective of 1 s such a retry is late, and with 0.1 s of backlog it is ten times too long.

The refuse line tells rule, queue and expected_wait_ms.

--- a/include/pimentostage/caller/Refusal.h
+++ b/include/pimentostage/caller/Refusal.h
@@ -104,6 +104,7 @@
     Outcome outcome_ = Outcome::NotRun;
     std::optional<Duration> retryAfter_; ///< delay after which the caller may retry
     std::string detail_;
+    std::optional<AdmissionRefusal> admission_ {}; ///< what the queue knew, if it was overloaded
     std::optional<RefusalReason> replaced_ {}; ///< reason that an older configuration gives
 };
 
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -63,6 +63,14 @@
         line.add("config_age_ms", static_cast<std::int64_t>(toMilliseconds(*age)));
 }
 
+/// Adds to @p line what the queue knew that refused the request.
+void addAdmission(const AdmissionRefusal &admission, LogLine &line)
+{
+    line.add("rule", toString(admission.rule_)).add("queue", admission.queue_);
+    if (admission.expectedWait_)
+        line.add("expected_wait_ms", toMilliseconds(*admission.expectedWait_));
+}
+
 } // namespace
 
 /// A request that has arrived and is not yet answered or refused.
@@ -236,6 +244,8 @@
         line.add("replaces", toString(*refusal.replaced_));
     if (basisOf(refusal.reason_) == RefusalBasis::Configuration)
         addConfiguration(*pending->view_, pending->arrivedAt_, line);
+    if (refusal.admission_)
+        addAdmission(*refusal.admission_, line);
     if (pending->routed_.routes_)
         line.add("service", pending->routed_.routes_->service_.name_.str());
     if (pending->routed_.contract_)
--- a/src/caller/Refusal.cpp
+++ b/src/caller/Refusal.cpp
@@ -43,6 +43,7 @@
     return kRows.at(static_cast<std::size_t>(reason));
 }
 
+// Where the queue does not tell when there will be room.
 constexpr Duration kOverloadRetryAfter = std::chrono::seconds(1);
 // A host that missed a change learns of it from a sibling's next probe and one pull.
 constexpr Duration kConfigurationRetryAfter = std::chrono::milliseconds(500);
@@ -108,6 +109,9 @@
                              || refusal.reason_ == RefusalReason::Overloaded;
     if (isTransient)
         refusal.retryAfter_ = kOverloadRetryAfter;
+    refusal.admission_ = giveUp.admission_;
+    if (giveUp.admission_ && giveUp.admission_->retryAfter_)
+        refusal.retryAfter_ = giveUp.admission_->retryAfter_;
     return refusal;
 }
 
