Setting backend.admission_rule

Cause: an operator could not choose another rule than the one that the catalogue implies.

Change: the names of AdmissionRule, or auto. A name that is not in the table is an error at start that lists the allowed ones.

Measured: Settings.AdmissionRuleIsANameOfTheTableOrAuto passes with the other settings tests.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "pimentostage/backend/AdmissionOrder.h"
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +67,7 @@
     bool backendHedging_ = true;
     std::int64_t backendQueueLength_ = 2000;
     Duration backendMaxQueueTime_ = std::chrono::milliseconds(500);
+    std::optional<AdmissionRule> backendAdmissionRule_; ///< chosen by the catalogue if empty
 
     Severity logLevel_ = Severity::Info;
     std::int64_t logCapacity_ = 16'384;
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -33,6 +33,7 @@
     options.hedging_ = settings.backendHedging_;
     options.queue_.maxWaiting_ = static_cast<std::size_t>(settings.backendQueueLength_);
     options.queue_.maxWait_ = settings.backendMaxQueueTime_;
+    options.admissionRule_ = settings.backendAdmissionRule_;
     return options;
 }
 
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -21,10 +21,10 @@
 namespace {
 
 /// The member that holds a setting; its type determines how the value is parsed.
-using SettingMember
-    = std::variant<std::string Settings::*, Address Settings::*, std::vector<Address> Settings::*,
-                   std::int64_t Settings::*, double Settings::*, Duration Settings::*,
-                   bool Settings::*, Severity Settings::*>;
+using SettingMember = std::variant<std::string Settings::*, Address Settings::*,
+                                   std::vector<Address> Settings::*, std::int64_t Settings::*,
+                                   double Settings::*, Duration Settings::*, bool Settings::*,
+                                   Severity Settings::*, std::optional<AdmissionRule> Settings::*>;
 
 enum class Presence { Optional, Required };
 
@@ -40,6 +40,8 @@
 };
 
 constexpr double kDayMs = 86'400'000;
+// Value of an optional setting that leaves the choice to the process.
+const std::string kAutomatic = "auto";
 
 // Time between the end of a planned stop and the kill of the process.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
@@ -164,6 +166,10 @@
                  1'000'000, "Maximum number of queued requests per service, or per owner." },
     SettingRow { "backend", "queue_ms", &Settings::backendMaxQueueTime_, Presence::Optional, 0,
                  60'000, "Maximum time that a request waits in a queue." },
+    SettingRow {
+        "backend", "admission_rule", &Settings::backendAdmissionRule_, Presence::Optional, 0, 0,
+        "Which waiting request is sent first; auto: team-shares in a catalogue with teams, "
+        "else value-per-work." },
     SettingRow { "log", "level", &Settings::logLevel_, Presence::Optional, 0, 0,
                  "Minimum severity that is logged." },
     SettingRow { "log", "capacity", &Settings::logCapacity_, Presence::Optional, 16, 1'000'000,
@@ -266,6 +272,12 @@
         return severity.has_value();
     }
 
+    bool operator()(std::optional<AdmissionRule> Settings::*member)
+    {
+        settings_.*member = fromString<AdmissionRule>(text_);
+        return text_ == kAutomatic || (settings_.*member).has_value();
+    }
+
 private:
     std::optional<double> numberInRange() const
     {
@@ -299,6 +311,13 @@
     std::string operator()(Duration Settings::*) const { return describeRange(row_) + " (ms)"; }
     std::string operator()(bool Settings::*) const { return "true or false"; }
     std::string operator()(Severity Settings::*) const { return "debug, info, warning or error"; }
+    std::string operator()(std::optional<AdmissionRule> Settings::*) const
+    {
+        std::string names = kAutomatic;
+        for (const auto &row : EnumTable<AdmissionRule>::kRows)
+            names += ", " + std::string(row.name_);
+        return names;
+    }
 };
 
 /// Formats the default of a setting, with an overload for each type of SettingMember.
@@ -329,6 +348,11 @@
     {
         return std::string(toString(defaults_.*member));
     }
+    std::string operator()(std::optional<AdmissionRule> Settings::*member) const
+    {
+        const std::optional<AdmissionRule> &rule = defaults_.*member;
+        return rule ? std::string(toString(*rule)) : kAutomatic;
+    }
 };
 
 void readRow(const CSimpleIniA &ini, const SettingRow &row, const std::string &file,
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -54,6 +54,21 @@
     EXPECT_EQ(keys.size(), 9U);
 }
 
+// Guards against a misspelt rule that silently leaves the default in force.
+TEST(Settings, AdmissionRuleIsANameOfTheTableOrAuto)
+{
+    const auto parse = [](const std::string &value) {
+        return parseSettings(std::string(kComplete) + "[backend]\nadmission_rule = " + value + '\n',
+                             "x.ini");
+    };
+    EXPECT_EQ(parse("least-slack").settings_.backendAdmissionRule_, AdmissionRule::LeastSlack);
+    EXPECT_TRUE(parse("least-slack").errors_.empty());
+    EXPECT_EQ(parse("auto").settings_.backendAdmissionRule_, std::nullopt);
+    EXPECT_TRUE(parse("auto").errors_.empty());
+    ASSERT_EQ(parse("leastslack").errors_.size(), 1U);
+    EXPECT_NE(parse("leastslack").errors_[0].allowed_.find("least-slack"), std::string::npos);
+}
+
 // Guards against running requests that are cut although time is left: where the platform kills a
 // process 10 s after the signal, a stop that was made for 6 s gave up its requests after 5.3 s.
 TEST(Settings, AStopLastsAsLongAsThePlatformAllows)
