OrderedQueue: polls for room do not change the expected wait

Cause: a request that was taken and put back because there was no room began a new busy period each time and left a negative amount in the drain rate.

Change: the busy period goes on when a request is put back. FairQueue has the same fault and stays as it is.

--- a/src/backend/OrderedQueue.cpp
+++ b/src/backend/OrderedQueue.cpp
@@ -226,12 +226,12 @@
 
 void OrderedQueue::putBack(const WaitingRequest &request, TimePoint now)
 {
-    beginBusyPeriodIfEmpty(now);
+    // The request was not sent, so that the busy period which its removal may have ended goes on.
     add(request);
     virtualTimes_[request.team_] -= workSeconds(request) / shareFor(request);
     shares_.onServed(request.route_, -1, now);
     dequeuedRate_.add(-workSeconds(request), now);
-    --dequeued_;
+    dequeued_ = std::max<std::int64_t>(0, dequeued_ - 1);
 }
 
 std::vector<QueueTicket> OrderedQueue::takeExpired(TimePoint now)
--- a/tests/AdmissionOrderTest.cpp
+++ b/tests/AdmissionOrderTest.cpp
@@ -367,6 +367,26 @@
     }
 }
 
+// Load: one request that is polled for room every 10 ms, then four times the capacity. Guards
+// against a drain rate to which each poll adds a negative amount, so that waits are overestimated.
+TEST(AdmissionQueueOrder, PollsForRoomDoNotChangeTheEstimate)
+{
+    const auto estimateAfter = [](int polls) {
+        OrderedQueue queue(orderFor(AdmissionRule::UrgencyThenSlack), patientOptions());
+        queue.push(request(1, kUrgent), kStart);
+        for (int i = 0; i < polls; ++i)
+            queue.putBack(*queue.take(kStart + i * 1ms), kStart + i * 1ms);
+        for (QueueTicket ticket = 2; ticket <= 40; ++ticket)
+            queue.push(request(ticket, kUrgent, kStart + 20ms), kStart + 20ms);
+        for (int i = 1; i <= 20; ++i)
+            queue.take(kStart + 20ms + i * 10ms);
+        return queue.expectedWait(request(100, kUrgent, kStart + 220ms), kStart + 220ms);
+    };
+    ASSERT_TRUE(estimateAfter(0));
+    ASSERT_TRUE(estimateAfter(20));
+    EXPECT_NEAR(toSeconds(*estimateAfter(20)), toSeconds(*estimateAfter(0)), 0.002);
+}
+
 // Load: overload, and a caller that repeats a refused request every 10 ms. Guards against repeats
 // that find room by chance which others wait for.
 TEST(AdmissionQueueOrder, ImmediateRepeatsGainNothing)
