decision_bench: a request that joins and leaves a queue

Cause: an ordered queue compares all waiting requests, which a host with a tenth of a core must afford.

A queue is bounded by a wait of a quarter of the objective: at 30 requests/s and 1.5 s it holds about 11.

--- a/bench/DecisionBench.cpp
+++ b/bench/DecisionBench.cpp
@@ -1,5 +1,6 @@
 // Time of single decisions, without I/O.
 
+#include "pimentostage/backend/RequestQueue.h"
 #include "pimentostage/backend/RoutingTable.h"
 #include "pimentostage/base/Hash.h"
 #include "pimentostage/caller/RequestRouter.h"
@@ -113,6 +114,39 @@
 }
 BENCHMARK(benchSpend);
 
+/// A request that joins a queue of a length, and one that leaves it.
+void benchQueue(benchmark::State &state, AdmissionRule rule)
+{
+    FairQueueOptions options;
+    options.maxWait_ = 1h;
+    const auto queue = makeRequestQueue(rule, options);
+    TimePoint now(1h);
+    WaitingRequest request;
+    const auto push = [&] {
+        now += 10us;
+        ++request.ticket_;
+        request.id_ = request.ticket_;
+        request.route_ = RouteName(request.ticket_ % 2 == 0 ? "read" : "certify");
+        request.priority_ = request.ticket_ % 2;
+        request.work_ = 100ms;
+        request.since_ = now;
+        request.objective_ = now + 1h;
+        request.deadline_ = now + 2h;
+        queue->push(request, now);
+    };
+    while (queue->size() < static_cast<std::size_t>(state.range(0)))
+        push();
+    for (auto _ : state) {
+        push();
+        benchmark::DoNotOptimize(queue->take(now));
+    }
+}
+BENCHMARK_CAPTURE(benchQueue, teamShares, AdmissionRule::TeamShares)->Arg(10)->Arg(100)->Arg(1000);
+BENCHMARK_CAPTURE(benchQueue, valuePerWork, AdmissionRule::ValuePerWork)
+    ->Arg(10)
+    ->Arg(100)
+    ->Arg(1000);
+
 void benchSha256(benchmark::State &state)
 {
     for (auto _ : state)
