--- a/src/backend/OrderedQueue.cpp
+++ b/src/backend/OrderedQueue.cpp
@@ -113,7 +113,7 @@
 
 // The waiting requests of the route get the newest estimate as well. Otherwise its noise would
 // change their order of arrival, and some would wait until they expire: admission_bench measured
-// 445 ms in the queue for refused requests instead of 225 ms.
+// up to 445 ms in the queue for each request that was lost instead of 225 ms.
 void OrderedQueue::updateWork(const WaitingRequest &request)
 {
     const double typical = toSeconds(typicalWork_);
