Retry-After without a prediction is the time that the request has waited

Cause: the queue of one owner gets few requests of a host, so that its wait is mostly unknown, and 1 s made the second try late where the objective is 1 s.

AdmissionQueueOrder.WithoutAPredictionRetryAfterIsTheTimeThatWasWaited passes.

--- a/src/backend/OrderedQueue.cpp
+++ b/src/backend/OrderedQueue.cpp
@@ -24,7 +24,7 @@
 constexpr double kMinRateShare = 0.1;
 // A repeat that comes sooner finds the queue as it was.
 constexpr Duration kMinUntilRoom = std::chrono::milliseconds(50);
-// As the Retry-After of queues that predict no wait.
+// For a request that has not waited, where no wait can be predicted; as with team-shares.
 constexpr Duration kUnknownUntilRoom = std::chrono::seconds(1);
 // Callers honour Retry-After up to this fraction of the time that they have left.
 constexpr int kRetryAfterDivisor = 3;
@@ -274,8 +274,9 @@
 {
     if (const auto notBefore = refusals_.notBefore(request.id_, now))
         return *notBefore - now;
-    const Duration wait
-        = std::max(kMinUntilRoom, expectedWait(request, now).value_or(kUnknownUntilRoom));
+    const Duration waited = now - request.since_;
+    const Duration unknown = waited > Duration::zero() ? waited : kUnknownUntilRoom;
+    const Duration wait = std::max(kMinUntilRoom, expectedWait(request, now).value_or(unknown));
     const Duration left = std::max(Duration::zero(), request.deadline_ - now);
     return std::min(wait, left / kRetryAfterDivisor);
 }
--- a/tests/AdmissionOrderTest.cpp
+++ b/tests/AdmissionOrderTest.cpp
@@ -1,7 +1,6 @@
 #include "pimentostage/backend/AdmissionOrder.h"
 #include "pimentostage/backend/AdmissionRefusal.h"
 #include "pimentostage/backend/OrderedQueue.h"
-#include "pimentostage/backend/WorkEstimate.h"
 
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -415,6 +414,20 @@
     EXPECT_TRUE(load.queue_.push(onTime, refusedAt + untilRoom).isAccepted_);
 }
 
+// Load: the queue of one owner of keys, which few requests of a host reach, so that no wait can be
+// predicted. Guards against a Retry-After that makes the next try late although the first was not.
+TEST(AdmissionQueueOrder, WithoutAPredictionRetryAfterIsTheTimeThatWasWaited)
+{
+    OrderedQueue queue(orderFor(AdmissionRule::ValuePerWork), patientOptions());
+    WaitingRequest waiting = request(1, kUrgent);
+    waiting.admitBy_ = kStart + 250ms;
+    queue.push(waiting, kStart);
+    EXPECT_EQ(queue.takeExpired(kStart + 250ms), Tickets { 1 });
+    EXPECT_EQ(queue.untilRoom(waiting, kStart + 250ms), Duration(250ms));
+    EXPECT_EQ(queue.untilRoom(request(2, kUrgent, kStart + 1s), kStart + 1s), Duration(1s))
+        << "it has not waited, and nothing is known";
+}
+
 // Load: 1,000 callers refused at the same moment. Guards against callers that all return together,
 // and against ones that return before there is room.
 TEST(AdmissionQueueOrder, RetryAfterIsSpread)
@@ -429,30 +442,6 @@
     EXPECT_EQ(delays.size(), 200U);
 }
 
-// Load: more refused requests than are remembered. Guards against memory that grows with the load.
-TEST(AdmissionRefusalMemory, IsBounded)
-{
-    RefusalMemory memory;
-    for (std::uint64_t id = 1; id <= 2 * RefusalMemory::kMaxRequests; ++id)
-        memory.onRefused(id, kStart + 1s, kStart);
-    EXPECT_FALSE(memory.notBefore(1, kStart));
-    EXPECT_EQ(memory.notBefore(2 * RefusalMemory::kMaxRequests, kStart), kStart + 1s);
-    EXPECT_FALSE(memory.notBefore(2 * RefusalMemory::kMaxRequests, kStart + 1s));
-}
-
-// Load: answers of a back end whose slots are all in use. Guards against time in its queue that
-// counts as work, which would make short requests look long in an overload.
-TEST(AdmissionWorkEstimate, DoesNotCountTheTimeInTheBackEndsQueue)
-{
-    WorkEstimate estimate;
-    EXPECT_EQ(estimate.value(), Duration::zero());
-    for (std::uint64_t i = 0; i < WorkEstimate::kMinSamples; ++i)
-        estimate.record(300ms, LoadReport { 4, 8, 1 }, 4);
-    EXPECT_EQ(toMilliseconds(estimate.value() + 1us), 100);
-    estimate.record(900ms, std::nullopt, 4);
-    EXPECT_GT(estimate.value(), 200ms);
-}
-
 // No request is lost, returned twice or put behind a later one of the same rank, whatever is
 // pushed, taken, put back and expired.
 RC_GTEST_PROP(AdmissionQueueOrderProperty, LosesNoRequest, ())
--- a/tests/AdmissionQueueTest.cpp
+++ b/tests/AdmissionQueueTest.cpp
@@ -1,5 +1,7 @@
 #include "src/backend/AdmissionQueue.h"
+#include "pimentostage/backend/RefusalMemory.h"
 #include "pimentostage/backend/RoutingTable.h"
+#include "pimentostage/backend/WorkEstimate.h"
 #include "platform/BackendWire.h"
 #include "src/backend/BackendClient.h"
 #include "src/caller/CallerService.h"
@@ -105,6 +107,30 @@
     EXPECT_EQ(refusal.admission_->queue_, "orders");
 }
 
+// Load: more refused requests than are remembered. Guards against memory that grows with the load.
+TEST(AdmissionRefusalMemory, IsBounded)
+{
+    RefusalMemory memory;
+    for (std::uint64_t id = 1; id <= 2 * RefusalMemory::kMaxRequests; ++id)
+        memory.onRefused(id, kStart + 1s, kStart);
+    EXPECT_FALSE(memory.notBefore(1, kStart));
+    EXPECT_EQ(memory.notBefore(2 * RefusalMemory::kMaxRequests, kStart), kStart + 1s);
+    EXPECT_FALSE(memory.notBefore(2 * RefusalMemory::kMaxRequests, kStart + 1s));
+}
+
+// Load: answers of a back end whose slots are all in use. Guards against time in its queue that
+// counts as work, which would make short requests look long in an overload.
+TEST(AdmissionWorkEstimate, DoesNotCountTheTimeInTheBackEndsQueue)
+{
+    WorkEstimate estimate;
+    EXPECT_EQ(estimate.value(), Duration::zero());
+    for (std::uint64_t i = 0; i < WorkEstimate::kMinSamples; ++i)
+        estimate.record(300ms, LoadReport { 4, 8, 1 }, 4);
+    EXPECT_EQ(toMilliseconds(estimate.value() + 1us), 100);
+    estimate.record(900ms, std::nullopt, 4);
+    EXPECT_GT(estimate.value(), 200ms);
+}
+
 /// Keeps the lines that were written.
 class LinesInMemory : public LogSink
 {
