--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/AdmissionOrder.h"
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
@@ -7,6 +8,7 @@
 #include "pimentostage/platform/Objects.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -66,6 +68,7 @@
     bool backendHedging_ = true;
     std::int64_t backendQueueLength_ = 2000;
     Duration backendMaxQueueTime_ = std::chrono::milliseconds(500);
+    std::optional<AdmissionRule> backendAdmissionRule_; ///< chosen by the catalogue if empty
 
     Severity logLevel_ = Severity::Info;
     std::int64_t logCapacity_ = 16'384;
