Tell full back ends from gone and broken ones

A back end that closes a connection before any byte of an answer, and has answered within 5 s, is full. Its limit is lowered as after a shed request, it is not ejected and not taken for cold. A request on a connection that was reset before the first byte was written has not run: the first write is made at once, so that its result is known.

ConnectFailed is now Gone.

--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -35,6 +35,9 @@
     void onAnswer(Duration latency, TimePoint now);
     /// Records a failure attributed to the back end; consecutive failures eject it.
     void onFailure(TimePoint now);
+    /// Records that the back end closed a connection because it has no room. This counts in
+    /// failureShare() and does not eject the back end: it runs, and has room again soon.
+    void onFull(TimePoint now);
     void onLoadReport(const LoadReport &report, TimePoint now);
 
     [[nodiscard]] std::uint32_t inFlight() const
@@ -85,6 +88,8 @@
     [[nodiscard]] double usualPace() const;
     /// @return whether the back end has neither answered this host nor reported its load.
     [[nodiscard]] bool isUntried() const;
+    /// @return whether the back end has answered or reported its load within the last 5 s.
+    [[nodiscard]] bool hasAnsweredLately(TimePoint now) const;
     /// @return the estimated number of requests that run or wait at the back end.
     [[nodiscard]] double load(TimePoint now) const;
     /// @return the decayed fraction of recent requests that failed, from 0 to 1.
--- a/include/pimentostage/base/Attempt.h
+++ b/include/pimentostage/base/Attempt.h
@@ -45,18 +45,29 @@
 }
 
 /// Why an attempt ended without a usable answer.
-enum class AttemptFailure { ConnectFailed, Broken, TimedOut, Mismatched, Shed, StaleEpoch };
+enum class AttemptFailure {
+    Gone, ///< no connection: refused, or not established in time
+    Broken,
+    TimedOut,
+    Mismatched,
+    Shed, ///< the back end declared that it did not run the request because of its load
+    StaleEpoch,
+    /// The connection was reset or closed before any byte of an answer, by a back end that has
+    /// answered lately: it has no room. Does not tell whether the request ran.
+    Full,
+};
 
 template <>
 struct EnumTable<AttemptFailure>
 {
     static constexpr std::array kRows {
-        EnumName<AttemptFailure> { AttemptFailure::ConnectFailed, "connect-failed" },
+        EnumName<AttemptFailure> { AttemptFailure::Gone, "gone" },
         EnumName<AttemptFailure> { AttemptFailure::Broken, "broken" },
         EnumName<AttemptFailure> { AttemptFailure::TimedOut, "timed-out" },
         EnumName<AttemptFailure> { AttemptFailure::Mismatched, "mismatched" },
         EnumName<AttemptFailure> { AttemptFailure::Shed, "shed" },
         EnumName<AttemptFailure> { AttemptFailure::StaleEpoch, "stale-epoch" },
+        EnumName<AttemptFailure> { AttemptFailure::Full, "full" },
     };
 };
 
--- a/include/pimentostage/base/Error.h
+++ b/include/pimentostage/base/Error.h
@@ -88,6 +88,7 @@
     Mismatch,
     Stale,
     ConnectionClosed, ///< of the only connection on which a request may be sent
+    ClosedUnanswered, ///< the peer closed or reset the connection before any byte of an answer
 };
 
 template <>
@@ -105,6 +106,7 @@
         EnumName<ErrorCode> { ErrorCode::Mismatch, "mismatch" },
         EnumName<ErrorCode> { ErrorCode::Stale, "stale" },
         EnumName<ErrorCode> { ErrorCode::ConnectionClosed, "connection-closed" },
+        EnumName<ErrorCode> { ErrorCode::ClosedUnanswered, "closed-unanswered" },
     };
 };
 
--- a/src/backend/ActiveRequest.cpp
+++ b/src/backend/ActiveRequest.cpp
@@ -216,7 +216,9 @@
     inFlight_.erase(attempt);
     if (result.connection_ != 0)
         usedConnections_.push_back(result.connection_);
-    const AttemptResult attemptResult = worker_.options_.protocol_->interpretResult_(result);
+    AttemptResult attemptResult = worker_.options_.protocol_->interpretResult_(result);
+    if (attemptResult.failure_ == AttemptFailure::Full && !inFlight.stats_->hasAnsweredLately(now))
+        attemptResult.failure_ = AttemptFailure::Broken;
     updateConcurrencyLimit(inFlight, attemptResult, now);
     end(inFlight, attemptResult.state_, now);
     if (attemptResult.load_ && !isFromOtherInstance(attemptResult))
@@ -251,7 +253,9 @@
 void BackendClient::Worker::ActiveRequest::updateConcurrencyLimit(
     const InFlightAttempt &inFlight, const AttemptResult &attemptResult, TimePoint now)
 {
-    if (attemptResult.failure_ == AttemptFailure::Shed)
+    const bool isRejected = attemptResult.failure_ == AttemptFailure::Shed
+                            || attemptResult.failure_ == AttemptFailure::Full;
+    if (isRejected)
         inFlight.stats_->concurrency().onShed(inFlight.stats_->inFlight(), now);
     else if (!attemptResult.failure_)
         inFlight.stats_->concurrency().onAnswer(inFlight.stats_->inFlight());
@@ -265,11 +269,12 @@
     const bool isNewProcess
         = attemptResult.incarnation_ && inFlight.stats_->onIncarnation(*attemptResult.incarnation_);
     const bool isShed = attemptResult.failure_ == AttemptFailure::Shed;
-    const bool isUnreachable = attemptResult.failure_ == AttemptFailure::ConnectFailed;
+    const bool isUnreachable = attemptResult.failure_ == AttemptFailure::Gone;
     // A warm back end sheds only when all of its slots are in use.
     const bool isShedCold
         = isShed && (!attemptResult.load_ || attemptResult.load_->running_ < inFlight.slots_);
-    if (isShed)
+    // A full back end reports no load, so that nothing tells whether it is cold.
+    if (isShed || attemptResult.failure_ == AttemptFailure::Full)
         inFlight.stats_->warmup().onShed(now);
     const bool isCold = isNewProcess || isShedCold || isUnreachable;
     if (isCold) {
@@ -293,8 +298,13 @@
                                                         TimePoint now)
 {
     worker_.counters_.failures_.add();
+    worker_.counters_.failuresByKind_.at(static_cast<std::size_t>(*attemptResult.failure_))->add();
     if (attemptResult.failure_ == AttemptFailure::Mismatched)
         worker_.counters_.mismatches_.add();
+    if (attemptResult.failure_ == AttemptFailure::Full) {
+        stats.onFull(now);
+        return;
+    }
     // A stale epoch results from the placement, not from a fault of the back end.
     if (attemptResult.failure_ != AttemptFailure::StaleEpoch || isFromOtherInstance(attemptResult))
         stats.onFailure(now);
--- a/src/backend/BackendProtocol.cpp
+++ b/src/backend/BackendProtocol.cpp
@@ -23,8 +23,10 @@
 {
     if (error.code_ == ErrorCode::Stale)
         return AttemptFailure::StaleEpoch;
+    if (error.code_ == ErrorCode::ClosedUnanswered)
+        return AttemptFailure::Full;
     if (error.step_ == Step::Connect)
-        return AttemptFailure::ConnectFailed;
+        return AttemptFailure::Gone;
     if (error.code_ == ErrorCode::Timeout)
         return AttemptFailure::TimedOut;
     if (error.code_ == ErrorCode::Mismatch)
--- a/src/backend/BackendProtocol.h
+++ b/src/backend/BackendProtocol.h
@@ -25,7 +25,9 @@
 struct AttemptResult
 {
     AttemptState state_ = AttemptState::NotSent;
-    std::optional<AttemptFailure> failure_; ///< empty if the answer may be delivered to the caller
+    /// Empty if the answer may be delivered to the caller. Full if the connection was closed before
+    /// any byte of an answer, whether or not the back end has answered lately.
+    std::optional<AttemptFailure> failure_;
     std::optional<std::uint64_t> incarnation_; ///< of the back end's process
     std::optional<LoadReport> load_;
 };
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -25,6 +25,9 @@
 // Weight of one outcome in the failure share, and the time constant with which the share decays.
 constexpr double kOutcomeWeight = 0.15;
 constexpr Duration kOutcomeTimeConstant = std::chrono::seconds(3);
+// A back end that answered within this time and closes a connection is full rather than broken: it
+// is several times the longest usual answer, and as long as the shortest deadlines.
+constexpr Duration kLatelyAnswered = std::chrono::seconds(5);
 // Latency in seconds assumed before the first answer.
 constexpr double kDefaultLatency = 0.001;
 
@@ -70,6 +73,11 @@
     ejectedUntil_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
+void BackendStats::onFull(TimePoint now)
+{
+    countOutcome(true, now);
+}
+
 void BackendStats::onLoadReport(const LoadReport &report, TimePoint now)
 {
     reportedRequests_.store(report.running_ + report.waiting_, std::memory_order_relaxed);
@@ -99,6 +107,13 @@
            && reportedAt_.load(std::memory_order_relaxed) == 0;
 }
 
+bool BackendStats::hasAnsweredLately(TimePoint now) const
+{
+    const Duration::rep last = std::max(answeredAt_.load(std::memory_order_relaxed),
+                                        reportedAt_.load(std::memory_order_relaxed));
+    return last != 0 && now - TimePoint(Duration(last)) < kLatelyAnswered;
+}
+
 double BackendStats::pace(TimePoint now) const
 {
     const double usual = usualPace();
--- a/src/backend/BackendWorker.h
+++ b/src/backend/BackendWorker.h
@@ -6,6 +6,7 @@
 #include "src/backend/AdmissionQueue.h"
 #include "src/backend/BackendClient.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -46,6 +47,7 @@
         , hedges_(metrics.counter("pimento_backend_hedges_total", "Attempts that were hedges."))
         , failures_(metrics.counter("pimento_backend_failures_total",
                                     "Attempts that ended without a usable answer."))
+        , failuresByKind_(failureCounters(metrics))
         , mismatches_(metrics.counter("pimento_backend_mismatches_total",
                                       "Answers that belonged to another request."))
         , givenUpAnswers_(
@@ -59,9 +61,25 @@
                                      "Time from sending an attempt to its whole answer."))
     { }
 
+    /// Indexed by AttemptFailure.
+    using FailureCounters = std::array<Counter *, kEnumCount<AttemptFailure>>;
+
+    static FailureCounters failureCounters(MetricRegistry &metrics)
+    {
+        FailureCounters counters {};
+        for (const auto &row : EnumTable<AttemptFailure>::kRows) {
+            counters.at(static_cast<std::size_t>(row.value_))
+                = &metrics.counter("pimento_backend_attempt_failures_total",
+                                   "Attempts that ended without a usable answer, by failure.",
+                                   { Label { "failure", std::string(row.name_) } });
+        }
+        return counters;
+    }
+
     Counter &attempts_;
     Counter &hedges_;
     Counter &failures_;
+    FailureCounters failuresByKind_;
     Counter &mismatches_;
     Counter &givenUpAnswers_;
     Counter &queueWaits_;
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -95,6 +95,9 @@
     }
     if (result.error_->code_ == ErrorCode::ConnectionClosed)
         return RangeOutcome::ConnectionLost;
+    // The back end accepted the connection, so it is not known to have ended.
+    if (result.error_->code_ == ErrorCode::ClosedUnanswered)
+        return RangeOutcome::Broken;
     const bool isTimeout = result.error_->code_ == ErrorCode::Timeout;
     if (result.state_ == AttemptState::NotSent)
         return !isTimeout && protocol.refusalMeansProcessEnded_ ? RangeOutcome::ProcessGone
--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -21,9 +21,10 @@
     case AttemptFailure::Broken:
     case AttemptFailure::Mismatched:
         return GiveUpReason::AnswerBroken;
-    case AttemptFailure::ConnectFailed:
+    case AttemptFailure::Gone:
     case AttemptFailure::Shed:
     case AttemptFailure::StaleEpoch:
+    case AttemptFailure::Full:
         break;
     }
     return GiveUpReason::AttemptsFailed;
@@ -142,9 +143,8 @@
     if (isRejected && !mayRetryAfterRejection())
         return giveUp(GiveUpReason::Overloaded);
     // The owner is changing or lost. The request did not run, so it waits for the next owner.
-    const bool isOwnerUnavailable
-        = failure == AttemptFailure::StaleEpoch
-          || (policy_.waitsForOwner_ && failure == AttemptFailure::ConnectFailed);
+    const bool isOwnerUnavailable = failure == AttemptFailure::StaleEpoch
+                                    || (policy_.waitsForOwner_ && failure == AttemptFailure::Gone);
     if (isOwnerUnavailable && !mayAwaitOwner(now))
         return giveUp(GiveUpReason::NoBackend);
     if (isOwnerUnavailable) {
@@ -159,6 +159,9 @@
     const bool isBudgeted = isRejected && areRejectionsLimited();
     if (isExhausted || (!isBudgeted && !retries_.tryAcquire()))
         return isShed ? awaitAdmission(now) : giveUp(reasonFor(failure));
+    // No other back end may run it, so it waits until its owner has room.
+    if (failure == AttemptFailure::Full && policy_.waitsForOwner_)
+        return awaitAdmission(now);
     return send(false, now);
 }
 
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -191,9 +191,26 @@
         out.append("Content-Length: ").append(std::to_string(request.body_.size())).append("\r\n");
     out.append("\r\n");
     out.append(request.body_);
+    startWriting();
+}
+
+// The first write is made at once and not queued: its result tells whether any byte was sent on a
+// connection that the peer has reset since it was chosen.
+void HttpClient::Impl::Connection::startWriting()
+{
+    error_code error;
+    const std::size_t written = socket_.write_some(asio::buffer(outgoing_), error);
+    if (error && error != asio::error::would_block) {
+        fail(Step::SendRequest, ErrorCode::ClosedUnanswered, error.message());
+        return;
+    }
+    if (written == outgoing_.size()) {
+        transfer_->state_ = AttemptState::Sent;
+        return;
+    }
     isWriting_ = true;
     transfer_->state_ = AttemptState::PartlySent;
-    asio::async_write(socket_, asio::buffer(outgoing_),
+    asio::async_write(socket_, asio::buffer(outgoing_) + written,
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->onWritten(error);
                       });
@@ -252,9 +269,11 @@
         complete();
         return;
     }
+    const bool hasBytes = parser_->got_some() || interimCount_ > 0 || buffer_.size() > 0;
     const bool isTruncated = error == asio::error::eof && parser_->got_some();
+    const ErrorCode unread = hasBytes ? ErrorCode::Unreachable : ErrorCode::ClosedUnanswered;
     fail(isTruncated ? Step::CheckAnswer : Step::ReadAnswer,
-         isTruncated ? ErrorCode::Mismatch : ErrorCode::Unreachable, error.message());
+         isTruncated ? ErrorCode::Mismatch : unread, error.message());
 }
 
 bool HttpClient::Impl::Connection::parse()
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -50,6 +50,9 @@
 
     void writeRequest();
 
+    /// Writes outgoing_; what the socket does not take at once is written as it becomes writable.
+    void startWriting();
+
     void onWritten(const boost::system::error_code &error);
 
     void read();
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -84,7 +84,57 @@
     const HttpResult result = client.fetch(request);
     EXPECT_EQ(result.state_, AttemptState::NotSent);
     EXPECT_EQ(result.error_->step_, Step::Connect);
-    EXPECT_EQ(interpretResult(result).failure_, AttemptFailure::ConnectFailed);
+    EXPECT_EQ(interpretResult(result).failure_, AttemptFailure::Gone);
+}
+
+// A back end that is full resets connections. Guards against an unknown outcome, which forbids a
+// repetition of most kinds of request, although not a byte was sent.
+TEST(HttpClient, ReportsNotSentIfTheConnectionWasResetBeforeTheFirstByte)
+{
+    namespace asio = boost::asio;
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::make_address_v4("127.0.0.1"), 0 });
+    HttpClient client({});
+    HttpRequest request;
+    request.method_ = "POST";
+    request.url_ = "http://127.0.0.1:" + std::to_string(acceptor.local_endpoint().port()) + "/";
+    // Called on the client's thread once it is connected.
+    request.maySend_ = [&] {
+        asio::ip::tcp::socket accepted = acceptor.accept();
+        accepted.set_option(asio::socket_base::linger(true, 0));
+        accepted.close();
+        return true;
+    };
+    const HttpResult result = client.fetch(request);
+    ASSERT_TRUE(result.error_.has_value());
+    EXPECT_EQ(result.state_, AttemptState::NotSent) << result.error_->describe();
+    EXPECT_EQ(interpretResult(result).failure_, AttemptFailure::Full);
+}
+
+// Guards against one failure for all: a full back end was ejected like a broken one, and a back
+// end that breaks off its answers must still be.
+TEST(HttpClient, TellsAClosedConnectionFromABrokenAnswer)
+{
+    struct Case
+    {
+        RawServer::Reply reply_;
+        AttemptFailure failure_;
+    };
+    const std::vector<Case> cases {
+        { { .bytes_ = "", .closesConnection_ = true }, AttemptFailure::Full },
+        { { .bytes_ = "", .resetsConnection_ = true }, AttemptFailure::Full },
+        { { .bytes_ = "HTTP/1.1 200 OK\r\n", .resetsConnection_ = true }, AttemptFailure::Broken },
+        { { .bytes_ = "H", .resetsConnection_ = true }, AttemptFailure::Broken },
+        { { .bytes_ = "HTTP/1.1 100 Continue\r\n\r\n", .resetsConnection_ = true },
+          AttemptFailure::Broken },
+    };
+    for (const Case &row : cases) {
+        RawServer server([&](const std::string &, int) { return row.reply_; });
+        HttpClient client({});
+        const HttpResult result = client.fetch(post(server, "r1"));
+        EXPECT_EQ(result.state_, AttemptState::Sent) << row.reply_.bytes_;
+        EXPECT_EQ(interpretResult(result).failure_, row.failure_) << row.reply_.bytes_;
+    }
 }
 
 TEST(HttpClient, SendsNothingOnceTheLeaseHasExpired)
--- a/tests/RequestExecutionTest.cpp
+++ b/tests/RequestExecutionTest.cpp
@@ -100,13 +100,50 @@
     RequestExecution execution(policy(true), retries_, hedges_);
     execution.start(at(0ms));
     execution.onFailed(0, AttemptState::Sent, AttemptFailure::Broken, at(5ms));
-    execution.onFailed(1, AttemptState::NotSent, AttemptFailure::ConnectFailed, at(6ms));
+    execution.onFailed(1, AttemptState::NotSent, AttemptFailure::Gone, at(6ms));
     const auto actions
-        = execution.onFailed(2, AttemptState::NotSent, AttemptFailure::ConnectFailed, at(7ms));
+        = execution.onFailed(2, AttemptState::NotSent, AttemptFailure::Gone, at(7ms));
     ASSERT_TRUE(find<GiveUp>(actions));
     EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::Unknown);
 }
 
+// A reset before the first byte proves that the request did not run; one after it proves nothing.
+TEST_F(RequestExecutionTest, RepeatsARequestThatAFullBackEndDidNotReceive)
+{
+    RequestExecution notSent(policy(false), retries_, hedges_);
+    notSent.start(at(0ms));
+    EXPECT_TRUE(find<SendAttempt>(
+        notSent.onFailed(0, AttemptState::NotSent, AttemptFailure::Full, at(5ms))));
+
+    RequestExecution sent(policy(false), retries_, hedges_);
+    sent.start(at(0ms));
+    const auto actions = sent.onFailed(0, AttemptState::Sent, AttemptFailure::Full, at(5ms));
+    ASSERT_TRUE(find<GiveUp>(actions));
+    EXPECT_EQ(find<GiveUp>(actions)->outcome_, Outcome::Unknown);
+
+    AttemptBudget none(0, 0);
+    RequestExecution unpaid(policy(false), none, hedges_);
+    unpaid.start(at(0ms));
+    const auto refused = unpaid.onFailed(0, AttemptState::NotSent, AttemptFailure::Full, at(5ms));
+    ASSERT_TRUE(find<GiveUp>(refused)) << "each repetition needs a token of the retry budget";
+    EXPECT_EQ(find<GiveUp>(refused)->outcome_, Outcome::NotRun);
+}
+
+// Guards against repetitions at once to the only back end that may run the request, which is full.
+TEST_F(RequestExecutionTest, WaitsForRoomAtAFullOwner)
+{
+    ExecutionPolicy keyed = policy(true);
+    keyed.waitsForOwner_ = true;
+    RequestExecution execution(keyed, retries_, hedges_);
+    execution.start(at(0ms));
+    const auto actions = execution.onFailed(0, AttemptState::Sent, AttemptFailure::Full, at(5ms));
+    EXPECT_FALSE(find<SendAttempt>(actions));
+    ASSERT_TRUE(find<AwaitAdmission>(actions));
+    const auto refused = execution.onAdmissionRefused(at(6ms));
+    ASSERT_TRUE(find<GiveUp>(refused));
+    EXPECT_EQ(find<GiveUp>(refused)->outcome_, Outcome::Unknown);
+}
+
 TEST_F(RequestExecutionTest, HedgesAnIdempotentRequestAndCancelsTheSlowerAttempt)
 {
     RequestExecution execution(policy(true, 10ms), retries_, hedges_);
@@ -162,8 +199,8 @@
     execution.start(at(0ms));
     TimePoint now = at(1ms);
     for (AttemptNumber attempt = 0; attempt < 20; ++attempt) {
-        const auto waiting = execution.onFailed(attempt, AttemptState::NotSent,
-                                                AttemptFailure::ConnectFailed, now);
+        const auto waiting
+            = execution.onFailed(attempt, AttemptState::NotSent, AttemptFailure::Gone, now);
         ASSERT_TRUE(find<WakeAt>(waiting)) << attempt;
         now = find<WakeAt>(waiting)->at_;
         ASSERT_TRUE(find<SendAttempt>(execution.onWake(now))) << attempt;
@@ -275,8 +312,7 @@
             perform(execution.onFailed(number, AttemptState::DeclaredNotRun, AttemptFailure::Shed,
                                        now));
         } else {
-            perform(execution.onFailed(number, AttemptState::NotSent, AttemptFailure::ConnectFailed,
-                                       now));
+            perform(execution.onFailed(number, AttemptState::NotSent, AttemptFailure::Gone, now));
         }
     }
     if (!idempotent)
