Estimate the room of back ends from the observations of all hosts

A host that shares observations sends only to back ends with room by the newest report, by what it has sent since and by what the others are expected to have sent. It compares three local and three remote candidates drawn at random.

Sharing is off in the daemon until hosts exchange reports.

--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/ColdStart.h"
 #include "pimentostage/backend/ConcurrencyLimit.h"
+#include "pimentostage/backend/RoomEstimate.h"
 #include "pimentostage/backend/Warmup.h"
 #include "pimentostage/base/Time.h"
 
@@ -73,6 +74,10 @@
     [[nodiscard]] ConcurrencyLimit &concurrency() { return concurrency_; }
     [[nodiscard]] const ConcurrencyLimit &concurrency() const { return concurrency_; }
 
+    /// @return the estimate of the room, for services whose back ends report their load.
+    [[nodiscard]] RoomEstimate &room() { return room_; }
+    [[nodiscard]] const RoomEstimate &room() const { return room_; }
+
     /// Records the process incarnation that an answer carries.
     /// @return whether it differs from the one recorded before, if any.
     bool onIncarnation(std::uint64_t incarnation);
@@ -114,6 +119,7 @@
     Warmup warmup_;
     ColdStart coldStart_;
     ConcurrencyLimit concurrency_;
+    RoomEstimate room_;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -25,6 +25,7 @@
     std::shared_ptr<BackendStats> stats_;
     std::uint32_t limit_ = 0; ///< maximum number of requests this host may have in flight
     bool usesLoadReports_ = false; ///< its service balances by reported load
+    bool isOwner_ = false; ///< of ordered keys
     bool isLocal_ = true; ///< in this host's data centre
     /// Ready, not leaving, not replaced by another process at its address, and its data centre is
     /// in service.
@@ -33,6 +34,30 @@
     TimePoint rampStart_ {}; ///< when its data centre returned to service
     Duration ramp_ {}; ///< time over which its traffic share is restored; zero if at once
 
+    /// Sharing of observations among the hosts; nullptr if there is none for its service.
+    std::shared_ptr<RoomSharing> sharing_;
+
+    /// @return whether its room is estimated from the observations of all hosts at @p now.
+    [[nodiscard]] bool isRoomShared(TimePoint now) const
+    {
+        return sharing_ && sharing_->isActive(now);
+    }
+
+    /// @return the load at which it gets no more requests.
+    [[nodiscard]] double maxLoad() const
+    {
+        return (isOwner_ ? kMaxOwnerLoadPerSlot : kMaxLoadPerSlot) * backend_.slots_;
+    }
+
+    /// @return the other hosts that send to it.
+    [[nodiscard]] Rivals rivals(TimePoint now) const
+    {
+        return sharing_->rivals(stats_->room().ownRate(now), now);
+    }
+
+    /// @return the estimated number of requests that run or wait there.
+    [[nodiscard]] double load(TimePoint now) const;
+
     /// @return the number of requests that this host may currently have in flight there.
     [[nodiscard]] std::uint32_t currentLimit() const
     {
@@ -86,6 +111,7 @@
     Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< number of entry hosts that share the back ends' connections
     ZoneName zone_; ///< of this entry host
+    bool sharesRoom_ = false; ///< whether hosts send each other their observations of back ends
 };
 
 /// Builds routing tables and carries the observations of back ends over from one to the next.
@@ -99,6 +125,9 @@
     /// @return the stats of @p backend, or nullptr.
     [[nodiscard]] std::shared_ptr<BackendStats> stats(const BackendName &backend) const;
 
+    /// Records that a sibling has sent observations of back ends.
+    void onRoomReport(TimePoint now);
+
     /// @return the router lease of a service whose back ends do not check fences, or nullptr.
     [[nodiscard]] std::shared_ptr<RouterLease> routerLease(const ServiceName &service) const;
 
@@ -112,11 +141,14 @@
         Duration coldFor_ {};
     };
 
+    /// @return the sharing of @p service, or nullptr if there is none.
+    std::shared_ptr<RoomSharing> roomSharing(const Service &service, const FleetState &fleet);
     const BackendRecord &updateRecord(const Backend &backend, const Service &service,
                                       const FleetState &fleet, TimePoint now);
 
     std::map<BackendName, BackendRecord> records_;
     std::map<ServiceName, std::shared_ptr<RouterLease>> routerLeases_;
+    std::map<ServiceName, std::shared_ptr<RoomSharing>> roomSharings_;
     std::map<BackendName, TimePoint> withdrawnAt_; ///< when back ends stopped taking new work
 };
 
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -76,6 +76,7 @@
 void BackendStats::onFull(TimePoint now)
 {
     countOutcome(true, now);
+    room_.onFull(now);
 }
 
 void BackendStats::onLoadReport(const LoadReport &report, TimePoint now)
@@ -87,6 +88,7 @@
     usualPace_.store(isFaster ? report.pace_ : usual + kUsualPaceWeight * (report.pace_ - usual),
                      std::memory_order_relaxed);
     reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    room_.onObservation({ report.running_, report.waiting_, report.pace_, false, now });
 }
 
 bool BackendStats::onIncarnation(std::uint64_t incarnation)
--- a/src/backend/BalancingStrategy.cpp
+++ b/src/backend/BalancingStrategy.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <atomic>
+#include <limits>
 
 namespace pimentostage {
 
@@ -87,12 +88,39 @@
 public:
     std::size_t pick(const Candidates &candidates, Random &random, TimePoint now) const override
     {
+        if (candidates.front()->isRoomShared(now))
+            return pickAmongFew(candidates, random, now);
         return pickLowest(candidates, random, [now](const Candidate &candidate) {
             return expectedTime(candidate, now);
         });
     }
 
 private:
+    // Candidates drawn at random in each group. Hosts that share a view of the load would all
+    // choose the same back end if each compared all of them.
+    static constexpr std::size_t kDrawn = 3;
+
+    /// Chooses among a few local and a few remote candidates, drawn at random.
+    static std::size_t pickAmongFew(const Candidates &candidates, Random &random, TimePoint now)
+    {
+        std::array<std::vector<std::size_t>, 2> groups; // remote and local
+        for (std::size_t i = 0; i < candidates.size(); ++i)
+            groups[candidates[i]->isLocal_ ? 1 : 0].push_back(i);
+        std::size_t best = 0;
+        double bestTime = std::numeric_limits<double>::infinity();
+        for (std::vector<std::size_t> &group : groups) {
+            for (std::size_t drawn = 0; drawn < std::min(kDrawn, group.size()); ++drawn) {
+                std::swap(group[drawn], group[drawn + random.below(group.size() - drawn)]);
+                const double time = expectedTime(*candidates[group[drawn]], now);
+                if (time >= bestTime)
+                    continue;
+                best = group[drawn];
+                bestTime = time;
+            }
+        }
+        return best;
+    }
+
     // Load raises the expected time slightly even while slots are free, so that equal back ends
     // share the load.
     static constexpr double kLoadFactor = 0.25;
@@ -114,7 +142,7 @@
         if (stats.isUntried() && stats.inFlight() == 0 && candidate.isLocal_)
             return kUntriedTime;
         const double slots = std::max(1U, candidate.backend_.slots_);
-        const double load = stats.load(now);
+        const double load = candidate.load(now);
         const double waiting = std::max(0.0, load + 1 - slots);
         double time = stats.pace(now) * (1 + (kLoadFactor * load + kQueueFactor * waiting) / slots);
         time *= 1 + kFailurePenalty * stats.failureShare(now);
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -15,8 +15,6 @@
 // Ejections are ignored if they affect more than this fraction of a service's back ends.
 constexpr double kMaxEjectedFraction = 0.5;
 
-// Load of a back end, in running and waiting requests per slot, at which it gets no new requests.
-constexpr double kMaxLoadPerSlot = 1.7;
 // Requests in flight from one host that are allowed regardless of the last load report.
 constexpr std::uint32_t kMinInFlight = 1;
 
@@ -42,19 +40,33 @@
 {
     if (!stats_->coldStart().hasCapacity(now))
         return false;
+    if (isRoomShared(now))
+        return stats_->room().hasRoom(maxLoad(), stats_->inFlight(), rivals(now), stats_->latency(),
+                                      now);
     if (!usesLoadReports_ || stats_->inFlight() < kMinInFlight)
         return true;
     return stats_->load(now) < kMaxLoadPerSlot * backend_.slots_;
 }
 
+double Candidate::load(TimePoint now) const
+{
+    if (!isRoomShared(now))
+        return stats_->load(now);
+    return stats_->room().load(stats_->inFlight(), rivals(now), stats_->latency(), now);
+}
+
 bool Candidate::tryBegin(TimePoint now) const
 {
     // There may be no other back end, so each host may send a cold one a single request at a time.
     if (!hasCapacity(now) || !stats_->tryBegin(std::max(1U, currentLimit())))
         return false;
     // Another thread may have taken the last token of a cold start.
-    if (stats_->coldStart().tryAcquire(now))
+    if (stats_->coldStart().tryAcquire(now)) {
+        stats_->room().onSent(now);
+        if (sharing_)
+            sharing_->onSent(now);
         return true;
+    }
     stats_->end();
     return false;
 }
@@ -112,6 +124,8 @@
         candidate.stats_ = updateRecord(backend, service, fleet, now).stats_;
         candidate.limit_ = hostLimit(backend, service, fleet.entryHosts_);
         candidate.usesLoadReports_ = service.balancing_ == Balancing::ExpectedTime;
+        candidate.isOwner_ = service.division_ == KeyDivision::Ordered;
+        candidate.sharing_ = roomSharing(service, fleet);
         candidate.isLocal_ = backend.zone_ == fleet.zone_;
         candidate.takesNewWork_
             = configuration.isZoneIn(backend.zone_) && !fleet.leavingHosts_.contains(name.str())
@@ -140,6 +154,24 @@
     return table;
 }
 
+std::shared_ptr<RoomSharing> RoutingTableBuilder::roomSharing(const Service &service,
+                                                              const FleetState &fleet)
+{
+    if (!fleet.sharesRoom_ || service.balancing_ != Balancing::ExpectedTime)
+        return nullptr;
+    std::shared_ptr<RoomSharing> &sharing = roomSharings_[service.name_];
+    if (!sharing)
+        sharing = std::make_shared<RoomSharing>(hash64(std::to_string(fleet.router_.value_)));
+    sharing->setHosts(fleet.entryHosts_);
+    return sharing;
+}
+
+void RoutingTableBuilder::onRoomReport(TimePoint now)
+{
+    for (const auto &[service, sharing] : roomSharings_)
+        sharing->onReport(now);
+}
+
 // A new process starts without observations; those of its predecessor do not apply to it. An entry
 // with an earlier start than the last one is of a former process, and the store applied it late, or
 // of a new one on a host whose clock was set back; so it ends no cold start, but may begin one.
@@ -292,9 +324,14 @@
     TimePoint now)
 {
     CandidateGroups groups;
+    std::size_t choices = 0;
     for (const Candidate &candidate : routes.candidates_) {
         if (!candidate.takesNewWork_ || contains(tried, candidate.backend_.name_))
             continue;
+        choices += candidate.stats_->room().hasKnownRoom(candidate.maxLoad(),
+                                                         candidate.stats_->inFlight(), now)
+                       ? 1
+                       : 0;
         const std::uint32_t limit = candidate.currentLimit();
         groups.hasPermitted_ = groups.hasPermitted_ || limit > 0;
         const bool isFull
@@ -310,6 +347,8 @@
         else
             groups.usable_.push_back(&candidate);
     }
+    if (!routes.candidates_.empty() && routes.candidates_.front().sharing_)
+        routes.candidates_.front().sharing_->setChoices(std::max<std::size_t>(1, choices));
     return groups;
 }
 
