Hosts tell each other the load of back ends

Traffic threads read them in the stats of their routing table's back ends. On only where back ends report their load; sibling.share_room switches it off.

--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -93,7 +93,8 @@
     [[nodiscard]] double usualPace() const;
     /// @return whether the back end has neither answered this host nor reported its load.
     [[nodiscard]] bool isUntried() const;
-    /// @return whether the back end has answered or reported its load within the last 5 s.
+    /// @return whether the back end has answered any host, or reported its load, within the last
+    ///         5 s.
     [[nodiscard]] bool hasAnsweredLately(TimePoint now) const;
     /// @return the estimated number of requests that run or wait at the back end.
     [[nodiscard]] double load(TimePoint now) const;
--- a/include/pimentostage/backend/RoomEstimate.h
+++ b/include/pimentostage/backend/RoomEstimate.h
@@ -15,6 +15,9 @@
 /// other hosts send before they know.
 inline constexpr double kMaxOwnerLoadPerSlot = 3;
 
+/// An older observation, or sharing without reports for this time, counts as none.
+inline constexpr Duration kRoomExpiry = std::chrono::seconds(2);
+
 /// A back end's load as one host observed it.
 struct RoomObservation
 {
@@ -88,6 +91,12 @@
     /// Records that this host has sent a request.
     void onSent(TimePoint now);
 
+    /// @return when the back end last answered a host; TimePoint {} if it has not.
+    [[nodiscard]] TimePoint answeredAt() const
+    {
+        return TimePoint(Duration(answeredAt_.load(std::memory_order_relaxed)));
+    }
+
     /// @return the newest observation.
     [[nodiscard]] RoomObservation newest() const;
 
@@ -121,6 +130,7 @@
     std::atomic<double> pace_ { 1 };
     std::atomic<bool> isFull_ { false };
     std::atomic<Duration::rep> observedAt_ { 0 }; ///< 0 before the first observation
+    std::atomic<Duration::rep> answeredAt_ { 0 }; ///< the newest one without isFull_
     std::atomic<std::uint32_t> sentSince_ { 0 }; ///< by this host since the newest observation
     std::atomic<Duration::rep> sentAt_ { 0 };
     std::atomic<double> rate_ { 0 }; ///< requests/s of this host, at sentAt_
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -6,6 +6,7 @@
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Allowance.h"
 #include "pimentostage/sibling/Membership.h"
+#include "pimentostage/sibling/RoomDigest.h"
 
 #include <optional>
 #include <string>
@@ -169,12 +170,18 @@
     std::vector<std::string> names_;
 };
 
+/// Observations of back ends that the sender has made or heard of lately, newest first.
+struct RoomReport
+{
+    std::vector<RoomDelta> deltas_;
+};
+
 /// Any message between entry hosts. The index of an alternative is its number on the wire.
 using SiblingMessage
     = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
                    ReleaseRequest, ReleaseReply, StepDown, AllowanceRequests, AllowanceReplies,
                    AllowanceReclaim, BackendColdState, KeyLoad, RouterGrant, RouterGrantReply,
-                   LeavingHostsPull, LeavingHosts>;
+                   LeavingHostsPull, LeavingHosts, RoomReport>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/include/pimentostage/sibling/RoomDigest.h
+++ b/include/pimentostage/sibling/RoomDigest.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -32,9 +33,13 @@
 class RoomDigest
 {
 public:
-    /// Adds an observation of this host or of a sibling.
+    /// Adds an observation of this host.
     /// @return whether it is newer than the one known.
     bool add(BackendNumber backend, const RoomObservation &observation);
+    /// Adds an observation that a sibling has sent.
+    /// @return whether it is newer than the one known. Its age lacks the times that it spent on the
+    ///         way, so that one known already may seem newer; a small difference does not count.
+    bool addReceived(BackendNumber backend, const RoomObservation &observation);
 
     /// @return the @p count newest observations that were sent least often, newest first; each call
     ///         counts as one transmission of those returned. Expired ones are dropped.
@@ -46,6 +51,9 @@
     [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
 private:
+    bool addIfNewerBy(Duration difference, BackendNumber backend,
+                      const RoomObservation &observation);
+
     struct Entry
     {
         RoomObservation observation_;
--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -111,9 +111,9 @@
 
 bool BackendStats::hasAnsweredLately(TimePoint now) const
 {
-    const Duration::rep last = std::max(answeredAt_.load(std::memory_order_relaxed),
-                                        reportedAt_.load(std::memory_order_relaxed));
-    return last != 0 && now - TimePoint(Duration(last)) < kLatelyAnswered;
+    const TimePoint answered { Duration(answeredAt_.load(std::memory_order_relaxed)) };
+    const TimePoint last = std::max(answered, room_.answeredAt());
+    return last != TimePoint {} && now - last < kLatelyAnswered;
 }
 
 double BackendStats::pace(TimePoint now) const
--- a/src/backend/RoomEstimate.cpp
+++ b/src/backend/RoomEstimate.cpp
@@ -7,10 +7,8 @@
 
 namespace {
 
-// An older observation only limits a host to one request at a time: the back end may be full.
+// An older observation only limits a host to its part of the room: the back end may be full.
 constexpr Duration kFreshAge = std::chrono::seconds(1);
-// An older observation, or sharing without reports for this time, counts as none.
-constexpr Duration kExpiry = std::chrono::seconds(2);
 // Time constant of a host's rate to one back end. With 88 hosts and 130 back ends a host sends one
 // request in 20 s to each, so that a shorter one would give zero almost always.
 constexpr double kRateSeconds = 10;
@@ -36,7 +34,7 @@
 bool RoomSharing::isActive(TimePoint now) const
 {
     const Duration::rep at = reportedAt_.load(std::memory_order_relaxed);
-    return hosts() >= 2 && at != 0 && now - TimePoint(Duration(at)) < kExpiry;
+    return hosts() >= 2 && at != 0 && now - TimePoint(Duration(at)) < kRoomExpiry;
 }
 
 void RoomSharing::onSent(TimePoint now)
@@ -69,6 +67,8 @@
     pace_.store(observation.pace_, std::memory_order_relaxed);
     isFull_.store(observation.isFull_, std::memory_order_relaxed);
     observedAt_.store(at, std::memory_order_relaxed);
+    if (!observation.isFull_)
+        answeredAt_.store(at, std::memory_order_relaxed);
     // Requests sent after the observation stay counted; without their times, all that are counted
     // since the one before are taken for later ones.
     if (sentAt_.load(std::memory_order_relaxed) <= at)
@@ -117,7 +117,7 @@
 double RoomEstimate::load(std::uint32_t inFlight, const Rivals &rivals, Duration latency,
                           TimePoint now) const
 {
-    const double seconds = toSeconds(std::min(age(now), kExpiry));
+    const double seconds = toSeconds(std::min(age(now), kRoomExpiry));
     const double running = running_.load(std::memory_order_relaxed);
     const double others = rivals.rate_ * seconds;
     // The answers include the time in the back end's queue, so this is rather too low.
@@ -136,8 +136,9 @@
     const bool isFull = isFull_.load(std::memory_order_relaxed) || known >= limit;
     if (age(now) >= kFreshAge) {
         // The back end may still be full, and one request of each host would be too many.
-        const bool mayBeFull = isFull && age(now) < kExpiry;
-        return inFlight == 0 && (!mayBeFull || hasTicket(limit, rivals));
+        const bool mayBeFull = isFull && age(now) < kRoomExpiry;
+        const double part = limit / static_cast<double>(rivals.hosts_);
+        return inFlight < std::max(1.0, part) && (!mayBeFull || hasTicket(limit, rivals));
     }
     return !isFull
            && (load(inFlight, rivals, latency, now) < limit || hasTicket(limit - known, rivals));
@@ -154,7 +155,7 @@
 Duration RoomEstimate::age(TimePoint now) const
 {
     const Duration::rep at = observedAt_.load(std::memory_order_relaxed);
-    return at == 0 ? kExpiry : now - TimePoint(Duration(at));
+    return at == 0 ? kRoomExpiry : now - TimePoint(Duration(at));
 }
 
 double RoomEstimate::ownRate(TimePoint now) const
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -33,6 +33,7 @@
     Ranges,
     Registrar,
     Publisher,
+    Room,
 };
 
 std::uint64_t seedFor(std::uint64_t seed, RandomStream stream)
@@ -96,6 +97,8 @@
                  [this](const StoredObject &object) { onOwnWrite(object); })
     , members_(self_, Random(seedFor(ports.seed_, RandomStream::Members)), options.membership_,
                config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
+    , room_(self_.member_.host_, members_.membership(), siblings_, tableBuilder_,
+            Random(seedFor(ports.seed_, RandomStream::Room)), log, metrics)
     , publisher_(self_, config_, members_.membership(), siblings_,
                  Random(seedFor(ports.seed_, RandomStream::Publisher)))
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomStream::Roles)), store_, siblings_,
@@ -121,6 +124,7 @@
 {
     fleetState_.router_ = self_.member_.incarnation_;
     fleetState_.zone_ = self_.zone_;
+    fleetState_.sharesRoom_ = options_.sharesRoom_;
 }
 
 void ControlCore::start()
@@ -337,6 +341,7 @@
     }
     void operator()(const LeavingHostsPull &) const { core_.onLeavingHostsPull(host(), now_); }
     void operator()(const LeavingHosts &message) const { core_.onLeavingHosts(message, now_); }
+    void operator()(const RoomReport &message) const { core_.room_.onMessage(message, now_); }
     void operator()(const AllowanceReclaim &message) const
     {
         core_.allowance_.onMessage(host(), message, now_);
@@ -374,6 +379,7 @@
     ranges_.setStoreGeneration(generationOf(config_.revision()));
     ranges_.tick(now);
     allowance_.tick(now);
+    room_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
     if (const auto age = config_.age(now)) {
@@ -502,6 +508,7 @@
     view->configValidity_ = configValidity_;
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
+    room_.setTable(*view->routing_);
     routing_.publish(view->routing_);
     views_.publish(std::move(view));
 }
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -21,6 +21,7 @@
 #include "src/daemon/PlacementControl.h"
 #include "src/daemon/RangeControl.h"
 #include "src/daemon/RoleControl.h"
+#include "src/daemon/RoomControl.h"
 
 #include <atomic>
 #include <memory>
@@ -151,6 +152,7 @@
     TimePoint nextGaugeUpdate_ {};
     std::uint64_t routersViewNumber_ = 0; ///< of the view last passed to placement_; 0 for none
     MemberControl members_;
+    RoomControl room_;
     ConfigPublisher publisher_;
     RoleControl roles_;
     PlacementControl placement_;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -41,6 +41,7 @@
     options.readerSilence_ = readerSilenceOf(settings);
     options.maxBackendsAge_ = maxBackendsAgeOf(settings);
     options.maxZonesAge_ = maxZonesAgeOf(settings);
+    options.sharesRoom_ = settings.siblingShareRoom_;
     options.majorityConfirms_ = settings.controlMajorityConfirms_;
     options.membership_.probePeriod_ = settings.siblingProbePeriod_;
     options.membership_.directTimeout_ = settings.siblingProbeTimeout_;
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -101,6 +101,8 @@
                  10, 10'000, "Timeout of a probe." },
     SettingRow { "sibling", "suspicion_ms", &Settings::siblingSuspicionTimeout_, Presence::Optional,
                  10, 10'000, "Time after which a suspected host is declared dead." },
+    SettingRow { "sibling", "share_room", &Settings::siblingShareRoom_, Presence::Optional, 0, 0,
+                 "Whether hosts tell each other which back ends have room; equal on all hosts." },
     SettingRow { "control", "tick_ms", &Settings::controlTick_, Presence::Optional, 1, 1000,
                  "Period at which the control thread runs its timers." },
     SettingRow {
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -273,6 +273,19 @@
     archive(message.names_);
 }
 
+template <typename Archive>
+void visitFields(Archive &archive, RoomDelta &delta)
+{
+    archive(delta.backend_, delta.running_, delta.waiting_, delta.pacePercent_, delta.isFull_,
+            delta.ageMs_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, RoomReport &message)
+{
+    archive(message.deltas_);
+}
+
 /// Archive that appends fields to a JSON array.
 class Writer
 {
--- a/src/sibling/RoomDigest.cpp
+++ b/src/sibling/RoomDigest.cpp
@@ -16,6 +16,9 @@
 // use to them.
 constexpr Duration kMaxSentAge = std::chrono::seconds(1);
 
+// Longer than a message takes between two data centres, from one control thread to the other.
+constexpr Duration kTransitTime = std::chrono::milliseconds(20);
+
 std::uint16_t clamped(double value)
 {
     constexpr double kMax = std::numeric_limits<std::uint16_t>::max();
@@ -30,9 +33,20 @@
 }
 
 bool RoomDigest::add(BackendNumber backend, const RoomObservation &observation)
+{
+    return addIfNewerBy(Duration::zero(), backend, observation);
+}
+
+bool RoomDigest::addReceived(BackendNumber backend, const RoomObservation &observation)
+{
+    return addIfNewerBy(kTransitTime, backend, observation);
+}
+
+bool RoomDigest::addIfNewerBy(Duration difference, BackendNumber backend,
+                              const RoomObservation &observation)
 {
     const auto [entry, isNew] = entries_.try_emplace(backend);
-    if (!isNew && observation.at_ <= entry->second.observation_.at_)
+    if (!isNew && observation.at_ <= entry->second.observation_.at_ + difference)
         return false;
     entry->second = { observation, 0 };
     return true;
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -90,7 +90,8 @@
              RouterGrant { grant },
              RouterGrantReply { grant.service_, reply },
              LeavingHostsPull {},
-             LeavingHosts { { "permits-1" } } };
+             LeavingHosts { { "permits-1" } },
+             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } } };
 }
 
 // Guards against the end of the process by a frame of nested arrays: the reader recurses for each
--- a/tests/RoomEstimateTest.cpp
+++ b/tests/RoomEstimateTest.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr double kLimit = 4 * kMaxLoadPerSlot; ///< of a back end with 4 slots
-constexpr Rivals kNoRivals { 2, 0, 1 };
+constexpr Rivals kNoRivals { 88, 0, 1 };
 
 class RoomEstimateTest : public testing::Test
 {
@@ -35,6 +35,13 @@
     EXPECT_FALSE(hasRoom(1));
 }
 
+// Guards against a burst that waits at the few hosts of a small deployment for the first answers.
+TEST_F(RoomEstimateTest, WithoutAnObservationFewHostsMaySendTheirPartOfTheRoom)
+{
+    EXPECT_TRUE(hasRoom(3, { 2, 0, 1 }));
+    EXPECT_FALSE(hasRoom(4, { 2, 0, 1 }));
+}
+
 TEST_F(RoomEstimateTest, AFullBackEndHasNoRoom)
 {
     observe(4, 1);
--- a/tests/fakes/RoomFleet.cpp
+++ b/tests/fakes/RoomFleet.cpp
@@ -82,6 +82,7 @@
         backend.slots_ = kSlots;
         backend.connections_ = 590;
         configuration.backends_[backend.name_] = backend;
+        indexByNumber_[backendNumberOf(backend.name_.str())] = i;
     }
     rate_ = case_.load_ * capacity;
     for (std::size_t i = 0; i < case_.hosts_; ++i) {
@@ -293,10 +294,10 @@
             receiver.builder_.onRoomReport(now());
             for (const RoomDelta &delta : deltas) {
                 const RoomObservation observation = RoomDigest::observationOf(delta, now());
-                for (const Candidate &candidate : receiver.routes().candidates_) {
-                    if (backendNumberOf(candidate.backend_.name_.str()) == delta.backend_)
-                        candidate.stats_->room().onObservation(observation);
-                }
+                if (receiver.digest_.addReceived(delta.backend_, observation))
+                    receiver.stats(indexByNumber_.at(delta.backend_))
+                        .room()
+                        .onObservation(observation);
             }
         });
     }
--- a/tests/fakes/RoomFleet.h
+++ b/tests/fakes/RoomFleet.h
@@ -29,7 +29,7 @@
     /// multiple of the others' requests.
     double hotOwners_ = 0;
     RoomMode mode_ = RoomMode::Shared;
-    std::size_t deltasPerMessage_ = 40;
+    std::size_t deltasPerMessage_ = 34; ///< as RoomControl in a fleet below 500 hosts
     Duration period_ = std::chrono::milliseconds(100);
     std::size_t receivers_ = 2; ///< siblings to which a host sends in each period
     double partitioned_ = 0; ///< share of the hosts that exchange no messages with the others
@@ -87,6 +87,7 @@
     EventQueue events_;
     std::vector<std::unique_ptr<Worker>> workers_;
     std::vector<std::unique_ptr<Host>> hosts_;
+    std::unordered_map<BackendNumber, std::size_t> indexByNumber_;
     double rate_ = 0; ///< arrivals/s
     RoomResult result_;
     std::vector<double> times_;
