--- a/src/backend/BackendStats.cpp
+++ b/src/backend/BackendStats.cpp
@@ -25,6 +25,9 @@
 // Weight of one outcome in the failure share, and the time constant with which the share decays.
 constexpr double kOutcomeWeight = 0.15;
 constexpr Duration kOutcomeTimeConstant = std::chrono::seconds(3);
+// A back end that answered within this time and closes a connection is full rather than broken: it
+// is several times the longest usual answer, and as long as the shortest deadlines.
+constexpr Duration kLatelyAnswered = std::chrono::seconds(5);
 // Latency in seconds assumed before the first answer.
 constexpr double kDefaultLatency = 0.001;
 
@@ -70,6 +73,12 @@
     ejectedUntil_.store(until.time_since_epoch().count(), std::memory_order_relaxed);
 }
 
+void BackendStats::onFull(TimePoint now)
+{
+    countOutcome(true, now);
+    room_.onFull(now);
+}
+
 void BackendStats::onLoadReport(const LoadReport &report, TimePoint now)
 {
     reportedRequests_.store(report.running_ + report.waiting_, std::memory_order_relaxed);
@@ -79,6 +88,7 @@
     usualPace_.store(isFaster ? report.pace_ : usual + kUsualPaceWeight * (report.pace_ - usual),
                      std::memory_order_relaxed);
     reportedAt_.store(now.time_since_epoch().count(), std::memory_order_relaxed);
+    room_.onObservation({ report.running_, report.waiting_, report.pace_, false, now });
 }
 
 bool BackendStats::onIncarnation(std::uint64_t incarnation)
@@ -99,6 +109,13 @@
            && reportedAt_.load(std::memory_order_relaxed) == 0;
 }
 
+bool BackendStats::hasAnsweredLately(TimePoint now) const
+{
+    const TimePoint answered { Duration(answeredAt_.load(std::memory_order_relaxed)) };
+    const TimePoint last = std::max(answered, room_.answeredAt());
+    return last != TimePoint {} && now - last < kLatelyAnswered;
+}
+
 double BackendStats::pace(TimePoint now) const
 {
     const double usual = usualPace();
