--- a/bench/RoomBench.cpp
+++ b/bench/RoomBench.cpp
@@ -147,6 +147,19 @@
             print(("shared, " + std::to_string(deltas) + " a message").c_str(), roomCase);
         }
     }
+    for (const double load : { 0.7, 1.2 }) {
+        RoomCase roomCase;
+        roomCase.hosts_ = 87;
+        roomCase.backends_ = 117;
+        roomCase.slots_ = 6;
+        roomCase.queue_ = 24;
+        roomCase.meanWork_ = 0.54;
+        roomCase.load_ = load;
+        roomCase.mode_ = RoomMode::Undistinguished;
+        print("6 slots, undist.", roomCase);
+        roomCase.mode_ = RoomMode::Shared;
+        print("6 slots, shared", roomCase);
+    }
     for (const double hot : { 4.0, 9.0 }) {
         RoomCase roomCase;
         roomCase.load_ = 0.55;
--- a/tests/fakes/RoomFleet.cpp
+++ b/tests/fakes/RoomFleet.cpp
@@ -9,9 +9,6 @@
 
 using namespace std::chrono_literals;
 
-constexpr std::uint32_t kSlots = 4;
-constexpr std::size_t kQueue = 16;
-constexpr double kMeanWork = 0.35; ///< s, at the usual speed
 constexpr Duration kDelay = 1ms; ///< of the network, one way
 constexpr Duration kPollPeriod = 10ms;
 constexpr Duration kMaxWait = 375ms; ///< a quarter of an objective of 1,500 ms
@@ -75,11 +72,11 @@
         workers_.push_back(std::make_unique<Worker>());
         workers_.back()->speed_
             = 0.5 + static_cast<double>(i) / static_cast<double>(case_.backends_ - 1);
-        capacity += workers_.back()->speed_ * kSlots / kMeanWork;
+        capacity += workers_.back()->speed_ * case_.slots_ / case_.meanWork_;
         Backend backend;
         backend.name_ = BackendName(std::to_string(1000 + i));
         backend.service_ = service.name_;
-        backend.slots_ = kSlots;
+        backend.slots_ = case_.slots_;
         backend.connections_ = 590;
         configuration.backends_[backend.name_] = backend;
         indexByNumber_[backendNumberOf(backend.name_.str())] = i;
@@ -131,7 +128,8 @@
         Host &host = *hosts_[random_.below(hosts_.size())];
         auto request = std::make_shared<Request>();
         request->since_ = now();
-        request->work_ = std::exponential_distribution<double>(1 / kMeanWork)(random_.engine());
+        request->work_
+            = std::exponential_distribution<double>(1 / case_.meanWork_)(random_.engine());
         request->owner_ = case_.hotOwners_ > 0 ? drawOwner() : 0;
         trySend(host, request, false);
         arrive();
@@ -217,9 +215,9 @@
 void RoomFleet::reach(Host &host, std::size_t index, const std::shared_ptr<Request> &request)
 {
     Worker &worker = *workers_[index];
-    if (worker.running_ < kSlots) {
+    if (worker.running_ < case_.slots_) {
         work(index, host, request);
-    } else if (worker.queue_.size() < kQueue) {
+    } else if (worker.queue_.size() < case_.queue_) {
         worker.queue_.emplace_back(&host, request);
     } else {
         ++result_.rejected_;
@@ -305,7 +303,7 @@
 
 bool RoomFleet::hasRoom(std::size_t owner) const
 {
-    const auto isFree = [](const auto &worker) { return worker->running_ < kSlots; };
+    const auto isFree = [this](const auto &worker) { return worker->running_ < case_.slots_; };
     if (case_.hotOwners_ > 0)
         return isFree(workers_[owner]);
     const auto free = std::count_if(workers_.begin(), workers_.end(), isFree);
--- a/tests/fakes/RoomFleet.h
+++ b/tests/fakes/RoomFleet.h
@@ -24,6 +24,9 @@
 {
     std::size_t hosts_ = 88;
     std::size_t backends_ = 130;
+    std::uint32_t slots_ = 4; ///< of each back end
+    std::size_t queue_ = 16; ///< of each back end
+    double meanWork_ = 0.35; ///< s, at the usual speed
     double load_ = 0.7; ///< relative to the capacity of all back ends
     /// If not 0, each request may go to one back end only, and one in twenty of them gets this
     /// multiple of the others' requests.
