--- a/src/daemon/RoomControl.cpp
+++ b/src/daemon/RoomControl.cpp
@@ -16,8 +16,9 @@
 constexpr Duration kPeriod = std::chrono::milliseconds(100);
 constexpr Duration kLargeFleetPeriod = std::chrono::milliseconds(200);
 // Bytes/s that a host sends, and on average receives. Of the 28 KB/s for all control traffic of a
-// host in a large fleet, its share is 4 KB/s.
-constexpr double kBytesPerSecond = 12'288;
+// host in a large fleet, its share is 4 KB/s. A smaller one has less other traffic, and with 390
+// back ends half of that left twice as many arrivals rejected at 1.2 times the capacity.
+constexpr double kBytesPerSecond = 24'576;
 constexpr double kLargeFleetBytesPerSecond = 4096;
 // Frame, envelope and the headers of TCP and IP, its acknowledgement included.
 constexpr double kMessageBytes = 100;
