--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -67,9 +67,9 @@
     }
 
     /// @return whether another request may be sent there: its cold start rate allows it and, by the
-    ///         last load reports, the request will not wait long for a slot. While hosts share their
-    ///         observations, RoomEstimate decides on the load; otherwise at least one request from
-    ///         this host is allowed regardless of load, because answers carry the reports.
+    ///         last load reports, the request will not wait long for a slot. While hosts share
+    ///         their observations, RoomEstimate decides on the load; otherwise at least one request
+    ///         from this host is allowed regardless of load, because answers carry the reports.
     [[nodiscard]] bool hasCapacity(TimePoint now) const;
 
     /// Counts a request as in flight if the back end has capacity for it.
