--- a/tests/fakes/RoomFleet.h
+++ b/tests/fakes/RoomFleet.h
@@ -24,12 +24,15 @@
 {
     std::size_t hosts_ = 88;
     std::size_t backends_ = 130;
+    std::uint32_t slots_ = 4; ///< of each back end
+    std::size_t queue_ = 16; ///< of each back end
+    double meanWork_ = 0.35; ///< s, at the usual speed
     double load_ = 0.7; ///< relative to the capacity of all back ends
     /// If not 0, each request may go to one back end only, and one in twenty of them gets this
     /// multiple of the others' requests.
     double hotOwners_ = 0;
     RoomMode mode_ = RoomMode::Shared;
-    std::size_t deltasPerMessage_ = 34; ///< as RoomControl in a fleet below 500 hosts
+    std::size_t deltasPerMessage_ = 75; ///< as RoomControl in a fleet below 500 hosts
     Duration period_ = std::chrono::milliseconds(100);
     std::size_t receivers_ = 2; ///< siblings to which a host sends in each period
     double partitioned_ = 0; ///< share of the hosts that exchange no messages with the others
