--- a/bin/fleet.sh
+++ b/bin/fleet.sh
@@ -106,13 +106,15 @@
 }
 
 # start_unregistered NUMBER ZONE: starts an entry host on its ports of the claimed range without
-# registering it. caller_settings may hold further lines of the section [caller].
+# registering it. host_settings and caller_settings may hold further lines of the sections [host] and
+# [caller]; entry_descriptors limits the open descriptors of the process.
 start_unregistered() {
     local number=$1 zone=$2 name=entry-$1
     cat >"$run_folder/$name.ini" <<INI
 [host]
 name = $name
 zone = $zone
+${host_settings:-}
 [caller]
 address = 127.0.0.1:$(entry_port "$number")
 ${caller_settings:-}
@@ -123,7 +125,8 @@
 [platform]
 url = http://$store_address
 INI
-    start "$name" "$build/pimentostaged" --config="$run_folder/$name.ini"
+    start "$name" bash -c "ulimit -n ${entry_descriptors:-$(ulimit -n)}; exec \"\$@\"" - \
+        "$build/pimentostaged" --config="$run_folder/$name.ini"
 }
 
 wait_entry() {
--- a/tools/BackendStandin.cpp
+++ b/tools/BackendStandin.cpp
@@ -18,6 +18,7 @@
 constexpr int kConflict = 409;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
+constexpr std::size_t kMaxHeadBytes = std::size_t { 64 } << 10U;
 constexpr Duration kLateAnswerDelay = std::chrono::milliseconds(700);
 
 Incarnation newIncarnation()
@@ -87,6 +88,8 @@
     options.address_ = address;
     options.threads_ = 1;
     options.threadName_ = "backend";
+    // Pistache counts the head as well.
+    options.maxRequestBytes_ = options_.maxRequestBytes_ + kMaxHeadBytes;
     return server_.start(options, [this] {
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
@@ -261,6 +264,7 @@
         unanswered_.push_back(exchange);
         return;
     }
+    body.resize(std::max(body.size(), options_.minAnswerBytes_), ' ');
     ServerAnswer answer { status, "application/json", {}, std::move(body) };
     std::string id = exchange->id_;
     if (faults_.crossAnswers_ > 0) {
--- a/tools/BackendStandin.h
+++ b/tools/BackendStandin.h
@@ -22,6 +22,8 @@
     std::uint32_t queueLimit_ = 12; ///< maximum number of waiting requests; 0 applies while cold
     Duration serviceTime_ = std::chrono::milliseconds(2); ///< mean service time of a request
     Duration coldTime_ {}; ///< time from start until all slots are usable
+    std::size_t minAnswerBytes_ = 0; ///< of an answer's body, which is filled with blanks
+    std::size_t maxRequestBytes_ = HttpServerOptions().maxRequestBytes_; ///< of one body
     bool checksFence_ = true; ///< whether requests for a unit need a valid grant
 };
 
--- a/tools/backend-standin.cpp
+++ b/tools/backend-standin.cpp
@@ -11,6 +11,9 @@
           "maximum number of requests that wait for a slot; none wait while it is cold");
 ABSL_FLAG(double, service_ms, 2, "mean service time, in milliseconds");
 ABSL_FLAG(double, cold_ms, 0, "time from start until all slots are usable, in milliseconds");
+ABSL_FLAG(uint32_t, answer_bytes, 0,
+          "minimum size of an answer's body, which is filled with blanks");
+ABSL_FLAG(uint32_t, max_request_bytes, 1U << 20U, "maximum size of a request's body");
 ABSL_FLAG(bool, check_fence, true, "whether to check the grant and epoch of each request");
 
 int main(int argc, char **argv)
@@ -34,6 +37,8 @@
         = pimentostage::fromSeconds(absl::GetFlag(FLAGS_service_ms) / kMillisecondsPerSecond);
     options.coldTime_
         = pimentostage::fromSeconds(absl::GetFlag(FLAGS_cold_ms) / kMillisecondsPerSecond);
+    options.minAnswerBytes_ = absl::GetFlag(FLAGS_answer_bytes);
+    options.maxRequestBytes_ = absl::GetFlag(FLAGS_max_request_bytes);
     options.checksFence_ = absl::GetFlag(FLAGS_check_fence);
     const sigset_t signals = pimentostage::blockStopSignals();
     pimentostage::BackendStandin standin(options);
