One ledger for the memory of messages; unread answers count; no copies of bodies

Cause: a process of 120 MB was ended by legal clients. A body existed three times (ForwardRequest, HttpRequest, and the write buffer of the connection, which kept its capacity while idle); an answer was copied into a write buffer and not counted while its caller did not read it; and an assignment of an empty string kept the memory of a written answer for as long as the connection was open.

MemoryBudget has an account for each purpose with a limit. ByteBudget and AnswerMemory count in it. Limits follow from the setting host.memory_mb (0: fixed limits as before): their sum with the process's base use is below the machine's memory, else the settings are rejected. A body is shared by a request and all its attempts and written without a copy. Answers that callers have not taken are counted; above the limit the connection with the most is closed. A large body that cannot be taken takes the place of a larger one that has made no progress for 1 s, which gets 408. The allocator returns freed memory of 128 KiB and more at once. The gauges pimento_memory_* show use, limit and refusals by account.

--- a/bench/BenchFleet.cpp
+++ b/bench/BenchFleet.cpp
@@ -219,7 +219,7 @@
     HttpRequest request;
     request.method_ = method;
     request.url_ = url;
-    request.body_ = body;
+    request.body_ = sharedBody(body);
     if (!team.empty())
         request.headers_.push_back({ "Authorization", "Bearer " + teamSecret(team) });
     return http_.fetch(request);
--- a/include/pimentostage/base/AnswerMemory.h
+++ b/include/pimentostage/base/AnswerMemory.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "pimentostage/base/MemoryBudget.h"
+
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -17,9 +20,17 @@
     using AnswerId = std::uint64_t;
 
     /// @param maxBytes limit of the memory that all unfinished answers occupy together.
-    explicit AnswerMemory(std::size_t maxBytes)
+    /// @param memory if set, where the bytes are counted, in @p account.
+    explicit AnswerMemory(std::size_t maxBytes, std::shared_ptr<MemoryBudget> memory = nullptr,
+                          MemoryAccount account = MemoryAccount::BackendAnswers)
         : maxBytes_(maxBytes)
+        , memory_(std::move(memory))
+        , account_(account)
     { }
+    ~AnswerMemory();
+
+    AnswerMemory(const AnswerMemory &) = delete;
+    AnswerMemory &operator=(const AnswerMemory &) = delete;
 
     /// Records that the unfinished answer @p id now occupies @p bytes.
     void update(AnswerId id, std::size_t bytes);
@@ -37,6 +48,8 @@
 
 private:
     const std::size_t maxBytes_;
+    const std::shared_ptr<MemoryBudget> memory_;
+    const MemoryAccount account_;
     std::size_t totalBytes_ = 0;
     std::unordered_map<AnswerId, std::size_t> bytes_;
     std::set<std::pair<std::size_t, AnswerId>> bySize_;
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -3,9 +3,11 @@
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,6 +20,7 @@
     std::string zone_;
     bool hostFirstStart_ = false; ///< the whole fleet starts for the first time
     double hostCores_ = 1; ///< CPU time that this host may use, in cores
+    std::int64_t hostMemoryMb_ = 0; ///< memory of the machine, in 1,000,000 bytes; 0: unknown
 
     Address callerAddress_;
     std::int64_t callerMaxConnections_ = 10'000;
@@ -70,6 +73,11 @@
     std::int64_t logCapacity_ = 16'384;
 };
 
+/// @return the memory of the machine in bytes, 0 if it is unknown.
+[[nodiscard]] std::size_t memoryBytesOf(const Settings &settings);
+/// @return the limits of the memory that messages may occupy, or nothing if the machine's memory is
+///         too small for the largest body that is allowed.
+[[nodiscard]] std::optional<MemoryLimits> memoryLimitsOf(const Settings &settings);
 /// @return the timeout for running requests on shutdown, counted from the end of the notice.
 [[nodiscard]] Duration drainTimeoutOf(const Settings &settings);
 /// @return the age of the last confirmation from which a host reads the store itself.
--- a/src/backend/BackendClient.cpp
+++ b/src/backend/BackendClient.cpp
@@ -43,7 +43,11 @@
     const auto threads = static_cast<long>(options.loop_ ? 1 : options.threads_);
     http.connectionsPerPeer_ = std::max(1L, options.connectionsPerBackend_ / threads);
     http.maxIdleAge_ = options.maxIdleAge_;
-    http.maxUnfinishedBytes_ = kMaxUnfinishedBytes / static_cast<std::size_t>(threads);
+    http.memory_ = options.memory_;
+    const std::size_t limit = options.memory_
+                                  ? options.memory_->limit(MemoryAccount::BackendAnswers)
+                                  : kMaxUnfinishedBytes;
+    http.maxUnfinishedBytes_ = limit / static_cast<std::size_t>(threads);
     return http;
 }
 
--- a/src/backend/BackendClient.h
+++ b/src/backend/BackendClient.h
@@ -38,7 +38,7 @@
     std::string path_;
     std::string host_; ///< virtual host given by the caller; empty if none
     std::vector<HttpHeader> headers_; ///< headers of the caller's request to pass on
-    std::string body_;
+    SharedBody body_;
     bool idempotent_ = false;
     double share_ = 1; ///< the team's weight when capacity is scarce
     double cost_ = 1; ///< relative cost of the request's kind
@@ -69,6 +69,7 @@
     double hedgeShare_ = 0.05;
     bool hedging_ = true;
     FairQueueOptions queue_;
+    std::shared_ptr<MemoryBudget> memory_; ///< if set, where unfinished answers are counted
 };
 
 /// Receives observations of the traffic threads; called on them.
--- a/src/backend/HttpBackendLink.cpp
+++ b/src/backend/HttpBackendLink.cpp
@@ -40,7 +40,7 @@
     HttpRequest request;
     request.method_ = "POST";
     request.url_ = "http://" + backend.str() + kGrantPath;
-    request.body_ = formatGrant(grant);
+    request.body_ = sharedBody(formatGrant(grant));
     request.expectedId_ = "grant-" + std::to_string(grant.sequence_);
     request.headers_.push_back({ kRequestIdHeader, request.expectedId_ });
     send(std::move(request), [done = std::move(done)](const HttpResult &result) {
--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -57,12 +57,12 @@
 {
     HttpRequest request;
     request.url_ = kGrantPath;
-    request.body_ = nlohmann::json({ { "from", order.range_.from_ },
-                                     { "to", order.range_.to_ },
-                                     { "epoch", order.epoch_.value_ },
-                                     { "hold_ms", toMilliseconds(order.holdDuration_) },
-                                     { "handover", order.handover_ } })
-                        .dump();
+    request.body_ = sharedBody(nlohmann::json({ { "from", order.range_.from_ },
+                                                { "to", order.range_.to_ },
+                                                { "epoch", order.epoch_.value_ },
+                                                { "hold_ms", toMilliseconds(order.holdDuration_) },
+                                                { "handover", order.handover_ } })
+                                   .dump());
     return request;
 }
 
@@ -70,10 +70,10 @@
 {
     HttpRequest request;
     request.url_ = kReleasePath;
-    request.body_ = nlohmann::json({ { "from", order.range_.from_ },
-                                     { "to", order.range_.to_ },
-                                     { "epoch", order.epoch_.value_ } })
-                        .dump();
+    request.body_ = sharedBody(nlohmann::json({ { "from", order.range_.from_ },
+                                                { "to", order.range_.to_ },
+                                                { "epoch", order.epoch_.value_ } })
+                                   .dump());
     return request;
 }
 
--- a/src/base/AnswerMemory.cpp
+++ b/src/base/AnswerMemory.cpp
@@ -2,12 +2,22 @@
 
 namespace pimentostage {
 
+AnswerMemory::~AnswerMemory()
+{
+    if (memory_)
+        memory_->remove(account_, totalBytes_);
+}
+
 void AnswerMemory::update(AnswerId id, std::size_t bytes)
 {
     std::size_t &recorded = bytes_[id];
     bySize_.erase({ recorded, id });
     bySize_.emplace(bytes, id);
     totalBytes_ = totalBytes_ - recorded + bytes;
+    if (memory_) {
+        memory_->add(account_, bytes);
+        memory_->remove(account_, recorded);
+    }
     recorded = bytes;
 }
 
@@ -17,6 +27,8 @@
     if (found == bytes_.end())
         return;
     totalBytes_ -= found->second;
+    if (memory_)
+        memory_->remove(account_, found->second);
     bySize_.erase({ found->second, id });
     bytes_.erase(found);
 }
--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -58,8 +58,9 @@
 
 void BeastServer::Worker::add(tcp::socket socket)
 {
-    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket));
-    sessions_.insert(session);
+    const AnswerMemory::AnswerId id = ++lastSessionId_;
+    auto session = std::make_shared<Session>(shared_from_this(), std::move(socket), id);
+    sessions_.emplace(id, session);
     activeConnections_.fetch_add(1, std::memory_order_relaxed);
     session->start();
     scheduleSweep();
@@ -76,9 +77,7 @@
         if (error)
             return;
         const TimePoint now = BootClock::now();
-        const std::vector<std::shared_ptr<Session>> sessions(self->sessions_.begin(),
-                                                             self->sessions_.end());
-        for (const auto &session : sessions)
+        for (const auto &session : self->openSessions())
             session->checkTimeouts(now);
         self->scheduleSweep();
     });
@@ -87,11 +86,50 @@
 void BeastServer::Worker::closeIdle()
 {
     const TimePoint now = BootClock::now();
-    const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
-    for (const auto &session : sessions)
+    for (const auto &session : openSessions())
         session->closeIfIdle(now);
 }
 
+std::vector<std::shared_ptr<BeastServer::Session>> BeastServer::Worker::openSessions() const
+{
+    std::vector<std::shared_ptr<Session>> sessions;
+    sessions.reserve(sessions_.size());
+    for (const auto &[id, session] : sessions_)
+        sessions.push_back(session);
+    return sessions;
+}
+
+bool BeastServer::Worker::giveUpStalledRequest(std::size_t bytes)
+{
+    const TimePoint now = BootClock::now();
+    std::shared_ptr<Session> largest;
+    std::size_t largestBytes = bytes;
+    for (const auto &[id, session] : sessions_) {
+        const std::size_t unfinished = session->unfinishedBytes();
+        if (unfinished > largestBytes && session->isStalled(now)) {
+            largest = session;
+            largestBytes = unfinished;
+        }
+    }
+    if (!largest)
+        return false;
+    largest->giveUpUnfinished();
+    return true;
+}
+
+void BeastServer::Worker::giveUpUnreadAnswers()
+{
+    while (const auto id = unread_.answerToGiveUp()) {
+        options_.memory_->countRefusal(MemoryAccount::UnreadAnswers);
+        unread_.remove(*id);
+        const auto found = sessions_.find(*id);
+        if (found == sessions_.end())
+            continue;
+        const std::shared_ptr<Session> session = found->second;
+        session->close();
+    }
+}
+
 void BeastServer::Worker::close()
 {
     error_code ignored;
@@ -100,8 +138,7 @@
         acceptRetryTimer_->cancel();
     sweepTimer_.cancel();
     allWorkers_.clear();
-    const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(), sessions_.end());
-    for (const auto &session : sessions)
+    for (const auto &session : openSessions())
         session->close();
 }
 
@@ -116,17 +153,23 @@
     BeastServer::stop();
 }
 
-leaf::result<void> BeastServer::start(const HttpServerOptions &options, HandlerFactory factory)
+leaf::result<void> BeastServer::start(const HttpServerOptions &given, HandlerFactory factory)
 {
-    const auto bodyBudget = std::make_shared<ByteBudget>(options.maxBufferedBytes_);
+    HttpServerOptions options = given;
+    if (!options.memory_)
+        options.memory_ = std::make_shared<MemoryBudget>(defaultMemoryLimits());
+    const auto bodyBudget = std::make_shared<ByteBudget>(options.maxBufferedBytes_, options.memory_,
+                                                         MemoryAccount::CallerBodies);
+    const int threads = sharedLoop_ ? 1 : options.threads_;
+    const std::size_t maxUnreadBytes
+        = options.memory_->limit(MemoryAccount::UnreadAnswers) / static_cast<std::size_t>(threads);
     try {
-        const int threads = sharedLoop_ ? 1 : options.threads_;
         for (int i = 0; i < threads; ++i) {
             if (!sharedLoop_)
                 ownLoops_.push_back(std::make_unique<EventLoop>(options.threadName_));
             EventLoop &loop = sharedLoop_ ? *sharedLoop_ : *ownLoops_.back();
-            workers_.push_back(
-                std::make_shared<Worker>(loop, options, factory(), halfClose_, bodyBudget));
+            workers_.push_back(std::make_shared<Worker>(loop, options, factory(), halfClose_,
+                                                        bodyBudget, maxUnreadBytes));
         }
         workers_.front()->listen(
             { asio::ip::make_address(options.address_.ip_), options.address_.port_ });
--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -1,5 +1,11 @@
 #include "src/base/BeastSession.h"
 
+#include "src/base/BeastAnswer.h"
+#include "src/base/BeastResponder.h"
+
+#include <array>
+#include <utility>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/status.hpp>
@@ -20,11 +26,14 @@
 constexpr std::size_t kMaxPipelinedRequests = 64; // unanswered requests per connection
 // Time for a caller to read the last answer on a connection before it is closed.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
+// A request whose body grows by less in this time may be given up for others. Every upload of a
+// link of 10 Mbit/s makes this progress while at most 300 share it.
+constexpr Duration kStallTime = std::chrono::seconds(1);
+constexpr std::size_t kProgressBytes = std::size_t { 4 } * 1024;
 
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
-constexpr int kInternalError = 500;
 constexpr int kUnavailable = 503;
 constexpr int kTimeout = 408;
 
@@ -37,80 +46,8 @@
     return kBadRequest;
 }
 
-bool hasNoBody(int status)
-{
-    constexpr int kNoContent = 204;
-    constexpr int kNotModified = 304;
-    return status == kNoContent || status == kNotModified;
-}
-
-std::string encode(const ServerAnswer &answer, bool isHeadRequest, bool closesConnection)
-{
-    std::string out = "HTTP/1.1 " + std::to_string(answer.status_) + ' ';
-    out += http::obsolete_reason(static_cast<http::status>(answer.status_));
-    out += "\r\n";
-    if (!answer.contentType_.empty())
-        out += "Content-Type: " + answer.contentType_ + "\r\n";
-    for (const HttpHeader &header : answer.headers_)
-        out.append(header.name_).append(": ").append(header.value_).append("\r\n");
-    if (!hasNoBody(answer.status_))
-        out += "Content-Length: " + std::to_string(answer.body_.size()) + "\r\n";
-    out += closesConnection ? "Connection: close\r\n\r\n" : "Connection: Keep-Alive\r\n\r\n";
-    if (!isHeadRequest && !hasNoBody(answer.status_))
-        out += answer.body_;
-    return out;
-}
-
 } // namespace
 
-class BeastServer::Responder : public HttpResponder
-{
-public:
-    Responder(const std::shared_ptr<Session> &session, asio::io_context &context,
-              std::uint64_t number, ByteBudget::Reservation bodyBytes)
-        : session_(session)
-        , context_(context)
-        , number_(number)
-        , bodyBytes_(std::move(bodyBytes))
-    { }
-
-    ~Responder() override
-    {
-        if (!sent_.load())
-            send(ServerAnswer { kInternalError, "", {}, "" });
-    }
-
-    Responder(const Responder &) = delete;
-    Responder &operator=(const Responder &) = delete;
-
-    void send(ServerAnswer answer) override
-    {
-        if (sent_.exchange(true))
-            return;
-        bodyBytes_.release();
-        const std::shared_ptr<Session> session = session_.lock();
-        if (!session)
-            return;
-        asio::dispatch(context_, [session, number = number_, answer = std::move(answer)]() mutable {
-            session->onAnswer(number, std::move(answer));
-        });
-    }
-
-    void onAbandoned(std::function<void()> task) override
-    {
-        if (const std::shared_ptr<Session> session = session_.lock())
-            session->setOnAbandoned(number_, std::move(task));
-    }
-
-private:
-    const std::weak_ptr<Session> session_;
-    asio::io_context &context_;
-    const std::uint64_t number_;
-    std::atomic<bool> sent_ { false };
-    // Also an abandoned request keeps its body until it has ended.
-    ByteBudget::Reservation bodyBytes_;
-};
-
 void BeastServer::Session::start()
 {
     error_code ignored;
@@ -125,7 +62,26 @@
     PendingRequest &pending = pendingRequests_.at(number - firstPendingNumber_);
     pending.answer_ = std::move(answer);
     pending.onAbandoned_ = nullptr;
-    writeNext();
+    if (countUnread(pending))
+        writeNext();
+}
+
+bool BeastServer::Session::countUnread(PendingRequest &pending)
+{
+    pending.answerBytes_ = memoryOf(*pending.answer_);
+    unreadBytes_ += pending.answerBytes_;
+    worker_->unread_.update(id_, unreadBytes_);
+    worker_->giveUpUnreadAnswers();
+    return !isClosed_;
+}
+
+void BeastServer::Session::endUnread(std::size_t bytes)
+{
+    unreadBytes_ -= bytes;
+    if (unreadBytes_ == 0)
+        worker_->unread_.remove(id_);
+    else
+        worker_->unread_.update(id_, unreadBytes_);
 }
 
 void BeastServer::Session::setOnAbandoned(std::uint64_t number, std::function<void()> task)
@@ -193,7 +149,8 @@
     socket_.close(ignored);
     abandonAll();
     bodyBytes_.release();
-    worker_->sessions_.erase(shared_from_this());
+    worker_->unread_.remove(id_);
+    worker_->sessions_.erase(id_);
 }
 
 void BeastServer::Session::setInactive()
@@ -241,6 +198,11 @@
         return;
     }
     lastActivityAt_ = BootClock::now();
+    progressBytes_ += size;
+    if (progressBytes_ >= kProgressBytes) {
+        progressBytes_ = 0;
+        progressAt_ = lastActivityAt_;
+    }
     buffer_.commit(size);
     parse();
     read();
@@ -321,6 +283,8 @@
     parser_->header_limit(static_cast<std::uint32_t>(worker_->options_.maxHeaderBytes_));
     parser_->body_limit(worker_->options_.maxRequestBytes_);
     parseStartedAt_ = BootClock::now();
+    progressAt_ = parseStartedAt_;
+    progressBytes_ = 0;
     isHeaderChecked_ = false;
 }
 
@@ -347,17 +311,35 @@
 }
 
 // The size of a chunked body is not known in advance, so it is reserved as the body grows.
+// Growing by copies would occupy up to three times the body's size; address space that is not
+// written to takes no memory.
 bool BeastServer::Session::reserveBody()
 {
-    return reserve(parser_->get().body().size());
+    std::string &body = parser_->get().body();
+    if (!parser_->content_length() && body.size() > kMaxReadSize)
+        body.reserve(worker_->options_.maxRequestBytes_);
+    return reserve(body.size());
 }
 
 bool BeastServer::Session::reserve(std::size_t bytes)
 {
-    if (worker_->bodyBudget_->reserve(bodyBytes_, bytes))
-        return true;
-    refuse(kUnavailable);
-    return false;
+    while (!worker_->bodyBudget_->reserve(bodyBytes_, bytes)) {
+        if (!worker_->giveUpStalledRequest(bytes)) {
+            refuse(kUnavailable);
+            return false;
+        }
+    }
+    return true;
+}
+
+bool BeastServer::Session::isStalled(TimePoint now) const
+{
+    return now - progressAt_ >= kStallTime;
+}
+
+void BeastServer::Session::giveUpUnfinished()
+{
+    refuse(kTimeout);
 }
 
 void BeastServer::Session::refuse(int status)
@@ -382,13 +364,16 @@
 {
     if (isWriting_ || isClosed_ || pendingRequests_.empty() || !pendingRequests_.front().answer_)
         return;
-    const PendingRequest pending = std::move(pendingRequests_.front());
+    PendingRequest pending = std::move(pendingRequests_.front());
     pendingRequests_.pop_front();
     ++firstPendingNumber_;
     hasReceivedLastRequest_ = hasReceivedLastRequest_ || worker_->draining_;
     const bool isFinal = pendingRequests_.empty() && (hasReceivedLastRequest_ || hasReceivedEof_);
     closesAfterWrite_ = pending.answer_->closesConnection_ || isFinal;
-    writeBuffer_ = encode(*pending.answer_, pending.isHeadRequest_, closesAfterWrite_);
+    writeBuffer_ = encodeHead(*pending.answer_, closesAfterWrite_);
+    if (!pending.isHeadRequest_ && !hasNoBody(pending.answer_->status_))
+        writeBody_ = std::move(pending.answer_->body_);
+    writingBytes_ = pending.answerBytes_;
     write();
 }
 
@@ -400,7 +385,9 @@
         self->lastWriteAt_ = BootClock::now();
         return error ? std::size_t { 0 } : kMaxWriteSize;
     };
-    asio::async_write(socket_, asio::buffer(writeBuffer_), nextSize,
+    const std::array<asio::const_buffer, 2> parts { asio::buffer(writeBuffer_),
+                                                    asio::buffer(writeBody_) };
+    asio::async_write(socket_, parts, nextSize,
                       [self = shared_from_this()](const error_code &error, std::size_t) {
                           self->onWritten(error);
                       });
@@ -409,8 +396,11 @@
 void BeastServer::Session::onWritten(const error_code &error)
 {
     isWriting_ = false;
+    // An assignment would keep the memory.
+    std::string().swap(writeBody_);
     if (isClosed_)
         return;
+    endUnread(std::exchange(writingBytes_, 0));
     if (error) {
         close();
         return;
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -19,8 +19,10 @@
 class BeastServer::Session : public std::enable_shared_from_this<Session>
 {
 public:
-    Session(std::shared_ptr<Worker> worker, boost::asio::ip::tcp::socket socket)
-        : worker_(std::move(worker))
+    Session(std::shared_ptr<Worker> worker, boost::asio::ip::tcp::socket socket,
+            AnswerMemory::AnswerId id)
+        : id_(id)
+        , worker_(std::move(worker))
         , socket_(std::move(socket))
         , connection_(std::make_shared<HttpConnection>())
         , openedAt_(BootClock::now())
@@ -47,6 +49,13 @@
 
     void close();
 
+    /// @return the memory reserved for the request that is being received, in bytes.
+    [[nodiscard]] std::size_t unfinishedBytes() const { return parser_ ? bodyBytes_.bytes() : 0; }
+    /// @return whether the request that is being received has made no progress lately.
+    [[nodiscard]] bool isStalled(TimePoint now) const;
+    /// Refuses the request that is being received; it has not run.
+    void giveUpUnfinished();
+
 private:
     /// A request whose answer is not sent yet.
     struct PendingRequest
@@ -54,6 +63,7 @@
         bool isHeadRequest_ = false;
         bool isSafeMethod_ = false; ///< GET or HEAD
         std::optional<ServerAnswer> answer_; ///< empty until the handler has answered
+        std::size_t answerBytes_ = 0; ///< memory of answer_ that is counted as unread
         std::function<void()> onAbandoned_;
     };
 
@@ -99,6 +109,14 @@
     /// Answers the request that is being read with @p status and closes the connection.
     void refuse(int status);
 
+    /// Counts the answer of @p pending as unread, and gives up the largest unread answers if all
+    /// exceed their limit.
+    /// @return whether this connection is still open.
+    bool countUnread(PendingRequest &pending);
+
+    /// Ends the count of an answer of @p bytes that the caller has taken.
+    void endUnread(std::size_t bytes);
+
     void writeNext();
 
     void write();
@@ -108,6 +126,7 @@
     /// Ends the connection so that the caller can still read the last answer.
     void finish();
 
+    const AnswerMemory::AnswerId id_;
     const std::shared_ptr<Worker> worker_;
     boost::asio::ip::tcp::socket socket_;
     const std::shared_ptr<HttpConnection> connection_;
@@ -115,12 +134,17 @@
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> parser_;
     std::deque<PendingRequest> pendingRequests_; ///< in the order of arrival
     std::uint64_t firstPendingNumber_ = 0; ///< of pendingRequests_.front()
-    std::string writeBuffer_;
+    std::string writeBuffer_; ///< head of the answer that is being written
+    std::string writeBody_;
+    std::size_t writingBytes_ = 0; ///< counted for the answer that is being written
+    std::size_t unreadBytes_ = 0; ///< counted for all answers of this connection
     ByteBudget::Reservation bodyBytes_; ///< of the request that is being read
     const TimePoint openedAt_;
     TimePoint lastActivityAt_;
     TimePoint lastWriteAt_ {}; ///< at which the caller's system last took a part of an answer
     TimePoint parseStartedAt_ {};
+    TimePoint progressAt_ {}; ///< at which the request that is being received last made progress
+    std::size_t progressBytes_ = 0; ///< received since then
     bool isHeaderChecked_ = false;
     bool isReading_ = false;
     bool finishesAfterRead_ = false; ///< if the read in progress ends without bytes
--- a/src/base/BeastWorker.h
+++ b/src/base/BeastWorker.h
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "pimentostage/base/AnswerMemory.h"
 #include "pimentostage/base/ByteBudget.h"
 #include "src/base/BeastServer.h"
 
 #include <atomic>
+#include <map>
 #include <memory>
-#include <set>
 #include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,11 +19,13 @@
 {
 public:
     Worker(EventLoop &loop, const HttpServerOptions &options, Handler handler,
-           HalfClosePolicy halfClose, std::shared_ptr<ByteBudget> bodyBudget)
+           HalfClosePolicy halfClose, std::shared_ptr<ByteBudget> bodyBudget,
+           std::size_t maxUnreadBytes)
         : options_(options)
         , handler_(std::move(handler))
         , halfClose_(halfClose)
         , bodyBudget_(std::move(bodyBudget))
+        , unread_(maxUnreadBytes, options.memory_, MemoryAccount::UnreadAnswers)
         , context_(loop.context())
         , acceptor_(context_)
         , sweepTimer_(context_)
@@ -40,12 +43,21 @@
     void closeIdle();
     void close();
 
+    /// Gives up unfinished requests that make no progress, the largest first, until one is given
+    /// up.
+    /// @param bytes size of the request that needs the memory; only larger ones are given up.
+    /// @return whether one was given up.
+    bool giveUpStalledRequest(std::size_t bytes);
+    /// Closes the connections with the most unread answers until the limit for them is kept.
+    void giveUpUnreadAnswers();
+
     const HttpServerOptions options_;
     const Handler handler_;
     const HalfClosePolicy halfClose_;
     const std::shared_ptr<ByteBudget> bodyBudget_; ///< of all workers' bodies
+    AnswerMemory unread_; ///< of this thread's connections, by their ids
     boost::asio::io_context &context_;
-    std::set<std::shared_ptr<Session>> sessions_;
+    std::map<AnswerMemory::AnswerId, std::shared_ptr<Session>> sessions_;
     std::atomic<std::size_t> activeConnections_ { 0 }; ///< sessions that owe or expect something
     bool draining_ = false;
 
@@ -54,6 +66,9 @@
 
     void scheduleSweep();
 
+    /// @return the sessions, which may close while the result is in use.
+    [[nodiscard]] std::vector<std::shared_ptr<Session>> openSessions() const;
+
     static constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
 
     boost::asio::ip::tcp::acceptor acceptor_;
@@ -62,6 +77,7 @@
     std::unique_ptr<boost::asio::steady_timer> acceptRetryTimer_;
     std::vector<std::shared_ptr<Worker>> allWorkers_;
     std::size_t nextWorker_ = 0;
+    AnswerMemory::AnswerId lastSessionId_ = 0;
 };
 
 } // namespace pimentostage
--- a/src/base/ByteBudget.cpp
+++ b/src/base/ByteBudget.cpp
@@ -22,7 +22,7 @@
 void ByteBudget::Reservation::release()
 {
     if (Pool *pool = std::exchange(pool_, nullptr))
-        pool->bytes_.fetch_sub(std::exchange(bytes_, 0), std::memory_order_relaxed);
+        budget_->give(*pool, std::exchange(bytes_, 0));
     budget_.reset();
 }
 
@@ -35,8 +35,11 @@
     return false;
 }
 
-ByteBudget::ByteBudget(std::size_t maxLargeBytes)
+ByteBudget::ByteBudget(std::size_t maxLargeBytes, std::shared_ptr<MemoryBudget> memory,
+                       MemoryAccount account)
     : maxSmallMessageBytes_(maxLargeBytes / kSmallMessageDivisor)
+    , memory_(std::move(memory))
+    , account_(account)
     , small_ { maxLargeBytes / kSmallMessagesDivisor }
     , large_ { maxLargeBytes }
 { }
@@ -50,10 +53,27 @@
            || reserveIn(large_, reservation, bytes);
 }
 
+bool ByteBudget::take(Pool &pool, std::size_t bytes)
+{
+    if (!pool.take(bytes))
+        return false;
+    if (!memory_ || memory_->take(account_, bytes))
+        return true;
+    pool.bytes_.fetch_sub(bytes, std::memory_order_relaxed);
+    return false;
+}
+
+void ByteBudget::give(Pool &pool, std::size_t bytes)
+{
+    pool.bytes_.fetch_sub(bytes, std::memory_order_relaxed);
+    if (memory_)
+        memory_->remove(account_, bytes);
+}
+
 bool ByteBudget::reserveIn(Pool &pool, Reservation &reservation, std::size_t bytes)
 {
     const bool isSamePool = reservation.pool_ == &pool;
-    if (!pool.take(isSamePool ? bytes - reservation.bytes_ : bytes))
+    if (!take(pool, isSamePool ? bytes - reservation.bytes_ : bytes))
         return false;
     if (!isSamePool)
         reservation.release();
--- a/src/base/HttpClient.cpp
+++ b/src/base/HttpClient.cpp
@@ -198,6 +198,8 @@
               + " of " + std::to_string(answerMemory_.totalBytes()) + " bytes in all; the limit is "
               + std::to_string(answerMemory_.maxBytes());
         answerMemory_.remove(*largest);
+        if (options_.memory_)
+            options_.memory_->countRefusal(options_.account_);
         const auto found = transfers_.find(*largest);
         if (found == transfers_.end())
             continue;
--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/HttpHeader.h"
 #include "pimentostage/base/Ids.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/Time.h"
 
 #include <cstddef>
@@ -25,13 +26,22 @@
 /// host has for everything.
 inline constexpr std::size_t kMaxUnfinishedBytes = std::size_t { 64 } << 20U;
 
+/// A body of which a request and all its attempts share one copy; nullptr if it is empty.
+using SharedBody = std::shared_ptr<const std::string>;
+
+/// @return @p text as a body that is not copied.
+[[nodiscard]] inline SharedBody sharedBody(std::string text)
+{
+    return text.empty() ? nullptr : std::make_shared<const std::string>(std::move(text));
+}
+
 /// A request to send.
 struct HttpRequest
 {
     std::string method_ = "GET";
     std::string url_;
     std::vector<HttpHeader> headers_;
-    std::string body_;
+    SharedBody body_;
     Duration timeout_ = std::chrono::seconds(1);
     std::string expectedId_; ///< if set, the answer must contain it in idHeader_
     const char *idHeader_ = kRequestIdHeader; ///< header of the answer that contains the id
@@ -81,6 +91,10 @@
     /// Limit of the memory of all unfinished answers, over all peers; raised if it is too low for
     /// an answer of maxAnswerBytes_. The largest answers above it fail with ErrorCode::TooLarge.
     std::size_t maxUnfinishedBytes_ = kMaxUnfinishedBytes;
+    /// If set, where the memory of unfinished answers is counted, in account_; maxUnfinishedBytes_
+    /// is then not raised.
+    std::shared_ptr<MemoryBudget> memory_;
+    MemoryAccount account_ = MemoryAccount::BackendAnswers;
     PeerKind peerKind_ = PeerKind::Backend;
 };
 
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -1,5 +1,6 @@
 #include "src/base/HttpClientConnection.h"
 
+#include <array>
 #include <charconv>
 
 #include <boost/asio/write.hpp>
@@ -185,16 +186,18 @@
         out.append(header.name_).append(": ").append(header.value_).append("\r\n");
     if (!findHeader(request.headers_, "Host"))
         out.append("Host: ").append(peer_).append("\r\n");
-    const bool hasBody
-        = !request.body_.empty() || request.method_ == "POST" || request.method_ == "PUT";
-    if (hasBody)
-        out.append("Content-Length: ").append(std::to_string(request.body_.size())).append("\r\n");
+    const SharedBody body = request.body_;
+    const std::size_t bodyBytes = body ? body->size() : 0;
+    if (bodyBytes > 0 || request.method_ == "POST" || request.method_ == "PUT")
+        out.append("Content-Length: ").append(std::to_string(bodyBytes)).append("\r\n");
     out.append("\r\n");
-    out.append(request.body_);
     isWriting_ = true;
     transfer_->state_ = AttemptState::PartlySent;
-    asio::async_write(socket_, asio::buffer(outgoing_),
-                      [self = shared_from_this()](const error_code &error, std::size_t) {
+    const std::array<asio::const_buffer, 2> parts {
+        asio::buffer(outgoing_), asio::buffer(body ? body->data() : nullptr, bodyBytes)
+    };
+    asio::async_write(socket_, parts,
+                      [self = shared_from_this(), body](const error_code &error, std::size_t) {
                           self->onWritten(error);
                       });
 }
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -78,7 +78,7 @@
     boost::beast::flat_buffer buffer_;
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::shared_ptr<Transfer> transfer_; ///< nullptr while idle
-    std::string outgoing_;
+    std::string outgoing_; ///< head of the request that is being written
     TimePoint idleSince_ {};
     TimePoint lastReadAt_ {};
     Duration maxIdleTime_ = std::chrono::hours(1); // until the first answer sets it
--- a/src/base/HttpClientImpl.h
+++ b/src/base/HttpClientImpl.h
@@ -35,8 +35,10 @@
     Impl(const HttpClientOptions &options, EventLoop &loop)
         : options_(options)
         , context_(loop.context())
-        , answerMemory_(std::max(options.maxUnfinishedBytes_,
-                                 kMinUnfinishedAnswers * options.maxAnswerBytes_))
+        , answerMemory_(options.memory_ ? options.maxUnfinishedBytes_
+                                        : std::max(options.maxUnfinishedBytes_,
+                                                   kMinUnfinishedAnswers * options.maxAnswerBytes_),
+                        options.memory_, options.account_)
     { }
 
     void post(Task task)
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Ids.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/Time.h"
 #include "src/base/HttpClient.h"
 
@@ -73,6 +74,10 @@
     /// Of the bodies of all requests that are being received or are not answered yet, except small
     /// ones (ByteBudget); a quarter of the memory of an entry host on the platform, 260 MB.
     std::size_t maxBufferedBytes_ = std::size_t { 64 } << 20U;
+    /// Where the memory of all connections is counted; if not set, a server counts its own against
+    /// defaultMemoryLimits(). Its account UnreadAnswers limits the answers that callers have not
+    /// taken yet, divided among the threads; the largest above it are given up.
+    std::shared_ptr<MemoryBudget> memory_;
     /// @return the answer to a request that exceeds maxBufferedBytes_. Called on the server's
     ///         threads.
     std::function<ServerAnswer()> overloadAnswer_;
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -44,7 +44,7 @@
     forward.method_ = std::move(request.method_);
     forward.path_ = routed.backendPath_;
     forward.headers_ = std::move(request.headers_);
-    forward.body_ = std::move(request.body_);
+    forward.body_ = sharedBody(std::move(request.body_));
     forward.idempotent_ = routed.route_->idempotent_;
     forward.deadline_ = routed.deadline_;
     return forward;
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -18,10 +18,13 @@
     return settings.callerSharedThread_ ? std::make_unique<EventLoop>("traffic") : nullptr;
 }
 
+constexpr Duration kMemoryMetricsPeriod = std::chrono::seconds(1);
+
 BackendClientOptions backendOptions(const Settings &settings, const PeerAdapters &adapters,
-                                    EventLoop *loop)
+                                    EventLoop *loop, std::shared_ptr<MemoryBudget> memory)
 {
     BackendClientOptions options;
+    options.memory_ = std::move(memory);
     options.protocol_ = adapters.backendProtocol_;
     options.loop_ = loop;
     options.threads_ = static_cast<std::size_t>(settings.backendThreads_);
@@ -36,9 +39,15 @@
     return options;
 }
 
-HttpServerOptions callerOptions(const Settings &settings)
+HttpServerOptions callerOptions(const Settings &settings, std::shared_ptr<MemoryBudget> memory)
 {
     HttpServerOptions options;
+    options.memory_ = std::move(memory);
+    // The default is also the limit of a host whose memory is unknown.
+    if (settings.hostMemoryMb_ > 0) {
+        options.maxBufferedBytes_ = maxBodiesFor(
+            memoryBytesOf(settings), static_cast<std::size_t>(settings.callerMaxRequestBytes_));
+    }
     options.address_ = settings.callerAddress_;
     options.threads_ = static_cast<int>(settings.callerThreads_);
     options.threadName_ = "caller";
@@ -62,6 +71,27 @@
     return settings.hostName_ + '-' + std::to_string(std::random_device {}()) + '-';
 }
 
+/// Sets the gauges of each account of @p memory in @p metrics.
+void publishMemory(const MemoryBudget &memory, MetricRegistry &metrics)
+{
+    for (const auto &row : EnumTable<MemoryAccount>::kRows) {
+        const Labels labels { Label { "account", std::string(row.name_) } };
+        metrics
+            .gauge("pimento_memory_used_bytes", "Memory of messages, by what it is kept for.",
+                   labels)
+            .set(static_cast<double>(memory.used(row.value_)));
+        metrics
+            .gauge("pimento_memory_limit_bytes", "Limit of the memory of messages, by account.",
+                   labels)
+            .set(static_cast<double>(memory.limit(row.value_)));
+        metrics
+            .gauge("pimento_memory_refusals",
+                   "Messages refused or given up for lack of memory since the start, by account.",
+                   labels)
+            .set(static_cast<double>(memory.refusals(row.value_)));
+    }
+}
+
 std::shared_ptr<const TrafficView> emptyView()
 {
     auto view = std::make_shared<TrafficView>();
@@ -77,10 +107,12 @@
     , log_(log)
     , routing_(std::make_shared<RoutingTable>())
     , views_(emptyView())
+    , memory_(
+          std::make_shared<MemoryBudget>(memoryLimitsOf(settings).value_or(defaultMemoryLimits())))
     , trafficLoop_(makeTrafficLoop(settings))
     , control_(settings, adapters, routing_, views_, log, metrics_)
-    , backends_(backendOptions(settings, adapters, trafficLoop_.get()), routing_, *this, log,
-                metrics_)
+    , backends_(backendOptions(settings, adapters, trafficLoop_.get(), memory_), routing_, *this,
+                log, metrics_)
     , callers_(views_, backends_, *this, log, metrics_)
     , callerServer_(makeCallerServer(settings, trafficLoop_.get()), callers_,
                     *adapters.callerProtocol_, idPrefix(settings),
@@ -118,7 +150,8 @@
             readyServer_->start(settings_.operatorReadyAddress_, settings_.operatorReadyPath_));
     }
     BOOST_LEAF_CHECK(control_.start());
-    BOOST_LEAF_CHECK(callerServer_.start(callerOptions(settings_)));
+    BOOST_LEAF_CHECK(callerServer_.start(callerOptions(settings_, memory_)));
+    control_.loop().every(kMemoryMetricsPeriod, [this] { publishMemory(*memory_, metrics_); });
     log_.write(LogLine(Severity::Info, "started")
                    .add("host", settings_.hostName_)
                    .add("zone", settings_.zone_)
--- a/src/daemon/Node.h
+++ b/src/daemon/Node.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Log.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/MetricRegistry.h"
 #include "pimentostage/base/Snapshot.h"
 #include "pimentostage/caller/TrafficView.h"
@@ -55,6 +56,7 @@
     MetricRegistry metrics_;
     SnapshotPublisher<RoutingTable> routing_;
     SnapshotPublisher<TrafficView> views_;
+    const std::shared_ptr<MemoryBudget> memory_; ///< of all peers' messages
     /// The thread shared by caller and back-end traffic; nullptr if each has its own threads.
     const std::unique_ptr<EventLoop> trafficLoop_;
     ControlPlane control_;
--- a/src/daemon/Program.h
+++ b/src/daemon/Program.h
@@ -9,6 +9,10 @@
 #include <initializer_list>
 #include <iostream>
 
+#ifdef __GLIBC__
+#include <malloc.h>
+#endif
+
 #include <absl/debugging/failure_signal_handler.h>
 #include <absl/debugging/symbolize.h>
 #include <pthread.h>
@@ -32,6 +36,21 @@
     return signals;
 }
 
+/// Makes the allocator return the memory of large messages as soon as they are freed: by default it
+/// keeps up to 32 MiB for each size that was freed once, so that a process would stay above the sum
+/// of its limits. To be called before any thread starts.
+inline void returnFreedMemory()
+{
+#ifdef __GLIBC__
+    constexpr int kMapThresholdBytes = 128 * 1024; // the initial value, which then no longer grows
+    constexpr int kTrimThresholdBytes = 1024 * 1024;
+    constexpr int kMaxArenas = 2;
+    mallopt(M_MMAP_THRESHOLD, kMapThresholdBytes);
+    mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
+    mallopt(M_ARENA_MAX, kMaxArenas);
+#endif
+}
+
 /// From now on a fatal signal, for example SIGSEGV or SIGABRT, writes its name and the stack to
 /// standard output before it ends the process.
 /// @param program the path of the program's file, for the names of functions.
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -59,6 +59,9 @@
     SettingRow {
         "host", "cores", &Settings::hostCores_, Presence::Optional, 0.001, 1000,
         "CPU time that this host may use; hosts with more of it are preferred for roles." },
+    SettingRow { "host", "memory_mb", &Settings::hostMemoryMb_, Presence::Optional, 0, 1'000'000,
+                 "Memory of this machine, in 1,000,000 bytes, below which the process stays; 0: "
+                 "unknown, with fixed limits." },
     SettingRow { "caller", "address", &Settings::callerAddress_, Presence::Required, 0, 0,
                  "Address on which callers reach this host." },
     SettingRow { "caller", "threads", &Settings::callerThreads_, Presence::Optional, 1, 256,
@@ -378,8 +381,32 @@
         result.errors_.push_back({ file, "platform", "url", url, "http://ip:port" });
 }
 
+void checkMemory(const std::string &file, SettingsResult &result)
+{
+    if (memoryLimitsOf(result.settings_))
+        return;
+    result.errors_.push_back({ file, "host", "memory_mb",
+                               std::to_string(result.settings_.hostMemoryMb_),
+                               "0, or enough for the process and a request of "
+                               "caller.max_request_bytes" });
+}
+
 } // namespace
 
+std::size_t memoryBytesOf(const Settings &settings)
+{
+    constexpr std::size_t kBytesPerMegabyte = 1'000'000;
+    return static_cast<std::size_t>(settings.hostMemoryMb_) * kBytesPerMegabyte;
+}
+
+std::optional<MemoryLimits> memoryLimitsOf(const Settings &settings)
+{
+    if (settings.hostMemoryMb_ == 0)
+        return defaultMemoryLimits();
+    return memoryLimitsFor(memoryBytesOf(settings),
+                           static_cast<std::size_t>(settings.callerMaxRequestBytes_));
+}
+
 Duration drainTimeoutOf(const Settings &settings)
 {
     if (settings.callerStopGrace_ == 0)
@@ -436,6 +463,7 @@
         readRow(ini, row, file, result);
     reportUnknownKeys(ini, file, result);
     checkPlatformUrl(file, result);
+    checkMemory(file, result);
     return result;
 }
 
--- a/src/platform/StoreClient.cpp
+++ b/src/platform/StoreClient.cpp
@@ -182,7 +182,7 @@
                       Done<WriteResult> done)
 {
     Call call = callFor(Step::WriteStore, "PUT", pathOf(ref) + condition(expected));
-    call.request_.body_ = value;
+    call.request_.body_ = sharedBody(value);
     send<WriteResult>(std::move(call), &decodeWrite<Call>, std::move(done));
 }
 
--- a/tests/LateOrderTest.cpp
+++ b/tests/LateOrderTest.cpp
@@ -22,7 +22,7 @@
     HttpRequest request;
     request.method_ = "POST";
     request.url_ = server.url() + "/order";
-    request.body_ = "{}";
+    request.body_ = sharedBody("{}");
     request.timeout_ = timeout;
     return request;
 }
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -330,11 +330,11 @@
 {
     const RangeGrantOrder order { { 4096, 8191 }, Epoch { 12 }, 4s, "token" };
     const HttpRequest grant = wire::rangeProtocol().encodeGrant_(order);
-    EXPECT_EQ(nlohmann::json::parse(grant.body_), nlohmann::json({ { "From", 4096 },
-                                                                   { "Target", 8191 },
-                                                                   { "fence", 12 },
-                                                                   { "HoldMs", 4000 },
-                                                                   { "Handover", "token" } }));
+    EXPECT_EQ(nlohmann::json::parse(*grant.body_), nlohmann::json({ { "From", 4096 },
+                                                                    { "Target", 8191 },
+                                                                    { "fence", 12 },
+                                                                    { "HoldMs", 4000 },
+                                                                    { "Handover", "token" } }));
 }
 
 // Guards against two owners of one key: a back end with a long queue refuses new connections, and
--- a/tools/LoadRunner.cpp
+++ b/tools/LoadRunner.cpp
@@ -149,7 +149,7 @@
     if (!team.key_.empty())
         httpRequest.headers_.push_back({ "Authorization", "Bearer " + team.key_ });
     if (request.method_ != "GET")
-        httpRequest.body_ = "{\"from\":\"" + sent.id_ + "\"}";
+        httpRequest.body_ = sharedBody("{\"from\":\"" + sent.id_ + "\"}");
     ++pending_;
     http_.start(std::move(httpRequest), [this, sent](const HttpResult &result) {
         --pending_;
--- a/tools/pimentostaged.cpp
+++ b/tools/pimentostaged.cpp
@@ -41,6 +41,7 @@
         "pimentostaged", "Daemon of an entry host: routes callers' requests to back ends.\n"
                          "Usage: pimentostaged --config=FILE [--check_config]\n"
                          "SIGTERM and SIGINT stop it gracefully; SIGHUP checks the settings file.");
+    pimentostage::returnFreedMemory();
     pimentostage::reportFatalSignals(argv[0]);
     pimentostage::parseCommandLine(argc, argv);
     if (absl::GetFlag(FLAGS_print_settings)) {
