Caller connections are bounded by open descriptors, heads by an account

Cause: idle connections took each descriptor of the process, so that ordinary callers got no answer; each held a read buffer of 16 KiB, and the heads of requests were not counted.

A new connection above that takes the place of one on which no request is received or answered: first one that is closing, then one that was never used, then one whose request makes no progress, then the one that was idle longest. Idle connections have no read buffer. Heads count in the account CallerHeads until their requests are answered; the largest that makes no progress is given up for a smaller one.

--- a/include/pimentostage/base/ByteBudget.h
+++ b/include/pimentostage/base/ByteBudget.h
@@ -59,6 +59,12 @@
     explicit ByteBudget(std::size_t maxLargeBytes, std::shared_ptr<MemoryBudget> memory = nullptr,
                         MemoryAccount account = MemoryAccount::CallerBodies);
 
+    /// @return the bytes for messages that are not small so that all are at most @p totalBytes.
+    [[nodiscard]] static constexpr std::size_t largeBytes(std::size_t totalBytes)
+    {
+        return totalBytes / (kSmallMessagesDivisor + 1) * kSmallMessagesDivisor;
+    }
+
     /// @return the most bytes that a ByteBudget of @p maxLargeBytes reserves.
     [[nodiscard]] static constexpr std::size_t totalBytes(std::size_t maxLargeBytes)
     {
--- a/src/base/BeastAnswer.cpp
+++ b/src/base/BeastAnswer.cpp
@@ -28,6 +28,14 @@
     return bytes;
 }
 
+std::size_t memoryOf(const http::fields &fields)
+{
+    std::size_t bytes = 0;
+    for (const auto &field : fields)
+        bytes += sizeof field + field.name_string().size() + field.value().size();
+    return bytes;
+}
+
 std::string encodeHead(const ServerAnswer &answer, bool closesConnection)
 {
     std::string out = "HTTP/1.1 " + std::to_string(answer.status_) + ' ';
--- a/src/base/BeastAnswer.h
+++ b/src/base/BeastAnswer.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <string>
 
+#include <boost/beast/http/fields.hpp>
+
 namespace pimentostage {
 
 /// @return whether an answer with @p status has no body.
@@ -13,6 +15,9 @@
 /// @return the memory that @p answer occupies until it is written, in bytes.
 [[nodiscard]] std::size_t memoryOf(const ServerAnswer &answer);
 
+/// @return the memory that the parsed @p fields occupy, in bytes.
+[[nodiscard]] std::size_t memoryOf(const boost::beast::http::fields &fields);
+
 /// @return the status line and the headers of @p answer, as sent on the connection.
 [[nodiscard]] std::string encodeHead(const ServerAnswer &answer, bool closesConnection);
 
--- a/src/base/BeastResponder.h
+++ b/src/base/BeastResponder.h
@@ -14,11 +14,13 @@
 {
 public:
     Responder(const std::shared_ptr<Session> &session, boost::asio::io_context &context,
-              std::uint64_t number, ByteBudget::Reservation bodyBytes)
+              std::uint64_t number, ByteBudget::Reservation bodyBytes,
+              ByteBudget::Reservation headBytes)
         : session_(session)
         , context_(context)
         , number_(number)
         , bodyBytes_(std::move(bodyBytes))
+        , headBytes_(std::move(headBytes))
     { }
 
     ~Responder() override
@@ -35,6 +37,7 @@
         if (sent_.exchange(true))
             return;
         bodyBytes_.release();
+        headBytes_.release();
         const std::shared_ptr<Session> session = session_.lock();
         if (!session)
             return;
@@ -60,6 +63,7 @@
     std::atomic<bool> sent_ { false };
     // Also an abandoned request keeps its body until it has ended.
     ByteBudget::Reservation bodyBytes_;
+    ByteBudget::Reservation headBytes_;
 };
 
 } // namespace pimentostage
--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -2,6 +2,9 @@
 
 #include "src/base/BeastSession.h"
 
+#include <algorithm>
+#include <optional>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 
@@ -58,6 +61,13 @@
 
 void BeastServer::Worker::add(tcp::socket socket)
 {
+    const std::size_t limit
+        = options_.maxConnections_ / static_cast<std::size_t>(options_.threads_);
+    const bool isFull
+        = options_.maxConnections_ > 0 && sessions_.size() >= std::max<std::size_t>(limit, 1);
+    // The caller of a connection that is closed before a request was read may repeat each request.
+    if (isFull && !closeLeastNeeded())
+        return;
     const AnswerMemory::AnswerId id = ++lastSessionId_;
     auto session = std::make_shared<Session>(shared_from_this(), std::move(socket), id);
     sessions_.emplace(id, session);
@@ -99,13 +109,14 @@
     return sessions;
 }
 
-bool BeastServer::Worker::giveUpStalledRequest(std::size_t bytes)
+bool BeastServer::Worker::giveUpStalledRequest(std::size_t (Session::*memory)() const,
+                                               std::size_t bytes)
 {
     const TimePoint now = BootClock::now();
     std::shared_ptr<Session> largest;
     std::size_t largestBytes = bytes;
     for (const auto &[id, session] : sessions_) {
-        const std::size_t unfinished = session->unfinishedBytes();
+        const std::size_t unfinished = ((*session).*memory)();
         if (unfinished > largestBytes && session->isStalled(now)) {
             largest = session;
             largestBytes = unfinished;
@@ -117,6 +128,24 @@
     return true;
 }
 
+bool BeastServer::Worker::closeLeastNeeded()
+{
+    const TimePoint now = BootClock::now();
+    std::shared_ptr<Session> leastNeeded;
+    std::optional<Session::Disposability> first;
+    for (const auto &[id, session] : sessions_) {
+        const auto disposability = session->disposability(now);
+        if (disposability && (!first || *disposability < *first)) {
+            leastNeeded = session;
+            first = disposability;
+        }
+    }
+    if (!leastNeeded)
+        return false;
+    leastNeeded->close();
+    return true;
+}
+
 void BeastServer::Worker::giveUpUnreadAnswers()
 {
     while (const auto id = unread_.answerToGiveUp()) {
@@ -160,7 +189,11 @@
         options.memory_ = std::make_shared<MemoryBudget>(defaultMemoryLimits());
     const auto bodyBudget = std::make_shared<ByteBudget>(options.maxBufferedBytes_, options.memory_,
                                                          MemoryAccount::CallerBodies);
-    const int threads = sharedLoop_ ? 1 : options.threads_;
+    const std::size_t maxHeadBytes
+        = ByteBudget::largeBytes(options.memory_->limit(MemoryAccount::CallerHeads));
+    const auto headBudget
+        = std::make_shared<ByteBudget>(maxHeadBytes, options.memory_, MemoryAccount::CallerHeads);
+    const int threads = options.threads_ = sharedLoop_ ? 1 : options.threads_;
     const std::size_t maxUnreadBytes
         = options.memory_->limit(MemoryAccount::UnreadAnswers) / static_cast<std::size_t>(threads);
     try {
@@ -169,7 +202,7 @@
                 ownLoops_.push_back(std::make_unique<EventLoop>(options.threadName_));
             EventLoop &loop = sharedLoop_ ? *sharedLoop_ : *ownLoops_.back();
             workers_.push_back(std::make_shared<Worker>(loop, options, factory(), halfClose_,
-                                                        bodyBudget, maxUnreadBytes));
+                                                        headBudget, bodyBudget, maxUnreadBytes));
         }
         workers_.front()->listen(
             { asio::ip::make_address(options.address_.ip_), options.address_.port_ });
--- a/src/base/BeastSession.cpp
+++ b/src/base/BeastSession.cpp
@@ -20,16 +20,10 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t kMaxReadSize
-    = std::size_t { 16 } * 1024; // bytes; limits the time for which one caller occupies a thread
 constexpr std::size_t kMaxWriteSize = std::size_t { 64 } * 1024; // bytes between two checks
 constexpr std::size_t kMaxPipelinedRequests = 64; // unanswered requests per connection
 // Time for a caller to read the last answer on a connection before it is closed.
 constexpr Duration kLingerTimeout = std::chrono::seconds(2);
-// A request whose body grows by less in this time may be given up for others. Every upload of a
-// link of 10 Mbit/s makes this progress while at most 300 share it.
-constexpr Duration kStallTime = std::chrono::seconds(1);
-constexpr std::size_t kProgressBytes = std::size_t { 4 } * 1024;
 
 constexpr int kBadRequest = 400;
 constexpr int kPayloadTooLarge = 413;
@@ -52,6 +46,7 @@
 {
     error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
+    socket_.non_blocking(true, ignored);
     read();
 }
 
@@ -66,24 +61,6 @@
         writeNext();
 }
 
-bool BeastServer::Session::countUnread(PendingRequest &pending)
-{
-    pending.answerBytes_ = memoryOf(*pending.answer_);
-    unreadBytes_ += pending.answerBytes_;
-    worker_->unread_.update(id_, unreadBytes_);
-    worker_->giveUpUnreadAnswers();
-    return !isClosed_;
-}
-
-void BeastServer::Session::endUnread(std::size_t bytes)
-{
-    unreadBytes_ -= bytes;
-    if (unreadBytes_ == 0)
-        worker_->unread_.remove(id_);
-    else
-        worker_->unread_.update(id_, unreadBytes_);
-}
-
 void BeastServer::Session::setOnAbandoned(std::uint64_t number, std::function<void()> task)
 {
     if (!isClosed_ && number >= firstPendingNumber_)
@@ -149,6 +126,7 @@
     socket_.close(ignored);
     abandonAll();
     bodyBytes_.release();
+    headBytes_.release();
     worker_->unread_.remove(id_);
     worker_->sessions_.erase(id_);
 }
@@ -167,11 +145,29 @@
     if (isFull && !isLingering_)
         return;
     isReading_ = true;
-    socket_.async_read_some(buffer_.prepare(kMaxReadSize),
-                            [self = shared_from_this()](const error_code &error, std::size_t size) {
-                                self->isReading_ = false;
-                                self->onRead(error, size);
-                            });
+    // A pending read would need a buffer for each idle connection.
+    socket_.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code &error) {
+                           self->isReading_ = false;
+                           self->onReadable(error);
+                       });
+}
+
+void BeastServer::Session::onReadable(const error_code &waitError)
+{
+    if (isClosed_ || waitError) {
+        onRead(waitError, 0);
+        return;
+    }
+    error_code error;
+    const auto part = asio::buffer(worker_->readBuffer_);
+    const std::size_t size = socket_.read_some(part, error);
+    if (error == asio::error::would_block) {
+        read();
+        return;
+    }
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(size), part, size));
+    onRead(error, size);
 }
 
 void BeastServer::Session::onRead(const error_code &error, std::size_t size)
@@ -198,13 +194,9 @@
         return;
     }
     lastActivityAt_ = BootClock::now();
-    progressBytes_ += size;
-    if (progressBytes_ >= kProgressBytes) {
-        progressBytes_ = 0;
-        progressAt_ = lastActivityAt_;
-    }
-    buffer_.commit(size);
+    recordProgress(size);
     parse();
+    countHead();
     read();
 }
 
@@ -263,6 +255,8 @@
         if (parser_->is_header_done() && !reserveBody())
             return;
         if (parser_->is_done()) {
+            if (!countHead())
+                return;
             dispatch();
             continue;
         }
@@ -291,6 +285,7 @@
 bool BeastServer::Session::onHeader()
 {
     isHeaderChecked_ = true;
+    headMemory_ = memoryOf(parser_->get());
     const bool isHttp11 = parser_->get().version() == 11;
     const bool lacksHost = isHttp11 && parser_->get().count(http::field::host) != 1;
     if (lacksHost) {
@@ -310,42 +305,11 @@
     return true;
 }
 
-// The size of a chunked body is not known in advance, so it is reserved as the body grows.
-// Growing by copies would occupy up to three times the body's size; address space that is not
-// written to takes no memory.
-bool BeastServer::Session::reserveBody()
-{
-    std::string &body = parser_->get().body();
-    if (!parser_->content_length() && body.size() > kMaxReadSize)
-        body.reserve(worker_->options_.maxRequestBytes_);
-    return reserve(body.size());
-}
-
-bool BeastServer::Session::reserve(std::size_t bytes)
-{
-    while (!worker_->bodyBudget_->reserve(bodyBytes_, bytes)) {
-        if (!worker_->giveUpStalledRequest(bytes)) {
-            refuse(kUnavailable);
-            return false;
-        }
-    }
-    return true;
-}
-
-bool BeastServer::Session::isStalled(TimePoint now) const
-{
-    return now - progressAt_ >= kStallTime;
-}
-
-void BeastServer::Session::giveUpUnfinished()
-{
-    refuse(kTimeout);
-}
-
 void BeastServer::Session::refuse(int status)
 {
     parser_.reset();
     bodyBytes_.release();
+    headBytes_.release();
     PendingRequest pending;
     ServerAnswer answer { status, "", {}, "" };
     if (status == kUnavailable && worker_->options_.overloadAnswer_)
@@ -412,6 +376,7 @@
     }
     writeNext();
     parse();
+    countHead();
     read();
 }
 
@@ -458,7 +423,7 @@
     pendingRequests_.push_back(std::move(pending));
     worker_->handler_(std::move(request),
                       std::make_shared<Responder>(shared_from_this(), worker_->context_, number,
-                                                  std::move(bodyBytes_)));
+                                                  std::move(bodyBytes_), std::move(headBytes_)));
 }
 
 } // namespace pimentostage
--- a/src/base/BeastSession.h
+++ b/src/base/BeastSession.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -49,10 +50,26 @@
 
     void close();
 
-    /// @return the memory reserved for the request that is being received, in bytes.
-    [[nodiscard]] std::size_t unfinishedBytes() const { return parser_ ? bodyBytes_.bytes() : 0; }
+    /// @return the memory reserved for the body of the request that is being received, in bytes.
+    [[nodiscard]] std::size_t unfinishedBodyBytes() const
+    {
+        return parser_ ? bodyBytes_.bytes() : 0;
+    }
+    /// @return the memory reserved for the head of the request that is being received, in bytes.
+    [[nodiscard]] std::size_t unfinishedHeadBytes() const
+    {
+        return parser_ ? headBytes_.bytes() : 0;
+    }
     /// @return whether the request that is being received has made no progress lately.
     [[nodiscard]] bool isStalled(TimePoint now) const;
+    /// What a connection is used for; closed in this order when there are too many.
+    enum class ConnectionUse { Closing, Unused, Stalled, Idle };
+    /// Connections are closed in the order of these.
+    using Disposability = std::pair<ConnectionUse, TimePoint>;
+    /// @return how early this connection is closed for a new one, or nothing if a request is being
+    ///         received or answered on it.
+    [[nodiscard]] std::optional<Disposability> disposability(TimePoint now) const;
+
     /// Refuses the request that is being received; it has not run.
     void giveUpUnfinished();
 
@@ -79,6 +96,12 @@
 
     void read();
 
+    /// Reads what has arrived.
+    void onReadable(const boost::system::error_code &waitError);
+
+    /// Notes that @p bytes have arrived.
+    void recordProgress(std::size_t bytes);
+
     void onRead(const boost::system::error_code &error, std::size_t size);
 
     void onReadError(const boost::system::error_code &error);
@@ -104,6 +127,10 @@
     /// @return whether it is within the limit; if not, the request has been refused.
     bool reserve(std::size_t bytes);
 
+    /// Counts the head of the request that is being received against the limit for all heads.
+    /// @return whether it is within the limit; if not, the request has been refused.
+    bool countHead();
+
     void dispatch();
 
     /// Answers the request that is being read with @p status and closes the connection.
@@ -139,6 +166,8 @@
     std::size_t writingBytes_ = 0; ///< counted for the answer that is being written
     std::size_t unreadBytes_ = 0; ///< counted for all answers of this connection
     ByteBudget::Reservation bodyBytes_; ///< of the request that is being read
+    ByteBudget::Reservation headBytes_; ///< of the request that is being read
+    std::size_t headMemory_ = 0; ///< of its parsed fields, once they are complete
     const TimePoint openedAt_;
     TimePoint lastActivityAt_;
     TimePoint lastWriteAt_ {}; ///< at which the caller's system last took a part of an answer
--- a/src/base/ByteBudget.cpp
+++ b/src/base/ByteBudget.cpp
@@ -49,8 +49,11 @@
     if (bytes <= reservation.bytes_)
         return true;
     const bool isSmall = bytes <= maxSmallMessageBytes_;
-    return (isSmall && reserveIn(small_, reservation, bytes))
-           || reserveIn(large_, reservation, bytes);
+    if ((isSmall && reserveIn(small_, reservation, bytes)) || reserveIn(large_, reservation, bytes))
+        return true;
+    if (memory_)
+        memory_->countRefusal(account_);
+    return false;
 }
 
 bool ByteBudget::take(Pool &pool, std::size_t bytes)
--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -1,5 +1,7 @@
 #include "src/base/HttpClientConnection.h"
 
+#include "src/base/BeastAnswer.h"
+
 #include <array>
 #include <charconv>
 
@@ -23,15 +25,6 @@
 // the peer may close it while the request is on its way.
 constexpr Duration kIdleMargin = std::chrono::milliseconds(1000);
 
-/// @return the memory that the parsed @p fields occupy.
-std::size_t memoryOf(const http::fields &fields)
-{
-    std::size_t bytes = 0;
-    for (const auto &field : fields)
-        bytes += sizeof field + field.name_string().size() + field.value().size();
-    return bytes;
-}
-
 /// @return the idle timeout in the Keep-Alive header of @p answer, or std::nullopt.
 std::optional<Duration> announcedIdleTime(const HttpAnswer &answer)
 {
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -81,6 +81,9 @@
     /// @return the answer to a request that exceeds maxBufferedBytes_. Called on the server's
     ///         threads.
     std::function<ServerAnswer()> overloadAnswer_;
+    /// Of open connections; 0 for no limit. A new one above it takes the place of one on which no
+    /// request is received or answered.
+    std::size_t maxConnections_ = 0;
     std::size_t maxAnswerBytes_ = std::size_t { 8 } << 20U;
     Duration headerTimeout_ = std::chrono::seconds(60);
     /// For receiving a body, and for the next part of an answer to be taken by the caller.
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -1,5 +1,6 @@
 #include "src/daemon/Node.h"
 
+#include "src/daemon/DescriptorPlan.h"
 #include "src/daemon/StopSchedule.h"
 
 #include <random>
@@ -43,6 +44,7 @@
 {
     HttpServerOptions options;
     options.memory_ = std::move(memory);
+    options.maxConnections_ = descriptorPlan().callers_;
     // The default is also the limit of a host whose memory is unknown.
     if (settings.hostMemoryMb_ > 0) {
         options.maxBufferedBytes_ = maxBodiesFor(
