Frames of siblings and replies of the store count in the ledger; their connections are bounded

Cause: a frame of 4 MiB became 290 MB of values (16 and more bytes for each byte), each connection to a host that did not read queued up to 32 MiB, the store's replies were limited by 64 MiB of their own, and silent connections to the siblings' port took each descriptor.

Where the memory of the machine is known, half of the account SiblingFrames is for frames that are being received and half for those that wait to be sent; above it the connection with the longest queue is reset. A frame, also after decompression, has at most a third of the account and one value for each 64 bytes of it, and is refused before it is decoded otherwise. Replies of the store that are not complete count in StoreReplies. Where the memory is unknown, the limits are as before.

A quarter of the open descriptors is for connections of other hosts. A new one above that takes the place of one without a Hello, or of the one that was silent longest.

--- a/src/base/HttpClient.h
+++ b/src/base/HttpClient.h
@@ -96,6 +96,17 @@
     std::shared_ptr<MemoryBudget> memory_;
     MemoryAccount account_ = MemoryAccount::BackendAnswers;
     PeerKind peerKind_ = PeerKind::Backend;
+
+    /// Counts unfinished answers in @p account of @p memory and limits them to it; without
+    /// @p memory, the limits stay as they are.
+    void countMemory(std::shared_ptr<MemoryBudget> memory, MemoryAccount account)
+    {
+        if (!memory)
+            return;
+        maxUnfinishedBytes_ = memory->limit(account);
+        memory_ = std::move(memory);
+        account_ = account;
+    }
 };
 
 /// Asynchronous HTTP/1.1 client with persistent connections; also runs timers and posted functions.
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -1,5 +1,7 @@
 #include "src/daemon/ControlPlane.h"
 
+#include "src/daemon/DescriptorPlan.h"
+
 #include <cmath>
 #include <future>
 #include <random>
@@ -76,10 +78,10 @@
 ControlPlane::ControlPlane(const Settings &settings, const PeerAdapters &adapters,
                            SnapshotPublisher<RoutingTable> &routing,
                            SnapshotPublisher<TrafficView> &views, LogSink &log,
-                           MetricRegistry &metrics)
+                           MetricRegistry &metrics, std::shared_ptr<MemoryBudget> memory)
     : settings_(settings)
     , self_(makeSelf(settings))
-    , store_(adapters.makeStore_(loop_, metrics))
+    , store_(adapters.makeStore_(loop_, metrics, memory))
     , backends_(adapters.makeBackendLink_(loop_))
     , ranges_(adapters.makeRangeLink_(loop_))
     , links_(
@@ -93,7 +95,7 @@
                   links_.onAnswer(from.member_.host_);
               core_.onSiblingMessage(from, message);
           },
-          log, metrics)
+          log, metrics, SiblingResources { std::move(memory), descriptorPlan().siblings_ })
     , core_(self_, controlOptions(settings), ports(), routing, views, log, metrics)
 { }
 
--- a/src/daemon/NativeAdapters.cpp
+++ b/src/daemon/NativeAdapters.cpp
@@ -27,9 +27,12 @@
     adapters.callerProtocol_ = &nativeCallerProtocol();
     adapters.backendProtocol_ = &nativeBackendProtocol();
     adapters.makeStore_ = [options = storeOptions(settings)](EventLoop &loop,
-                                                             MetricRegistry &metrics) {
+                                                             MetricRegistry &metrics,
+                                                             std::shared_ptr<MemoryBudget> memory) {
+        StoreClientOptions counted = options;
+        counted.memory_ = std::move(memory);
         return std::make_unique<StoreClient>(
-            options, [&loop](std::function<void()> task) { loop.post(std::move(task)); }, metrics);
+            counted, [&loop](std::function<void()> task) { loop.post(std::move(task)); }, metrics);
     };
     adapters.makeBackendLink_
         = [](EventLoop &loop) { return std::make_unique<HttpBackendLink>(loop); };
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -112,7 +112,8 @@
     , memory_(
           std::make_shared<MemoryBudget>(memoryLimitsOf(settings).value_or(defaultMemoryLimits())))
     , trafficLoop_(makeTrafficLoop(settings))
-    , control_(settings, adapters, routing_, views_, log, metrics_)
+    , control_(settings, adapters, routing_, views_, log, metrics_,
+               settings.hostMemoryMb_ > 0 ? memory_ : nullptr)
     , backends_(backendOptions(settings, adapters, trafficLoop_.get(), memory_), routing_, *this,
                 log, metrics_)
     , callers_(views_, backends_, *this, log, metrics_)
--- a/src/daemon/PeerAdapters.h
+++ b/src/daemon/PeerAdapters.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/BackendLink.h"
 #include "pimentostage/backend/RangeLink.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/MetricRegistry.h"
 #include "pimentostage/operator/Settings.h"
 #include "pimentostage/platform/ObjectStore.h"
@@ -21,7 +22,11 @@
 {
     const CallerProtocol *callerProtocol_ = nullptr;
     const BackendProtocol *backendProtocol_ = nullptr;
-    std::function<std::unique_ptr<ObjectStore>(EventLoop &, MetricRegistry &)> makeStore_;
+    /// The last argument, if set, is where the memory of unfinished replies is counted, in the
+    /// account StoreReplies; otherwise the client's fixed limits apply.
+    std::function<std::unique_ptr<ObjectStore>(EventLoop &, MetricRegistry &,
+                                               std::shared_ptr<MemoryBudget>)>
+        makeStore_;
     std::function<std::unique_ptr<BackendLink>(EventLoop &)> makeBackendLink_;
     std::function<std::unique_ptr<RangeLink>(EventLoop &)> makeRangeLink_;
     std::function<std::unique_ptr<HttpServer>(EventLoop &)> makeOperatorServer_;
--- a/src/platform/StoreClient.cpp
+++ b/src/platform/StoreClient.cpp
@@ -13,13 +13,14 @@
 constexpr int kNotFound = 404;
 constexpr int kConflict = 409;
 
-HttpClientOptions httpClientOptions()
+HttpClientOptions httpClientOptions(std::shared_ptr<MemoryBudget> memory)
 {
     HttpClientOptions options;
     options.threadName_ = "store-client";
     options.connectionsPerPeer_ = 8;
     options.maxAnswerBytes_ = std::size_t { 256 } << 20U;
     options.peerKind_ = PeerKind::Platform;
+    options.countMemory(std::move(memory), MemoryAccount::StoreReplies);
     return options;
 }
 
@@ -56,7 +57,7 @@
     , failures_(metrics.counter("pimento_store_failures_total", "Store calls that failed."))
     , overBudget_(metrics.counter("pimento_store_over_budget_total",
                                   "Store calls not sent because of this host's call budget."))
-    , http_(httpClientOptions())
+    , http_(httpClientOptions(options.memory_))
 { }
 
 StoreClient::~StoreClient() = default;
--- a/src/platform/StoreClient.h
+++ b/src/platform/StoreClient.h
@@ -18,6 +18,7 @@
     Duration timeout_ = std::chrono::seconds(1);
     double callsPerSecond_ = 60; ///< this host's share of the rate that the store supports
     double callBurst_ = 60;
+    std::shared_ptr<MemoryBudget> memory_; ///< if set, where unfinished replies are counted
 };
 
 /// ObjectStore that uses the HTTP protocol of the platform's store.
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -475,23 +475,25 @@
 }
 
 /// @param payload begins with kCompressedMark.
-std::optional<std::vector<std::uint8_t>> decompressPayload(const std::vector<std::uint8_t> &payload)
+std::optional<std::vector<std::uint8_t>> decompressPayload(const std::vector<std::uint8_t> &payload,
+                                                           const FrameLimits &limits)
 {
     if (payload.size() < kCompressedHeaderBytes)
         return std::nullopt;
     const std::uint32_t size = frameLength(payload.data() + 1);
-    if (size > kMaxFrameBytes)
+    if (size > limits.maxBytes_)
         return std::nullopt;
     return inflate(payload.data() + kCompressedHeaderBytes, payload.size() - kCompressedHeaderBytes,
                    size);
 }
 
-std::optional<Json> parsePayload(const std::vector<std::uint8_t> &payload)
+std::optional<Json> parsePayload(const std::vector<std::uint8_t> &payload,
+                                 const FrameLimits &limits)
 {
     if (payload.empty() || payload.front() != kCompressedMark)
-        return parseMessagePack(payload);
-    const auto whole = decompressPayload(payload);
-    return whole ? parseMessagePack(*whole) : std::nullopt;
+        return parseMessagePack(payload, limits.maxValues_);
+    const auto whole = decompressPayload(payload, limits);
+    return whole ? parseMessagePack(*whole, limits.maxValues_) : std::nullopt;
 }
 
 } // namespace
@@ -527,9 +529,10 @@
     return length;
 }
 
-leaf::result<SiblingMessage> decodeFrame(const std::vector<std::uint8_t> &payload)
+leaf::result<SiblingMessage> decodeFrame(const std::vector<std::uint8_t> &payload,
+                                         const FrameLimits &limits)
 {
-    const Json envelope = parsePayload(payload).value_or(Json());
+    const Json envelope = parsePayload(payload, limits).value_or(Json());
     const bool isEnvelope = envelope.is_array() && envelope.size() == 3
                             && envelope[0].is_number_unsigned() && envelope[1].is_number_unsigned();
     if (!isEnvelope)
--- a/src/sibling/SiblingLinks.cpp
+++ b/src/sibling/SiblingLinks.cpp
@@ -1,11 +1,16 @@
 #include "src/sibling/SiblingLinks.h"
 
+#include "src/sibling/SiblingOutgoing.h"
+
+#include "pimentostage/base/AnswerMemory.h"
 #include "pimentostage/base/ByteBudget.h"
 #include "src/sibling/FrameCodec.h"
 
 #include <algorithm>
 #include <array>
 #include <deque>
+#include <limits>
+#include <map>
 #include <optional>
 #include <set>
 #include <utility>
@@ -27,9 +32,6 @@
 using Timer = asio::steady_timer;
 
 constexpr Duration kAcceptRetryDelay = std::chrono::milliseconds(50);
-constexpr std::uint32_t kMaxHelloBytes = 64 * 1024;
-// Of all connections together: 64 Hellos of the largest size.
-constexpr std::size_t kMaxUnfinishedHelloBytes = std::size_t { 64 } * kMaxHelloBytes;
 // Bytes for which memory is reserved before they have arrived.
 constexpr std::size_t kMinPartBytes = std::size_t { 16 } << 10U;
 // Time for a connection's Hello, and for the payload of a frame, to arrive; more than ten times the
@@ -41,14 +43,6 @@
     return { asio::ip::make_address_v4(address.ip_), address.port_ };
 }
 
-/// @return the endpoint, or nothing if the text of @p address is not an IPv4 address.
-std::optional<Tcp::endpoint> parsedEndpointOf(const Address &address)
-{
-    SystemError error;
-    const auto ip = asio::ip::make_address_v4(address.ip_, error);
-    return error ? std::nullopt : std::optional(Tcp::endpoint(ip, address.port_));
-}
-
 std::string remoteAddress(const Tcp::socket &socket)
 {
     SystemError error;
@@ -58,31 +52,6 @@
 
 } // namespace
 
-/// State shared by all connections.
-struct SiblingLinks::SharedState
-{
-    asio::io_context &context_;
-    const MemberUpdate self_;
-    const AddressResolver resolve_;
-    const ReceiveHandler receive_;
-    LogSink &log_;
-    Counter &sentFrames_;
-    Counter &sentBytes_;
-    Counter &receivedFrames_;
-    Counter &receivedBytes_;
-    Counter &droppedFrames_;
-    Counter &badFrames_;
-    bool isClosed_ = false;
-    std::set<std::shared_ptr<Incoming>> incoming_;
-    std::vector<std::shared_ptr<Incoming>> waiting_; ///< for bytes of a budget
-    /// Of frames that are being received from senders that have identified themselves.
-    const std::shared_ptr<ByteBudget> frameBudget_
-        = std::make_shared<ByteBudget>(kMaxUnfinishedBytes);
-    /// Of the first frames of all other connections, so that these cannot delay known senders.
-    const std::shared_ptr<ByteBudget> helloBudget_
-        = std::make_shared<ByteBudget>(kMaxUnfinishedHelloBytes);
-};
-
 /// A connection that another host opened; reads one frame at a time.
 class SiblingLinks::Incoming : public std::enable_shared_from_this<Incoming>
 {
@@ -119,6 +88,20 @@
         timer_.cancel();
     }
 
+    void closeAndRemove()
+    {
+        close();
+        shared_->incoming_.erase(shared_from_this());
+        releasePayload();
+    }
+
+    /// @return by how little this connection is needed: one without a Hello before one of a known
+    ///         sender, then the one that was silent longest.
+    [[nodiscard]] std::pair<bool, TimePoint> need() const
+    {
+        return { sender_.has_value(), heardAt_ };
+    }
+
 private:
     void startTimeout()
     {
@@ -137,7 +120,8 @@
     {
         const std::uint32_t length = frameLength(length_.data());
         // Its first frame identifies the sender and is small.
-        const std::uint32_t maxLength = sender_ ? kMaxFrameBytes : kMaxHelloBytes;
+        const std::uint32_t maxLength
+            = sender_ ? shared_->memory_->limits_.maxBytes_ : kMaxHelloBytes;
         if (length == 0 || length > maxLength) {
             reject("invalid frame length: " + std::to_string(length) + " bytes");
             return;
@@ -150,7 +134,7 @@
     void beginPayload()
     {
         const std::uint32_t length = frameLength(length_.data());
-        ByteBudget &budget = sender_ ? *shared_->frameBudget_ : *shared_->helloBudget_;
+        ByteBudget &budget = sender_ ? *shared_->memory_->unfinished_ : *shared_->helloBudget_;
         if (!budget.reserve(payloadBytes_, length)) {
             shared_->waiting_.push_back(shared_from_this());
             return;
@@ -191,13 +175,14 @@
     void handlePayload()
     {
         stopTimeout();
+        heardAt_ = BootClock::now();
         const std::vector<std::uint8_t> payload = std::exchange(payload_, {});
         releasePayload();
         shared_->receivedFrames_.add();
         shared_->receivedBytes_.add(payload.size() + kFrameLengthBytes);
         const std::string rejection = valueOr(
             [&]() -> leaf::result<std::string> {
-                BOOST_LEAF_AUTO(message, decodeFrame(payload));
+                BOOST_LEAF_AUTO(message, decodeFrame(payload, shared_->memory_->limits_));
                 return dispatch(message);
             },
             [](const Error &error) { return error.describe(); });
@@ -233,16 +218,10 @@
         closeAndRemove();
     }
 
-    void closeAndRemove()
-    {
-        close();
-        shared_->incoming_.erase(shared_from_this());
-        releasePayload();
-    }
-
     std::shared_ptr<SharedState> shared_;
     Tcp::socket socket_;
     const std::string peer_;
+    TimePoint heardAt_ = BootClock::now(); ///< at which the last frame was complete
     std::optional<MemberUpdate> sender_;
     std::array<std::uint8_t, kFrameLengthBytes> length_ {};
     std::vector<std::uint8_t> payload_; ///< of the frame that is being received
@@ -250,138 +229,6 @@
     Timer timer_;
 };
 
-/// A connection to one other host, opened by this host and reopened after failures.
-class SiblingLinks::Outgoing : public std::enable_shared_from_this<Outgoing>
-{
-public:
-    Outgoing(std::shared_ptr<SharedState> shared, HostName host)
-        : shared_(std::move(shared))
-        , host_(std::move(host))
-        , socket_(std::make_shared<Tcp::socket>(shared_->context_))
-    { }
-
-    void send(const SiblingMessage &message)
-    {
-        const TimePoint now = BootClock::now();
-        const bool isProbe = std::holds_alternative<Probe>(message);
-        // The first packet to a host without power is lost, and TCP retransmits it only after
-        // seconds, so a new attempt is started instead.
-        const bool hasTimedOut
-            = state_ == State::Connecting && now >= connectingSince_ + kConnectTimeout;
-        if (hasTimedOut || (isProbe && isSilent(now)))
-            reset();
-        if (isProbe && unansweredSince_ == TimePoint {})
-            unansweredSince_ = now;
-        if (state_ == State::Closed && !connect())
-            return;
-        std::vector<std::uint8_t> frame = encodeFrame(message);
-        if (queuedBytes_ + frame.size() > kMaxQueuedBytes) {
-            shared_->droppedFrames_.add();
-            return;
-        }
-        queue(std::move(frame));
-    }
-
-    void onAnswer() { unansweredSince_ = TimePoint {}; }
-
-    void reset()
-    {
-        SystemError ignored;
-        socket_->close(ignored);
-        socket_ = std::make_shared<Tcp::socket>(shared_->context_);
-        ++generation_;
-        frames_.clear();
-        queuedBytes_ = 0;
-        isWriting_ = false;
-        unansweredSince_ = TimePoint {};
-        state_ = State::Closed;
-    }
-
-private:
-    enum class State { Closed, Connecting, Open };
-
-    bool isSilent(TimePoint now) const
-    {
-        return unansweredSince_ != TimePoint {} && now > unansweredSince_ + kSilenceTimeout;
-    }
-
-    bool connect()
-    {
-        const auto address = shared_->resolve_(host_);
-        const auto endpoint = address ? parsedEndpointOf(*address) : std::nullopt;
-        if (!endpoint)
-            return false;
-        state_ = State::Connecting;
-        connectingSince_ = BootClock::now();
-        queue(encodeFrame(Hello { shared_->self_ }));
-        auto self = shared_from_this();
-        const std::uint64_t generation = generation_;
-        socket_->async_connect(*endpoint, [self, generation](const SystemError &error) {
-            if (generation != self->generation_)
-                return;
-            if (error) {
-                self->reset();
-                return;
-            }
-            SystemError ignored;
-            self->socket_->set_option(Tcp::no_delay(true), ignored);
-            self->state_ = State::Open;
-            self->writeNext();
-        });
-        return true;
-    }
-
-    void queue(std::vector<std::uint8_t> frame)
-    {
-        queuedBytes_ += frame.size();
-        frames_.push_back(std::make_shared<const std::vector<std::uint8_t>>(std::move(frame)));
-        if (state_ == State::Open && !isWriting_)
-            writeNext();
-    }
-
-    void writeNext()
-    {
-        if (frames_.empty())
-            return;
-        isWriting_ = true;
-        auto self = shared_from_this();
-        const std::uint64_t generation = generation_;
-        // A frame takes several writes, which may continue after reset(); so the operation shares
-        // its socket and its frame.
-        asio::async_write(*socket_, asio::buffer(*frames_.front()),
-                          [self, generation, socket = socket_,
-                           frame = frames_.front()](const SystemError &error, std::size_t bytes) {
-                              if (generation != self->generation_)
-                                  return;
-                              if (error)
-                                  self->reset();
-                              else
-                                  self->onWritten(bytes);
-                          });
-    }
-
-    void onWritten(std::size_t bytes)
-    {
-        shared_->sentFrames_.add();
-        shared_->sentBytes_.add(bytes);
-        queuedBytes_ -= bytes;
-        frames_.pop_front();
-        isWriting_ = false;
-        writeNext();
-    }
-
-    std::shared_ptr<SharedState> shared_;
-    const HostName host_;
-    std::shared_ptr<Tcp::socket> socket_; ///< replaced by reset()
-    State state_ = State::Closed;
-    std::uint64_t generation_ = 0; ///< identifies late completions of a closed connection
-    std::deque<std::shared_ptr<const std::vector<std::uint8_t>>> frames_;
-    std::size_t queuedBytes_ = 0;
-    bool isWriting_ = false;
-    TimePoint unansweredSince_ {};
-    TimePoint connectingSince_ {};
-};
-
 /// Accepts connections from other hosts.
 class SiblingLinks::Acceptor : public std::enable_shared_from_this<Acceptor>
 {
@@ -402,6 +249,7 @@
                 self->retry();
                 return;
             }
+            self->makeRoom();
             auto incoming = std::make_shared<Incoming>(self->shared_, std::move(socket));
             self->shared_->incoming_.insert(incoming);
             incoming->start();
@@ -417,6 +265,17 @@
     }
 
 private:
+    void makeRoom()
+    {
+        const auto &incoming = shared_->incoming_;
+        if (shared_->maxIncoming_ == 0 || incoming.size() < shared_->maxIncoming_)
+            return;
+        const std::shared_ptr<Incoming> leastNeeded = *std::min_element(
+            incoming.begin(), incoming.end(),
+            [](const auto &left, const auto &right) { return left->need() < right->need(); });
+        leastNeeded->closeAndRemove();
+    }
+
     // Usually the process has run out of file descriptors. The delay avoids a busy loop.
     void retry()
     {
@@ -432,9 +291,24 @@
     asio::steady_timer retryTimer_;
 };
 
+namespace {
+
+std::shared_ptr<FrameMemory> frameMemory(const std::shared_ptr<MemoryBudget> &memory)
+{
+    if (!memory) {
+        return std::make_shared<FrameMemory>(memory, SiblingLinks::kMaxUnfinishedBytes,
+                                             std::numeric_limits<std::size_t>::max());
+    }
+    const std::size_t half = memory->limit(MemoryAccount::SiblingFrames) / 2;
+    return std::make_shared<FrameMemory>(
+        memory, std::min(ByteBudget::largeBytes(half), SiblingLinks::kMaxUnfinishedBytes), half);
+}
+
+} // namespace
+
 SiblingLinks::SiblingLinks(asio::io_context &context, const MemberUpdate &self,
                            AddressResolver resolve, ReceiveHandler receive, LogSink &log,
-                           MetricRegistry &metrics)
+                           MetricRegistry &metrics, SiblingResources resources)
     : shared_(std::make_shared<SharedState>(SharedState {
         context,
         self,
@@ -452,6 +326,9 @@
                         "Frames refused as unknown, oversized or malformed."),
         false,
         {},
+        {},
+        frameMemory(resources.memory_),
+        resources.maxIncoming_,
         {} }))
 { }
 
--- a/src/sibling/SiblingLinks.h
+++ b/src/sibling/SiblingLinks.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Log.h"
+#include "pimentostage/base/MemoryBudget.h"
 #include "pimentostage/base/MetricRegistry.h"
 #include "pimentostage/sibling/Messages.h"
 
@@ -13,6 +14,16 @@
 
 namespace pimentostage {
 
+/// What the connections between hosts may use.
+struct SiblingResources
+{
+    /// If set, its account SiblingFrames limits all frames: half is for those that are being
+    /// received, half for those that wait to be sent. If not, the fixed limits of SiblingLinks
+    /// apply.
+    std::shared_ptr<MemoryBudget> memory_;
+    std::size_t maxIncoming_ = 0; ///< connections that other hosts open; 0 for no limit
+};
+
 /// TCP connections to and from the other entry hosts.
 ///
 /// Used only on the control thread. Each host sends on the connections that it opens itself and
@@ -27,7 +38,7 @@
 
     SiblingLinks(boost::asio::io_context &context, const MemberUpdate &self,
                  AddressResolver resolve, ReceiveHandler receive, LogSink &log,
-                 MetricRegistry &metrics);
+                 MetricRegistry &metrics, SiblingResources resources = {});
     ~SiblingLinks() override;
 
     /// Starts to accept connections.
