--- a/src/base/BeastServer.cpp
+++ b/src/base/BeastServer.cpp
@@ -194,8 +194,11 @@
     const auto headBudget
         = std::make_shared<ByteBudget>(maxHeadBytes, options.memory_, MemoryAccount::CallerHeads);
     const int threads = options.threads_ = sharedLoop_ ? 1 : options.threads_;
-    const std::size_t maxUnreadBytes
-        = options.memory_->limit(MemoryAccount::UnreadAnswers) / static_cast<std::size_t>(threads);
+    const std::size_t accountLimit = options.memory_->limit(MemoryAccount::UnreadAnswers);
+    const std::size_t unreadLimit = options.maxUnreadBytes_ > 0
+                                        ? std::min(options.maxUnreadBytes_, accountLimit)
+                                        : accountLimit;
+    const std::size_t maxUnreadBytes = unreadLimit / static_cast<std::size_t>(threads);
     try {
         for (int i = 0; i < threads; ++i) {
             if (!sharedLoop_)
--- a/src/base/HttpServer.h
+++ b/src/base/HttpServer.h
@@ -78,6 +78,8 @@
     /// defaultMemoryLimits(). Its account UnreadAnswers limits the answers that callers have not
     /// taken yet, divided among the threads; the largest above it are given up.
     std::shared_ptr<MemoryBudget> memory_;
+    /// Of the answers that callers have not taken yet; 0: as many as the account allows.
+    std::size_t maxUnreadBytes_ = 0;
     /// @return the answer to a request that exceeds maxBufferedBytes_. Called on the server's
     ///         threads.
     std::function<ServerAnswer()> overloadAnswer_;
--- a/src/base/MemoryBudget.cpp
+++ b/src/base/MemoryBudget.cpp
@@ -18,14 +18,15 @@
 
 constexpr std::size_t kMegabyte = std::size_t { 1 } << 20U;
 
-// A back end's answer has at most 4 MiB, and its memory may be twice as large while it grows. The
-// replies of the store and the frames of other hosts carry a configuration of up to 4 MiB.
+// The least is for some answers of 540 KB, the largest that callers of a host of 120 MB download,
+// of which an unfinished one may take twice its size, and for a configuration of some hundred back
+// ends.
 constexpr AccountShare kShares[] = {
-    { MemoryAccount::CallerHeads, 3, 2 * kMegabyte },
-    { MemoryAccount::UnreadAnswers, 8, 8 * kMegabyte },
-    { MemoryAccount::BackendAnswers, 8, 8 * kMegabyte },
-    { MemoryAccount::SiblingFrames, 4, 4 * kMegabyte },
-    { MemoryAccount::StoreReplies, 4, 4 * kMegabyte },
+    { MemoryAccount::CallerHeads, 3, kMegabyte / 2 },
+    { MemoryAccount::UnreadAnswers, 8, 2 * kMegabyte },
+    { MemoryAccount::BackendAnswers, 8, 2 * kMegabyte },
+    { MemoryAccount::SiblingFrames, 4, kMegabyte },
+    { MemoryAccount::StoreReplies, 4, kMegabyte },
 };
 
 } // namespace
--- a/src/caller/CallerService.cpp
+++ b/src/caller/CallerService.cpp
@@ -144,7 +144,7 @@
 Refusal CallerService::refuseBody(const RequestId &id)
 {
     Refusal refusal { RefusalReason::Overloaded, Outcome::NotRun, kBodyRetryAfter,
-                      "the bodies of other requests use the memory for bodies" };
+                      "other requests use the memory for heads and bodies" };
     requests_.add();
     refused_.at(static_cast<std::size_t>(refusal.reason_))->add();
     log_.write(LogLine(Severity::Info, "refuse")
--- a/src/daemon/Node.cpp
+++ b/src/daemon/Node.cpp
@@ -147,10 +147,10 @@
 leaf::result<void> Node::start()
 {
     BOOST_LEAF_CHECK(
-        operatorServer_.start(settings_.operatorAddress_, settings_.operatorReadyPath_));
+        operatorServer_.start(settings_.operatorAddress_, settings_.operatorReadyPath_, memory_));
     if (readyServer_) {
-        BOOST_LEAF_CHECK(
-            readyServer_->start(settings_.operatorReadyAddress_, settings_.operatorReadyPath_));
+        BOOST_LEAF_CHECK(readyServer_->start(settings_.operatorReadyAddress_,
+                                             settings_.operatorReadyPath_, memory_));
     }
     BOOST_LEAF_CHECK(control_.start());
     BOOST_LEAF_CHECK(callerServer_.start(callerOptions(settings_, memory_)));
--- a/src/operator/OperatorServer.cpp
+++ b/src/operator/OperatorServer.cpp
@@ -8,6 +8,9 @@
 constexpr int kUnavailable = 503;
 constexpr std::size_t kMaxRequestBytes = std::size_t { 16 } << 10U; // no page takes a body
 constexpr std::size_t kMaxBufferedBytes = std::size_t { 256 } << 10U; // of all connections
+constexpr std::size_t kMaxUnreadBytes = std::size_t { 2 } << 20U; // of all connections
+// A balancer, a collector of metrics and some operators use a few each.
+constexpr std::size_t kMaxConnections = 64;
 constexpr const char *kText = "text/plain; charset=utf-8";
 constexpr const char *kJson = "application/json";
 
@@ -26,7 +29,8 @@
     , server_(std::move(server))
 { }
 
-leaf::result<void> OperatorServer::start(const Address &address, const std::string &readyPath)
+leaf::result<void> OperatorServer::start(const Address &address, const std::string &readyPath,
+                                         std::shared_ptr<MemoryBudget> memory)
 {
     readyPath_ = readyPath;
     HttpServerOptions options;
@@ -35,6 +39,9 @@
     options.threadName_ = "operator";
     options.maxRequestBytes_ = kMaxRequestBytes;
     options.maxBufferedBytes_ = kMaxBufferedBytes;
+    options.memory_ = std::move(memory);
+    options.maxUnreadBytes_ = kMaxUnreadBytes;
+    options.maxConnections_ = kMaxConnections;
     return server_->start(options, [this] {
         return
             [this](const ServerRequest &request, const std::shared_ptr<HttpResponder> &responder) {
--- a/src/operator/OperatorServer.h
+++ b/src/operator/OperatorServer.h
@@ -33,7 +33,8 @@
 
     /// @param readyPath an additional path of the readiness page, or "".
     /// @return nothing, or an Error of step Listen.
-    leaf::result<void> start(const Address &address, const std::string &readyPath);
+    leaf::result<void> start(const Address &address, const std::string &readyPath,
+                             std::shared_ptr<MemoryBudget> memory = nullptr);
     void stop() { server_->stop(); }
 
 private:
