--- a/tests/CallerMemoryTest.cpp
+++ b/tests/CallerMemoryTest.cpp
@@ -123,7 +123,7 @@
 TEST_F(CallerMemoryTest, TheLargestUnreadAnswersAreGivenUp)
 {
     // More than a loopback connection's buffers take.
-    constexpr std::size_t kLarge = 16 * 1024 * kKilobyte;
+    constexpr std::size_t kLarge = std::size_t { 16 } * 1024 * kKilobyte;
     answersImmediately_ = false;
     start(optionsWith(MemoryAccount::UnreadAnswers, kLarge + kLarge / 2));
     Caller small(server_.port());
