--- a/src/daemon/ControlPlane.h
+++ b/src/daemon/ControlPlane.h
@@ -19,8 +19,7 @@
 public:
     ControlPlane(const Settings &settings, const PeerAdapters &adapters,
                  SnapshotPublisher<RoutingTable> &routing, SnapshotPublisher<TrafficView> &views,
-                 LogSink &log, MetricRegistry &metrics,
-                 std::shared_ptr<MemoryBudget> memory);
+                 LogSink &log, MetricRegistry &metrics, std::shared_ptr<MemoryBudget> memory);
     ~ControlPlane();
 
     /// Starts the control thread's work and listens for siblings.
