--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -82,6 +82,7 @@
 struct FleetState
 {
     std::set<std::string> leavingHosts_;
+    std::set<std::string> withheldBackends_; ///< of a version that may get no requests
     std::map<ZoneName, TimePoint> zoneReturnedAt_; ///< when data centres returned to service
     Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< number of entry hosts that share the back ends' connections
--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -26,6 +26,8 @@
     std::map<RoleName, RoleRecord> roles_;
     std::map<ServiceName, std::shared_ptr<const RangePlacement>> ranges_;
     std::map<HostName, EntryHost> entryHosts_;
+    std::map<ServiceName, Rollout> rollouts_;
+    std::map<ServiceName, RolloutState> rolloutStates_;
     /// Shared by the configurations of one catalogue, which may have thousands of routes.
     std::shared_ptr<const RoutesByHost> virtualHosts_ = std::make_shared<const RoutesByHost>();
     bool hasCatalogue_ = false; ///< services and contracts come from one object
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -26,11 +26,13 @@
 leaf::result<LostHost> parseLostHost(const std::string &name, const std::string &value);
 leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value);
 leaf::result<EntryHost> parseEntryHost(const std::string &name, const std::string &value);
+leaf::result<Rollout> parseRollout(const std::string &name, const std::string &value);
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
 
 /// The content of an object; one alternative for each ObjectKind, in its order.
 using ParsedObject = std::variant<Service, Contract, TeamKey, Zone, Backend, LostHost, RoleRecord,
-                                  Placement, Catalogue, RangePlacement, EntryHost>;
+                                  Placement, Catalogue, RangePlacement, EntryHost, Rollout,
+                                  RolloutState>;
 
 /// Parses @p value as the value of @p ref.
 /// @return the content, or the Error of the matching parse function.
@@ -49,6 +51,7 @@
 std::string formatLostHost(const LostHost &host);
 std::string formatCatalogue(const Catalogue &catalogue);
 std::string formatEntryHost(const EntryHost &host);
+std::string formatRollout(const Rollout &rollout);
 std::string formatHostList(const std::vector<ListedHost> &hosts);
 
 /// @param text "ip:port".
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pimentostage/backend/RolloutOrder.h"
 #include "pimentostage/base/EnumNames.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Time.h"
@@ -25,6 +26,8 @@
     Catalogue,
     RangePlacement,
     EntryHost,
+    Rollout,
+    RolloutState,
 };
 
 template <>
@@ -42,6 +45,8 @@
         EnumName<ObjectKind> { ObjectKind::Catalogue, "catalogue" },
         EnumName<ObjectKind> { ObjectKind::RangePlacement, "ranges" },
         EnumName<ObjectKind> { ObjectKind::EntryHost, "host" },
+        EnumName<ObjectKind> { ObjectKind::Rollout, "rollout" },
+        EnumName<ObjectKind> { ObjectKind::RolloutState, "rollout-state" },
     };
 };
 
@@ -238,6 +243,58 @@
     BackendState state_ = BackendState::Ready;
     Incarnation incarnation_; ///< start of its process; zero if not reported
     Duration coldFor_ {}; ///< time left until it is warm, as of when the object was read
+    std::string version_; ///< of the software that it runs; empty if not reported or not in use
+};
+
+/// An operator's order of a roll-out, as stored.
+struct Rollout
+{
+    RolloutOrder order_;
+    std::string id_; ///< tells a repeated order from the former one; empty if the writer has none
+
+    /// @return whether @p other is the same order: the store may give the same order a new version
+    ///         when its status is written.
+    [[nodiscard]] bool isSameOrder(const Rollout &other) const
+    {
+        return order_.service_ == other.order_.service_ && order_.target_ == other.order_.target_
+               && order_.duration_ == other.order_.duration_ && id_ == other.id_;
+    }
+};
+
+/// What operators are told of a roll-out.
+enum class RolloutStatus { Running, Complete, RolledBack };
+
+template <>
+struct EnumTable<RolloutStatus>
+{
+    static constexpr std::array kRows {
+        EnumName<RolloutStatus> { RolloutStatus::Running, "running" },
+        EnumName<RolloutStatus> { RolloutStatus::Complete, "complete" },
+        EnumName<RolloutStatus> { RolloutStatus::RolledBack, "rolled_back" },
+    };
+};
+
+/// The state of a service's last roll-out, written by the holder of the role `rollouts`.
+struct RolloutState
+{
+    Rollout rollout_; ///< the order that it belongs to
+    Version orderedAt_; ///< version of the order when it was begun
+    RolloutPhase phase_ = RolloutPhase::Observing;
+    std::string current_; ///< the version in force when the order was begun
+    double share_ = 0; ///< share of the traffic that the target may get while `Switching`, 0 to 1
+    Duration elapsed_ {}; ///< since the order, when this was written
+    Epoch roleEpoch_; ///< of the holder that wrote it
+
+    /// @return whether the roll-out has ended.
+    [[nodiscard]] bool isEnded() const
+    {
+        return phase_ == RolloutPhase::Complete || phase_ == RolloutPhase::RolledBack;
+    }
+    /// @return the version in force of the service, as of this state.
+    [[nodiscard]] const std::string &versionInForce() const
+    {
+        return phase_ == RolloutPhase::Complete ? rollout_.order_.target_ : current_;
+    }
 };
 
 /// All services, routes, contracts and keys in one object, so that they change atomically.
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -53,6 +53,11 @@
     void operator()(Backend content) const { set(configuration_.backends_, std::move(content)); }
     void operator()(LostHost content) const { set(configuration_.lostHosts_, std::move(content)); }
     void operator()(RoleRecord content) const { set(configuration_.roles_, std::move(content)); }
+    void operator()(Rollout content) const { set(configuration_.rollouts_, std::move(content)); }
+    void operator()(RolloutState content) const
+    {
+        set(configuration_.rolloutStates_, std::move(content));
+    }
     void operator()(EntryHost content) const
     {
         set(configuration_.entryHosts_, std::move(content));
@@ -133,6 +138,8 @@
     &removeCatalogue,
     &removeByName<&Configuration::ranges_>,
     &removeByName<&Configuration::entryHosts_>,
+    &removeByName<&Configuration::rollouts_>,
+    &removeByName<&Configuration::rolloutStates_>,
 };
 
 /// @return whether the value of an object of @p kind holds the writer's position.
--- a/src/platform/CoordinationCodec.cpp
+++ b/src/platform/CoordinationCodec.cpp
@@ -268,6 +268,26 @@
     return placement;
 }
 
+leaf::result<RolloutState> parseRolloutState(const std::string &name, const std::string &value)
+{
+    const double kMaxMs = 86'400'000; // a day, as for an order
+    ObjectReader reader({ ObjectKind::RolloutState, name }, value);
+    RolloutState state;
+    state.rollout_.order_.service_ = ServiceName(name);
+    state.rollout_.order_.target_ = reader.requiredText("target");
+    state.rollout_.order_.duration_ = reader.milliseconds("duration_ms", 0, 0, kMaxMs);
+    state.rollout_.id_ = reader.text("id");
+    state.orderedAt_ = Version { reader.unsignedInteger("ordered_at") };
+    state.phase_ = reader.requiredEnumValue("phase", RolloutPhase::Observing);
+    state.current_ = reader.text("current");
+    state.share_ = reader.number("share", 0, 0, 1);
+    state.elapsed_ = reader.milliseconds("elapsed_ms", 0, 0, kMaxMs);
+    state.roleEpoch_ = Epoch { reader.unsignedInteger("role_epoch") };
+    reader.rejectUnknownFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return state;
+}
+
 std::string formatRoleRecord(const RoleRecord &record)
 {
     Json predecessors = Json::array();
@@ -320,4 +340,21 @@
     return json.dump();
 }
 
+std::string formatRolloutState(const RolloutState &state)
+{
+    const auto milliseconds
+        = [](Duration duration) { return static_cast<double>(toMilliseconds(duration)); };
+    Json json { { "phase", toString(state.phase_) },
+                { "target", state.rollout_.order_.target_ },
+                { "duration_ms", milliseconds(state.rollout_.order_.duration_) },
+                { "ordered_at", state.orderedAt_.value_ },
+                { "current", state.current_ },
+                { "share", state.share_ },
+                { "elapsed_ms", milliseconds(state.elapsed_) },
+                { "role_epoch", state.roleEpoch_.value_ } };
+    if (!state.rollout_.id_.empty())
+        json["id"] = state.rollout_.id_;
+    return json.dump();
+}
+
 } // namespace pimentostage
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -23,6 +23,9 @@
 constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
 constexpr double kMaxRampMs = 3'600'000;
 constexpr std::size_t kSha256HexLength = 64;
+// A roll-out needs some seconds of observation; a longer one than a day is a mistake.
+constexpr double kMinRolloutMs = 1000;
+constexpr double kMaxRolloutMs = 86'400'000;
 
 std::vector<ServiceShare> readShares(ObjectReader &reader)
 {
@@ -192,6 +195,7 @@
     backend.state_ = reader.enumValue("state", BackendState::Ready);
     backend.incarnation_ = Incarnation { reader.unsignedInteger("incarnation", 0) };
     backend.coldFor_ = reader.milliseconds("cold_ms", 0, 0, kMaxTimeoutMs);
+    backend.version_ = reader.text("version");
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
     return backend;
@@ -281,6 +285,20 @@
     return host;
 }
 
+leaf::result<Rollout> parseRollout(const std::string &name, const std::string &value)
+{
+    ObjectReader reader({ ObjectKind::Rollout, name }, value);
+    Rollout rollout;
+    rollout.order_.service_ = ServiceName(name);
+    rollout.order_.target_ = reader.requiredText("target");
+    rollout.order_.duration_
+        = reader.milliseconds("duration_ms", kMinRolloutMs, kMinRolloutMs, kMaxRolloutMs);
+    rollout.id_ = reader.text("id");
+    reader.rejectUnknownFields();
+    BOOST_LEAF_CHECK(reader.result());
+    return rollout;
+}
+
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value)
 {
     ObjectReader reader({ ObjectKind::Backend, "host list" }, value);
@@ -317,7 +335,8 @@
     &parse<&parseService>,        &parse<&parseContract>,  &parse<&parseTeamKey>,
     &parse<&parseZone>,           &parse<&parseBackend>,   &parse<&parseLostHost>,
     &parse<&parseRoleRecord>,     &parse<&parsePlacement>, &parse<&parseCatalogue>,
-    &parse<&parseRangePlacement>, &parse<&parseEntryHost>,
+    &parse<&parseRangePlacement>, &parse<&parseEntryHost>, &parse<&parseRollout>,
+    &parse<&parseRolloutState>,
 };
 static_assert(std::variant_size_v<ParsedObject> == kEnumCount<ObjectKind>);
 
@@ -445,17 +464,29 @@
         .dump();
 }
 
+std::string formatRollout(const Rollout &rollout)
+{
+    Json json { { "target", rollout.order_.target_ },
+                { "duration_ms", milliseconds(rollout.order_.duration_) } };
+    if (!rollout.id_.empty())
+        json["id"] = rollout.id_;
+    return json.dump();
+}
+
 std::string formatBackend(const Backend &backend)
 {
-    return Json({ { "service", backend.service_.str() },
+    Json json({ { "service", backend.service_.str() },
                   { "zone", backend.zone_.str() },
                   { "address", backend.address_.str() },
                   { "slots", backend.slots_ },
                   { "connections", backend.connections_ },
                   { "state", toString(backend.state_) },
                   { "incarnation", backend.incarnation_.value_ },
-                  { "cold_ms", milliseconds(backend.coldFor_) } })
-        .dump();
+                  { "cold_ms", milliseconds(backend.coldFor_) } });
+    // Hosts of an earlier release reject unknown fields.
+    if (!backend.version_.empty())
+        json["version"] = backend.version_;
+    return json.dump();
 }
 
 std::string formatLostHost(const LostHost &host)
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -128,6 +128,15 @@
         return parsed.value_or(defaultValue);
     }
 
+    /// As enumValue(), but a missing field is an error.
+    template <typename E>
+    E requiredEnumValue(const char *field, E valueOnError)
+    {
+        if (!find(field))
+            addError(field, "is required");
+        return enumValue(field, valueOnError);
+    }
+
     Address address(const char *field)
     {
         const auto parsed = parseAddress(text(field));
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -83,6 +83,19 @@
         EXPECT_EQ(pick(), "worker-3");
 }
 
+// Guards against requests to a version of the service that is neither in force nor allowed by a
+// roll-out.
+TEST_F(BackendSelectorTest, RolloutSendsNothingToWithheldBackEnds)
+{
+    fleet_.withheldBackends_ = { "worker-0", "worker-1", "worker-3" };
+    rebuild();
+    for (int i = 0; i < 10; ++i)
+        EXPECT_EQ(pick(), "worker-2");
+    fleet_.withheldBackends_.insert("worker-2");
+    rebuild();
+    EXPECT_EQ(pick(), "");
+}
+
 TEST_F(BackendSelectorTest, KeepsObservationsAcrossRebuilds)
 {
     stats(1).onAnswer(5ms, now_);
--- a/tests/ObjectFieldsTest.cpp
+++ b/tests/ObjectFieldsTest.cpp
@@ -100,7 +100,7 @@
             { "/odd", "1" } } },
         { ObjectKind::Backend,
           R"({"service":"huts","zone":"north","address":"10.0.0.1:80","slots":6,"connections":110,
-              "state":"ready","incarnation":17,"cold_ms":5})",
+              "state":"ready","incarnation":17,"cold_ms":5,"version":"v1"})",
           { "/service", "/zone", "/address" },
           { { "/service", "\"\"" },
             { "/zone", "\"\"" },
@@ -206,6 +206,26 @@
             { "/sibling", "\"10.0.0.1\"" },
             { "/sibling", "\"10.0.0.1:0\"" },
             { "/odd", "1" } } },
+        { ObjectKind::Rollout,
+          R"({"target":"v2","duration_ms":12000,"id":"c-1"})",
+          { "/target" },
+          { { "/target", "\"\"" },
+            { "/duration_ms", "999" },
+            { "/duration_ms", "86400001" },
+            { "/odd", "1" } } },
+        { ObjectKind::RolloutState,
+          R"({"phase":"switching","target":"v2","duration_ms":12000,"id":"c-1","ordered_at":7,
+              "current":"v1","share":0.25,"elapsed_ms":400,"role_epoch":3})",
+          { "/phase", "/target", "/ordered_at", "/role_epoch" },
+          { { "/phase", "\"odd\"" },
+            { "/target", "\"\"" },
+            { "/duration_ms", "-1" },
+            { "/ordered_at", "-1" },
+            { "/share", "1.5" },
+            { "/share", "-0.1" },
+            { "/elapsed_ms", "-1" },
+            { "/role_epoch", "-1" },
+            { "/odd", "1" } } },
     };
     return rows;
 }
@@ -276,6 +296,10 @@
         add(name.str(), formatRangePlacement(*row));
     for (const auto &[name, row] : configuration.entryHosts_)
         add(name.str(), formatEntryHost(row));
+    for (const auto &[name, row] : configuration.rollouts_)
+        add(name.str(), formatRollout(row));
+    for (const auto &[name, row] : configuration.rolloutStates_)
+        add(name.str(), formatRolloutState(row));
     std::map<std::string, std::vector<Route>> hosts { configuration.virtualHosts_->begin(),
                                                       configuration.virtualHosts_->end() };
     for (const auto &[host, routes] : hosts)
