--- /dev/null
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "pimentostage/backend/Rollout.h"
+#include "pimentostage/backend/RolloutOutcomes.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace pimentostage {
+
+/// Decides about one roll-out by comparing the target with the version in force.
+///
+/// Runs at the holder of the role `rollouts`, on its control thread.
+class RolloutDecision
+{
+public:
+    /// @param orderedAt time of the order on this host's clock.
+    RolloutDecision(const RolloutOrder &order, const RolloutLimits &limits, TimePoint orderedAt);
+
+    /// Continues a roll-out that a former holder has brought to @p phase. Call before onOutcomes().
+    void resume(RolloutPhase phase, TimePoint now);
+
+    /// Applies the cumulative outcomes of the latest process of @p host. Late and repeated reports
+    /// of that process have no effect.
+    void onOutcomes(const HostName &host, const std::vector<RouteOutcomes> &outcomes,
+                    TimePoint now);
+
+    /// Tells that a new process of @p host counts from zero. The outcomes of former ones remain.
+    void onHostRestarted(const HostName &host);
+
+    /// Tells that @p host may send requests to the version in force. Reports imply it.
+    void addSender(const HostName &host);
+
+    /// Tells that @p host begins no more requests at the version in force and has none running
+    /// there, or that its lease for that version has run out.
+    void onCurrentLeft(const HostName &host);
+
+    /// Allows or forbids the begin of Switching, such as while the store cannot record it.
+    void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
+
+    /// Rolls back for an operator or a newer order. No effect after the end.
+    void abort();
+
+    /// Advances the phase. To be called at least every 250 ms, and after each report for the
+    /// earliest verdict.
+    /// @return phase, share of the traffic for the target, and reason.
+    RolloutVerdict decide(TimePoint now);
+
+    /// Time before the end of the duration at which Switching begins or the roll-out ends: 1.5 s
+    /// for the steps, 0.5 s for the last leases to arrive, and 2.5 s for requests that still run at
+    /// the former version.
+    static constexpr Duration kSwitchDuration = std::chrono::milliseconds(4500);
+    /// Time between two steps of Switching: two periods of reports.
+    static constexpr Duration kStepPeriod = std::chrono::milliseconds(500);
+    /// Largest increase of the target's share in one step.
+    static constexpr double kMaxStep = 0.25;
+
+private:
+    const RolloutOrder order_;
+    const RolloutLimits limits_;
+    const TimePoint orderedAt_;
+    bool isSwitchingAllowed_ = true;
+    RolloutVerdict verdict_;
+    TimePoint switchingSince_ {};
+    std::map<HostName, std::vector<RouteOutcomes>> hosts_;
+    std::set<HostName> senders_;
+};
+
+} // namespace pimentostage
