--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/BackendStats.h"
+#include "pimentostage/backend/RolloutTraffic.h"
 #include "pimentostage/backend/RouterLease.h"
 #include "pimentostage/base/Random.h"
 #include "pimentostage/platform/Configuration.h"
@@ -26,6 +27,7 @@
     std::uint32_t limit_ = 0; ///< maximum number of requests this host may have in flight
     bool usesLoadReports_ = false; ///< its service balances by reported load
     bool isLocal_ = true; ///< in this host's data centre
+    bool isTarget_ = false; ///< of the version that is rolled out
     /// Ready, not leaving, not replaced by another process at its address, and its data centre is
     /// in service.
     bool takesNewWork_ = true;
@@ -67,6 +69,7 @@
     std::shared_ptr<const Placement> placement_;
     std::shared_ptr<const RangePlacement> ranges_; ///< of a service with ordered keys
     std::shared_ptr<RouterLease> routerLease_; ///< nullptr if the back ends check fences themselves
+    std::shared_ptr<RolloutTraffic> rollout_; ///< nullptr unless a roll-out runs
 
     /// @return the candidate named @p name, or nullptr.
     [[nodiscard]] const Candidate *find(const BackendName &name) const;
@@ -83,6 +86,8 @@
 {
     std::set<std::string> leavingHosts_;
     std::set<std::string> withheldBackends_; ///< of a version that may get no requests
+    /// Of the services without keys whose roll-outs run.
+    std::map<ServiceName, std::shared_ptr<RolloutTraffic>> rollouts_;
     std::map<ZoneName, TimePoint> zoneReturnedAt_; ///< when data centres returned to service
     Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< number of entry hosts that share the back ends' connections
@@ -165,9 +170,23 @@
         bool hasPermitted_ = false; ///< this host may use some back end, even if it is full
     };
 
-    static CandidateGroups groupCandidates(const ServiceRoutes &routes,
+    /// Chooses among the candidates, or only those of one version.
+    using Filter = bool (*)(const Candidate &);
+
+    static CandidateGroups groupCandidates(const ServiceRoutes &routes, Filter filter,
                                            const std::vector<BackendName> &tried, Random &random,
                                            TimePoint now);
+    /// @return the candidates that may be used, the preferred ones only.
+    static std::vector<const Candidate *> usableCandidates(const ServiceRoutes &routes,
+                                                           Filter filter,
+                                                           const std::vector<BackendName> &tried,
+                                                           Random &random, TimePoint now);
+    static const Candidate *pick(const ServiceRoutes &routes,
+                                 std::vector<const Candidate *> usable, Random &random,
+                                 TimePoint now);
+    static const Candidate *selectVersion(const ServiceRoutes &routes,
+                                          const std::vector<BackendName> &tried, Random &random,
+                                          TimePoint now);
     static BackendChoice selectOwner(const ServiceRoutes &routes, std::string_view key,
                                      TimePoint now);
     static BackendChoice selectRangeOwner(const ServiceRoutes &routes, std::uint32_t key,
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -66,6 +66,10 @@
     std::int64_t backendQueueLength_ = 2000;
     Duration backendMaxQueueTime_ = std::chrono::milliseconds(500);
 
+    double rolloutMaxShare_ = 0; ///< 0: no roll-outs
+    std::int64_t rolloutMaxExtra_ = 50;
+    Duration rolloutRollback_ = std::chrono::milliseconds(5000);
+
     Severity logLevel_ = Severity::Info;
     std::int64_t logCapacity_ = 16'384;
 };
--- a/include/pimentostage/platform/ObjectStore.h
+++ b/include/pimentostage/platform/ObjectStore.h
@@ -96,6 +96,13 @@
         = 0;
     /// Deletes the object if its version is @p expected.
     virtual void remove(const ObjectRef &ref, Version expected, Done<WriteResult> done) = 0;
+    /// Tells the operators of @p service how its roll-out to version @p target is doing. A store
+    /// whose operators read the object of ObjectKind::RolloutState needs no call.
+    virtual void putRolloutStatus(const ServiceName & /*service*/, RolloutStatus /*status*/,
+                                  const std::string & /*target*/, Done<WriteResult> done)
+    {
+        done(WriteResult { true, Version {}, std::nullopt });
+    }
     /// @return whether the platform has a host list; if not, entry hosts register themselves.
     [[nodiscard]] virtual bool hasHostList() const { return true; }
     /// Reads the platform's host list, which lags behind the actual state.
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "pimentostage/backend/RolloutOrder.h"
+#include "pimentostage/backend/Rollout.h"
 #include "pimentostage/base/EnumNames.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Time.h"
@@ -284,6 +284,7 @@
     double share_ = 0; ///< share of the traffic that the target may get while `Switching`, 0 to 1
     Duration elapsed_ {}; ///< since the order, when this was written
     Epoch roleEpoch_; ///< of the holder that wrote it
+    bool isReported_ = false; ///< whether operators have been told how the roll-out ended
 
     /// @return whether the roll-out has ended.
     [[nodiscard]] bool isEnded() const
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "pimentostage/backend/Grant.h"
+#include "pimentostage/backend/ExposureLease.h"
 #include "pimentostage/backend/HotKeyTracker.h"
+#include "pimentostage/backend/RolloutOutcomes.h"
 #include "pimentostage/platform/KnowledgeArea.h"
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Allowance.h"
@@ -169,12 +171,33 @@
     std::vector<std::string> names_;
 };
 
+/// What became of a service's requests at the sender since its roll-out began; sent to the holder
+/// of the role `rollouts`.
+struct VersionOutcomeReport
+{
+    ServiceName service_;
+    std::string target_; ///< version that is rolled out
+    Duration sentAt_ {}; ///< the reply returns it
+    ExposureUse use_;
+    /// Sorted by route; at most kMaxReportedRoutes, the last of which sums up all others.
+    std::vector<RouteOutcomes> routes_;
+};
+
+/// The receiver's lease for each version; the reply to a VersionOutcomeReport.
+struct ExposureLeases
+{
+    ServiceName service_;
+    std::string target_; ///< as in the report
+    Duration sentAt_ {}; ///< as in the report
+    ExposureLease lease_;
+};
+
 /// Any message between entry hosts. The index of an alternative is its number on the wire.
 using SiblingMessage
     = std::variant<Hello, Probe, ProbeAck, ConfigPull, ConfigPush, PromiseRequest, PromiseReply,
                    ReleaseRequest, ReleaseReply, StepDown, AllowanceRequests, AllowanceReplies,
                    AllowanceReclaim, BackendColdState, KeyLoad, RouterGrant, RouterGrantReply,
-                   LeavingHostsPull, LeavingHosts>;
+                   LeavingHostsPull, LeavingHosts, VersionOutcomeReport, ExposureLeases>;
 
 /// Sends messages to other entry hosts.
 class SiblingSender
--- a/src/backend/ActiveRequest.cpp
+++ b/src/backend/ActiveRequest.cpp
@@ -13,6 +13,12 @@
 constexpr int kAdmissionWaitDivisor = 4;
 constexpr int kOwnerWaitDivisor = 2;
 constexpr Duration kMinHedgeDelay = std::chrono::milliseconds(1);
+constexpr int kFirstServerError = 500;
+
+bool isServerError(const HttpResult &result)
+{
+    return result.answer_ && result.answer_->status_ >= kFirstServerError;
+}
 
 } // namespace
 
@@ -180,6 +186,13 @@
     inFlight.unit_ = choice.unit_;
     inFlight.slots_ = choice.candidate_->backend_.slots_;
     inFlight.queue_ = queue_;
+    inFlight.rollout_ = routes.rollout_;
+    inFlight.isTarget_ = choice.candidate_->isTarget_;
+    inFlight.sentAt_ = now;
+    if (routes.rollout_ && !isCounted_) {
+        isCounted_ = true;
+        routes.rollout_->budget().recordRequest();
+    }
     if (routes.routerLease_) {
         http.maySend_
             = [routerLease = routes.routerLease_, unit = choice.unit_, epoch = choice.epoch_, now] {
@@ -198,7 +211,11 @@
     if (found == inFlight_.end())
         return;
     worker_.http_->cancel(found->second.transfer_);
-    end(found->second, AttemptState::Sent, BootClock::now());
+    const TimePoint now = BootClock::now();
+    // A slow version would look fast if only its answers counted: another back end answered before,
+    // or the deadline passed.
+    recordOutcome(found->second, now >= request_.deadline_, now);
+    end(found->second, AttemptState::Sent, now);
     inFlight_.erase(found);
 }
 
@@ -222,6 +239,9 @@
     if (attemptResult.load_ && !isFromOtherInstance(attemptResult))
         inFlight.stats_->onLoadReport(*attemptResult.load_, now);
     updateWarmup(inFlight, attemptResult, now);
+    // A rejection as not run tells of the load, which has nothing to do with the version.
+    if (attemptResult.state_ != AttemptState::DeclaredNotRun)
+        recordOutcome(inFlight, attemptResult.failure_ || isServerError(result), now);
     if (!attemptResult.failure_) {
         inFlight.stats_->onAnswer(result.elapsed_, now);
         worker_.counters_.latency_.record(toSeconds(result.elapsed_));
@@ -248,6 +268,14 @@
                                    now);
 }
 
+void BackendClient::Worker::ActiveRequest::recordOutcome(const InFlightAttempt &inFlight,
+                                                         bool isFailed, TimePoint now) const
+{
+    if (inFlight.rollout_)
+        inFlight.rollout_->record(request_.route_, inFlight.isTarget_, isFailed,
+                                  now - inFlight.sentAt_);
+}
+
 void BackendClient::Worker::ActiveRequest::updateConcurrencyLimit(
     const InFlightAttempt &inFlight, const AttemptResult &attemptResult, TimePoint now)
 {
--- a/src/backend/ActiveRequest.h
+++ b/src/backend/ActiveRequest.h
@@ -37,6 +37,9 @@
         UnitName unit_;
         std::uint32_t slots_ = 0;
         std::shared_ptr<AdmissionQueue> queue_;
+        std::shared_ptr<RolloutTraffic> rollout_; ///< nullptr unless a roll-out runs
+        bool isTarget_ = false; ///< sent to the version that is rolled out
+        TimePoint sentAt_ {};
     };
 
     ExecutionPolicy policy() const;
@@ -74,6 +77,9 @@
 
     void end(const InFlightAttempt &inFlight, AttemptState state, TimePoint now) const;
 
+    /// Records the attempt's outcome for the roll-out of its service, if one runs.
+    void recordOutcome(const InFlightAttempt &inFlight, bool isFailed, TimePoint now) const;
+
     static void updateConcurrencyLimit(const InFlightAttempt &inFlight,
                                        const AttemptResult &attemptResult, TimePoint now);
 
@@ -105,6 +111,7 @@
     std::shared_ptr<AdmissionQueue> queue_; ///< queue of the last attempt
     std::optional<WaitingRequest> queueEntry_; ///< entry in entryQueue_, set on admission
     std::shared_ptr<AdmissionQueue> entryQueue_;
+    bool isCounted_ = false; ///< among the requests of its service's roll-out
     bool isAdmitted_ = false; ///< admitted by the queue and not yet sent
     std::map<AttemptNumber, InFlightAttempt> inFlight_;
     HttpAnswer answer_;
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -28,6 +28,21 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+bool isAny(const Candidate &)
+{
+    return true;
+}
+
+bool isOfTarget(const Candidate &candidate)
+{
+    return candidate.isTarget_;
+}
+
+bool isOfCurrent(const Candidate &candidate)
+{
+    return !candidate.isTarget_;
+}
+
 std::uint32_t hostLimit(const Backend &backend, const Service &service, std::size_t entryHosts)
 {
     const auto hosts = static_cast<std::uint32_t>(std::max<std::size_t>(1, entryHosts));
@@ -92,6 +107,9 @@
         const auto ranges = configuration.ranges_.find(name);
         if (ranges != configuration.ranges_.end())
             routes.ranges_ = ranges->second;
+        const auto rollout = fleet.rollouts_.find(name);
+        if (rollout != fleet.rollouts_.end())
+            routes.rollout_ = rollout->second;
         const bool isOrdered = service.division_ == KeyDivision::Ordered;
         if (isOrdered || !service.keyed_ || service.fencing_ == Fencing::Checked)
             continue;
@@ -113,8 +131,11 @@
         candidate.limit_ = hostLimit(backend, service, fleet.entryHosts_);
         candidate.usesLoadReports_ = service.balancing_ == Balancing::ExpectedTime;
         candidate.isLocal_ = backend.zone_ == fleet.zone_;
+        const RolloutTraffic *rollout = routes->second.rollout_.get();
+        candidate.isTarget_ = rollout && backend.version_ == rollout->target();
         candidate.takesNewWork_
             = configuration.isZoneIn(backend.zone_) && !fleet.leavingHosts_.contains(name.str())
+              && !fleet.withheldBackends_.contains(name.str())
               && backend.state_ == BackendState::Ready
               && !latest.replacementOf({ name, backend.incarnation_ }, backend.address_);
         // A back end that was withdrawn before this host first recorded it gets no handover time.
@@ -205,7 +226,8 @@
     if (routes.service_.keyed_)
         return selectOwner(routes, key.text_, now);
     BackendChoice choice;
-    choice.candidate_ = selectBalanced(routes, tried, random, now);
+    choice.candidate_ = routes.rollout_ ? selectVersion(routes, tried, random, now)
+                                        : selectBalanced(routes, tried, random, now);
     choice.isBusy_ = !choice.candidate_
                      && std::any_of(routes.candidates_.begin(), routes.candidates_.end(),
                                     [&](const Candidate &candidate) {
@@ -265,7 +287,35 @@
                                                  const std::vector<BackendName> &tried,
                                                  Random &random, TimePoint now)
 {
-    CandidateGroups groups = groupCandidates(routes, tried, random, now);
+    return pick(routes, usableCandidates(routes, &isAny, tried, random, now), random, now);
+}
+
+// Requests of the exposure budget go to the target, so that it gets them under the load of the
+// version in force. A repeated request has failed somewhere and is not risked at the target.
+const Candidate *BackendSelector::selectVersion(const ServiceRoutes &routes,
+                                                const std::vector<BackendName> &tried,
+                                                Random &random, TimePoint now)
+{
+    ExposureBudget &budget = routes.rollout_->budget();
+    const bool mayUseCurrent = budget.mayUseCurrent(now);
+    if (tried.empty() || !mayUseCurrent) {
+        std::vector<const Candidate *> target
+            = usableCandidates(routes, &isOfTarget, tried, random, now);
+        if (!target.empty() && budget.trySend(now)) {
+            if (const Candidate *candidate = pick(routes, std::move(target), random, now))
+                return candidate;
+        }
+    }
+    if (!mayUseCurrent)
+        return nullptr;
+    return pick(routes, usableCandidates(routes, &isOfCurrent, tried, random, now), random, now);
+}
+
+std::vector<const Candidate *> BackendSelector::usableCandidates(
+    const ServiceRoutes &routes, Filter filter, const std::vector<BackendName> &tried,
+    Random &random, TimePoint now)
+{
+    CandidateGroups groups = groupCandidates(routes, filter, tried, random, now);
     const auto total = static_cast<double>(groups.usable_.size() + groups.ejected_.size());
     const bool areTooManyEjected
         = static_cast<double>(groups.ejected_.size()) > kMaxEjectedFraction * total;
@@ -277,6 +327,13 @@
     // Other hosts warm these up; they are used only if this host may use no other back end.
     if (usable.empty() && !groups.hasPermitted_)
         usable = groups.cold_;
+    return usable;
+}
+
+const Candidate *BackendSelector::pick(const ServiceRoutes &routes,
+                                       std::vector<const Candidate *> usable, Random &random,
+                                       TimePoint now)
+{
     const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
     while (!usable.empty()) {
         const std::size_t index = strategy.pick(usable, random, now);
@@ -288,12 +345,14 @@
 }
 
 BackendSelector::CandidateGroups BackendSelector::groupCandidates(
-    const ServiceRoutes &routes, const std::vector<BackendName> &tried, Random &random,
-    TimePoint now)
+    const ServiceRoutes &routes, Filter filter, const std::vector<BackendName> &tried,
+    Random &random, TimePoint now)
 {
     CandidateGroups groups;
     for (const Candidate &candidate : routes.candidates_) {
-        if (!candidate.takesNewWork_ || contains(tried, candidate.backend_.name_))
+        const bool isCandidate = filter(candidate) && candidate.takesNewWork_
+                                 && !contains(tried, candidate.backend_.name_);
+        if (!isCandidate)
             continue;
         const std::uint32_t limit = candidate.currentLimit();
         groups.hasPermitted_ = groups.hasPermitted_ || limit > 0;
--- a/src/backend/ServiceVersions.cpp
+++ b/src/backend/ServiceVersions.cpp
@@ -39,7 +39,10 @@
                                             const Configuration &configuration)
 {
     const auto state = configuration.rolloutStates_.find(service);
-    if (state != configuration.rolloutStates_.end())
+    // A roll-out of a service without back ends knows no version that was in force before.
+    const bool isKnown = state != configuration.rolloutStates_.end()
+                         && !state->second.versionInForce().empty();
+    if (isKnown)
         return state->second.versionInForce();
     std::string &version = firstSeen_[service];
     // Without a roll-out, all back ends may have been replaced by others; some version is in force.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -118,6 +118,18 @@
     , allowance_(
           self_.member_.host_, tokenBuckets_, siblings_, options.accountGroups_,
           [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); }, metrics)
+    , rolloutHost_(
+          self_.member_, options.rollout_.maxShare_ > 0, routers_,
+          [this](const BackendName &backend) {
+              const auto stats = tableBuilder_.stats(backend);
+              return stats ? stats->inFlight() : 0;
+          },
+          log)
+    , rollouts_(
+          options.rollout_, store_, routers_, clock_,
+          [this](const RoleName &role, TimePoint now) { return roles_.holds(role, now); },
+          [this](const ObjectRef &ref) { return config_.versionOf(ref); }, log, metrics,
+          [this](const StoredObject &object) { onOwnWrite(object); })
 {
     fleetState_.router_ = self_.member_.incarnation_;
     fleetState_.zone_ = self_.zone_;
@@ -271,6 +283,7 @@
     placement_.onRoleGained(role, gained.epoch_, now);
     ranges_.onRoleGained(role, gained.epoch_, now);
     allowance_.onRoleGained(role, gained, now);
+    rollouts_.onRoleGained(role, gained.epoch_);
 }
 
 void ControlCore::onRoleLost(const RoleName &role)
@@ -278,6 +291,7 @@
     placement_.onRoleLost(role);
     ranges_.onRoleLost(role);
     allowance_.onRoleLost(role);
+    rollouts_.onRoleLost(role);
 }
 
 struct ControlCore::Dispatcher
@@ -341,6 +355,11 @@
     {
         core_.allowance_.onMessage(host(), message, now_);
     }
+    void operator()(const VersionOutcomeReport &message) const
+    {
+        core_.rollouts_.onMessage(host(), message, now_);
+    }
+    void operator()(const ExposureLeases &message) const { core_.rolloutHost_.onMessage(message); }
 };
 
 void ControlCore::onSiblingMessage(const MemberUpdate &from, const SiblingMessage &message)
@@ -374,6 +393,8 @@
     ranges_.setStoreGeneration(generationOf(config_.revision()));
     ranges_.tick(now);
     allowance_.tick(now);
+    rolloutHost_.tick(now);
+    rollouts_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
     if (const auto age = config_.age(now)) {
@@ -398,6 +419,10 @@
     routersViewNumber_ = membership.viewNumber();
     const std::vector<Member> view = membership.view();
     placement_.setRouters({ view.begin(), view.end() });
+    std::set<HostName> hosts;
+    for (const Member &member : view)
+        hosts.insert(member.host_);
+    rollouts_.setHosts(hosts);
 }
 
 void ControlCore::maintainRegistrations(const Configuration &configuration, TimePoint now)
@@ -465,10 +490,16 @@
     allowance_.onConfig(configuration, now);
     std::set<RoleName> roles = allowance_.roles();
     roles.merge(coordinatorRolesFor(*configuration));
+    rolloutHost_.onConfig(configuration, now);
+    rolloutHost_.addTo(fleetState_);
+    rollouts_.onConfig(configuration, rolloutHost_.versions(), now);
+    roles.merge(rollouts_.roles());
     roles_.setRoles(roles);
     roles_.onConfig(*configuration, now);
-    placement_.onConfig(*configuration, fleetState_.leavingHosts_, now);
-    ranges_.onConfig(*configuration, fleetState_.leavingHosts_);
+    std::set<std::string> withoutKeys = rolloutHost_.withheldFromKeys();
+    withoutKeys.insert(fleetState_.leavingHosts_.begin(), fleetState_.leavingHosts_.end());
+    placement_.onConfig(*configuration, withoutKeys, now);
+    ranges_.onConfig(*configuration, withoutKeys);
     publish(now);
 }
 
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -21,6 +21,8 @@
 #include "src/daemon/PlacementControl.h"
 #include "src/daemon/RangeControl.h"
 #include "src/daemon/RoleControl.h"
+#include "src/daemon/RolloutControl.h"
+#include "src/daemon/RolloutHost.h"
 
 #include <atomic>
 #include <memory>
@@ -156,6 +158,8 @@
     PlacementControl placement_;
     RangeControl ranges_;
     AllowanceControl allowance_;
+    RolloutHost rolloutHost_;
+    RolloutControl rollouts_;
 };
 
 } // namespace pimentostage
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/RangeCoordinator.h"
+#include "pimentostage/backend/Rollout.h"
 #include "pimentostage/sibling/Membership.h"
 
 namespace pimentostage {
@@ -38,6 +39,7 @@
     std::vector<Address> seeds_;
     MembershipTiming membership_;
     RangeCoordinatorOptions ranges_;
+    RolloutLimits rollout_; ///< of every roll-out; roll-outs are off if its share is 0
 };
 
 } // namespace pimentostage
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -46,6 +46,9 @@
     options.membership_.directTimeout_ = settings.siblingProbeTimeout_;
     options.membership_.indirectTimeout_ = settings.siblingProbeTimeout_;
     options.membership_.suspicionTimeout_ = settings.siblingSuspicionTimeout_;
+    options.rollout_.maxShare_ = settings.rolloutMaxShare_;
+    options.rollout_.maxExtra_ = static_cast<std::uint64_t>(settings.rolloutMaxExtra_);
+    options.rollout_.rollback_ = settings.rolloutRollback_;
     for (const Address &seed : settings.siblingSeeds_)
         options.seeds_.push_back({ seed.ip_, settings.siblingAddress_.port_ });
     return options;
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -164,6 +164,13 @@
                  1'000'000, "Maximum number of queued requests per service, or per owner." },
     SettingRow { "backend", "queue_ms", &Settings::backendMaxQueueTime_, Presence::Optional, 0,
                  60'000, "Maximum time that a request waits in a queue." },
+    SettingRow { "rollout", "max_share", &Settings::rolloutMaxShare_, Presence::Optional, 0, 1,
+                 "Share of a service's requests that a new version may get until the verdict; 0: "
+                 "no roll-outs, and each version of a back end gets requests; equal on all hosts." },
+    SettingRow { "rollout", "max_extra", &Settings::rolloutMaxExtra_, Presence::Optional, 0,
+                 1'000'000, "Requests that a new version may get beyond that share." },
+    SettingRow { "rollout", "rollback_ms", &Settings::rolloutRollback_, Presence::Optional, 1000,
+                 60'000, "Time from the 50th bad answer of a version until it gets no requests." },
     SettingRow { "log", "level", &Settings::logLevel_, Presence::Optional, 0, 0,
                  "Minimum severity that is logged." },
     SettingRow { "log", "capacity", &Settings::logCapacity_, Presence::Optional, 16, 1'000'000,
--- a/src/platform/CoordinationCodec.cpp
+++ b/src/platform/CoordinationCodec.cpp
@@ -283,6 +283,7 @@
     state.share_ = reader.number("share", 0, 0, 1);
     state.elapsed_ = reader.milliseconds("elapsed_ms", 0, 0, kMaxMs);
     state.roleEpoch_ = Epoch { reader.unsignedInteger("role_epoch") };
+    state.isReported_ = reader.flag("reported", false);
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
     return state;
@@ -351,7 +352,8 @@
                 { "current", state.current_ },
                 { "share", state.share_ },
                 { "elapsed_ms", milliseconds(state.elapsed_) },
-                { "role_epoch", state.roleEpoch_.value_ } };
+                { "role_epoch", state.roleEpoch_.value_ },
+                { "reported", state.isReported_ } };
     if (!state.rollout_.id_.empty())
         json["id"] = state.rollout_.id_;
     return json.dump();
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -34,6 +34,12 @@
 struct IsVector<std::vector<T>> : std::true_type
 { };
 template <typename T>
+struct IsFixedArray : std::false_type
+{ };
+template <typename T, std::size_t kSize>
+struct IsFixedArray<std::array<T, kSize>> : std::true_type
+{ };
+template <typename T>
 struct IsOptional : std::false_type
 { };
 template <typename T>
@@ -273,6 +279,43 @@
     archive(message.names_);
 }
 
+template <typename Archive>
+void visitFields(Archive &archive, VersionOutcomes &outcomes)
+{
+    archive(outcomes.answered_, outcomes.failed_, outcomes.latency_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, RouteOutcomes &outcomes)
+{
+    archive(outcomes.route_, outcomes.current_, outcomes.target_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, ExposureUse &use)
+{
+    archive(use.incarnation_, use.epoch_, use.used_, use.requests_, use.hasLeftCurrent_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, ExposureLease &lease)
+{
+    archive(lease.incarnation_, lease.epoch_, lease.limit_, lease.targetFor_, lease.currentFor_,
+            lease.isCurrentAllowed_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, VersionOutcomeReport &message)
+{
+    archive(message.service_, message.target_, message.sentAt_, message.use_, message.routes_);
+}
+
+template <typename Archive>
+void visitFields(Archive &archive, ExposureLeases &message)
+{
+    archive(message.service_, message.target_, message.sentAt_, message.lease_);
+}
+
 /// Archive that appends fields to a JSON array.
 class Writer
 {
@@ -299,7 +342,7 @@
             return static_cast<std::uint64_t>(value);
         } else if constexpr (IsOptional<T>::value) {
             return value ? write(*value) : Json();
-        } else if constexpr (IsVector<T>::value) {
+        } else if constexpr (IsVector<T>::value || IsFixedArray<T>::value) {
             Json items = Json::array();
             for (auto &item : value)
                 items.push_back(write(item));
@@ -369,6 +412,8 @@
             return read(json, value.emplace());
         } else if constexpr (IsVector<T>::value) {
             return readItems(json, value);
+        } else if constexpr (IsFixedArray<T>::value) {
+            return readFixedItems(json, value);
         } else if constexpr (IsMap<T>::value) {
             return readEntries(json, value);
         } else if constexpr (std::is_same_v<T, bool>) {
@@ -409,6 +454,18 @@
         return true;
     }
 
+    template <typename T, std::size_t kSize>
+    static bool readFixedItems(const Json &json, std::array<T, kSize> &values)
+    {
+        if (!json.is_array() || json.size() != kSize)
+            return false;
+        for (std::size_t i = 0; i < kSize; ++i) {
+            if (!read(json[i], values[i]))
+                return false;
+        }
+        return true;
+    }
+
     template <typename Key, typename T>
     static bool readEntries(const Json &json, std::map<Key, T> &entries)
     {
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -96,6 +96,81 @@
     EXPECT_EQ(pick(), "");
 }
 
+/// A service whose worker-2 and worker-3 run the version that is rolled out.
+class RolloutSelectorTest : public BackendSelectorTest
+{
+protected:
+    RolloutSelectorTest()
+    {
+        for (auto &[name, backend] : configuration_.backends_)
+            backend.version_ = backend.zone_ == ZoneName("a") ? "v1" : "v2";
+        fleet_.rollouts_[ServiceName("plain")] = traffic_;
+        rebuild();
+    }
+
+    void lend(std::uint64_t limit, bool isCurrentAllowed = true)
+    {
+        traffic_->budget().apply({ kProcess, Epoch { 1 }, limit, 1s, 3s, isCurrentAllowed }, now_);
+    }
+
+    /// @return how many of @p count requests go to the target.
+    int countTarget(int count, const std::vector<BackendName> &tried = {})
+    {
+        int atTarget = 0;
+        for (int i = 0; i < count; ++i) {
+            const std::string picked = pick(tried);
+            if (picked.empty())
+                continue;
+            atTarget += picked >= "worker-2" ? 1 : 0;
+            routes().find(BackendName(picked))->stats_->end();
+        }
+        return atTarget;
+    }
+
+    const Incarnation kProcess { 7 };
+    std::shared_ptr<RolloutTraffic> traffic_ = std::make_shared<RolloutTraffic>("v2", kProcess);
+};
+
+// Guards against a host that sends to the new version on its own authority.
+TEST_F(RolloutSelectorTest, SendsToTheTargetOnlyWhatWasLent)
+{
+    EXPECT_EQ(countTarget(50), 0);
+    lend(5);
+    EXPECT_EQ(countTarget(50), 5);
+    lend(8);
+    EXPECT_EQ(countTarget(50), 3) << "limits are cumulative";
+    lend(100);
+    now_ += kExposureLease;
+    EXPECT_EQ(countTarget(50), 0) << "the lease has run out";
+}
+
+// Guards against a repeated request that meets the new version twice.
+TEST_F(RolloutSelectorTest, SendsARepeatedRequestToTheVersionInForce)
+{
+    lend(100);
+    EXPECT_EQ(countTarget(20, { BackendName("worker-2") }), 0);
+}
+
+// Guards against a lease that is used up by requests for which the target has no back end.
+TEST_F(RolloutSelectorTest, TakesNothingOfTheLeaseWithoutABackEndOfTheTarget)
+{
+    fleet_.leavingHosts_ = { "worker-2", "worker-3" };
+    rebuild();
+    lend(5);
+    EXPECT_EQ(countTarget(20), 0);
+    EXPECT_EQ(traffic_->budget().report(Epoch { 1 }).used_, 0U);
+}
+
+// Guards against requests to back ends that stop as soon as the roll-out is complete.
+TEST_F(RolloutSelectorTest, SendsAllToTheTargetOnceTheFormerVersionIsForbidden)
+{
+    lend(1'000, false);
+    EXPECT_EQ(countTarget(50), 50);
+    EXPECT_EQ(countTarget(20, { BackendName("worker-2") }), 20);
+    now_ += kCurrentLease;
+    EXPECT_EQ(pick(), "") << "a host out of touch uses neither version";
+}
+
 TEST_F(BackendSelectorTest, KeepsObservationsAcrossRebuilds)
 {
     stats(1).onAnswer(5ms, now_);
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -72,6 +72,12 @@
     GrantReply reply;
     reply.result_ = GrantResult::UnknownUnits;
     reply.draining_ = { UnitName("s3") };
+    const ExposureUse use { Incarnation { 77 }, Epoch { 3 }, 4, 120, true };
+    RouteOutcomes outcomes;
+    outcomes.route_ = RouteName("read");
+    outcomes.current_.record(true, 5ms);
+    outcomes.target_.record(false, 5ms);
+    const ExposureLease exposure { Incarnation { 77 }, Epoch { 3 }, 12, 1s, 3s, false };
     return { Hello { self },
              Probe { HostName("a"), HostName("b"), 4, { self }, summary },
              ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
@@ -90,7 +96,9 @@
              RouterGrant { grant },
              RouterGrantReply { grant.service_, reply },
              LeavingHostsPull {},
-             LeavingHosts { { "permits-1" } } };
+             LeavingHosts { { "permits-1" } },
+             VersionOutcomeReport { grant.service_, "v2", 3s, use, { outcomes } },
+             ExposureLeases { grant.service_, "v2", 3s, exposure } };
 }
 
 // Guards against the end of the process by a frame of nested arrays: the reader recurses for each
@@ -234,13 +242,28 @@
     contract.rate_ = 10;
     contract.burst_ = 5;
     contract.connections_ = 3;
+    const Rollout rollout { { ServiceName("x"), "v2", 12s }, "c-1" };
+    RolloutState rolloutState;
+    rolloutState.rollout_ = rollout;
+    rolloutState.current_ = "v1";
+    rolloutState.share_ = 0.25;
+    Backend backend;
+    backend.service_ = ServiceName("x");
+    backend.zone_ = ZoneName("z");
+    backend.address_ = Address { "10.0.0.1", 80 };
+    backend.slots_ = 6;
+    backend.connections_ = 110;
+    backend.version_ = "v1";
     return { formatPlacement(placement),
              formatRoleRecord(record),
              formatContract(contract),
              formatZone(Zone {}),
              formatLostHost(LostHost {}),
              formatTeamKey(TeamKey { "k", TeamName("t"), std::string(64, 'a') }),
-             R"({"routes":[{"name":"r"}]})" };
+             R"({"routes":[{"name":"r"}]})",
+             formatRollout(rollout),
+             formatRolloutState(rolloutState),
+             formatBackend(backend) };
 }
 
 TEST(ObjectCodec, AcceptsItsOwnOutput)
@@ -253,6 +276,16 @@
     EXPECT_TRUE(isAccepted({ ObjectKind::LostHost, "x" }, values[4]));
     EXPECT_TRUE(isAccepted({ ObjectKind::TeamKey, "x" }, values[5]));
     EXPECT_TRUE(isAccepted({ ObjectKind::Service, "x" }, values[6]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Rollout, "x" }, values[7]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::RolloutState, "x" }, values[8]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Backend, "x" }, values[9]));
+}
+
+// Guards against hosts of an earlier release, which reject a field that they do not know: without a
+// version, an entry is written as before.
+TEST(ObjectCodec, ABackEndWithoutAVersionHasNoFieldForIt)
+{
+    EXPECT_EQ(formatBackend(Backend {}).find("version"), std::string::npos);
 }
 
 TEST(ObjectCodec, ReportsEveryInvalidField)
--- a/tests/ObjectFieldsTest.cpp
+++ b/tests/ObjectFieldsTest.cpp
@@ -215,7 +215,7 @@
             { "/odd", "1" } } },
         { ObjectKind::RolloutState,
           R"({"phase":"switching","target":"v2","duration_ms":12000,"id":"c-1","ordered_at":7,
-              "current":"v1","share":0.25,"elapsed_ms":400,"role_epoch":3})",
+              "current":"v1","share":0.25,"elapsed_ms":400,"role_epoch":3,"reported":true})",
           { "/phase", "/target", "/ordered_at", "/role_epoch" },
           { { "/phase", "\"odd\"" },
             { "/target", "\"\"" },
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -2,6 +2,7 @@
 #include "src/base/EventLoop.h"
 #include "tests/fakes/RawServer.h"
 
+#include <algorithm>
 #include <future>
 #include <memory>
 #include <mutex>
@@ -57,6 +58,46 @@
 
 } // namespace
 
+// Guards against a list and a watch of `rollouts` for each reader where there are none.
+TEST(PlatformStore, ReadsRolloutsOnlyWhereTheyAreOn)
+{
+    MetricRegistry metrics;
+    EventLoop loop("control");
+    const auto readsRollouts = [](const StoreFeed &feed) {
+        return feed.kinds_.contains(ObjectKind::Rollout);
+    };
+    for (const bool hasRollouts : { false, true }) {
+        platform::PlatformStore store("http://127.0.0.1:1", 2s, loop, metrics, hasRollouts);
+        const std::vector<StoreFeed> feeds = store.feeds();
+        EXPECT_EQ(std::count_if(feeds.begin(), feeds.end(), readsRollouts), hasRollouts ? 1 : 0);
+        EXPECT_EQ(feeds.size(), hasRollouts ? 5U : 4U);
+    }
+    loop.run([] {});
+}
+
+TEST(PlatformStore, WritesTheStatusOfARollout)
+{
+    std::string head;
+    RawServer server([&](const std::string &request, int) {
+        head = request;
+        return RawServer::Reply { answerWith("{}"), false };
+    });
+    MetricRegistry metrics;
+    EventLoop loop("control");
+    auto store = std::make_unique<platform::PlatformStore>(server.url(), 2s, loop, metrics, true);
+    std::promise<bool> isWritten;
+    loop.post([&] {
+        store->putRolloutStatus(ServiceName("huts"), RolloutStatus::Complete, "v2",
+                                [&](const Reply<WriteResult> &reply) {
+                                    isWritten.set_value(std::holds_alternative<WriteResult>(reply));
+                                });
+    });
+    EXPECT_TRUE(isWritten.get_future().get());
+    store.reset();
+    loop.run([] {});
+    EXPECT_EQ(head.find("PUT /pimentostage/objects/rollouts/huts/status HTTP/1.1\r\n"), 0U) << head;
+}
+
 // Guards against a list of back ends that is never complete because of one entry: the request for
 // the next page contains its name, which another writer chose.
 TEST(PlatformStore, ContinuesAListingAfterAnOddName)
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -110,6 +110,77 @@
     EXPECT_EQ(backend.coldFor_, 1500ms);
 }
 
+/// @return the back end in @p page, or one without a name.
+Backend backendIn(const std::optional<wire::StorePage> &page)
+{
+    if (!page || page->listing_.objects_.size() != 1)
+        return {};
+    return valueOr(
+        [&]() -> leaf::result<Backend> {
+            return parseBackend("i-1", page->listing_.objects_.front().value_);
+        },
+        [](const Error &) { return Backend {}; });
+}
+
+// Guards against entries that hosts of an earlier release reject, since siblings send each other
+// what they read: the version is read only where roll-outs are on.
+TEST(PlatformStoreWire, ReadsABackEndsVersionOnlyForRollouts)
+{
+    const std::string text = backendEntry(
+        R"({"Service":"huts","Address":"10.1.0.2:80","Zone":"north","Version":"v1",
+            "MaxConcurrency":6,"State":"ready","WarmupLeftMs":0,"Sequence":4,"born":1700})");
+    const Backend ignored = backendIn(wire::parsePage("servers", text));
+    EXPECT_EQ(ignored.name_, BackendName("i-1"));
+    EXPECT_EQ(ignored.version_, "");
+    EXPECT_EQ(backendIn(wire::parsePage("servers", text, {}, wire::BackendVersions::Read)).version_,
+              "v1");
+}
+
+TEST(PlatformStoreWire, ParsesAnOrderOfARollout)
+{
+    const auto page = wire::parsePage(
+        "rollouts", R"({"items":[{"Metadata":{"Name":"huts","Revision":3},"Spec":{"Service":"huts",
+            "Target":"v2","DurationS":12.5}}],"AsOf":3})");
+    ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
+    const StoredObject &object = page->listing_.objects_.front();
+    EXPECT_EQ(object.ref_, (ObjectRef { ObjectKind::Rollout, "huts" }));
+    const auto rollout = valueOr(
+        [&]() -> leaf::result<Rollout> { return parseRollout("huts", object.value_); },
+        [](const Error &) { return Rollout {}; });
+    EXPECT_EQ(rollout.order_.service_, ServiceName("huts"));
+    EXPECT_EQ(rollout.order_.target_, "v2");
+    EXPECT_EQ(rollout.order_.duration_, 12'500ms);
+}
+
+// Guards against an order with a default in place of an odd field.
+TEST(PlatformStoreWire, AMalformedOrderOfARolloutIsRejected)
+{
+    for (const char *spec : { R"({"Service":"huts","DurationS":12})", R"({"Target":3})",
+                              R"({"Target":"v2","DurationS":"12"})", R"([])", R"(null)" }) {
+        const auto page = wire::parsePage(
+            "rollouts", std::string(R"({"items":[{"Metadata":{"Name":"huts","Revision":3},"Spec":)")
+                            + spec + R"(}],"AsOf":3})");
+        ASSERT_TRUE(page && page->listing_.objects_.size() == 1) << spec;
+        const StoredObject &object = page->listing_.objects_.front();
+        EXPECT_FALSE(object.deleted_) << spec;
+        const bool isAccepted = valueOr(
+            [&]() -> leaf::result<bool> {
+                BOOST_LEAF_CHECK(checkObject(object.ref_, object.value_));
+                return true;
+            },
+            [](const Error &) { return false; });
+        EXPECT_FALSE(isAccepted) << spec;
+    }
+}
+
+TEST(PlatformStoreWire, FormatsTheStatusOfARollout)
+{
+    EXPECT_EQ(wire::rolloutStatusPath(ServiceName("huts")),
+              "/pimentostage/objects/rollouts/huts/status");
+    EXPECT_EQ(wire::formatRolloutStatus(RolloutStatus::RolledBack, "v2"),
+              R"({"State":"rolled_back","Target":"v2"})");
+}
+
 // Guards against content of a restored store that counts as newer although its writer has written
 // since the copy was made.
 TEST(PlatformStoreWire, ReadsTheWritersPosition)
--- /dev/null
+++ b/tests/RolloutControlTest.cpp
@@ -0,0 +1,288 @@
+#include "tests/fakes/RolloutFleet.h"
+
+#include <gtest/gtest.h>
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kHosts = 6;
+constexpr Duration kOrdered = 14s; ///< duration of the roll-outs
+const RolloutFleet::Behaviour kGood {};
+const RolloutFleet::Behaviour kBad { 0.3, 50ms };
+
+using Status = RolloutStore::Status;
+
+RolloutLimits limits()
+{
+    return RolloutLimits { 0.1, 50, 5s, 0 };
+}
+
+/// A fleet whose service runs v1, with back ends of v2 beside them.
+class RolloutControlTest : public testing::Test
+{
+protected:
+    void start(const RolloutFleet::Behaviour &target)
+    {
+        fleet_.addBackends("v1", 6, kGood);
+        fleet_.addBackends("v2", 6, target);
+        fleet_.run(1s);
+        ASSERT_GT(fleet_.sentTo("v1"), 0U);
+        ASSERT_EQ(fleet_.sentTo("v2"), 0U) << "no roll-out allows it yet";
+        orderedAt_ = fleet_.now();
+        requestsBefore_ = fleet_.requests();
+        fleet_.order("v2", kOrdered);
+    }
+
+    /// @return the number of requests that the target may get.
+    [[nodiscard]] double bound() const
+    {
+        const auto requests = static_cast<double>(fleet_.requests() - requestsBefore_);
+        return limits().maxShare_ * requests + static_cast<double>(limits().maxExtra_);
+    }
+
+    /// Runs until the roll-out has ended and expects that it was complete in time.
+    void expectComplete()
+    {
+        fleet_.run(orderedAt_ + kOrdered - fleet_.now());
+        ASSERT_FALSE(fleet_.store().statuses_.empty());
+        EXPECT_EQ(fleet_.store().statuses_.back(), (Status { RolloutStatus::Complete, "v2" }));
+        fleet_.run(500ms);
+        const std::uint64_t former = fleet_.sentTo("v1");
+        const std::uint64_t target = fleet_.sentTo("v2");
+        fleet_.run(1s);
+        EXPECT_EQ(fleet_.sentTo("v1"), former);
+        EXPECT_GT(fleet_.sentTo("v2"), target);
+    }
+
+    /// Expects that the roll-out was rolled back and the target gets nothing any more.
+    void expectRolledBack()
+    {
+        ASSERT_FALSE(fleet_.store().statuses_.empty());
+        EXPECT_EQ(fleet_.store().statuses_.back(), (Status { RolloutStatus::RolledBack, "v2" }));
+        const std::uint64_t former = fleet_.sentTo("v1");
+        const std::uint64_t target = fleet_.sentTo("v2");
+        fleet_.run(2s);
+        EXPECT_GT(fleet_.sentTo("v1"), former);
+        EXPECT_EQ(fleet_.sentTo("v2"), target);
+    }
+
+    RolloutFleet fleet_ { kHosts, limits() };
+    Duration orderedAt_ {};
+    std::uint64_t requestsBefore_ = 0;
+};
+
+// Guards against a good version that is not in force in time, and against a status that is written
+// while the back ends of the former version, which stop at once, still run requests.
+TEST_F(RolloutControlTest, AGoodVersionIsCompleteInTime)
+{
+    start(kGood);
+    std::uint64_t runningAtEnd = 1;
+    fleet_.store().onStatus_ = [&](const Status &status) {
+        if (status.status_ == RolloutStatus::Complete)
+            runningAtEnd = fleet_.runningAt("v1");
+    };
+    expectComplete();
+    EXPECT_EQ(runningAtEnd, 0U);
+    EXPECT_EQ(fleet_.store().statuses_.front(), (Status { RolloutStatus::Running, "v2" }));
+    EXPECT_FALSE(fleet_.wantsRole(0)) << "the role is held only while a roll-out is open";
+}
+
+TEST_F(RolloutControlTest, ABadVersionStaysWithinItsExposure)
+{
+    start(kBad);
+    for (int i = 0; i < 100; ++i) {
+        fleet_.run(140ms);
+        EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    }
+    EXPECT_GT(fleet_.sentTo("v2"), 0U);
+    expectRolledBack();
+}
+
+// Guards against an exposure that is lent twice by two holders.
+TEST_F(RolloutControlTest, TheNextHolderContinuesWithinTheExposure)
+{
+    start(kBad);
+    for (const std::size_t holder : { 1, 2, 3 }) {
+        fleet_.run(400ms);
+        fleet_.loseHolder();
+        fleet_.run(600ms);
+        fleet_.setHolder(holder);
+        EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    }
+    fleet_.run(kOrdered);
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    expectRolledBack();
+}
+
+TEST_F(RolloutControlTest, AGoodVersionIsCompleteDespiteALostHolder)
+{
+    start(kGood);
+    fleet_.run(3s);
+    fleet_.loseHolder();
+    fleet_.run(700ms);
+    fleet_.setHolder(1);
+    expectComplete();
+}
+
+TEST_F(RolloutControlTest, ALostHolderWhileSwitchingIsReplaced)
+{
+    start(kGood);
+    while (!fleet_.storedAt(RolloutPhase::Switching) && fleet_.now() < orderedAt_ + kOrdered)
+        fleet_.run(40ms);
+    ASSERT_TRUE(fleet_.storedAt(RolloutPhase::Switching));
+    fleet_.loseHolder();
+    fleet_.run(700ms);
+    fleet_.setHolder(1);
+    fleet_.run(kOrdered);
+    ASSERT_FALSE(fleet_.store().statuses_.empty());
+    EXPECT_NE(fleet_.store().statuses_.back().status_, RolloutStatus::Running);
+}
+
+// Guards against a host that is cut off from the others and goes on sending to a version that they
+// may have rolled back, or whose back ends have stopped.
+TEST_F(RolloutControlTest, AHostOutOfTouchSendsNothingToTheTarget)
+{
+    start(kGood);
+    fleet_.run(2s);
+    fleet_.cut(4, true);
+    fleet_.run(kExposureLease + 50ms);
+    const std::uint64_t sent = fleet_.sentTo("v2", 4);
+    fleet_.run(3s);
+    EXPECT_EQ(fleet_.sentTo("v2", 4), sent);
+    std::uint64_t formerAtEnd = 0;
+    fleet_.store().onStatus_ = [&](const Status &status) {
+        if (status.status_ != RolloutStatus::Complete)
+            return;
+        formerAtEnd = fleet_.sentTo("v1", 4);
+        EXPECT_EQ(fleet_.runningAt("v1"), 0U);
+    };
+    fleet_.run(kOrdered);
+    EXPECT_EQ(fleet_.store().statuses_.back().status_, RolloutStatus::Complete);
+    EXPECT_EQ(fleet_.sentTo("v1", 4), formerAtEnd);
+}
+
+// Guards against a phase that the next holder would not know of: while the store is down, the
+// observation goes on and the switch is not begun.
+TEST_F(RolloutControlTest, SwitchingIsNotBegunWhileTheStoreIsDown)
+{
+    start(kGood);
+    fleet_.run(2s);
+    fleet_.setStoreDown(true);
+    const std::uint64_t sent = fleet_.sentTo("v2");
+    fleet_.run(7s);
+    EXPECT_GT(fleet_.sentTo("v2"), sent) << "leases go on";
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::Observing);
+    fleet_.run(10s);
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    fleet_.setStoreDown(false);
+    fleet_.run(3s);
+    expectRolledBack();
+}
+
+// Guards against two targets at once.
+TEST_F(RolloutControlTest, ASecondOrderRollsTheFirstBackAndThenBegins)
+{
+    start(kGood);
+    fleet_.addBackends("v3", 6, kGood);
+    fleet_.run(2s);
+    fleet_.order("v3", kOrdered);
+    fleet_.run(200ms);
+    const std::uint64_t sent = fleet_.sentTo("v2");
+    fleet_.run(kOrdered + 3s);
+    EXPECT_EQ(fleet_.sentTo("v2"), sent);
+    const std::vector<Status> expected { { RolloutStatus::Running, "v2" },
+                                         { RolloutStatus::RolledBack, "v2" },
+                                         { RolloutStatus::Running, "v3" },
+                                         { RolloutStatus::Complete, "v3" } };
+    EXPECT_EQ(fleet_.store().statuses_, expected);
+}
+
+TEST_F(RolloutControlTest, AnOrderWithoutBackEndsIsRolledBackAtItsTime)
+{
+    fleet_.addBackends("v1", 6, kGood);
+    fleet_.run(1s);
+    fleet_.order("v2", kOrdered);
+    fleet_.run(5s);
+    EXPECT_EQ(fleet_.store().statuses_.back(), (Status { RolloutStatus::Running, "v2" }));
+    fleet_.run(kOrdered - 5s + 2s);
+    expectRolledBack();
+}
+
+TEST_F(RolloutControlTest, AWithdrawnOrderIsRolledBack)
+{
+    start(kGood);
+    fleet_.run(2s);
+    fleet_.withdrawOrder();
+    fleet_.run(2s);
+    EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::RolledBack);
+    const std::uint64_t sent = fleet_.sentTo("v2");
+    fleet_.run(2s);
+    EXPECT_EQ(fleet_.sentTo("v2"), sent);
+    EXPECT_FALSE(fleet_.wantsRole(0));
+}
+
+// Guards against a status that comes before a host has stopped using the former version: its
+// requests there would be lost.
+TEST_F(RolloutControlTest, CompletionWaitsForEveryHost)
+{
+    fleet_.addBackends("v1", 6, { 0, 100ms });
+    fleet_.addBackends("v2", 6, { 0, 100ms });
+    fleet_.run(1s);
+    fleet_.order("v2", kOrdered);
+    bool isComplete = false;
+    fleet_.store().onStatus_ = [&](const Status &status) {
+        isComplete = status.status_ == RolloutStatus::Complete;
+        if (isComplete)
+            EXPECT_EQ(fleet_.runningAt("v1"), 0U);
+    };
+    fleet_.run(9s);
+    EXPECT_FALSE(isComplete);
+    fleet_.run(6s);
+    EXPECT_TRUE(isComplete);
+}
+
+TEST_F(RolloutControlTest, ARestartedHostDoesNotAddToTheExposure)
+{
+    start(kBad);
+    for (std::size_t host = 1; host < kHosts; ++host) {
+        fleet_.run(300ms);
+        fleet_.restart(host);
+    }
+    fleet_.run(kOrdered);
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    expectRolledBack();
+}
+
+// Guards against operators who wait for a status that was lost: it is written again.
+TEST_F(RolloutControlTest, AStatusThatWasNotWrittenIsRepeated)
+{
+    start(kBad);
+    fleet_.store().isStatusDown_ = true;
+    fleet_.run(kOrdered);
+    EXPECT_TRUE(fleet_.store().statuses_.empty());
+    fleet_.store().isStatusDown_ = false;
+    fleet_.run(1s);
+    expectRolledBack();
+    EXPECT_EQ(fleet_.store().statuses_.size(), 1U);
+}
+
+// Guards against messages, roles and withheld back ends where roll-outs are off.
+TEST(RolloutControlOff, NothingChangesWithoutAShare)
+{
+    RolloutFleet fleet(3, RolloutLimits {});
+    fleet.addBackends("v1", 3, kGood);
+    fleet.addBackends("v2", 3, kGood);
+    fleet.order("v2", kOrdered);
+    fleet.run(3s);
+    EXPECT_GT(fleet.sentTo("v1"), 0U);
+    EXPECT_GT(fleet.sentTo("v2"), 0U);
+    EXPECT_FALSE(fleet.wantsRole(0));
+    EXPECT_FALSE(fleet.state());
+    EXPECT_TRUE(fleet.store().statuses_.empty());
+    EXPECT_TRUE(fleet.log().lines_.empty());
+}
+
+} // namespace
