Roll-outs: decision and exposure; leases get a sequence, reports its echo, limits a warm-up time

New members: ExposureUse::sequence_, ExposureLease::sequence_ and kUnlimited, RolloutLimits::warmup_. ExposureBudget::report() answers with the latest epoch it knows.

--- a/include/pimentostage/backend/ExposureBudget.h
+++ b/include/pimentostage/backend/ExposureBudget.h
@@ -6,8 +6,9 @@
 
 namespace pimentostage {
 
-/// Decides at one host whether a request may go to the target of a roll-out.
+/// Decides at one host whether a request may go to the target of one roll-out.
 ///
+/// Counts from its construction, when the process learns of the roll-out.
 /// Traffic threads call recordRequest(), trySend() and mayUseCurrent(); the control thread calls
 /// the others. Thread-safe and lock-free.
 class ExposureBudget
@@ -24,22 +25,28 @@
     /// @return whether the request may go to the target.
     bool trySend(TimePoint now);
 
-    /// @return whether a request may go to the version in force. A host without a lease so far may;
-    ///         one whose last lease forbids it or has run out may not.
+    /// To be called after the request has been counted as running at the version in force, so that
+    /// a report that this host has left that version cannot miss it.
+    /// @return whether a request may go to the version in force. A process without a lease so far
+    ///         may; one whose last lease forbids it or has run out may not.
     [[nodiscard]] bool mayUseCurrent(TimePoint now) const;
 
     /// Drops leases of holders before @p holder and reads the counts for a report to it.
-    /// @param holder epoch of the holder that gets the report.
+    /// @param holder epoch of the latest holder that this host knows.
+    /// @return the report; its epoch is that of the latest holder that has ever been named here.
     ExposureUse report(Epoch holder);
 
-    /// Applies @p lease unless it is for another process or of an earlier holder. Leases may arrive
-    /// late, repeatedly or in any order.
+    /// Applies @p lease unless it is for another process or older than the last one. Leases of this
+    /// roll-out may arrive late, repeatedly or in any order.
     /// @param now time at which this host sent the report that the lease answers.
     void apply(const ExposureLease &lease, TimePoint now);
 
 private:
+    void dropLeasesBefore(Epoch holder);
+
     const Incarnation incarnation_;
-    Epoch epoch_; ///< control thread only
+    Epoch epoch_; ///< of the latest holder; control thread only, as is sequence_
+    std::uint64_t sequence_ = 0; ///< of the last lease
     std::atomic<std::uint64_t> requests_ { 0 };
     std::atomic<std::uint64_t> sent_ { 0 };
     std::atomic<std::uint64_t> limit_ { 0 };
--- a/include/pimentostage/backend/ExposureLease.h
+++ b/include/pimentostage/backend/ExposureLease.h
@@ -4,6 +4,7 @@
 #include "pimentostage/base/Time.h"
 
 #include <cstdint>
+#include <limits>
 
 namespace pimentostage {
 
@@ -20,8 +21,10 @@
 {
     Incarnation incarnation_; ///< of the reporting process
     Epoch epoch_; ///< of the holder for which the report is; leases of earlier ones are void
-    std::uint64_t used_ = 0; ///< requests that the process sent to the target since it started
-    std::uint64_t requests_ = 0; ///< requests of the service at the process since it started
+    std::uint64_t used_ = 0; ///< requests that the process sent to the target in this roll-out
+    std::uint64_t requests_ = 0; ///< requests of the service at the process in this roll-out
+    std::uint64_t sequence_
+        = 0; ///< of the newest lease of that holder that the process has applied
     bool hasLeftCurrent_ = false; ///< the process begins no more requests at the version in force
 
     bool operator==(const ExposureUse &) const = default;
@@ -29,16 +32,21 @@
 
 /// What one host's process may send until its next lease.
 ///
-/// Limits are cumulative, so a lost, late or repeated lease never adds to what the holder lent.
+/// Limits are cumulative, so a lost, late or repeated lease never adds to what the holder lent, and
+/// what a process has not used is lent to it again by its next lease.
 /// The lease begins when the host sent the report that it answers.
 struct ExposureLease
 {
     Incarnation incarnation_; ///< of the process that may use the lease
     Epoch epoch_; ///< of the holder
-    std::uint64_t limit_ = 0; ///< of ExposureUse::used_
+    std::uint64_t sequence_ = 0; ///< increases with each lease of the holder; 0 announces the epoch
+    std::uint64_t limit_
+        = 0; ///< of ExposureUse::used_; kUnlimited while isCurrentAllowed_ is false
     Duration targetFor_ {}; ///< time for which the limit holds
     Duration currentFor_ {}; ///< time for which the process may use the version in force
-    bool isCurrentAllowed_ = true; ///< false: all requests go to the target, without a limit
+    bool isCurrentAllowed_ = true; ///< false: all requests go to the target
+
+    static constexpr std::uint64_t kUnlimited = std::numeric_limits<std::uint64_t>::max();
 
     bool operator==(const ExposureLease &) const = default;
 };
--- a/include/pimentostage/backend/Rollout.h
+++ b/include/pimentostage/backend/Rollout.h
@@ -73,6 +73,9 @@
     Duration rollback_ {}; ///< from the 50th bad answer until nothing is sent to the target
     /// Requests/s at which the target may begin: `WarmupPerS` times its back ends; 0 is no bound.
     double startPerS_ = 0;
+    /// Time from the order during which startPerS_ holds and latencies are not compared, because
+    /// the target's back ends may be in cold start.
+    Duration warmup_ {};
 };
 
 /// What the holder of the role `rollouts` decides about a roll-out.
--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "pimentostage/backend/Rollout.h"
-#include "pimentostage/backend/RolloutOutcomes.h"
+#include "pimentostage/backend/RolloutComparison.h"
 
 #include <map>
-#include <set>
 #include <vector>
 
 namespace pimentostage {
@@ -57,14 +55,35 @@
     static constexpr double kMaxStep = 0.25;
 
 private:
+    /// What the holder knows of one host.
+    struct Host
+    {
+        std::vector<RouteOutcomes> outcomes_; ///< of its latest process
+        bool maySendToCurrent_ = true;
+    };
+
+    using Advance = void (RolloutDecision::*)(TimePoint);
+    /// How each phase advances, by RolloutPhase.
+    static const std::array<Advance, kEnumCount<RolloutPhase>> kAdvance;
+
+    void observe(TimePoint now);
+    void switchTraffic(TimePoint now);
+    void stay(TimePoint now);
+    void beginSwitching(TimePoint now);
+    void rollBack(const RolloutFinding &finding);
+    void applyOutcomes(Host &host, const RouteOutcomes &outcomes);
+    [[nodiscard]] bool hasEveryHostLeft() const;
+    [[nodiscard]] TimePoint latestMoment() const;
+
     const RolloutOrder order_;
     const RolloutLimits limits_;
     const TimePoint orderedAt_;
     bool isSwitchingAllowed_ = true;
     RolloutVerdict verdict_;
     TimePoint switchingSince_ {};
-    std::map<HostName, std::vector<RouteOutcomes>> hosts_;
-    std::set<HostName> senders_;
+    RolloutOutcomes totals_;
+    RolloutComparison comparison_;
+    std::map<HostName, Host> hosts_;
 };
 
 } // namespace pimentostage
--- /dev/null
+++ b/src/backend/RolloutDecision.cpp
@@ -0,0 +1,147 @@
+#include "pimentostage/backend/RolloutDecision.h"
+
+#include <algorithm>
+
+namespace pimentostage {
+
+const std::array<RolloutDecision::Advance, kEnumCount<RolloutPhase>> RolloutDecision::kAdvance {
+    &RolloutDecision::observe,
+    &RolloutDecision::switchTraffic,
+    &RolloutDecision::stay,
+    &RolloutDecision::stay,
+};
+
+RolloutDecision::RolloutDecision(const RolloutOrder &order, const RolloutLimits &limits,
+                                 TimePoint orderedAt)
+    : order_(order)
+    , limits_(limits)
+    , orderedAt_(orderedAt)
+    , comparison_(orderedAt + limits.warmup_)
+{
+    verdict_.share_ = limits.maxShare_;
+}
+
+void RolloutDecision::resume(RolloutPhase phase, TimePoint now)
+{
+    verdict_.phase_ = phase;
+    if (phase == RolloutPhase::Switching) {
+        verdict_.reason_ = RolloutReason::Passed;
+        switchingSince_ = now;
+    } else if (phase == RolloutPhase::Complete) {
+        verdict_ = { phase, 1, RolloutReason::Confirmed };
+    } else if (phase == RolloutPhase::RolledBack) {
+        verdict_ = { phase, 0, RolloutReason::Aborted };
+    }
+}
+
+void RolloutDecision::onOutcomes(const HostName &host, const std::vector<RouteOutcomes> &outcomes,
+                                 TimePoint)
+{
+    Host &entry = hosts_[host];
+    for (const RouteOutcomes &route : outcomes)
+        applyOutcomes(entry, route);
+}
+
+void RolloutDecision::applyOutcomes(Host &host, const RouteOutcomes &outcomes)
+{
+    auto known
+        = std::find_if(host.outcomes_.begin(), host.outcomes_.end(),
+                       [&](const RouteOutcomes &route) { return route.route_ == outcomes.route_; });
+    if (known == host.outcomes_.end()) {
+        host.outcomes_.push_back({ outcomes.route_, {}, {} });
+        known = std::prev(host.outcomes_.end());
+    }
+    const RouteOutcomes before = *known;
+    known->current_.raiseTo(outcomes.current_);
+    known->target_.raiseTo(outcomes.target_);
+    RouteOutcomes &total = totals_[outcomes.route_];
+    total.route_ = outcomes.route_;
+    total.current_ += known->current_.since(before.current_);
+    total.target_ += known->target_.since(before.target_);
+}
+
+void RolloutDecision::onHostRestarted(const HostName &host)
+{
+    hosts_[host] = {};
+}
+
+void RolloutDecision::addSender(const HostName &host)
+{
+    hosts_[host].maySendToCurrent_ = true;
+}
+
+void RolloutDecision::onCurrentLeft(const HostName &host)
+{
+    hosts_[host].maySendToCurrent_ = false;
+}
+
+void RolloutDecision::abort()
+{
+    if (verdict_.phase_ == RolloutPhase::Observing || verdict_.phase_ == RolloutPhase::Switching)
+        rollBack({ RolloutReason::Aborted });
+}
+
+RolloutVerdict RolloutDecision::decide(TimePoint now)
+{
+    (this->*kAdvance.at(static_cast<std::size_t>(verdict_.phase_)))(now);
+    return verdict_;
+}
+
+void RolloutDecision::observe(TimePoint now)
+{
+    if (const auto finding = comparison_.check(totals_, now)) {
+        rollBack(*finding);
+        return;
+    }
+    if (now < latestMoment())
+        return;
+    if (const auto finding = comparison_.checkOverall(totals_))
+        rollBack(*finding);
+    else if (isSwitchingAllowed_)
+        beginSwitching(now);
+    else if (now >= orderedAt_ + order_.duration_)
+        rollBack({ RolloutReason::NotSwitched });
+}
+
+void RolloutDecision::beginSwitching(TimePoint now)
+{
+    comparison_.beginSwitch(totals_);
+    switchingSince_ = now;
+    verdict_ = { RolloutPhase::Switching, limits_.maxShare_, RolloutReason::Passed };
+    switchTraffic(now);
+}
+
+void RolloutDecision::switchTraffic(TimePoint now)
+{
+    if (const auto finding = comparison_.check(totals_, now)) {
+        rollBack(*finding);
+        return;
+    }
+    if (verdict_.share_ >= 1 && hasEveryHostLeft()) {
+        verdict_ = { RolloutPhase::Complete, 1, RolloutReason::Confirmed };
+        return;
+    }
+    const auto steps = (now - switchingSince_) / kStepPeriod + 1;
+    verdict_.share_ = std::min(1.0, limits_.maxShare_ + kMaxStep * static_cast<double>(steps));
+}
+
+void RolloutDecision::stay(TimePoint) { }
+
+void RolloutDecision::rollBack(const RolloutFinding &finding)
+{
+    verdict_ = { RolloutPhase::RolledBack, 0, finding.reason_, finding.route_ };
+}
+
+bool RolloutDecision::hasEveryHostLeft() const
+{
+    return !hosts_.empty() && std::none_of(hosts_.begin(), hosts_.end(), [](const auto &entry) {
+        return entry.second.maySendToCurrent_;
+    });
+}
+
+TimePoint RolloutDecision::latestMoment() const
+{
+    return orderedAt_ + std::max(Duration::zero(), order_.duration_ - kSwitchDuration);
+}
+
+} // namespace pimentostage
