--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -274,6 +274,16 @@
     };
 };
 
+/// @return what operators are told of a roll-out in @p phase.
+constexpr RolloutStatus statusOf(RolloutPhase phase)
+{
+    constexpr std::array<RolloutStatus, kEnumCount<RolloutPhase>> kStatus {
+        RolloutStatus::Running, RolloutStatus::Running, RolloutStatus::Complete,
+        RolloutStatus::RolledBack
+    };
+    return kStatus.at(static_cast<std::size_t>(phase));
+}
+
 /// The state of a service's last roll-out, written by the holder of the role `rollouts`.
 struct RolloutState
 {
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -308,7 +308,14 @@
     }
     if (!mayUseCurrent)
         return nullptr;
-    return pick(routes, usableCandidates(routes, &isOfCurrent, tried, random, now), random, now);
+    const Candidate *candidate
+        = pick(routes, usableCandidates(routes, &isOfCurrent, tried, random, now), random, now);
+    // It is counted as running by now, so a report that this host has left the version in force
+    // cannot miss it.
+    if (!candidate || budget.mayUseCurrent(now))
+        return candidate;
+    candidate->stats_->end();
+    return nullptr;
 }
 
 std::vector<const Candidate *> BackendSelector::usableCandidates(
--- a/src/backend/ServiceVersions.cpp
+++ b/src/backend/ServiceVersions.cpp
@@ -13,10 +13,9 @@
 {
     const auto order = configuration.rollouts_.find(service);
     const auto state = configuration.rolloutStates_.find(service);
-    const bool isRunning = order != configuration.rollouts_.end()
-                           && state != configuration.rolloutStates_.end()
-                           && !state->second.isEnded()
-                           && state->second.rollout_.isSameOrder(order->second);
+    const bool isRunning
+        = order != configuration.rollouts_.end() && state != configuration.rolloutStates_.end()
+          && !state->second.isEnded() && state->second.rollout_.isSameOrder(order->second);
     return isRunning ? std::optional(state->second) : std::nullopt;
 }
 
@@ -40,8 +39,8 @@
 {
     const auto state = configuration.rolloutStates_.find(service);
     // A roll-out of a service without back ends knows no version that was in force before.
-    const bool isKnown = state != configuration.rolloutStates_.end()
-                         && !state->second.versionInForce().empty();
+    const bool isKnown
+        = state != configuration.rolloutStates_.end() && !state->second.versionInForce().empty();
     if (isKnown)
         return state->second.versionInForce();
     std::string &version = firstSeen_[service];
@@ -52,14 +51,13 @@
     // The back ends of an ordered version are started beside the old ones, perhaps before this host
     // has seen the service.
     const auto rank = [&](const auto &entry) {
-        const bool isOrdered = order != configuration.rollouts_.end()
-                               && order->second.order_.target_ == entry.first;
+        const bool isOrdered
+            = order != configuration.rollouts_.end() && order->second.order_.target_ == entry.first;
         return std::pair(!isOrdered, entry.second);
     };
-    version = std::max_element(
-                  backends.begin(), backends.end(),
-                  [&](const auto &a, const auto &b) { return rank(a) < rank(b); })
-                  ->first;
+    version = std::max_element(backends.begin(), backends.end(), [&](const auto &a, const auto &b) {
+                  return rank(a) < rank(b);
+              })->first;
     return version;
 }
 
--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -4,40 +4,31 @@
 #include "src/daemon/RolloutHost.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentostage {
 
 namespace {
 
-// Time from the write of an order until this host sees it: one watch of a reader and the hops to
-// the other hosts. The duration of a roll-out counts from the write.
-constexpr Duration kOrderDelay = std::chrono::milliseconds(300);
 // A write of the state or of the status that failed is repeated after this time.
 constexpr Duration kRetryPeriod = std::chrono::milliseconds(500);
 // While a roll-out is observed, the store is read once in this time.
 constexpr Duration kStoreCheckPeriod = std::chrono::seconds(1);
 // Switching is not begun if the store has not replied for this long: two checks in a row failed.
 constexpr Duration kMaxStoreSilence = 2 * kStoreCheckPeriod + std::chrono::milliseconds(500);
-// After a roll-back the last leases run out, and one message is on its way.
-constexpr Duration kLeaseEnd = kExposureLease + std::chrono::milliseconds(250);
+// A message on its way when the last lease was given.
+constexpr Duration kMessageDelay = std::chrono::milliseconds(250);
 
 ObjectRef refOf(const ServiceName &service)
 {
     return ObjectRef { ObjectKind::RolloutState, service.str() };
 }
 
-RolloutStatus statusOf(RolloutPhase phase)
+/// @param share of the traffic that the target had.
+/// @return the time after a roll-back until the last leases for the target have run out.
+Duration leaseEnd(double share)
 {
-    switch (phase) {
-    case RolloutPhase::Observing:
-    case RolloutPhase::Switching:
-        return RolloutStatus::Running;
-    case RolloutPhase::Complete:
-        return RolloutStatus::Complete;
-    case RolloutPhase::RolledBack:
-        break;
-    }
-    return RolloutStatus::RolledBack;
+    return kMessageDelay + (share < 1 ? kExposureLease : kCurrentLease);
 }
 
 } // namespace
@@ -61,65 +52,19 @@
                                  "Roll-outs that this host completed as their holder."))
     , rolledBack_(metrics.counter("pimento_rollouts_rolled_back_total",
                                   "Roll-outs that this host rolled back as their holder."))
-    , configuration_(std::make_shared<const Configuration>())
 { }
 
 void RolloutControl::onConfig(const std::shared_ptr<const Configuration> &configuration,
                               const ServiceVersions &versions, TimePoint now)
 {
-    if (limits_.maxShare_ <= 0)
-        return;
-    configuration_ = configuration;
-    versionsInForce_.clear();
-    for (const auto &[service, allowed] : versions.services())
-        versionsInForce_[service] = allowed.inForce_;
-    for (const auto &[service, order] : configuration->rollouts_) {
-        const auto seen = seenOrders_.find(service);
-        if (seen == seenOrders_.end() || !seen->second.rollout_.isSameOrder(order))
-            seenOrders_.insert_or_assign(service, SeenOrder { order, now });
-    }
-    std::erase_if(seenOrders_, [&](const auto &entry) {
-        return !configuration->rollouts_.contains(entry.first);
-    });
-}
-
-const Rollout *RolloutControl::orderOf(const ServiceName &service) const
-{
-    const auto order = configuration_->rollouts_.find(service);
-    return order == configuration_->rollouts_.end() ? nullptr : &order->second;
-}
-
-const RolloutState *RolloutControl::storedState(const ServiceName &service) const
-{
-    const auto state = configuration_->rolloutStates_.find(service);
-    return state == configuration_->rolloutStates_.end() ? nullptr : &state->second;
-}
-
-bool RolloutControl::isOpen(const ServiceName &service) const
-{
-    const RolloutState *state = storedState(service);
-    if (state && !(state->isEnded() && state->isReported_))
-        return true;
-    const Rollout *order = orderOf(service);
-    return order && (!state || !state->rollout_.isSameOrder(*order));
-}
-
-std::set<ServiceName> RolloutControl::openServices() const
-{
-    std::set<ServiceName> services;
-    const auto addIfOpen = [&](const auto &entry) {
-        if (isOpen(entry.first))
-            services.insert(entry.first);
-    };
-    std::for_each(configuration_->rollouts_.begin(), configuration_->rollouts_.end(), addIfOpen);
-    std::for_each(configuration_->rolloutStates_.begin(), configuration_->rolloutStates_.end(),
-                  addIfOpen);
-    return services;
+    if (limits_.maxShare_ > 0)
+        orders_.update(configuration, versions, now);
 }
 
 std::set<RoleName> RolloutControl::roles() const
 {
-    return openServices().empty() ? std::set<RoleName> {} : std::set<RoleName> { kRolloutRole };
+    return orders_.openServices().empty() ? std::set<RoleName> {}
+                                          : std::set<RoleName> { kRolloutRole };
 }
 
 void RolloutControl::onRoleGained(const RoleName &role, Epoch epoch)
@@ -156,11 +101,11 @@
     std::erase_if(running_, [&](const auto &entry) {
         const Running &running = entry.second;
         const bool hasEnded = running.state_.isReported_ && running.isRecorded_;
-        return !running.isWriting_ && (hasEnded || !isOpen(entry.first));
+        return !running.isWriting_ && (hasEnded || !orders_.isOpen(entry.first));
     });
-    for (const ServiceName &service : openServices()) {
+    for (const ServiceName &service : orders_.openServices()) {
         // A reply that arrives at once may end the role or a roll-out.
-        if (!mayAct(now) || !isOpen(service))
+        if (!mayAct(now) || !orders_.isOpen(service))
             continue;
         if (!running_.contains(service))
             adopt(service, now);
@@ -174,10 +119,9 @@
 // begun.
 void RolloutControl::adopt(const ServiceName &service, TimePoint now)
 {
-    const RolloutState *state = storedState(service);
-    const bool isContinued = state && !(state->isEnded() && state->isReported_);
-    if (!isContinued) {
-        begin(service, *orderOf(service), now);
+    const RolloutState *state = orders_.openState(service);
+    if (!state) {
+        begin(service, *orders_.find(service), now);
         return;
     }
     Running &running = running_[service];
@@ -187,7 +131,7 @@
     running.verdict_.phase_ = state->phase_;
     running.verdict_.share_ = state->share_;
     if (state->isEnded())
-        running.reportFrom_ = now + kLeaseEnd;
+        running.reportFrom_ = now + leaseEnd(1); // its share before the end is not recorded
     else
         makeDecision(service, running, false, now);
     log_.write(LogLine(Severity::Info, "rollout-continued")
@@ -200,12 +144,11 @@
 
 void RolloutControl::begin(const ServiceName &service, const Rollout &order, TimePoint now)
 {
-    const auto inForce = versionsInForce_.find(service);
     Running &running = running_[service];
     running.state_.rollout_ = order;
     running.state_.orderedAt_ = versionOf_({ ObjectKind::Rollout, service.str() });
-    running.state_.current_ = inForce == versionsInForce_.end() ? "" : inForce->second;
-    running.version_ = storedState(service) ? versionOf_(refOf(service)) : Version {};
+    running.state_.current_ = orders_.versionInForce(service);
+    running.version_ = orders_.state(service) ? versionOf_(refOf(service)) : Version {};
     // The target may be in force already, after a restart with an empty store.
     if (order.order_.target_ == running.state_.current_) {
         running.state_.phase_ = RolloutPhase::Complete;
@@ -226,33 +169,61 @@
 {
     const RolloutOrder &order = running.state_.rollout_.order_;
     RolloutLimits limits = limits_;
-    const auto object = configuration_->services_.find(service);
+    const Configuration &configuration = orders_.configuration();
+    const auto object = configuration.services_.find(service);
     const auto targets = std::count_if(
-        configuration_->backends_.begin(), configuration_->backends_.end(), [&](const auto &entry) {
+        configuration.backends_.begin(), configuration.backends_.end(), [&](const auto &entry) {
             return entry.second.service_ == service && entry.second.version_ == order.target_;
         });
     // Back ends of the target may register after the order.
-    if (object != configuration_->services_.end())
+    if (object != configuration.services_.end()) {
         limits.startPerS_
             = object->second.coldRate_ * std::max<double>(1, static_cast<double>(targets));
-    const auto seen = seenOrders_.find(service);
-    const TimePoint seenAt = seen == seenOrders_.end() ? now : seen->second.seenAt_;
+        limits.warmup_ = object->second.coldTime_;
+    }
     // A host that was started after the order knows its age from the state only.
-    const TimePoint orderedAt = std::min(seenAt - kOrderDelay, now - running.state_.elapsed_);
+    const TimePoint orderedAt
+        = std::min(orders_.orderedAt(service, now), now - running.state_.elapsed_);
+    running.storeCheckedAt_ = now;
+    running.nextStoreCheck_ = now + kStoreCheckPeriod;
+    if (object != configuration.services_.end() && object->second.keyed_) {
+        running.keyed_ = std::make_unique<KeyedRollout>(order, orderedAt);
+        if (!isFirstHolder)
+            running.keyed_->resume(running.state_.phase_, running.state_.share_, now);
+        return;
+    }
     running.decision_ = std::make_unique<RolloutDecision>(order, limits, orderedAt);
     running.allocator_ = std::make_unique<ExposureAllocator>(limits, *epoch_, isFirstHolder);
     if (!isFirstHolder)
         running.decision_->resume(running.state_.phase_, now);
     running.allocator_->onVerdict(running.verdict_, now);
-    running.storeCheckedAt_ = now;
-    running.nextStoreCheck_ = now + kStoreCheckPeriod;
+}
+
+RolloutVerdict RolloutControl::verdictFor(const ServiceName &service, Running &running,
+                                          TimePoint now) const
+{
+    const Rollout *order = orders_.find(service);
+    const bool isWanted = order && order->isSameOrder(running.state_.rollout_);
+    const bool isStoreUp = now < running.storeCheckedAt_ + kMaxStoreSilence;
+    if (running.keyed_) {
+        if (!isWanted)
+            running.keyed_->abort();
+        running.keyed_->allowSwitching(isStoreUp);
+        return running.keyed_->decide(
+            keyedProgress(orders_.configuration(), running.state_.rollout_.order_), now);
+    }
+    if (!isWanted)
+        running.decision_->abort();
+    running.decision_->allowSwitching(isStoreUp);
+    return running.decision_->decide(now);
 }
 
 void RolloutControl::advance(const ServiceName &service, Running &running, TimePoint now)
 {
-    if (running.decision_ && !running.state_.isEnded()) {
+    if ((running.decision_ || running.keyed_) && !running.state_.isEnded()) {
         checkStore(service, running, now);
-        updateHosts(running, now);
+        if (running.decision_)
+            updateHosts(running, now);
         decide(service, running, now);
     }
     if (!running.isRecorded_)
@@ -266,29 +237,21 @@
 void RolloutControl::updateHosts(Running &running, TimePoint now)
 {
     for (const HostName &host : runningHosts_) {
-        if (running.hosts_.try_emplace(host).second)
+        const auto [record, isNew] = running.hosts_.try_emplace(host);
+        record->second.seenAt_ = now;
+        if (isNew)
             running.decision_->addSender(host);
     }
-    for (auto &[host, record] : running.hosts_) {
-        const bool isGone = !runningHosts_.contains(host);
-        if (!isGone)
-            record.goneSince_.reset();
-        else if (!record.goneSince_)
-            record.goneSince_ = now;
-        const bool wasLent = record.incarnation_ != Incarnation {};
-        const bool hasEnded = wasLent || (isGone && now >= *record.goneSince_ + kCurrentLease);
-        if (hasEnded && running.allocator_->hasCurrentLeaseExpired(host, now))
+    for (const auto &[host, record] : running.hosts_) {
+        const bool isGone = now >= record.seenAt_ + kClockDrift.stretched(kCurrentLease);
+        if (isGone || running.allocator_->hasCurrentLeaseExpired(host, now))
             running.decision_->onCurrentLeft(host);
     }
 }
 
 void RolloutControl::decide(const ServiceName &service, Running &running, TimePoint now)
 {
-    const Rollout *order = orderOf(service);
-    if (!order || !order->isSameOrder(running.state_.rollout_))
-        running.decision_->abort();
-    running.decision_->allowSwitching(now < running.storeCheckedAt_ + kMaxStoreSilence);
-    const RolloutVerdict verdict = running.decision_->decide(now);
+    const RolloutVerdict verdict = verdictFor(service, running, now);
     if (verdict != running.verdict_)
         applyVerdict(service, running, verdict, now);
 }
@@ -297,18 +260,26 @@
                                   const RolloutVerdict &verdict, TimePoint now)
 {
     const bool isNewPhase = verdict.phase_ != running.verdict_.phase_;
-    running.verdict_ = verdict;
+    const double formerShare = std::exchange(running.verdict_, verdict).share_;
     const bool isRollBack = verdict.phase_ == RolloutPhase::RolledBack;
     const bool isInForce = running.isRecorded_ && verdict.phase_ == running.state_.phase_;
-    if (isRollBack || isInForce)
+    if (running.allocator_ && (isRollBack || isInForce))
         running.allocator_->onVerdict(verdict, now);
-    if (!isNewPhase)
+    // The coordinator of a keyed service reads from the state how many keys are to move.
+    if (!isNewPhase && !running.keyed_)
         return;
     if (isRollBack)
-        running.reportFrom_ = now + kLeaseEnd;
+        running.reportFrom_ = now + leaseEnd(formerShare);
     running.state_.phase_ = verdict.phase_;
     running.state_.share_ = verdict.share_;
     running.isRecorded_ = false;
+    logPhase(service, running);
+}
+
+void RolloutControl::logPhase(const ServiceName &service, const Running &running) const
+{
+    const RolloutVerdict &verdict = running.verdict_;
+    const bool isRollBack = verdict.phase_ == RolloutPhase::RolledBack;
     log_.write(LogLine(isRollBack ? Severity::Warning : Severity::Info, "rollout-phase")
                    .add("service", service.str())
                    .add("target", running.state_.rollout_.order_.target_)
@@ -316,7 +287,7 @@
                    .add("reason", toString(verdict.reason_))
                    .add("route", verdict.route_.str())
                    .add("share", verdict.share_)
-                   .add("lent", running.allocator_->lent())
+                   .add("lent", running.allocator_ ? running.allocator_->lent() : 0)
                    .add("epoch", epoch_->value_));
 }
 
@@ -327,9 +298,8 @@
     running.isWriting_ = true;
     running.retryAt_ = now + kRetryPeriod;
     running.state_.roleEpoch_ = *epoch_;
-    const auto seen = seenOrders_.find(service);
-    if (seen != seenOrders_.end())
-        running.state_.elapsed_ = now - seen->second.seenAt_ + kOrderDelay;
+    running.state_.elapsed_
+        = std::max(running.state_.elapsed_, now - orders_.orderedAt(service, now));
     store_.put(refOf(service), formatRolloutState(running.state_), running.version_,
                [this, service, written = running.state_](const Reply<WriteResult> &reply) {
                    onWriteReply(service, written, reply);
@@ -352,13 +322,14 @@
             running->version_ = result->version_;
             // The verdict may have changed since the write was sent.
             running->isRecorded_ = running->state_.phase_ == written.phase_
+                                   && running->state_.share_ == written.share_
                                    && running->state_.isReported_ == written.isReported_;
             if (running->isRecorded_ && running->allocator_)
                 running->allocator_->onVerdict(running->verdict_, now);
             running->retryAt_ = now;
         }
-        onOwnWrite_(StoredObject { refOf(service), result->version_, false,
-                                   formatRolloutState(written) });
+        onOwnWrite_(
+            StoredObject { refOf(service), result->version_, false, formatRolloutState(written) });
         return;
     }
     if (!result) {
@@ -417,7 +388,7 @@
         return;
     const Rollout rollout = running.state_.rollout_;
     // The operators deleted the order, so there is nothing that could hold its status.
-    if (!orderOf(service)) {
+    if (!orders_.find(service)) {
         onStatusReply(service, rollout, status, true);
         return;
     }
@@ -476,21 +447,22 @@
     if (report.use_.incarnation_ < record.incarnation_)
         return;
     reports_.add();
-    const bool isRestarted = record.incarnation_ != Incarnation {}
-                             && report.use_.incarnation_ > record.incarnation_;
+    const bool isRestarted
+        = record.incarnation_ != Incarnation {} && report.use_.incarnation_ > record.incarnation_;
     if (isRestarted)
         running.decision_->onHostRestarted(from);
     running.decision_->onOutcomes(from, report.routes_, now);
-    const bool isForThisHolder = report.use_.epoch_ == *epoch_;
-    if (isForThisHolder && report.use_.hasLeftCurrent_)
+    if (report.use_.epoch_ == *epoch_ && report.use_.hasLeftCurrent_)
         running.decision_->onCurrentLeft(from);
+    else
+        running.decision_->addSender(from);
     if (!running.state_.isEnded())
         decide(report.service_, running, now);
     const auto lease = running.allocator_->allocate(from, report.use_, now);
     if (!lease)
         return;
-    if (isForThisHolder)
-        record.incarnation_ = report.use_.incarnation_;
+    record.incarnation_ = report.use_.incarnation_;
+    record.seenAt_ = now;
     leases_.add();
     hosts_.send(from, ExposureLeases { report.service_, report.target_, report.sentAt_, *lease });
 }
--- a/src/daemon/RolloutControl.h
+++ b/src/daemon/RolloutControl.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "pimentostage/backend/ExposureAllocator.h"
+#include "pimentostage/backend/KeyedRollout.h"
 #include "pimentostage/backend/RolloutDecision.h"
-#include "pimentostage/backend/ServiceVersions.h"
 #include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/MetricRegistry.h"
 #include "pimentostage/platform/ObjectStore.h"
 #include "pimentostage/sibling/Messages.h"
-#include "pimentostage/sibling/RoleElector.h"
+#include "src/daemon/RolloutOrders.h"
 
 #include <functional>
 #include <map>
@@ -53,18 +53,11 @@
     void tick(TimePoint now);
 
 private:
-    /// When this host first saw an order.
-    struct SeenOrder
-    {
-        Rollout rollout_;
-        TimePoint seenAt_;
-    };
-
     /// What the holder knows of one host.
     struct HostRecord
     {
         Incarnation incarnation_; ///< of its last report; zero before the first
-        std::optional<TimePoint> goneSince_; ///< set while it is not in the view
+        TimePoint seenAt_ {}; ///< when it last reported or was in the view
     };
 
     /// A roll-out that this host runs as the holder.
@@ -75,8 +68,10 @@
         bool isRecorded_ = false; ///< the store has state_
         bool isWriting_ = false;
         TimePoint retryAt_ {}; ///< of the next write
-        std::unique_ptr<RolloutDecision> decision_; ///< nullptr if the roll-out had ended before
+        /// Of a service without keys; both are nullptr if the roll-out had ended before.
+        std::unique_ptr<RolloutDecision> decision_;
         std::unique_ptr<ExposureAllocator> allocator_;
+        std::unique_ptr<KeyedRollout> keyed_; ///< of a keyed service
         RolloutVerdict verdict_;
         std::map<HostName, HostRecord> hosts_;
         std::optional<RolloutStatus> reported_; ///< what the operators were told last
@@ -86,16 +81,15 @@
         TimePoint nextStoreCheck_ {};
     };
 
-    [[nodiscard]] std::set<ServiceName> openServices() const;
-    [[nodiscard]] bool isOpen(const ServiceName &service) const;
-    [[nodiscard]] const Rollout *orderOf(const ServiceName &service) const;
-    [[nodiscard]] const RolloutState *storedState(const ServiceName &service) const;
     [[nodiscard]] bool mayAct(TimePoint now) const;
 
     void adopt(const ServiceName &service, TimePoint now);
     void begin(const ServiceName &service, const Rollout &order, TimePoint now);
     void makeDecision(const ServiceName &service, Running &running, bool isFirstHolder,
                       TimePoint now);
+    [[nodiscard]] RolloutVerdict verdictFor(const ServiceName &service, Running &running,
+                                            TimePoint now) const;
+    void logPhase(const ServiceName &service, const Running &running) const;
     void advance(const ServiceName &service, Running &running, TimePoint now);
     void updateHosts(Running &running, TimePoint now);
     void decide(const ServiceName &service, Running &running, TimePoint now);
@@ -124,9 +118,7 @@
     Counter &leases_;
     Counter &completed_;
     Counter &rolledBack_;
-    std::shared_ptr<const Configuration> configuration_;
-    std::map<ServiceName, std::string> versionsInForce_;
-    std::map<ServiceName, SeenOrder> seenOrders_;
+    RolloutOrders orders_;
     std::set<HostName> runningHosts_;
     std::optional<Epoch> epoch_; ///< set while this host has the role
     std::map<ServiceName, Running> running_;
--- a/src/daemon/RolloutHost.cpp
+++ b/src/daemon/RolloutHost.cpp
@@ -4,6 +4,19 @@
 
 namespace pimentostage {
 
+namespace {
+
+/// @return a lease that allows nothing and is replaced by the first one of any holder.
+ExposureLease noLease(Incarnation incarnation)
+{
+    ExposureLease lease;
+    lease.incarnation_ = incarnation;
+    lease.sequence_ = 1;
+    return lease;
+}
+
+} // namespace
+
 RolloutHost::RolloutHost(const Member &self, bool isOn, SiblingSender &hosts, RunningAt runningAt,
                          LogSink &log)
     : self_(self)
@@ -25,8 +38,7 @@
     for (const auto &[service, versions] : versions_.services()) {
         logVersion(service, versions);
         const auto object = configuration->services_.find(service);
-        const bool isBalanced
-            = object != configuration->services_.end() && !object->second.keyed_;
+        const bool isBalanced = object != configuration->services_.end() && !object->second.keyed_;
         if (!versions.rollout_ || !isBalanced)
             continue;
         const RolloutState &state = *versions.rollout_;
@@ -37,13 +49,12 @@
         }
         Running &running = running_[service];
         running.rollout_ = state.rollout_;
-        running.traffic_ = std::make_shared<RolloutTraffic>(state.rollout_.order_.target_,
-                                                            self_.incarnation_);
+        running.traffic_
+            = std::make_shared<RolloutTraffic>(state.rollout_.order_.target_, self_.incarnation_);
         // The holder may already have all confirmations that it waits for, so a host that joins
         // during the switch sends nothing before its first lease.
         if (state.phase_ == RolloutPhase::Switching)
-            running.traffic_->budget().apply(ExposureLease { self_.incarnation_, {}, 0, {}, {}, true },
-                                             now);
+            running.traffic_->budget().apply(noLease(self_.incarnation_), now);
     }
 }
 
@@ -83,8 +94,7 @@
     if (role == configuration_->roles_.end())
         return;
     for (auto &[service, running] : running_)
-        hosts_.send(role->second.holder_.host_,
-                    report(service, running, role->second.epoch_, now));
+        hosts_.send(role->second.holder_.host_, report(service, running, role->second.epoch_, now));
 }
 
 // A traffic thread may have chosen a back end of the version in force just before the lease forbade
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -164,9 +164,10 @@
                  1'000'000, "Maximum number of queued requests per service, or per owner." },
     SettingRow { "backend", "queue_ms", &Settings::backendMaxQueueTime_, Presence::Optional, 0,
                  60'000, "Maximum time that a request waits in a queue." },
-    SettingRow { "rollout", "max_share", &Settings::rolloutMaxShare_, Presence::Optional, 0, 1,
-                 "Share of a service's requests that a new version may get until the verdict; 0: "
-                 "no roll-outs, and each version of a back end gets requests; equal on all hosts." },
+    SettingRow {
+        "rollout", "max_share", &Settings::rolloutMaxShare_, Presence::Optional, 0, 1,
+        "Share of a service's requests that a new version may get until the verdict; 0: "
+        "no roll-outs, and each version of a back end gets requests; equal on all hosts." },
     SettingRow { "rollout", "max_extra", &Settings::rolloutMaxExtra_, Presence::Optional, 0,
                  1'000'000, "Requests that a new version may get beyond that share." },
     SettingRow { "rollout", "rollback_ms", &Settings::rolloutRollback_, Presence::Optional, 1000,
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -476,13 +476,13 @@
 std::string formatBackend(const Backend &backend)
 {
     Json json({ { "service", backend.service_.str() },
-                  { "zone", backend.zone_.str() },
-                  { "address", backend.address_.str() },
-                  { "slots", backend.slots_ },
-                  { "connections", backend.connections_ },
-                  { "state", toString(backend.state_) },
-                  { "incarnation", backend.incarnation_.value_ },
-                  { "cold_ms", milliseconds(backend.coldFor_) } });
+                { "zone", backend.zone_.str() },
+                { "address", backend.address_.str() },
+                { "slots", backend.slots_ },
+                { "connections", backend.connections_ },
+                { "state", toString(backend.state_) },
+                { "incarnation", backend.incarnation_.value_ },
+                { "cold_ms", milliseconds(backend.coldFor_) } });
     // Hosts of an earlier release reject unknown fields.
     if (!backend.version_.empty())
         json["version"] = backend.version_;
--- a/src/sibling/FrameCodec.cpp
+++ b/src/sibling/FrameCodec.cpp
@@ -294,14 +294,15 @@
 template <typename Archive>
 void visitFields(Archive &archive, ExposureUse &use)
 {
-    archive(use.incarnation_, use.epoch_, use.used_, use.requests_, use.hasLeftCurrent_);
+    archive(use.incarnation_, use.epoch_, use.used_, use.requests_, use.sequence_,
+            use.hasLeftCurrent_);
 }
 
 template <typename Archive>
 void visitFields(Archive &archive, ExposureLease &lease)
 {
-    archive(lease.incarnation_, lease.epoch_, lease.limit_, lease.targetFor_, lease.currentFor_,
-            lease.isCurrentAllowed_);
+    archive(lease.incarnation_, lease.epoch_, lease.sequence_, lease.limit_, lease.targetFor_,
+            lease.currentFor_, lease.isCurrentAllowed_);
 }
 
 template <typename Archive>
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -72,12 +72,12 @@
     GrantReply reply;
     reply.result_ = GrantResult::UnknownUnits;
     reply.draining_ = { UnitName("s3") };
-    const ExposureUse use { Incarnation { 77 }, Epoch { 3 }, 4, 120, true };
+    const ExposureUse use { Incarnation { 77 }, Epoch { 3 }, 4, 120, 6, true };
     RouteOutcomes outcomes;
     outcomes.route_ = RouteName("read");
     outcomes.current_.record(true, 5ms);
     outcomes.target_.record(false, 5ms);
-    const ExposureLease exposure { Incarnation { 77 }, Epoch { 3 }, 12, 1s, 3s, false };
+    const ExposureLease exposure { Incarnation { 77 }, Epoch { 3 }, 7, 12, 1s, 3s, false };
     return { Hello { self },
              Probe { HostName("a"), HostName("b"), 4, { self }, summary },
              ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -63,9 +63,8 @@
 {
     MetricRegistry metrics;
     EventLoop loop("control");
-    const auto readsRollouts = [](const StoreFeed &feed) {
-        return feed.kinds_.contains(ObjectKind::Rollout);
-    };
+    const auto readsRollouts
+        = [](const StoreFeed &feed) { return feed.kinds_.contains(ObjectKind::Rollout); };
     for (const bool hasRollouts : { false, true }) {
         platform::PlatformStore store("http://127.0.0.1:1", 2s, loop, metrics, hasRollouts);
         const std::vector<StoreFeed> feeds = store.feeds();
--- a/tests/PlatformWireTest.cpp
+++ b/tests/PlatformWireTest.cpp
@@ -144,9 +144,9 @@
     ASSERT_TRUE(page && page->listing_.objects_.size() == 1);
     const StoredObject &object = page->listing_.objects_.front();
     EXPECT_EQ(object.ref_, (ObjectRef { ObjectKind::Rollout, "huts" }));
-    const auto rollout = valueOr(
-        [&]() -> leaf::result<Rollout> { return parseRollout("huts", object.value_); },
-        [](const Error &) { return Rollout {}; });
+    const auto rollout
+        = valueOr([&]() -> leaf::result<Rollout> { return parseRollout("huts", object.value_); },
+                  [](const Error &) { return Rollout {}; });
     EXPECT_EQ(rollout.order_.service_, ServiceName("huts"));
     EXPECT_EQ(rollout.order_.target_, "v2");
     EXPECT_EQ(rollout.order_.duration_, 12'500ms);
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -224,6 +224,23 @@
     EXPECT_FALSE(fleet_.wantsRole(0));
 }
 
+// Guards against an order that is taken for the former one with the same content, which was
+// withdrawn and ended.
+TEST_F(RolloutControlTest, AnOrderThatIsRepeatedAfterItsDeletionIsRunAgain)
+{
+    start(kGood);
+    fleet_.run(2s);
+    fleet_.withdrawOrder();
+    fleet_.run(4s);
+    EXPECT_FALSE(fleet_.wantsRole(0));
+    orderedAt_ = fleet_.now();
+    fleet_.order("v2", kOrdered);
+    fleet_.run(500ms);
+    EXPECT_TRUE(fleet_.wantsRole(0));
+    expectComplete();
+    EXPECT_FALSE(fleet_.wantsRole(0));
+}
+
 // Guards against a status that comes before a host has stopped using the former version: its
 // requests there would be lost.
 TEST_F(RolloutControlTest, CompletionWaitsForEveryHost)
--- a/tests/SettingsTest.cpp
+++ b/tests/SettingsTest.cpp
@@ -80,6 +80,20 @@
     EXPECT_EQ(maxConfigAgeOf(Settings()), Settings().controlMaxConfigAge_);
 }
 
+// Guards against roll-outs, and the withholding of back ends, where no setting asks for them.
+TEST(Settings, RolloutsAreOffByDefault)
+{
+    EXPECT_EQ(Settings().rolloutMaxShare_, 0);
+    const std::string text(kComplete);
+    const auto result = parseSettings(
+        text + "[rollout]\nmax_share = 0.1\nmax_extra = 40\nrollback_ms = 4000\n", "x.ini");
+    ASSERT_TRUE(result.errors_.empty()) << result.errors_.front().describe();
+    EXPECT_EQ(result.settings_.rolloutMaxShare_, 0.1);
+    EXPECT_EQ(result.settings_.rolloutMaxExtra_, 40);
+    EXPECT_EQ(result.settings_.rolloutRollback_, 4s);
+    EXPECT_EQ(parseSettings(text + "[rollout]\nmax_share = 1.5\n", "x").errors_.size(), 1U);
+}
+
 TEST(Settings, ReadsAListOfAddresses)
 {
     const std::string text(kComplete);
--- a/tests/fakes/RolloutFleet.cpp
+++ b/tests/fakes/RolloutFleet.cpp
@@ -116,7 +116,8 @@
             return holder_ == index && !hosts_[index]->isCut_;
         },
         [raw = host.get()](const ObjectRef &ref) { return raw->config_.versionOf(ref); }, log_,
-        host->metrics_, [this, raw = host.get()](const StoredObject &object) {
+        host->metrics_,
+        [this, raw = host.get()](const StoredObject &object) {
             raw->config_.apply(object);
             updateConfig(*raw);
         });
@@ -176,8 +177,7 @@
     const ServiceRoutes &routes = host->table_->services_.at(kService.str());
     if (routes.service_.keyed_)
         return;
-    const BackendChoice choice
-        = BackendSelector::select(routes, { "", {} }, {}, random_, time());
+    const BackendChoice choice = BackendSelector::select(routes, { "", {} }, {}, random_, time());
     if (!choice.candidate_)
         return;
     const std::string version = choice.candidate_->backend_.version_;
@@ -189,16 +189,16 @@
     const Behaviour behaviour = behaviours_[version];
     const bool isFailed = random_.unit() < behaviour.failureShare_;
     const Duration latency = fromSeconds(toSeconds(behaviour.latency_) * (0.5 + random_.unit()));
-    events_.after(latency, [this, host, version, isFailed, latency, rollout = routes.rollout_,
-                            isTarget = choice.candidate_->isTarget_,
-                            stats = choice.candidate_->stats_] {
-        stats->end();
-        --running_[version];
-        if (!isFailed)
-            stats->onAnswer(latency, time());
-        if (rollout)
-            rollout->record(RouteName("read"), isTarget, isFailed, latency);
-    });
+    events_.after(latency,
+                  [this, host, version, isFailed, latency, rollout = routes.rollout_,
+                   isTarget = choice.candidate_->isTarget_, stats = choice.candidate_->stats_] {
+                      stats->end();
+                      --running_[version];
+                      if (!isFailed)
+                          stats->onAnswer(latency, time());
+                      if (rollout)
+                          rollout->record(RouteName("read"), isTarget, isFailed, latency);
+                  });
 }
 
 void RolloutFleet::addBackends(const std::string &version, std::size_t count,
@@ -270,7 +270,8 @@
     return !hosts_[host]->control_->roles().empty();
 }
 
-std::uint64_t RolloutFleet::sentTo(const std::string &version, std::optional<std::size_t> host) const
+std::uint64_t RolloutFleet::sentTo(const std::string &version,
+                                   std::optional<std::size_t> host) const
 {
     const auto counts = sent_.find(version);
     if (counts == sent_.end())
--- a/tests/fakes/RolloutFleet.h
+++ b/tests/fakes/RolloutFleet.h
@@ -101,7 +101,10 @@
     void scheduleRequest(const std::shared_ptr<Host> &host);
     void updateConfig(Host &host);
     void sendRequest(const std::shared_ptr<Host> &host);
-    [[nodiscard]] TimePoint time() const { return TimePoint(std::chrono::hours(1) + events_.now()); }
+    [[nodiscard]] TimePoint time() const
+    {
+        return TimePoint(std::chrono::hours(1) + events_.now());
+    }
     void noteState();
 
     const RolloutLimits limits_;
--- a/tools/pimentoctl.cpp
+++ b/tools/pimentoctl.cpp
@@ -1,5 +1,6 @@
 #include "pimentostage/base/Hash.h"
 #include "pimentostage/operator/ConfigEditor.h"
+#include "pimentostage/operator/RolloutEditor.h"
 #include "pimentostage/platform/ObjectCodec.h"
 #include "src/platform/StoreClient.h"
 #include "tools/ProgramMain.h"
@@ -18,6 +19,7 @@
 ABSL_FLAG(std::string, store, "http://127.0.0.1:7300", "base URL of the platform's store");
 ABSL_FLAG(std::string, hosts, "", "operators' addresses of entry hosts, ip:port, comma-separated");
 ABSL_FLAG(uint64_t, if_version, 0, "change an object only if it has this version; 0: any");
+ABSL_FLAG(double, duration_s, 60, "rollout start: time within which it must be complete");
 ABSL_FLAG(double, ramp_ms, -1, "zone in: time over which its share returns, in milliseconds");
 
 namespace {
@@ -41,6 +43,9 @@
       "  zone out|in NAME         take a data centre out, or back\n"
       "  key grant TEAM NAME      grant the key read from standard input\n"
       "  key withdraw NAME        withdraw a key\n"
+      "  rollout start SERVICE VERSION  order a roll-out; see --duration-s\n"
+      "  rollout status SERVICE   how it is doing\n"
+      "  rollout abort SERVICE    roll back\n"
       "  owner SERVICE KEY        who owns a key (needs --hosts)\n"
       "  status                   what each host has in force (needs --hosts)\n"
       "Kinds: service, contract, key, zone, backend.\n"
@@ -55,6 +60,12 @@
     ConfigEditor &editor_;
 };
 
+std::string newChangeId()
+{
+    std::random_device source;
+    return std::to_string(source()) + '-' + std::to_string(source());
+}
+
 using Command = leaf::result<int> (*)(CommandContext &, const Arguments &);
 
 std::optional<Version> expectedVersion()
@@ -234,6 +245,28 @@
     return report(ref, change);
 }
 
+leaf::result<int> rolloutStart(CommandContext &context, const Arguments &arguments)
+{
+    const RolloutOrder order { ServiceName(arguments.at(0)), arguments.at(1),
+                               fromSeconds(absl::GetFlag(FLAGS_duration_s)) };
+    BOOST_LEAF_AUTO(change, startRollout(context.editor_, order, newChangeId(), expectedVersion()));
+    return report({ ObjectKind::Rollout, arguments.at(0) }, change);
+}
+
+leaf::result<int> rolloutStatus(CommandContext &context, const Arguments &arguments)
+{
+    BOOST_LEAF_AUTO(text, describeRollout(context.editor_, ServiceName(arguments.at(0))));
+    std::cout << text << '\n';
+    return kExitOk;
+}
+
+leaf::result<int> rolloutAbort(CommandContext &context, const Arguments &arguments)
+{
+    const ObjectRef ref { ObjectKind::Rollout, arguments.at(0) };
+    BOOST_LEAF_AUTO(change, context.editor_.remove(ref, expectedVersion()));
+    return report(ref, change);
+}
+
 /// Fetches @p page from each host in --hosts and prints it after the host's address.
 leaf::result<int> queryHosts(const std::string &page)
 {
@@ -292,6 +325,9 @@
     { "zone", "in", 1, 1, &zoneIn },
     { "key", "grant", 2, 2, &keyGrant },
     { "key", "withdraw", 1, 1, &keyWithdraw },
+    { "rollout", "start", 2, 2, &rolloutStart },
+    { "rollout", "status", 1, 1, &rolloutStatus },
+    { "rollout", "abort", 1, 1, &rolloutAbort },
     { "owner", nullptr, 2, 2, &owner },
     { "status", nullptr, 0, 0, &status },
 };
@@ -312,12 +348,6 @@
     return nullptr;
 }
 
-std::string newChangeId()
-{
-    std::random_device source;
-    return std::to_string(source()) + '-' + std::to_string(source());
-}
-
 } // namespace
 
 int main(int argc, char **argv)
