--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -110,7 +110,9 @@
 
     void lend(std::uint64_t limit, bool isCurrentAllowed = true)
     {
-        traffic_->budget().apply({ kProcess, Epoch { 1 }, limit, 1s, 3s, isCurrentAllowed }, now_);
+        const ExposureLease lease { kProcess, Epoch { 1 }, ++sequence_, limit, kExposureLease,
+                                    kCurrentLease, isCurrentAllowed };
+        traffic_->budget().apply(lease, now_);
     }
 
     /// @return how many of @p count requests go to the target.
@@ -128,6 +130,7 @@
     }
 
     const Incarnation kProcess { 7 };
+    std::uint64_t sequence_ = 0; ///< of the last lease
     std::shared_ptr<RolloutTraffic> traffic_ = std::make_shared<RolloutTraffic>("v2", kProcess);
 };
 
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -16,7 +16,7 @@
 
 RolloutLimits limits()
 {
-    return RolloutLimits { 0.1, 50, 5s, 0 };
+    return RolloutLimits { 0.1, 50, 5s, 0, {} };
 }
 
 /// A fleet whose service runs v1, with back ends of v2 beside them.
@@ -252,8 +252,9 @@
     bool isComplete = false;
     fleet_.store().onStatus_ = [&](const Status &status) {
         isComplete = status.status_ == RolloutStatus::Complete;
-        if (isComplete)
+        if (isComplete) {
             EXPECT_EQ(fleet_.runningAt("v1"), 0U);
+        }
     };
     fleet_.run(9s);
     EXPECT_FALSE(isComplete);
