--- /dev/null
+++ b/bench/RolloutBench.cpp
@@ -0,0 +1,450 @@
+// Verdicts on generated versions: detection time, exposure and false alarms of a roll-out.
+
+#include "pimentostage/backend/ExposureAllocator.h"
+#include "pimentostage/backend/ExposureBudget.h"
+#include "pimentostage/backend/RolloutDecision.h"
+#include "pimentostage/base/Random.h"
+
+#include <algorithm>
+#include <atomic>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <memory>
+#include <queue>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace pimentostage;
+using namespace std::chrono_literals;
+
+constexpr std::size_t kHosts = 60;
+constexpr std::size_t kRoutes = 4;
+constexpr std::array kRouteShares { 0.5, 0.25, 0.15, 0.1 };
+constexpr std::array kRouteWorkMs { 270.0, 350.0, 210.0, 210.0 };
+constexpr std::uint64_t kMaxExtra = 50;
+constexpr double kMaxShare = 0.1;
+constexpr Duration kDuration = 12s;
+constexpr Duration kReportPeriod = 250ms;
+constexpr Duration kTick = 25ms;
+/// Failure share of every version.
+constexpr double kUsualFailures = 0.001;
+/// Part of the back ends in a slow moment, how many times slower they are then, and how long.
+constexpr double kSlowPart = 0.2;
+constexpr double kSlowFactor = 3;
+constexpr double kSlowSeconds = 1;
+constexpr std::size_t kThreads = 3;
+constexpr TimePoint kOrderedAt { 1h };
+
+/// How a version differs from the version in force.
+struct GeneratedVersion
+{
+    const char *name_;
+    double failures_ = 0; ///< share of failed answers
+    double slowdown_ = 1;
+    std::size_t routes_ = kRoutes; ///< the fault is on the last ones of the routes, this many
+    double fromShare_ = 0; ///< the fault appears above this share of the traffic
+    Duration from_ {}; ///< the fault appears at this time after the order
+};
+
+constexpr std::array kVersions {
+    GeneratedVersion { "good" },
+    GeneratedVersion { "5 % failed", 0.05 },
+    GeneratedVersion { "20 % failed", 0.2 },
+    GeneratedVersion { "100 % failed", 1 },
+    GeneratedVersion { "2 times slower", 0, 2 },
+    GeneratedVersion { "4 times slower", 0, 4 },
+    GeneratedVersion { "20 % failed on a route", 0.2, 1, 1 },
+    GeneratedVersion { "100 % failed on a route", 1, 1, 1 },
+    GeneratedVersion { "2 times slower on a route", 0, 2, 1 },
+    GeneratedVersion { "20 % failed above half load", 0.2, 1, kRoutes, 0.5 },
+    GeneratedVersion { "20 % failed after 5 s", 0.2, 1, kRoutes, 0, 5s },
+    GeneratedVersion { "100 % failed after 8 s", 1, 1, kRoutes, 0, 8s },
+    GeneratedVersion { "2 times slower after 4 s", 0, 2, kRoutes, 0, 4s },
+};
+
+/// The back ends of a version: their speeds, and when which of them are slow.
+class Backends
+{
+public:
+    Backends(std::size_t count, Random &random)
+        : random_(random)
+    {
+        for (std::size_t i = 0; i < count; ++i) {
+            backends_.push_back(
+                { 0.5 + 1.1 * random_.unit(), random_.unit() < kSlowPart, kOrderedAt });
+            backends_.back().until_ += momentLength(backends_.back().isSlow_);
+        }
+    }
+
+    /// @return the factor of the time that a request to a back end chosen at random takes.
+    double factor(TimePoint now)
+    {
+        Backend &backend = backends_[random_.below(backends_.size())];
+        while (backend.until_ <= now) {
+            backend.isSlow_ = !backend.isSlow_;
+            backend.until_ += momentLength(backend.isSlow_);
+        }
+        return (backend.isSlow_ ? kSlowFactor : 1) / backend.speed_;
+    }
+
+private:
+    struct Backend
+    {
+        double speed_;
+        bool isSlow_;
+        TimePoint until_;
+    };
+
+    Duration momentLength(bool isSlow)
+    {
+        const double mean = isSlow ? kSlowSeconds : kSlowSeconds * (1 - kSlowPart) / kSlowPart;
+        return fromSeconds(std::exponential_distribution<double>(1 / mean)(random_.engine()));
+    }
+
+    Random &random_;
+    std::vector<Backend> backends_;
+};
+
+/// A request that runs.
+struct Running
+{
+    TimePoint endsAt_;
+    Duration latency_;
+    std::size_t host_;
+    std::size_t route_;
+    bool isTarget_;
+    bool isFailed_;
+
+    bool operator>(const Running &other) const { return endsAt_ > other.endsAt_; }
+};
+
+/// What one roll-out came to.
+struct Result
+{
+    RolloutVerdict verdict_;
+    Duration endedAt_ {}; ///< from the order
+    std::uint64_t requests_ = 0; ///< until the end of the roll-out's duration
+    std::uint64_t exposed_ = 0; ///< of these, to the target
+    std::uint64_t badAtVerdict_ = 0; ///< bad answers until the roll-back
+    double maxOverShare_ = 0; ///< largest exposure beyond kMaxShare until Switching, in requests
+};
+
+/// One roll-out of a version over a fleet of hosts that report at different times.
+class Trial
+{
+public:
+    Trial(const GeneratedVersion &version, double perSecond, std::size_t backends,
+          std::uint64_t seed)
+        : version_(version)
+        , perSecond_(perSecond)
+        , random_(seed)
+        , old_(backends, random_)
+        , new_(backends, random_)
+        , decision_({ ServiceName("certify"), "v2", kDuration }, limits(backends), kOrderedAt)
+        , allocator_(limits(backends), Epoch { 1 }, true)
+    {
+        for (std::size_t i = 0; i < kHosts; ++i) {
+            hosts_.push_back(std::make_unique<Host>(i));
+            hosts_.back()->reportAt_ = kOrderedAt + fromSeconds(0.25 * random_.unit());
+        }
+    }
+
+    Result run()
+    {
+        allocator_.onVerdict(decision_.decide(kOrderedAt), kOrderedAt);
+        nextArrival_ = kOrderedAt;
+        for (now_ = kOrderedAt; now_ < kOrderedAt + kDuration + 2s; now_ += kTick) {
+            arrive();
+            finish();
+            exchange();
+            decide();
+        }
+        return result_;
+    }
+
+private:
+    struct Host
+    {
+        explicit Host(std::size_t index)
+            : name_("host-" + std::to_string(index))
+        {
+            for (std::size_t i = 0; i < kRoutes; ++i)
+                outcomes_.push_back({ RouteName("route-" + std::to_string(i)), {}, {} });
+        }
+
+        HostName name_;
+        ExposureBudget budget_ { Incarnation { 1 } };
+        std::vector<RouteOutcomes> outcomes_;
+        std::size_t runningAtCurrent_ = 0;
+        TimePoint reportAt_;
+    };
+
+    /// A report that is under way.
+    struct Report
+    {
+        TimePoint arrivesAt_;
+        TimePoint sentAt_;
+        std::size_t host_;
+        ExposureUse use_;
+        std::vector<RouteOutcomes> outcomes_;
+        std::size_t runningAtCurrent_;
+
+        bool operator>(const Report &other) const { return arrivesAt_ > other.arrivesAt_; }
+    };
+
+    template <typename T>
+    using Earliest = std::priority_queue<T, std::vector<T>, std::greater<>>;
+
+    static RolloutLimits limits(std::size_t backends)
+    {
+        return { kMaxShare, kMaxExtra, 5s, 0, {}, static_cast<std::uint32_t>(backends) };
+    }
+
+    [[nodiscard]] bool isFaulty(std::size_t route, TimePoint now) const
+    {
+        return route >= kRoutes - version_.routes_ && share_ >= version_.fromShare_
+               && now >= kOrderedAt + version_.from_;
+    }
+
+    void arrive()
+    {
+        std::exponential_distribution<double> gap(perSecond_);
+        std::discrete_distribution<std::size_t> route(kRouteShares.begin(), kRouteShares.end());
+        for (; nextArrival_ <= now_; nextArrival_ += fromSeconds(gap(random_.engine())))
+            send(random_.below(kHosts), route(random_.engine()), nextArrival_);
+    }
+
+    void send(std::size_t index, std::size_t route, TimePoint now)
+    {
+        Host &host = *hosts_[index];
+        host.budget_.recordRequest();
+        const bool isTarget = !isEnded() ? host.budget_.trySend(now)
+                                         : result_.verdict_.phase_ == RolloutPhase::Complete;
+        if (now < kOrderedAt + kDuration) {
+            ++result_.requests_;
+            result_.exposed_ += isTarget ? 1 : 0;
+        }
+        host.runningAtCurrent_ += isTarget ? 0 : 1;
+        const bool isFaulty = isTarget && this->isFaulty(route, now);
+        // Gamma distribution with shape 2: a coefficient of variation of 0.7.
+        std::gamma_distribution<double> work(2, kRouteWorkMs[route] / 2 / 1000);
+        const double factor
+            = (isTarget ? new_ : old_).factor(now) * (isFaulty ? version_.slowdown_ : 1);
+        const Duration latency = fromSeconds(work(random_.engine()) * factor);
+        const double failures = kUsualFailures + (isFaulty ? version_.failures_ : 0);
+        running_.push(
+            { now + latency, latency, index, route, isTarget, random_.unit() < failures });
+    }
+
+    void finish()
+    {
+        while (!running_.empty() && running_.top().endsAt_ <= now_) {
+            const Running &request = running_.top();
+            Host &host = *hosts_[request.host_];
+            host.runningAtCurrent_ -= request.isTarget_ ? 0 : 1;
+            RouteOutcomes &outcomes = host.outcomes_[request.route_];
+            (request.isTarget_ ? outcomes.target_ : outcomes.current_)
+                .record(request.isFailed_, request.latency_);
+            if (request.isTarget_ && !isEnded() && isBad(request))
+                ++result_.badAtVerdict_;
+            running_.pop();
+        }
+    }
+
+    [[nodiscard]] bool isBad(const Running &request) const
+    {
+        return request.isFailed_
+               || (version_.slowdown_ > 1
+                   && isFaulty(request.route_, request.endsAt_ - request.latency_));
+    }
+
+    /// A link delays messages by 10 to 60 ms.
+    Duration delay() { return fromSeconds(0.01 + 0.05 * random_.unit()); }
+
+    void exchange()
+    {
+        for (std::size_t i = 0; i < kHosts; ++i) {
+            Host &host = *hosts_[i];
+            if (host.reportAt_ > now_)
+                continue;
+            host.reportAt_ += kReportPeriod;
+            const ExposureUse use = host.budget_.report(Epoch { 1 });
+            reports_.push({ now_ + delay(), now_, i, use, host.outcomes_, host.runningAtCurrent_ });
+        }
+        for (; !reports_.empty() && reports_.top().arrivesAt_ <= now_; reports_.pop())
+            onReport(reports_.top());
+        for (; !leases_.empty() && leases_.front().arrivesAt_ <= now_; leases_.pop_front()) {
+            const Answer &answer = leases_.front();
+            hosts_[answer.host_]->budget_.apply(answer.lease_, answer.sentAt_);
+        }
+    }
+
+    void onReport(const Report &report)
+    {
+        const HostName &name = hosts_[report.host_]->name_;
+        decision_.onOutcomes(name, report.outcomes_, now_);
+        if (report.use_.hasLeftCurrent_)
+            decision_.onCurrentLeft(name, report.runningAtCurrent_);
+        if (const auto lease = allocator_.allocate(name, report.use_, now_))
+            leases_.push_back({ now_ + 35ms, report.sentAt_, report.host_, *lease });
+    }
+
+    void decide()
+    {
+        if (isEnded())
+            return;
+        const RolloutVerdict verdict = decision_.decide(now_);
+        if (verdict.phase_ == RolloutPhase::Observing) {
+            const double over = static_cast<double>(result_.exposed_)
+                                - kMaxShare * static_cast<double>(result_.requests_);
+            result_.maxOverShare_ = std::max(result_.maxOverShare_, over);
+        }
+        allocator_.onVerdict(verdict, now_);
+        result_.verdict_ = verdict;
+        share_ = verdict.share_;
+        result_.endedAt_ = now_ - kOrderedAt;
+    }
+
+    [[nodiscard]] bool isEnded() const
+    {
+        return result_.verdict_.phase_ == RolloutPhase::Complete
+               || result_.verdict_.phase_ == RolloutPhase::RolledBack;
+    }
+
+    /// A lease that is under way.
+    struct Answer
+    {
+        TimePoint arrivesAt_;
+        TimePoint sentAt_; ///< of the report
+        std::size_t host_;
+        ExposureLease lease_;
+    };
+
+    const GeneratedVersion &version_;
+    const double perSecond_;
+    Random random_;
+    Backends old_;
+    Backends new_;
+    RolloutDecision decision_;
+    ExposureAllocator allocator_;
+    std::vector<std::unique_ptr<Host>> hosts_;
+    Earliest<Running> running_;
+    Earliest<Report> reports_;
+    std::deque<Answer> leases_;
+    TimePoint now_ {};
+    TimePoint nextArrival_ {};
+    double share_ = kMaxShare;
+    Result result_;
+};
+
+/// @return the value below which @p part of @p values are; 0 without values.
+template <typename T>
+T quantile(std::vector<T> values, double part)
+{
+    if (values.empty())
+        return {};
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+std::vector<Result> runTrials(const GeneratedVersion &version, double perSecond,
+                              std::size_t backends, std::size_t seeds)
+{
+    std::vector<Result> results(seeds);
+    std::atomic<std::size_t> next { 0 };
+    std::vector<std::thread> threads;
+    for (std::size_t i = 0; i < kThreads; ++i) {
+        threads.emplace_back([&] {
+            for (std::size_t seed = next++; seed < seeds; seed = next++)
+                results[seed] = Trial(version, perSecond, backends, seed + 1).run();
+        });
+    }
+    for (std::thread &thread : threads)
+        thread.join();
+    return results;
+}
+
+/// Numbers of @p results by how the roll-outs ended.
+struct Ends
+{
+    int observing_ = 0; ///< rolled back before the latest moment
+    int latest_ = 0; ///< at the latest moment
+    int switching_ = 0; ///< afterwards
+    int complete_ = 0; ///< within the duration
+    int other_ = 0; ///< neither within the duration
+    int exceeded_ = 0; ///< rolled back or not complete, and more requests than the bound allows
+};
+
+Ends countEnds(const std::vector<Result> &results)
+{
+    const Duration latest = kDuration - RolloutDecision::kSwitchDuration;
+    Ends ends;
+    for (const Result &result : results) {
+        if (result.verdict_.phase_ == RolloutPhase::Complete && result.endedAt_ <= kDuration)
+            ++ends.complete_;
+        else if (result.verdict_.phase_ != RolloutPhase::RolledBack || result.endedAt_ > kDuration)
+            ++ends.other_;
+        else if (result.endedAt_ < latest)
+            ++ends.observing_;
+        else if (result.endedAt_ < latest + 2 * kTick)
+            ++ends.latest_;
+        else
+            ++ends.switching_;
+        const double bound = kMaxShare * static_cast<double>(result.requests_) + kMaxExtra;
+        if (static_cast<double>(result.exposed_) > bound)
+            ++ends.exceeded_;
+    }
+    return ends;
+}
+
+void printRow(const GeneratedVersion &version, double perSecond, std::size_t backends,
+              std::size_t seeds)
+{
+    const std::vector<Result> results = runTrials(version, perSecond, backends, seeds);
+    const Ends ends = countEnds(results);
+    std::vector<double> seconds;
+    std::vector<std::uint64_t> bad;
+    std::vector<std::uint64_t> exposed;
+    double over = 0;
+    for (const Result &result : results) {
+        seconds.push_back(toSeconds(result.endedAt_));
+        exposed.push_back(result.exposed_);
+        over = std::max(over, result.maxOverShare_);
+        if (result.verdict_.phase_ == RolloutPhase::RolledBack)
+            bad.push_back(result.badAtVerdict_);
+    }
+    std::printf("| %s | %.0f | %zu | %d | %d | %d | %d | %d | %.1f | %.1f | %zu | %zu | %zu | %d | "
+                "%.0f |\n",
+                version.name_, perSecond, backends, ends.observing_, ends.latest_, ends.switching_,
+                ends.complete_, ends.other_, quantile(seconds, 0.5), quantile(seconds, 0.99),
+                quantile(bad, 0.5), quantile(bad, 0.99), quantile(exposed, 0.5), ends.exceeded_,
+                over);
+    std::fflush(stdout);
+}
+
+} // namespace
+
+/// Usage: rollout_bench [SEEDS]
+int main(int argc, char **argv)
+{
+    const std::size_t seeds = argc > 1 ? std::strtoul(argv[1], nullptr, 10) : 1000;
+    std::printf("%zu seeds each; %zu hosts; order for %.0f s\n\n", seeds, kHosts,
+                toSeconds(kDuration));
+    std::printf(
+        "| version | requests/s | back ends | rolled back: observing | at the latest moment "
+        "| switching | complete | neither | end s (median) | end s (99 %%) "
+        "| bad answers (median) | bad answers (99 %%) | exposed (median) | bound exceeded "
+        "| over share |\n");
+    std::printf("|---|---|---|---|---|---|---|---|---|---|---|---|---|---|---|\n");
+    for (const GeneratedVersion &version : kVersions) {
+        for (const double perSecond : { 100.0, 450.0 })
+            printRow(version, perSecond, 26, seeds);
+    }
+    for (const double perSecond : { 100.0, 450.0 })
+        printRow(kVersions.front(), perSecond, 8, seeds);
+    return 0;
+}
--- a/include/pimentostage/backend/Rollout.h
+++ b/include/pimentostage/backend/Rollout.h
@@ -76,6 +76,8 @@
     /// Time from the order during which startPerS_ holds and latencies are not compared, because
     /// the target's back ends may be in cold start.
     Duration warmup_ {};
+    /// Back ends of the version that has fewer. Fewer back ends make latencies less comparable.
+    std::uint32_t backends_ = 8;
 };
 
 /// What the holder of the role `rollouts` decides about a roll-out.
--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -30,9 +30,10 @@
     /// Tells that @p host may send requests to the version in force. Reports imply it.
     void addSender(const HostName &host);
 
-    /// Tells that @p host begins no more requests at the version in force and has none running
-    /// there, or that its lease for that version has run out.
-    void onCurrentLeft(const HostName &host);
+    /// Tells that @p host begins no more requests at the version in force, because its last lease
+    /// forbids it or has run out.
+    /// @param running requests of the host that still run there.
+    void onCurrentLeft(const HostName &host, std::size_t running = 0);
 
     /// Allows or forbids the begin of Switching, such as while the store cannot record it.
     void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
@@ -46,13 +47,21 @@
     RolloutVerdict decide(TimePoint now);
 
     /// Time before the end of the duration at which Switching begins or the roll-out ends: 1.5 s
-    /// for the steps, 0.5 s for the last leases to arrive, and 2.5 s for requests that still run at
-    /// the former version.
+    /// for the steps, 0.5 s for the last leases to arrive, 2 s for requests that still run at the
+    /// former version, and kCompletionMargin.
     static constexpr Duration kSwitchDuration = std::chrono::milliseconds(4500);
+    /// Time before the end of the duration from which on Complete does not wait for requests that
+    /// still run at the former version; the status must be written and read in that time. Requests
+    /// may run for as long as their deadline, 10 s, which is more than a roll-out can wait.
+    static constexpr Duration kCompletionMargin = std::chrono::milliseconds(500);
     /// Time between two steps of Switching: two periods of reports.
     static constexpr Duration kStepPeriod = std::chrono::milliseconds(500);
     /// Largest increase of the target's share in one step.
     static constexpr double kMaxStep = 0.25;
+    /// Parts of the probability of a false alarm of RolloutComparison::checkOverall() at the latest
+    /// moment and after each of the four steps of Switching.
+    static constexpr double kLatestMomentPart = 0.6;
+    static constexpr double kStepPart = 0.1;
 
 private:
     /// What the holder knows of one host.
@@ -60,6 +69,7 @@
     {
         std::vector<RouteOutcomes> outcomes_; ///< of its latest process
         bool maySendToCurrent_ = true;
+        std::size_t runningAtCurrent_ = 0; ///< counts if maySendToCurrent_ is false
     };
 
     using Advance = void (RolloutDecision::*)(TimePoint);
@@ -72,7 +82,8 @@
     void beginSwitching(TimePoint now);
     void rollBack(const RolloutFinding &finding);
     void applyOutcomes(Host &host, const RouteOutcomes &outcomes);
-    [[nodiscard]] bool hasEveryHostLeft() const;
+    [[nodiscard]] bool hasEveryHostLeft(TimePoint now) const;
+    [[nodiscard]] std::optional<RolloutFinding> judge() const;
     [[nodiscard]] TimePoint latestMoment() const;
 
     const RolloutOrder order_;
@@ -81,6 +92,7 @@
     bool isSwitchingAllowed_ = true;
     RolloutVerdict verdict_;
     TimePoint switchingSince_ {};
+    std::int64_t steps_ = 0; ///< of Switching
     RolloutOutcomes totals_;
     RolloutComparison comparison_;
     std::map<HostName, Host> hosts_;
--- a/src/backend/RolloutComparison.cpp
+++ b/src/backend/RolloutComparison.cpp
@@ -1,7 +1,6 @@
 #include "pimentostage/backend/RolloutComparison.h"
 
 #include <cmath>
-#include <numbers>
 
 namespace pimentostage {
 
@@ -18,11 +17,14 @@
     return sum;
 }
 
-/// @return the probability that a normal variable exceeds its mean by @p deviations standard
-///         deviations.
-double normalTail(double deviations)
+/// Part of each probability of a false alarm for the test of all routes together; most faults are
+/// on all. The routes share the rest.
+constexpr double kAllRoutes = 0.75;
+
+/// @return the part of @p alpha for one of @p outcomes.
+double routeAlpha(double alpha, const RolloutOutcomes &outcomes)
 {
-    return 0.5 * std::erfc(deviations / std::numbers::sqrt2);
+    return alpha * (1 - kAllRoutes) / static_cast<double>(outcomes.size());
 }
 
 } // namespace
@@ -30,13 +32,15 @@
 std::optional<RolloutFinding> RolloutComparison::check(const RolloutOutcomes &outcomes,
                                                        TimePoint now)
 {
+    if (outcomes.empty())
+        return std::nullopt;
     for (const auto &[name, route] : outcomes)
-        routes_.try_emplace(name);
+        routeFailures_.try_emplace(name);
     if (now >= slotEnd_)
         closeSlot(outcomes, now);
     if (auto finding = findFailures(outcomes))
         return finding;
-    return findSlowness();
+    return slowness_;
 }
 
 void RolloutComparison::closeSlot(const RolloutOutcomes &outcomes, TimePoint now)
@@ -44,50 +48,16 @@
     slotEnd_ = now + kSlot;
     failures_.closeSlot(sumOf(outcomes));
     for (const auto &[name, route] : outcomes)
-        routes_[name].failures_.closeSlot(route);
-    if (++slots_ % kLatencySlots == 0)
-        closeLatencySlot(outcomes, now);
-}
-
-void RolloutComparison::closeLatencySlot(const RolloutOutcomes &outcomes, TimePoint now)
-{
+        routeFailures_.at(name).closeSlot(route);
     if (now < latencyFrom_) {
-        for (const auto &[name, route] : outcomes)
-            routes_[name].latency_.skip(route);
+        latency_.skip(outcomes);
         return;
     }
-    std::vector<LatencyShift> shifts;
-    for (const auto &[name, outcome] : outcomes) {
-        Route &route = routes_[name];
-        if (const auto shift = route.latency_.closeSlot(outcome)) {
-            route.slowness_.add(gains(*shift));
-            shifts.push_back(*shift);
-        }
-    }
-    if (!shifts.empty())
-        slowness_.add(gains(combine(shifts)));
-}
-
-RolloutComparison::LatencyGains RolloutComparison::gains(const LatencyShift &shift)
-{
-    const double variance = shift.variance_ + kMomentVariance;
-    LatencyGains gains {};
-    for (std::size_t i = 0; i < kSlowdowns.size(); ++i) {
-        const double middle = (kSlowdowns[i] + kSlowdownTolerance) / 2;
-        gains[i] = (kSlowdowns[i] - kSlowdownTolerance) * (shift.octaves_ - middle) / variance;
-    }
-    return gains;
-}
-
-bool RolloutComparison::isSlow(const LatencyShift &shift, double alpha)
-{
-    const double deviation = std::sqrt(shift.variance_);
-    return normalTail((shift.octaves_ - 2 * kSlowdownTolerance) / deviation) <= alpha;
-}
-
-double RolloutComparison::routeAlpha(double alpha) const
-{
-    return routes_.empty() ? alpha : alpha / 2 / static_cast<double>(routes_.size());
+    if (slots_ % kLatencyStartSlots == 0)
+        latency_.start(outcomes);
+    if (slots_ % kLatencySlots == 0)
+        slowness_ = findSlowness(outcomes);
+    ++slots_;
 }
 
 std::optional<RolloutFinding> RolloutComparison::findFailures(const RolloutOutcomes &outcomes) const
@@ -95,29 +65,28 @@
     const RouteOutcomes sum = sumOf(outcomes);
     if (failures_.excess(sum) >= kHardStop)
         return RolloutFinding { RolloutReason::HardStop };
-    if (failures_.isWorse(sum, kFailureAlpha / 2))
+    if (failures_.isWorse(sum, kFailureAlpha * kAllRoutes))
         return RolloutFinding { RolloutReason::Failures };
-    for (const auto &[name, route] : routes_) {
-        const auto outcome = outcomes.find(name);
-        if (outcome != outcomes.end()
-            && route.failures_.isWorse(outcome->second, routeAlpha(kFailureAlpha)))
+    for (const auto &[name, route] : outcomes) {
+        if (routeFailures_.at(name).isWorse(route, routeAlpha(kFailureAlpha, outcomes)))
             return RolloutFinding { RolloutReason::Failures, name };
     }
     return std::nullopt;
 }
 
-std::optional<RolloutFinding> RolloutComparison::findSlowness() const
+std::optional<RolloutFinding> RolloutComparison::findSlowness(const RolloutOutcomes &outcomes) const
 {
-    if (slowness_.value() >= -std::log(kLatencyAlpha / 2))
+    if (latency_.evidence(outcomes, std::nullopt) >= -std::log(kLatencyAlpha * kAllRoutes))
         return RolloutFinding { RolloutReason::Latency };
-    for (const auto &[name, route] : routes_) {
-        if (route.slowness_.value() >= -std::log(routeAlpha(kLatencyAlpha)))
+    const double threshold = -std::log(routeAlpha(kLatencyAlpha, outcomes));
+    for (const auto &[name, route] : outcomes) {
+        if (latency_.evidence(outcomes, name) >= threshold)
             return RolloutFinding { RolloutReason::Latency, name };
     }
     return std::nullopt;
 }
 
-bool RolloutComparison::hasEnough(const RolloutOutcomes &outcomes) const
+bool RolloutComparison::hasEnough(const RolloutOutcomes &outcomes)
 {
     const RouteOutcomes sum = sumOf(outcomes);
     if (sum.target_.answered_ < kMinAnswers || sum.current_.answered_ == 0)
@@ -134,33 +103,29 @@
     return true;
 }
 
-std::optional<RolloutFinding> RolloutComparison::checkOverall(const RolloutOutcomes &outcomes) const
+std::optional<RolloutFinding> RolloutComparison::checkOverall(const RolloutOutcomes &outcomes,
+                                                              double part) const
 {
-    if (!hasEnough(outcomes))
-        return RolloutFinding { RolloutReason::TooFewRequests };
-    if (failures_.isWorseOverall(sumOf(outcomes), kOverallAlpha / 2))
+    if (outcomes.empty())
+        return std::nullopt;
+    if (failures_.isWorseOverall(sumOf(outcomes), part * kOverallFailureAlpha * kAllRoutes))
         return RolloutFinding { RolloutReason::Failures };
-    std::vector<LatencyShift> shifts;
-    for (const auto &[name, route] : routes_) {
-        const RouteOutcomes &outcome = outcomes.at(name);
-        if (route.failures_.isWorseOverall(outcome, routeAlpha(kOverallAlpha)))
+    const double overallAlpha = part * kOverallLatencyAlpha;
+    const double recentAlpha = part * kRecentLatencyAlpha;
+    if (latency_.isSlowerOverall(outcomes, std::nullopt, overallAlpha * kAllRoutes)
+        || latency_.isSlowerLately(outcomes, std::nullopt, recentAlpha * kAllRoutes))
+        return RolloutFinding { RolloutReason::Latency };
+    for (const auto &[name, route] : outcomes) {
+        const auto failures = routeFailures_.find(name);
+        if (failures != routeFailures_.end()
+            && failures->second.isWorseOverall(route,
+                                               routeAlpha(part * kOverallFailureAlpha, outcomes)))
             return RolloutFinding { RolloutReason::Failures, name };
-        const auto shift = route.latency_.overall(outcome);
-        if (!shift)
-            continue;
-        shifts.push_back(*shift);
-        if (isSlow(*shift, routeAlpha(kOverallAlpha)))
+        if (latency_.isSlowerOverall(outcomes, name, routeAlpha(overallAlpha, outcomes))
+            || latency_.isSlowerLately(outcomes, name, routeAlpha(recentAlpha, outcomes)))
             return RolloutFinding { RolloutReason::Latency, name };
     }
-    if (!shifts.empty() && isSlow(combine(shifts), kOverallAlpha / 2))
-        return RolloutFinding { RolloutReason::Latency };
     return std::nullopt;
 }
 
-void RolloutComparison::beginSwitch(const RolloutOutcomes &outcomes)
-{
-    for (const auto &[name, route] : outcomes)
-        routes_[name].latency_.keepBaseline(route);
-}
-
 } // namespace pimentostage
--- a/src/backend/RolloutDecision.cpp
+++ b/src/backend/RolloutDecision.cpp
@@ -16,7 +16,7 @@
     : order_(order)
     , limits_(limits)
     , orderedAt_(orderedAt)
-    , comparison_(orderedAt + limits.warmup_)
+    , comparison_(limits.backends_, orderedAt + limits.warmup_)
 {
     verdict_.share_ = limits.maxShare_;
 }
@@ -70,9 +70,11 @@
     hosts_[host].maySendToCurrent_ = true;
 }
 
-void RolloutDecision::onCurrentLeft(const HostName &host)
+void RolloutDecision::onCurrentLeft(const HostName &host, std::size_t running)
 {
-    hosts_[host].maySendToCurrent_ = false;
+    Host &entry = hosts_[host];
+    entry.maySendToCurrent_ = false;
+    entry.runningAtCurrent_ = running;
 }
 
 void RolloutDecision::abort()
@@ -95,7 +97,7 @@
     }
     if (now < latestMoment())
         return;
-    if (const auto finding = comparison_.checkOverall(totals_))
+    if (const auto finding = judge())
         rollBack(*finding);
     else if (isSwitchingAllowed_)
         beginSwitching(now);
@@ -103,6 +105,13 @@
         rollBack({ RolloutReason::NotSwitched });
 }
 
+std::optional<RolloutFinding> RolloutDecision::judge() const
+{
+    if (!RolloutComparison::hasEnough(totals_))
+        return RolloutFinding { RolloutReason::TooFewRequests };
+    return comparison_.checkOverall(totals_, kLatestMomentPart);
+}
+
 void RolloutDecision::beginSwitching(TimePoint now)
 {
     comparison_.beginSwitch(totals_);
@@ -117,12 +126,18 @@
         rollBack(*finding);
         return;
     }
-    if (verdict_.share_ >= 1 && hasEveryHostLeft()) {
+    if (verdict_.share_ >= 1 && hasEveryHostLeft(now)) {
         verdict_ = { RolloutPhase::Complete, 1, RolloutReason::Confirmed };
         return;
     }
-    const auto steps = (now - switchingSince_) / kStepPeriod + 1;
-    verdict_.share_ = std::min(1.0, limits_.maxShare_ + kMaxStep * static_cast<double>(steps));
+    const std::int64_t steps = (now - switchingSince_) / kStepPeriod + 1;
+    if (steps == steps_ || verdict_.share_ >= 1)
+        return;
+    steps_ = steps;
+    if (const auto finding = comparison_.checkOverall(totals_, kStepPart))
+        rollBack(*finding);
+    else
+        verdict_.share_ = std::min(1.0, verdict_.share_ + kMaxStep);
 }
 
 void RolloutDecision::stay(TimePoint) { }
@@ -132,10 +147,12 @@
     verdict_ = { RolloutPhase::RolledBack, 0, finding.reason_, finding.route_ };
 }
 
-bool RolloutDecision::hasEveryHostLeft() const
+bool RolloutDecision::hasEveryHostLeft(TimePoint now) const
 {
-    return !hosts_.empty() && std::none_of(hosts_.begin(), hosts_.end(), [](const auto &entry) {
-        return entry.second.maySendToCurrent_;
+    const bool isWaiting = now < orderedAt_ + order_.duration_ - kCompletionMargin;
+    return !hosts_.empty() && std::all_of(hosts_.begin(), hosts_.end(), [&](const auto &entry) {
+        const Host &host = entry.second;
+        return !host.maySendToCurrent_ && (host.runningAtCurrent_ == 0 || !isWaiting);
     });
 }
 
