--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -17,6 +17,8 @@
     RolloutDecision(const RolloutOrder &order, const RolloutLimits &limits, TimePoint orderedAt);
 
     /// Continues a roll-out that a former holder has brought to @p phase. Call before onOutcomes().
+    /// Where back ends start cold, latencies are compared only after kTakeover, because the reports
+    /// do not tell which answers came from cold ones.
     void resume(RolloutPhase phase, TimePoint now);
 
     /// Applies the cumulative outcomes of the latest process of @p host. Late and repeated reports
@@ -30,9 +32,10 @@
     /// Tells that @p host may send requests to the version in force. Reports imply it.
     void addSender(const HostName &host);
 
-    /// Tells that @p host begins no more requests at the version in force and has none running
-    /// there, or that its lease for that version has run out.
-    void onCurrentLeft(const HostName &host);
+    /// Tells that @p host begins no more requests at the version in force, because its last lease
+    /// forbids it or has run out.
+    /// @param running requests of the host that still run there.
+    void onCurrentLeft(const HostName &host, std::size_t running = 0);
 
     /// Allows or forbids the begin of Switching, such as while the store cannot record it.
     void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
@@ -46,13 +49,33 @@
     RolloutVerdict decide(TimePoint now);
 
     /// Time before the end of the duration at which Switching begins or the roll-out ends: 1.5 s
-    /// for the steps, 0.5 s for the last leases to arrive, and 2.5 s for requests that still run at
-    /// the former version.
+    /// for the steps, 0.5 s for the last leases to arrive, 2 s for requests that still run at the
+    /// former version, and kCompletionMargin.
     static constexpr Duration kSwitchDuration = std::chrono::milliseconds(4500);
+    /// Time before the end of the duration from which on Complete does not wait for requests that
+    /// still run at the former version; the status must be written and read in that time. Requests
+    /// may run for as long as their deadline, 10 s, which is more than a roll-out can wait.
+    static constexpr Duration kCompletionMargin = std::chrono::milliseconds(500);
+    /// Time after which a new holder has the reports of all hosts in touch: three of their periods.
+    static constexpr Duration kTakeover = std::chrono::milliseconds(750);
     /// Time between two steps of Switching: two periods of reports.
     static constexpr Duration kStepPeriod = std::chrono::milliseconds(500);
     /// Largest increase of the target's share in one step.
     static constexpr double kMaxStep = 0.25;
+    /// Bad answers after which RolloutLimits::rollback_ begins to run.
+    static constexpr std::uint64_t kBadAnswers = 50;
+    /// Time before the end of RolloutLimits::rollback_ at which all outcomes are judged, in case
+    /// that all answers so far were bad: the last leases run out in kExposureLease, and the verdict
+    /// takes up to 0.5 s to reach the hosts.
+    static constexpr Duration kRollbackMargin = std::chrono::milliseconds(1500);
+
+    /// Parts of the probability of a false alarm of RolloutComparison::checkOverall() that its
+    /// calls have: kRollbackMargin before the end of RolloutLimits::rollback_, at the latest
+    /// moment, before each of the four steps of Switching, and before Complete.
+    static constexpr double kEarlyPart = 0.25;
+    static constexpr double kLatestMomentPart = 0.35;
+    static constexpr double kStepPart = 0.075;
+    static constexpr double kCompletionPart = 0.1;
 
 private:
     /// What the holder knows of one host.
@@ -60,6 +83,7 @@
     {
         std::vector<RouteOutcomes> outcomes_; ///< of its latest process
         bool maySendToCurrent_ = true;
+        std::size_t runningAtCurrent_ = 0; ///< counts if maySendToCurrent_ is false
     };
 
     using Advance = void (RolloutDecision::*)(TimePoint);
@@ -72,7 +96,11 @@
     void beginSwitching(TimePoint now);
     void rollBack(const RolloutFinding &finding);
     void applyOutcomes(Host &host, const RouteOutcomes &outcomes);
-    [[nodiscard]] bool hasEveryHostLeft() const;
+    [[nodiscard]] bool hasEveryHostLeft(TimePoint now) const;
+    [[nodiscard]] std::optional<RolloutFinding> judge() const;
+    /// Rolls back if checkOverall(@p part) finds a difference.
+    bool passesOverall(double part);
+    void checkEarly(TimePoint now);
     [[nodiscard]] TimePoint latestMoment() const;
 
     const RolloutOrder order_;
@@ -81,6 +109,9 @@
     bool isSwitchingAllowed_ = true;
     RolloutVerdict verdict_;
     TimePoint switchingSince_ {};
+    std::optional<TimePoint> earlyCheckAt_; ///< set at the kBadAnswers-th answer of the target
+    bool isEarlyChecked_ = false;
+    std::int64_t steps_ = 0; ///< of Switching
     RolloutOutcomes totals_;
     RolloutComparison comparison_;
     std::map<HostName, Host> hosts_;
--- a/src/backend/RolloutDecision.cpp
+++ b/src/backend/RolloutDecision.cpp
@@ -16,7 +16,7 @@
     : order_(order)
     , limits_(limits)
     , orderedAt_(orderedAt)
-    , comparison_(orderedAt + limits.warmup_)
+    , comparison_(limits.backends_, orderedAt + limits.warmup_)
 {
     verdict_.share_ = limits.maxShare_;
 }
@@ -24,6 +24,8 @@
 void RolloutDecision::resume(RolloutPhase phase, TimePoint now)
 {
     verdict_.phase_ = phase;
+    if (limits_.warmup_ > Duration::zero())
+        comparison_.compareLatencyFrom(std::max(orderedAt_ + limits_.warmup_, now + kTakeover));
     if (phase == RolloutPhase::Switching) {
         verdict_.reason_ = RolloutReason::Passed;
         switchingSince_ = now;
@@ -70,9 +72,11 @@
     hosts_[host].maySendToCurrent_ = true;
 }
 
-void RolloutDecision::onCurrentLeft(const HostName &host)
+void RolloutDecision::onCurrentLeft(const HostName &host, std::size_t running)
 {
-    hosts_[host].maySendToCurrent_ = false;
+    Host &entry = hosts_[host];
+    entry.maySendToCurrent_ = false;
+    entry.runningAtCurrent_ = running;
 }
 
 void RolloutDecision::abort()
@@ -93,9 +97,11 @@
         rollBack(*finding);
         return;
     }
-    if (now < latestMoment())
+    if (now < latestMoment()) {
+        checkEarly(now);
         return;
-    if (const auto finding = comparison_.checkOverall(totals_))
+    }
+    if (const auto finding = judge())
         rollBack(*finding);
     else if (isSwitchingAllowed_)
         beginSwitching(now);
@@ -103,6 +109,28 @@
         rollBack({ RolloutReason::NotSwitched });
 }
 
+void RolloutDecision::checkEarly(TimePoint now)
+{
+    if (!earlyCheckAt_) {
+        std::uint64_t answered = 0;
+        for (const auto &[name, route] : totals_)
+            answered += route.target_.answered_;
+        if (answered >= kBadAnswers)
+            earlyCheckAt_ = now + std::max(Duration::zero(), limits_.rollback_ - kRollbackMargin);
+    }
+    if (earlyCheckAt_ && now >= *earlyCheckAt_ && !isEarlyChecked_) {
+        isEarlyChecked_ = true;
+        passesOverall(kEarlyPart);
+    }
+}
+
+std::optional<RolloutFinding> RolloutDecision::judge() const
+{
+    if (!RolloutComparison::hasEnough(totals_))
+        return RolloutFinding { RolloutReason::TooFewRequests };
+    return comparison_.checkOverall(totals_, kLatestMomentPart);
+}
+
 void RolloutDecision::beginSwitching(TimePoint now)
 {
     comparison_.beginSwitch(totals_);
@@ -117,12 +145,26 @@
         rollBack(*finding);
         return;
     }
-    if (verdict_.share_ >= 1 && hasEveryHostLeft()) {
+    if (verdict_.share_ >= 1 && hasEveryHostLeft(now)) {
+        if (!passesOverall(kCompletionPart))
+            return;
         verdict_ = { RolloutPhase::Complete, 1, RolloutReason::Confirmed };
         return;
     }
-    const auto steps = (now - switchingSince_) / kStepPeriod + 1;
-    verdict_.share_ = std::min(1.0, limits_.maxShare_ + kMaxStep * static_cast<double>(steps));
+    const std::int64_t steps = (now - switchingSince_) / kStepPeriod + 1;
+    if (steps == steps_ || verdict_.share_ >= 1)
+        return;
+    steps_ = steps;
+    if (passesOverall(kStepPart))
+        verdict_.share_ = std::min(1.0, verdict_.share_ + kMaxStep);
+}
+
+bool RolloutDecision::passesOverall(double part)
+{
+    const auto finding = comparison_.checkOverall(totals_, part);
+    if (finding)
+        rollBack(*finding);
+    return !finding;
 }
 
 void RolloutDecision::stay(TimePoint) { }
@@ -132,10 +174,12 @@
     verdict_ = { RolloutPhase::RolledBack, 0, finding.reason_, finding.route_ };
 }
 
-bool RolloutDecision::hasEveryHostLeft() const
+bool RolloutDecision::hasEveryHostLeft(TimePoint now) const
 {
-    return !hosts_.empty() && std::none_of(hosts_.begin(), hosts_.end(), [](const auto &entry) {
-        return entry.second.maySendToCurrent_;
+    const bool isWaiting = now < orderedAt_ + order_.duration_ - kCompletionMargin;
+    return !hosts_.empty() && std::all_of(hosts_.begin(), hosts_.end(), [&](const auto &entry) {
+        const Host &host = entry.second;
+        return !host.maySendToCurrent_ && (host.runningAtCurrent_ == 0 || !isWaiting);
     });
 }
 
