--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -92,12 +92,60 @@
 TEST_F(RolloutControlTest, ABadVersionStaysWithinItsExposure)
 {
     start(kBad);
+    std::uint64_t sentAtEnd = 0;
+    fleet_.store().onStatus_ = [&](const Status &) { sentAtEnd = fleet_.sentTo("v2"); };
     for (int i = 0; i < 100; ++i) {
         fleet_.run(140ms);
         EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
     }
     EXPECT_GT(fleet_.sentTo("v2"), 0U);
     expectRolledBack();
+    EXPECT_EQ(fleet_.sentTo("v2"), sentAtEnd) << "nothing is sent after the status";
+}
+
+// Guards against operators who are told of a roll-back while hosts out of touch still use their
+// leases.
+TEST_F(RolloutControlTest, ARollBackIsReportedOnceTheLastLeasesHaveRunOut)
+{
+    // Requests run long enough at v1 for the roll-out not to be complete when the target gets all.
+    fleet_.addBackends("v1", 6, { 0, 1500ms });
+    fleet_.addBackends("v2", 6, { 0, 1500ms });
+    fleet_.run(1s);
+    fleet_.order("v2", kOrdered);
+    while (!fleet_.storedAt(RolloutPhase::Switching) && fleet_.now() < kOrdered)
+        fleet_.run(10ms);
+    fleet_.run(4 * RolloutDecision::kStepPeriod);
+    for (std::size_t host = 1; host < kHosts; ++host)
+        fleet_.cut(host, true);
+    std::uint64_t sentAtEnd = 0;
+    fleet_.store().onStatus_ = [&](const Status &status) {
+        if (status == Status { RolloutStatus::RolledBack, "v2" })
+            sentAtEnd = fleet_.sentTo("v2");
+    };
+    fleet_.order("v3", kOrdered);
+    fleet_.run(500ms);
+    ASSERT_EQ(fleet_.state()->phase_, RolloutPhase::RolledBack);
+    const std::uint64_t sentBefore = fleet_.sentTo("v2");
+    fleet_.run(5s);
+    EXPECT_GT(sentAtEnd, sentBefore) << "the hosts had leases left";
+    EXPECT_EQ(fleet_.sentTo("v2"), sentAtEnd);
+}
+
+// Guards against an exposure that grows with each holder: what the former ones lent is spent.
+TEST_F(RolloutControlTest, EachHolderDoesNotLendTheExtraRequestsAgain)
+{
+    fleet_.addBackends("v1", 6, kGood);
+    fleet_.addBackends("v2", 6, kGood);
+    fleet_.run(1s);
+    requestsBefore_ = fleet_.requests();
+    fleet_.order("v2", 60s);
+    for (std::size_t holder = 1; holder < kHosts; ++holder) {
+        fleet_.run(ExposureAllocator::kExtraPeriod + 1s);
+        fleet_.setHolder(holder);
+    }
+    fleet_.run(ExposureAllocator::kExtraPeriod);
+    EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::Observing);
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
 }
 
 // Guards against an exposure that is lent twice by two holders.
@@ -182,6 +230,23 @@
     expectRolledBack();
 }
 
+// Guards against traffic that moves before the store has recorded the switch, so that the next
+// holder would not know of it.
+TEST_F(RolloutControlTest, SwitchingTakesEffectOnlyOnceItIsRecorded)
+{
+    start(kGood);
+    fleet_.run(8s);
+    const int manyWrites = 1'000'000;
+    fleet_.store().loseWrites_ = manyWrites;
+    fleet_.run(5s);
+    EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::Observing);
+    EXPECT_LT(fleet_.store().loseWrites_, manyWrites) << "the switch was to be recorded";
+    EXPECT_LE(static_cast<double>(fleet_.sentTo("v2")), bound());
+    fleet_.store().loseWrites_ = 0;
+    fleet_.run(1s);
+    EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::Switching);
+}
+
 // Guards against two targets at once.
 TEST_F(RolloutControlTest, ASecondOrderRollsTheFirstBackAndThenBegins)
 {
@@ -245,8 +310,8 @@
 // requests there would be lost.
 TEST_F(RolloutControlTest, CompletionWaitsForEveryHost)
 {
-    fleet_.addBackends("v1", 6, { 0, 100ms });
-    fleet_.addBackends("v2", 6, { 0, 100ms });
+    fleet_.addBackends("v1", 6, { 0, 1500ms });
+    fleet_.addBackends("v2", 6, { 0, 1500ms });
     fleet_.run(1s);
     fleet_.order("v2", kOrdered);
     bool isComplete = false;
