--- a/src/backend/ServiceVersions.cpp
+++ b/src/backend/ServiceVersions.cpp
@@ -38,13 +38,14 @@
                                             const Configuration &configuration)
 {
     const auto state = configuration.rolloutStates_.find(service);
-    // A roll-out of a service without back ends knows no version that was in force before.
-    const bool isKnown
-        = state != configuration.rolloutStates_.end() && !state->second.versionInForce().empty();
-    if (isKnown)
+    // A roll-out of a service without back ends knows no version that was in force before, and a
+    // store that was restored from a copy may name one whose back ends have been stopped since.
+    const bool isUsable = state != configuration.rolloutStates_.end()
+                          && backends.contains(state->second.versionInForce());
+    if (isUsable)
         return state->second.versionInForce();
     std::string &version = firstSeen_[service];
-    // Without a roll-out, all back ends may have been replaced by others; some version is in force.
+    // All back ends may have been replaced by others; some version is in force.
     if (backends.contains(version))
         return version;
     const auto order = configuration.rollouts_.find(service);
--- a/tests/RolloutVersionsTest.cpp
+++ b/tests/RolloutVersionsTest.cpp
@@ -149,6 +149,23 @@
     EXPECT_EQ(withheld("v2"), 0U);
 }
 
+// Guards against a service without requests after a store was restored from a copy that was made
+// before a roll-out, or after the back ends of the version in force were all removed.
+TEST_F(RolloutVersionsTest, SomeVersionIsInForceIfTheOneOfTheLastRollOutHasNoBackEnds)
+{
+    addBackends("v2", 3);
+    addBackends("v3", 1);
+    order("v2");
+    setState(RolloutPhase::RolledBack);
+    EXPECT_EQ(withheld("v2"), 3U) << "the ordered version comes last";
+    EXPECT_EQ(withheld("v3"), 0U);
+    removeBackends("v3");
+    EXPECT_EQ(withheld("v2"), 0U);
+    addBackends("v1", 1);
+    EXPECT_EQ(withheld("v1"), 0U);
+    EXPECT_EQ(withheld("v2"), 3U);
+}
+
 TEST_F(RolloutVersionsTest, KeysMoveToTheTargetInStepsWhileSwitching)
 {
     configuration_.services_[kService].keyed_ = true;
