--- a/src/operator/RolloutEditor.cpp
+++ b/src/operator/RolloutEditor.cpp
@@ -9,7 +9,10 @@
 
 std::string describe(const RolloutState &state)
 {
-    std::string text = std::string(toString(statusOf(state.phase_))) + ", phase "
+    // After a roll-back hosts may use their last leases until the end is reported.
+    const RolloutStatus status
+        = state.isReported_ ? statusOf(state.phase_) : RolloutStatus::Running;
+    std::string text = std::string(toString(status)) + ", phase "
                        + std::string(toString(state.phase_)) + ", target "
                        + state.rollout_.order_.target_;
     if (!state.versionInForce().empty())
--- a/tests/RolloutEditorTest.cpp
+++ b/tests/RolloutEditorTest.cpp
@@ -73,7 +73,11 @@
     state.current_ = "v1";
     store_.set(kStateRef, formatRolloutState(state));
     EXPECT_EQ(status(), "huts: running, phase observing, target v2, in force v1");
+    state.phase_ = RolloutPhase::RolledBack;
+    store_.set(kStateRef, formatRolloutState(state));
+    EXPECT_EQ(status(), "huts: running, phase rolled-back, target v2, in force v1");
     state.phase_ = RolloutPhase::Complete;
+    state.isReported_ = true;
     store_.set(kStateRef, formatRolloutState(state));
     EXPECT_EQ(status(), "huts: complete, phase complete, target v2, in force v2");
     start("v2", "b");
