--- a/bench/RolloutBench.cpp
+++ b/bench/RolloutBench.cpp
@@ -1,9 +1,9 @@
 // Verdicts on generated versions: detection time, exposure and false alarms of a roll-out.
 
+#include "bench/RolloutVersions.h"
 #include "pimentostage/backend/ExposureAllocator.h"
 #include "pimentostage/backend/ExposureBudget.h"
 #include "pimentostage/backend/RolloutDecision.h"
-#include "pimentostage/base/Random.h"
 
 #include <algorithm>
 #include <atomic>
@@ -22,7 +22,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t kHosts = 60;
-constexpr std::size_t kRoutes = 4;
 constexpr std::array kRouteShares { 0.5, 0.25, 0.15, 0.1 };
 constexpr std::array kRouteWorkMs { 270.0, 350.0, 210.0, 210.0 };
 constexpr std::uint64_t kMaxExtra = 50;
@@ -31,84 +30,7 @@
 constexpr Duration kRollback = 5s;
 constexpr Duration kReportPeriod = 250ms;
 constexpr Duration kTick = 25ms;
-/// Failure share of every version.
-constexpr double kUsualFailures = 0.001;
-/// Part of the back ends in a slow moment, how many times slower they are then, and how long.
-constexpr double kSlowPart = 0.2;
-constexpr double kSlowFactor = 3;
-constexpr double kSlowSeconds = 1;
 constexpr std::size_t kThreads = 3;
-constexpr TimePoint kOrderedAt { 1h };
-
-/// How a version differs from the version in force.
-struct GeneratedVersion
-{
-    const char *name_;
-    double failures_ = 0; ///< share of failed answers
-    double slowdown_ = 1;
-    std::size_t routes_ = kRoutes; ///< the fault is on the last ones of the routes, this many
-    double fromShare_ = 0; ///< the fault appears above this share of the traffic
-    Duration from_ {}; ///< the fault appears at this time after the order
-};
-
-constexpr std::array kVersions {
-    GeneratedVersion { "good" },
-    GeneratedVersion { "5 % failed", 0.05 },
-    GeneratedVersion { "20 % failed", 0.2 },
-    GeneratedVersion { "100 % failed", 1 },
-    GeneratedVersion { "2 times slower", 0, 2 },
-    GeneratedVersion { "4 times slower", 0, 4 },
-    GeneratedVersion { "20 % failed on a route", 0.2, 1, 1 },
-    GeneratedVersion { "100 % failed on a route", 1, 1, 1 },
-    GeneratedVersion { "2 times slower on a route", 0, 2, 1 },
-    GeneratedVersion { "20 % failed above half load", 0.2, 1, kRoutes, 0.5 },
-    GeneratedVersion { "20 % failed after 5 s", 0.2, 1, kRoutes, 0, 5s },
-    GeneratedVersion { "100 % failed after 8 s", 1, 1, kRoutes, 0, 8s },
-    GeneratedVersion { "2 times slower after 4 s", 0, 2, kRoutes, 0, 4s },
-};
-
-/// The back ends of a version: their speeds, and when which of them are slow.
-class Backends
-{
-public:
-    Backends(std::size_t count, Random &random)
-        : random_(random)
-    {
-        for (std::size_t i = 0; i < count; ++i) {
-            backends_.push_back(
-                { 0.5 + 1.1 * random_.unit(), random_.unit() < kSlowPart, kOrderedAt });
-            backends_.back().until_ += momentLength(backends_.back().isSlow_);
-        }
-    }
-
-    /// @return the factor of the time that a request to a back end chosen at random takes.
-    double factor(TimePoint now)
-    {
-        Backend &backend = backends_[random_.below(backends_.size())];
-        while (backend.until_ <= now) {
-            backend.isSlow_ = !backend.isSlow_;
-            backend.until_ += momentLength(backend.isSlow_);
-        }
-        return (backend.isSlow_ ? kSlowFactor : 1) / backend.speed_;
-    }
-
-private:
-    struct Backend
-    {
-        double speed_;
-        bool isSlow_;
-        TimePoint until_;
-    };
-
-    Duration momentLength(bool isSlow)
-    {
-        const double mean = isSlow ? kSlowSeconds : kSlowSeconds * (1 - kSlowPart) / kSlowPart;
-        return fromSeconds(std::exponential_distribution<double>(1 / mean)(random_.engine()));
-    }
-
-    Random &random_;
-    std::vector<Backend> backends_;
-};
 
 /// A request that runs.
 struct Running
@@ -146,8 +68,8 @@
         : version_(version)
         , perSecond_(perSecond)
         , random_(seed)
-        , old_(backends, random_)
-        , new_(backends, random_)
+        , old_(makeBackends(version, backends, random_))
+        , new_(makeBackends(version, backends, random_))
         , decision_({ ServiceName("certify"), "v2", kDuration }, limits(backends), kOrderedAt)
         , allocator_(limits(backends), Epoch { 1 }, true)
     {
@@ -238,12 +160,13 @@
         const bool isFaulty = isTarget && this->isFaulty(route, now);
         // Gamma distribution with shape 2: a coefficient of variation of 0.7.
         std::gamma_distribution<double> work(2, kRouteWorkMs[route] / 2 / 1000);
-        const double factor
-            = (isTarget ? new_ : old_).factor(now) * (isFaulty ? version_.slowdown_ : 1);
+        std::vector<Backend> &backends = isTarget ? new_ : old_;
+        Backend &backend = backends[random_.below(backends.size())];
+        const double factor = backend.factor(now) * (isFaulty ? version_.slowdown_ : 1);
         const Duration latency = fromSeconds(work(random_.engine()) * factor);
-        const double failures = kUsualFailures + (isFaulty ? version_.failures_ : 0);
-        running_.push(
-            { now + latency, latency, index, route, isTarget, random_.unit() < failures });
+        const bool isFailed
+            = backend.fails(now) || (isFaulty && random_.unit() < version_.failures_);
+        running_.push({ now + latency, latency, index, route, isTarget, isFailed });
     }
 
     void finish()
@@ -352,8 +275,8 @@
     const GeneratedVersion &version_;
     const double perSecond_;
     Random random_;
-    Backends old_;
-    Backends new_;
+    std::vector<Backend> old_;
+    std::vector<Backend> new_;
     RolloutDecision decision_;
     ExposureAllocator allocator_;
     std::vector<std::unique_ptr<Host>> hosts_;
--- a/include/pimentostage/backend/FailureComparison.h
+++ b/include/pimentostage/backend/FailureComparison.h
@@ -12,6 +12,9 @@
 class FailureComparison
 {
 public:
+    /// @param backends number of back ends of the version that has fewer.
+    explicit FailureComparison(std::uint32_t backends);
+
     /// Closes a time slot.
     /// @param total outcomes up to its end.
     void closeSlot(const RouteOutcomes &total);
@@ -43,23 +46,35 @@
     /// Failures of the version in force in the recent slots from which on they are a disturbance.
     static constexpr std::uint64_t kDisturbance = 3;
 
-    /// Largest gain of one slot, half of what the test needs: one back end that breaks off fails
-    /// only for a moment.
+    /// Largest gain of one slot, half of what the test needs, so that one slot never decides alone.
     static constexpr double kMaxGain = 4;
-
-    /// Failures of one slot that the judgement on all outcomes counts at most, for the same reason.
-    static constexpr std::uint64_t kMaxSlotFailures = 2;
+    /// Largest gain of the slots of one second with no more failures than one back end can cause
+    /// that fails all of its requests: good versions have such moments of up to a second.
+    static constexpr double kMaxGroupGain = 6;
+    /// Failures of one second that the judgement on all outcomes counts at most, for the same
+    /// reason.
+    static constexpr std::uint64_t kMaxGroupFailures = 3;
 
     using Evidence = SequentialEvidence<kAlternatives.size()>;
 
     [[nodiscard]] double expectedShare(const VersionOutcomes &current) const;
+    /// What a slot contributed, as far as one back end can have caused it.
+    struct Slot
+    {
+        Evidence::Gains gains_ {};
+        std::uint64_t failures_ = 0;
+    };
+
+    [[nodiscard]] bool mayBeOneBackend(const VersionOutcomes &slot) const;
     [[nodiscard]] std::uint64_t countedFailures(const RouteOutcomes &total) const;
+    [[nodiscard]] Evidence::Gains likelihoodGains(const RouteOutcomes &total) const;
     [[nodiscard]] Evidence::Gains gains(const RouteOutcomes &total) const;
 
+    const double backends_;
     Evidence evidence_ { kMaxGain };
     RouteOutcomes closed_; ///< outcomes up to the end of the last closed slot
-    std::uint64_t countedFailures_
-        = 0; ///< of the target in closed slots, at most kMaxSlotFailures in each
+    std::uint64_t countedFailures_ = 0; ///< of the target in closed slots, for isWorseOverall()
+    std::deque<Slot> slots_; ///< closed ones of the last second
     std::deque<VersionOutcomes> recent_; ///< cumulative, of the version in force, at slot ends
 };
 
--- a/include/pimentostage/backend/Rollout.h
+++ b/include/pimentostage/backend/Rollout.h
@@ -37,6 +37,7 @@
     Latency, ///< slower than the version in force
     HardStop, ///< too many bad answers beyond the share of the version in force
     TooFewRequests, ///< not enough answers for a verdict at the latest moment
+    Unhealthy, ///< back ends of the target fail their health checks
     NotSwitched, ///< the switch could not begin before the end of the roll-out's duration
     Aborted, ///< by an operator or a newer order
 };
@@ -52,6 +53,7 @@
         EnumName<RolloutReason> { RolloutReason::Latency, "latency" },
         EnumName<RolloutReason> { RolloutReason::HardStop, "hard-stop" },
         EnumName<RolloutReason> { RolloutReason::TooFewRequests, "too-few-requests" },
+        EnumName<RolloutReason> { RolloutReason::Unhealthy, "unhealthy" },
         EnumName<RolloutReason> { RolloutReason::NotSwitched, "not-switched" },
         EnumName<RolloutReason> { RolloutReason::Aborted, "aborted" },
     };
--- a/include/pimentostage/backend/RolloutComparison.h
+++ b/include/pimentostage/backend/RolloutComparison.h
@@ -27,7 +27,9 @@
     /// @param backends number of back ends of the version that has fewer.
     /// @param latencyFrom time from which on latencies are compared.
     RolloutComparison(std::uint32_t backends, TimePoint latencyFrom)
-        : latencyFrom_(latencyFrom)
+        : backends_(backends)
+        , latencyFrom_(latencyFrom)
+        , failures_(backends)
         , latency_(backends)
     { }
 
@@ -69,16 +71,20 @@
     static constexpr double kFailureAlpha = 0.15 * kAlpha;
     static constexpr double kOverallFailureAlpha = 0.1 * kAlpha;
     static constexpr double kLatencyAlpha = 0.1 * kAlpha;
-    static constexpr double kOverallLatencyAlpha = 0.45 * kAlpha;
-    static constexpr double kRecentLatencyAlpha = 0.2 * kAlpha;
+    static constexpr double kOverallLatencyAlpha = 0.5 * kAlpha;
+    static constexpr double kRecentLatencyAlpha = 0.15 * kAlpha;
 
     void closeSlot(const RolloutOutcomes &outcomes, TimePoint now);
     [[nodiscard]] std::optional<RolloutFinding> findFailures(const RolloutOutcomes &outcomes) const;
     [[nodiscard]] std::optional<RolloutFinding> findSlowness(const RolloutOutcomes &outcomes) const;
+    [[nodiscard]] std::optional<RolloutFinding> findOverallSlowness(const RolloutOutcomes &outcomes,
+                                                                    double part) const;
 
+    const std::uint32_t backends_;
     TimePoint latencyFrom_;
     TimePoint slotEnd_ {};
-    std::uint64_t slots_ = 0;
+    std::uint64_t slots_ = 0; ///< in which latencies were compared
+    bool isLatencyCompared_ = false;
     std::map<RouteName, FailureComparison> routeFailures_;
     FailureComparison failures_; ///< of all routes together
     LatencyComparison latency_;
--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -40,6 +40,12 @@
     /// Allows or forbids the begin of Switching, such as while the store cannot record it.
     void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
 
+    /// Judges the target by the health of its back ends, for a keyed service: its target gets no
+    /// keys, and so no requests, before Switching. From then on its failures count too, but not its
+    /// latency, since keys are slow for some seconds after a move.
+    /// @param isHealthy whether the target has back ends, and all of them pass their health checks.
+    void judgeByHealth(bool isHealthy);
+
     /// Rolls back for an operator or a newer order. No effect after the end.
     void abort();
 
@@ -56,6 +62,9 @@
     /// still run at the former version; the status must be written and read in that time. Requests
     /// may run for as long as their deadline, 10 s, which is more than a roll-out can wait.
     static constexpr Duration kCompletionMargin = std::chrono::milliseconds(500);
+    /// Part of the duration after which Switching begins where the target is judged by its health:
+    /// more answers are not waited for, and the moves of keys take seconds.
+    static constexpr int kHealthDivisor = 2;
     /// Time after which a new holder has the reports of all hosts in touch: three of their periods.
     static constexpr Duration kTakeover = std::chrono::milliseconds(750);
     /// Time between two steps of Switching: two periods of reports.
@@ -71,11 +80,14 @@
 
     /// Parts of the probability of a false alarm of RolloutComparison::checkOverall() that its
     /// calls have: kRollbackMargin before the end of RolloutLimits::rollback_, at the latest
-    /// moment, before each of the four steps of Switching, and before Complete.
+    /// moment, before each of the four steps of Switching, and before Complete. They sum up to 1.
     static constexpr double kEarlyPart = 0.25;
-    static constexpr double kLatestMomentPart = 0.35;
-    static constexpr double kStepPart = 0.075;
-    static constexpr double kCompletionPart = 0.1;
+    static constexpr double kLatestMomentPart = 0.4;
+    static constexpr double kStepPart = 0.05;
+    static constexpr double kCompletionPart = 0.15;
+    /// The early judgement is left out, and its part added to that of the latest moment, if it
+    /// would be less than this before the latter.
+    static constexpr Duration kMinEarliness = std::chrono::seconds(1);
 
 private:
     /// What the holder knows of one host.
@@ -107,10 +119,12 @@
     const RolloutLimits limits_;
     const TimePoint orderedAt_;
     bool isSwitchingAllowed_ = true;
+    std::optional<bool> isHealthy_; ///< set if the target is judged by its health
     RolloutVerdict verdict_;
     TimePoint switchingSince_ {};
     std::optional<TimePoint> earlyCheckAt_; ///< set at the kBadAnswers-th answer of the target
     bool isEarlyChecked_ = false;
+    bool hasPassed_ = false; ///< at the latest moment; Switching may wait for its permission
     std::int64_t steps_ = 0; ///< of Switching
     RolloutOutcomes totals_;
     RolloutComparison comparison_;
--- a/include/pimentostage/backend/SequentialEvidence.h
+++ b/include/pimentostage/backend/SequentialEvidence.h
@@ -69,7 +69,8 @@
     /// 1)), which sums up to the other half.
     void start()
     {
-        const auto k = static_cast<double>(steps_ / kStartPeriod);
+        const std::size_t number = steps_ / kStartPeriod;
+        const auto k = static_cast<double>(number);
         starts_.push_back({ k == 0 ? 0.5 : 0.5 / (k * (k + 1)), {} });
         if (starts_.size() > kMaxStarts)
             starts_.erase(starts_.begin() + 1);
--- a/src/backend/FailureComparison.cpp
+++ b/src/backend/FailureComparison.cpp
@@ -29,6 +29,10 @@
 
 } // namespace
 
+FailureComparison::FailureComparison(std::uint32_t backends)
+    : backends_(std::max(1U, backends))
+{ }
+
 double FailureComparison::expectedShare(const VersionOutcomes &current) const
 {
     const double measured
@@ -43,13 +47,24 @@
     return std::min(share, 0.9);
 }
 
+bool FailureComparison::mayBeOneBackend(const VersionOutcomes &slot) const
+{
+    // Requests that one back end gets: the mean, and two standard deviations of a Poisson variable.
+    const double mean = static_cast<double>(slot.answered_) / backends_;
+    return static_cast<double>(slot.failed_) <= 1 + mean + 2 * std::sqrt(mean);
+}
+
 std::uint64_t FailureComparison::countedFailures(const RouteOutcomes &total) const
 {
-    return countedFailures_
-           + std::min(kMaxSlotFailures, total.target_.failed_ - closed_.target_.failed_);
+    std::uint64_t lately = 0;
+    for (const Slot &slot : slots_)
+        lately += slot.failures_;
+    const std::uint64_t left = kMaxGroupFailures - std::min(kMaxGroupFailures, lately);
+    return std::min(left, total.target_.failed_ - closed_.target_.failed_);
 }
 
-FailureComparison::Evidence::Gains FailureComparison::gains(const RouteOutcomes &total) const
+FailureComparison::Evidence::Gains FailureComparison::likelihoodGains(
+    const RouteOutcomes &total) const
 {
     const VersionOutcomes slot = total.target_.since(closed_.target_);
     const double expected = expectedShare(total.current_);
@@ -66,10 +81,28 @@
     return gains;
 }
 
+FailureComparison::Evidence::Gains FailureComparison::gains(const RouteOutcomes &total) const
+{
+    Evidence::Gains gains = likelihoodGains(total);
+    if (!mayBeOneBackend(total.target_.since(closed_.target_)))
+        return gains;
+    for (std::size_t i = 0; i < gains.size(); ++i) {
+        double left = kMaxGroupGain;
+        for (const Slot &slot : slots_)
+            left -= std::max(0.0, slot.gains_[i]);
+        gains[i] = std::min(gains[i], std::max(0.0, left));
+    }
+    return gains;
+}
+
 void FailureComparison::closeSlot(const RouteOutcomes &total)
 {
-    evidence_.add(gains(total));
-    countedFailures_ = countedFailures(total);
+    const Slot slot { gains(total), countedFailures(total) };
+    evidence_.add(slot.gains_);
+    countedFailures_ += slot.failures_;
+    slots_.push_back(slot);
+    if (slots_.size() >= kRecentSlots)
+        slots_.pop_front();
     closed_ = total;
     recent_.push_back(total.current_);
     if (recent_.size() > kRecentSlots)
@@ -85,7 +118,7 @@
 {
     const double mean
         = expectedShare(total.current_) * static_cast<double>(total.target_.answered_);
-    return poissonTail(countedFailures(total), mean) <= alpha;
+    return poissonTail(countedFailures_ + countedFailures(total), mean) <= alpha;
 }
 
 double FailureComparison::excess(const RouteOutcomes &total) const
--- a/src/backend/RolloutComparison.cpp
+++ b/src/backend/RolloutComparison.cpp
@@ -35,7 +35,7 @@
     if (outcomes.empty())
         return std::nullopt;
     for (const auto &[name, route] : outcomes)
-        routeFailures_.try_emplace(name);
+        routeFailures_.try_emplace(name, backends_);
     if (now >= slotEnd_)
         closeSlot(outcomes, now);
     if (auto finding = findFailures(outcomes))
@@ -53,6 +53,7 @@
         latency_.skip(outcomes);
         return;
     }
+    isLatencyCompared_ = true;
     if (slots_ % kLatencyStartSlots == 0)
         latency_.start(outcomes);
     if (slots_ % kLatencySlots == 0)
@@ -110,17 +111,25 @@
         return std::nullopt;
     if (failures_.isWorseOverall(sumOf(outcomes), part * kOverallFailureAlpha * kAllRoutes))
         return RolloutFinding { RolloutReason::Failures };
-    const double overallAlpha = part * kOverallLatencyAlpha;
-    const double recentAlpha = part * kRecentLatencyAlpha;
-    if (latency_.isSlowerOverall(outcomes, std::nullopt, overallAlpha * kAllRoutes)
-        || latency_.isSlowerLately(outcomes, std::nullopt, recentAlpha * kAllRoutes))
-        return RolloutFinding { RolloutReason::Latency };
     for (const auto &[name, route] : outcomes) {
         const auto failures = routeFailures_.find(name);
         if (failures != routeFailures_.end()
             && failures->second.isWorseOverall(route,
                                                routeAlpha(part * kOverallFailureAlpha, outcomes)))
             return RolloutFinding { RolloutReason::Failures, name };
+    }
+    return isLatencyCompared_ ? findOverallSlowness(outcomes, part) : std::nullopt;
+}
+
+std::optional<RolloutFinding> RolloutComparison::findOverallSlowness(
+    const RolloutOutcomes &outcomes, double part) const
+{
+    const double overallAlpha = part * kOverallLatencyAlpha;
+    const double recentAlpha = part * kRecentLatencyAlpha;
+    if (latency_.isSlowerOverall(outcomes, std::nullopt, overallAlpha * kAllRoutes)
+        || latency_.isSlowerLately(outcomes, std::nullopt, recentAlpha * kAllRoutes))
+        return RolloutFinding { RolloutReason::Latency };
+    for (const auto &[name, route] : outcomes) {
         if (latency_.isSlowerOverall(outcomes, name, routeAlpha(overallAlpha, outcomes))
             || latency_.isSlowerLately(outcomes, name, routeAlpha(recentAlpha, outcomes)))
             return RolloutFinding { RolloutReason::Latency, name };
--- a/src/backend/RolloutDecision.cpp
+++ b/src/backend/RolloutDecision.cpp
@@ -24,7 +24,7 @@
 void RolloutDecision::resume(RolloutPhase phase, TimePoint now)
 {
     verdict_.phase_ = phase;
-    if (limits_.warmup_ > Duration::zero())
+    if (limits_.warmup_ > Duration::zero() && !isHealthy_)
         comparison_.compareLatencyFrom(std::max(orderedAt_ + limits_.warmup_, now + kTakeover));
     if (phase == RolloutPhase::Switching) {
         verdict_.reason_ = RolloutReason::Passed;
@@ -79,6 +79,16 @@
     entry.runningAtCurrent_ = running;
 }
 
+void RolloutDecision::judgeByHealth(bool isHealthy)
+{
+    isHealthy_ = isHealthy;
+    comparison_.compareLatencyFrom(TimePoint::max());
+    if (verdict_.phase_ == RolloutPhase::Observing)
+        verdict_.share_ = 0;
+    else if (verdict_.phase_ == RolloutPhase::Switching && !isHealthy)
+        rollBack({ RolloutReason::Unhealthy });
+}
+
 void RolloutDecision::abort()
 {
     if (verdict_.phase_ == RolloutPhase::Observing || verdict_.phase_ == RolloutPhase::Switching)
@@ -101,9 +111,14 @@
         checkEarly(now);
         return;
     }
-    if (const auto finding = judge())
-        rollBack(*finding);
-    else if (isSwitchingAllowed_)
+    if (!hasPassed_ || isHealthy_) {
+        if (const auto finding = judge()) {
+            rollBack(*finding);
+            return;
+        }
+        hasPassed_ = true;
+    }
+    if (isSwitchingAllowed_)
         beginSwitching(now);
     else if (now >= orderedAt_ + order_.duration_)
         rollBack({ RolloutReason::NotSwitched });
@@ -118,7 +133,8 @@
         if (answered >= kBadAnswers)
             earlyCheckAt_ = now + std::max(Duration::zero(), limits_.rollback_ - kRollbackMargin);
     }
-    if (earlyCheckAt_ && now >= *earlyCheckAt_ && !isEarlyChecked_) {
+    if (earlyCheckAt_ && now >= *earlyCheckAt_ && !isEarlyChecked_
+        && now <= latestMoment() - kMinEarliness) {
         isEarlyChecked_ = true;
         passesOverall(kEarlyPart);
     }
@@ -126,9 +142,14 @@
 
 std::optional<RolloutFinding> RolloutDecision::judge() const
 {
+    if (isHealthy_ && !*isHealthy_)
+        return RolloutFinding { RolloutReason::Unhealthy };
+    if (isHealthy_)
+        return std::nullopt;
     if (!RolloutComparison::hasEnough(totals_))
         return RolloutFinding { RolloutReason::TooFewRequests };
-    return comparison_.checkOverall(totals_, kLatestMomentPart);
+    const double part = isEarlyChecked_ ? kLatestMomentPart : kLatestMomentPart + kEarlyPart;
+    return comparison_.checkOverall(totals_, part);
 }
 
 void RolloutDecision::beginSwitching(TimePoint now)
@@ -185,7 +206,10 @@
 
 TimePoint RolloutDecision::latestMoment() const
 {
-    return orderedAt_ + std::max(Duration::zero(), order_.duration_ - kSwitchDuration);
+    const Duration beforeSwitch = std::max(Duration::zero(), order_.duration_ - kSwitchDuration);
+    return orderedAt_
+           + (isHealthy_ ? std::min(beforeSwitch, order_.duration_ / kHealthDivisor)
+                         : beforeSwitch);
 }
 
 } // namespace pimentostage
--- a/tests/ExposureTest.cpp
+++ b/tests/ExposureTest.cpp
@@ -110,6 +110,7 @@
     ExposureBudget budget { Incarnation { 1 } };
     std::atomic<std::uint64_t> sent { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
         threads.emplace_back([&] {
             for (int j = 0; j < kRequests; ++j) {
--- a/tests/RolloutDecisionTest.cpp
+++ b/tests/RolloutDecisionTest.cpp
@@ -306,6 +306,29 @@
     EXPECT_EQ(observation.run(kDuration, &good).reason_, RolloutReason::NotSwitched);
 }
 
+// Guards against a keyed service whose roll-out can never pass, because its target gets no keys and
+// so no requests, or passes with back ends that do not work.
+TEST(RolloutDecision, AKeyedServiceIsJudgedByTheHealthOfItsTarget)
+{
+    const auto silent = [](Duration) { return Answers {}; };
+    const Duration latest = kDuration / RolloutDecision::kHealthDivisor;
+    Observation healthy;
+    healthy.decision_.judgeByHealth(true);
+    const RolloutVerdict verdict = healthy.run(latest - 250ms, silent);
+    EXPECT_EQ(verdict.phase_, RolloutPhase::Observing);
+    EXPECT_EQ(verdict.share_, 0);
+    EXPECT_EQ(healthy.run(latest, silent).phase_, RolloutPhase::Switching);
+    // Keys are slow after a move.
+    const auto slow = [](Duration) { return Answers { 20, 0, 4 }; };
+    EXPECT_EQ(healthy.run(latest + 2s, slow).share_, 1);
+    healthy.decision_.judgeByHealth(false);
+    EXPECT_EQ(healthy.run(latest + 2250ms, slow).reason_, RolloutReason::Unhealthy);
+
+    Observation unhealthy;
+    unhealthy.decision_.judgeByHealth(false);
+    EXPECT_EQ(unhealthy.run(latest, silent).reason_, RolloutReason::Unhealthy);
+}
+
 // Guards against an operator's abort that is lost, or that undoes a completed roll-out.
 TEST(RolloutDecision, AnAbortRollsBackUntilTheEnd)
 {
