--- a/include/pimentostage/backend/ExposureBudget.h
+++ b/include/pimentostage/backend/ExposureBudget.h
@@ -14,8 +14,13 @@
 class ExposureBudget
 {
 public:
-    explicit ExposureBudget(Incarnation incarnation)
+    /// @param incarnation of this process.
+    /// @param isLate whether the process started after the order. It may not use the version in
+    /// force
+    ///        before its first lease, because the holder may know only its predecessor's leases.
+    explicit ExposureBudget(Incarnation incarnation, bool isLate = false)
         : incarnation_(incarnation)
+        , currentUntil_(isLate ? 0 : TimePoint::max().time_since_epoch().count())
     { }
 
     /// Counts one request of the service, whichever version it goes to.
@@ -28,7 +33,8 @@
     /// To be called after the request has been counted as running at the version in force, so that
     /// a report that this host has left that version cannot miss it.
     /// @return whether a request may go to the version in force. A process without a lease so far
-    ///         may; one whose last lease forbids it or has run out may not.
+    ///         may if it started before the order; one whose last lease forbids it or has run out
+    ///         may not.
     [[nodiscard]] bool mayUseCurrent(TimePoint now) const;
 
     /// Drops leases of holders before @p holder and reads the counts for a report to it.
@@ -51,7 +57,7 @@
     std::atomic<std::uint64_t> sent_ { 0 };
     std::atomic<std::uint64_t> limit_ { 0 };
     std::atomic<TimePoint::rep> targetUntil_ { 0 };
-    std::atomic<TimePoint::rep> currentUntil_ { TimePoint::max().time_since_epoch().count() };
+    std::atomic<TimePoint::rep> currentUntil_;
     std::atomic<bool> isCurrentAllowed_ { true };
 };
 
--- a/tests/ExposureTest.cpp
+++ b/tests/ExposureTest.cpp
@@ -101,6 +101,16 @@
     EXPECT_EQ(send(budget, 1000, kNow), 1000);
 }
 
+// Guards against a process that started during the roll-out, of which the holder does not know, and
+// that uses the version in force when its back ends stop.
+TEST(ExposureBudget, AProcessThatStartsLateNeedsALeaseForTheVersionInForce)
+{
+    ExposureBudget budget(Incarnation { 1 }, true);
+    EXPECT_FALSE(budget.mayUseCurrent(kNow));
+    budget.apply(leaseOf(1, 0), kNow);
+    EXPECT_TRUE(budget.mayUseCurrent(kNow));
+}
+
 // Guards against a lost update between traffic threads and the control thread.
 TEST(ExposureBudget, KeepsItsLimitUnderConcurrentRequests)
 {
