--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -29,7 +29,8 @@
     /// Tells that a new process of @p host counts from zero. The outcomes of former ones remain.
     void onHostRestarted(const HostName &host);
 
-    /// Tells that @p host may send requests to the version in force. Reports imply it.
+    /// Tells that @p host may send requests to the version in force. The first report of a host
+    /// implies it. To be called once for each process, since it takes onCurrentLeft() back.
     void addSender(const HostName &host);
 
     /// Tells that @p host begins no more requests at the version in force, because its last lease
