--- a/tests/ExposureTest.cpp
+++ b/tests/ExposureTest.cpp
@@ -101,6 +101,16 @@
     EXPECT_EQ(send(budget, 1000, kNow), 1000);
 }
 
+// Guards against a process that started during the roll-out, of which the holder does not know, and
+// that uses the version in force when its back ends stop.
+TEST(ExposureBudget, AProcessThatStartsLateNeedsALeaseForTheVersionInForce)
+{
+    ExposureBudget budget(Incarnation { 1 }, true);
+    EXPECT_FALSE(budget.mayUseCurrent(kNow));
+    budget.apply(leaseOf(1, 0), kNow);
+    EXPECT_TRUE(budget.mayUseCurrent(kNow));
+}
+
 // Guards against a lost update between traffic threads and the control thread.
 TEST(ExposureBudget, KeepsItsLimitUnderConcurrentRequests)
 {
@@ -110,6 +120,7 @@
     ExposureBudget budget { Incarnation { 1 } };
     std::atomic<std::uint64_t> sent { 0 };
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
         threads.emplace_back([&] {
             for (int j = 0; j < kRequests; ++j) {
