--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -110,8 +110,8 @@
 
     void lend(std::uint64_t limit, bool isCurrentAllowed = true)
     {
-        const ExposureLease lease { kProcess, Epoch { 1 }, ++sequence_, limit, kExposureLease,
-                                    kCurrentLease, isCurrentAllowed };
+        const ExposureLease lease { process_,       Epoch { 1 },   ++sequence_,     limit,
+                                    kExposureLease, kCurrentLease, isCurrentAllowed };
         traffic_->budget().apply(lease, now_);
     }
 
@@ -129,9 +129,9 @@
         return atTarget;
     }
 
-    const Incarnation kProcess { 7 };
+    const Incarnation process_ { 7 };
     std::uint64_t sequence_ = 0; ///< of the last lease
-    std::shared_ptr<RolloutTraffic> traffic_ = std::make_shared<RolloutTraffic>("v2", kProcess);
+    std::shared_ptr<RolloutTraffic> traffic_ = std::make_shared<RolloutTraffic>("v2", process_);
 };
 
 // Guards against a host that sends to the new version on its own authority.
--- a/tests/RolloutCoreFleetTest.cpp
+++ b/tests/RolloutCoreFleetTest.cpp
@@ -48,7 +48,7 @@
             [](const Error &) { return RolloutState {}; }));
     }
 
-    const InjectedFault none_;
+    const InjectedFault none_ {};
     std::unique_ptr<CoreFleet> fleet_;
     std::vector<RolloutState> states_;
     bool hasRole_ = false;
--- a/tests/RolloutRecordingTest.cpp
+++ b/tests/RolloutRecordingTest.cpp
@@ -63,14 +63,14 @@
     {
         Configuration configuration;
         Service service;
-        service.name_ = kService;
-        configuration.services_[kService] = service;
+        service.name_ = service_;
+        configuration.services_[service_] = service;
         for (const auto &[version, server] :
              { std::pair<const char *, RawServer *>("v1", &current_),
                std::pair<const char *, RawServer *>("v2", &target_) }) {
             Backend backend;
             backend.name_ = BackendName(version);
-            backend.service_ = kService;
+            backend.service_ = service_;
             backend.version_ = version;
             backend.address_ = { "127.0.0.1", portOf(*server) };
             backend.slots_ = 6;
@@ -78,7 +78,7 @@
             configuration.backends_[backend.name_] = backend;
         }
         FleetState fleet;
-        fleet.rollouts_[kService] = traffic_;
+        fleet.rollouts_[service_] = traffic_;
         routing_.publish(builder_.build(configuration, fleet, BootClock::now()));
         BackendClientOptions options;
         options.protocol_ = &wire::backendProtocol();
@@ -99,7 +99,7 @@
     {
         ForwardRequest request;
         request.id_ = RequestId(id);
-        request.service_ = kService;
+        request.service_ = service_;
         request.route_ = RouteName("read");
         request.method_ = "GET";
         request.path_ = "/x";
@@ -118,7 +118,7 @@
         return rows.size() == 1 ? rows.front() : RouteOutcomes {};
     }
 
-    const ServiceName kService { "plain" };
+    const ServiceName service_ { "plain" };
     bool isSilent_ = false; ///< set before the first request
     std::string status_ = "200 OK"; ///< set before the first request, as headers_
     std::string headers_;
--- a/tests/RolloutVersionsTest.cpp
+++ b/tests/RolloutVersionsTest.cpp
@@ -15,8 +15,8 @@
     RolloutVersionsTest()
     {
         Service service;
-        service.name_ = kService;
-        configuration_.services_[kService] = service;
+        service.name_ = service_;
+        configuration_.services_[service_] = service;
     }
 
     void addBackends(const std::string &version, int count)
@@ -24,7 +24,7 @@
         for (int i = 0; i < count; ++i) {
             Backend backend;
             backend.name_ = BackendName(version + '-' + std::to_string(i));
-            backend.service_ = kService;
+            backend.service_ = service_;
             backend.version_ = version;
             configuration_.backends_[backend.name_] = backend;
         }
@@ -38,8 +38,8 @@
 
     void order(const std::string &target)
     {
-        rollout_.order_ = { kService, target, 12s };
-        configuration_.rollouts_[kService] = rollout_;
+        rollout_.order_ = { service_, target, 12s };
+        configuration_.rollouts_[service_] = rollout_;
     }
 
     void setState(RolloutPhase phase, double share = 0)
@@ -49,7 +49,7 @@
         state.current_ = "v1";
         state.phase_ = phase;
         state.share_ = share;
-        configuration_.rolloutStates_[kService] = state;
+        configuration_.rolloutStates_[service_] = state;
     }
 
     std::size_t withheld(const std::string &version)
@@ -71,7 +71,7 @@
                           [&](const auto &name) { return name.starts_with(version); }));
     }
 
-    const ServiceName kService { "huts" };
+    const ServiceName service_ { "huts" };
     Configuration configuration_;
     Rollout rollout_;
     ServiceVersions versions_;
@@ -168,7 +168,7 @@
 
 TEST_F(RolloutVersionsTest, KeysMoveToTheTargetInStepsWhileSwitching)
 {
-    configuration_.services_[kService].keyed_ = true;
+    configuration_.services_[service_].keyed_ = true;
     addBackends("v1", 8);
     addBackends("v2", 8);
     order("v2");
