--- a/tests/RolloutCoreFleetTest.cpp
+++ b/tests/RolloutCoreFleetTest.cpp
@@ -68,6 +68,23 @@
     EXPECT_TRUE(states_.back().isReported_);
 }
 
+// Guards against a role that no host can take any more once it was given up after a roll-out.
+TEST_F(RolloutCoreFleetTest, TheRoleIsTakenAgainForTheNextRollout)
+{
+    start(0.1);
+    fleet_->run(12s);
+    for (int i = 0; i < 3; ++i) {
+        const std::size_t before = states_.size();
+        ASSERT_TRUE(states_.back().isReported_) << i;
+        fleet_->store().set({ ObjectKind::Rollout, kService.str() },
+                            formatRollout({ { kService, "v2", 10s }, std::to_string(i) }));
+        fleet_->run(2s);
+        ASSERT_EQ(states_.size(), before + 1) << i;
+        EXPECT_EQ(states_.back().phase_, RolloutPhase::Observing) << i;
+        fleet_->run(10s);
+    }
+}
+
 // Guards against a holder whose loss ends a roll-out.
 TEST_F(RolloutCoreFleetTest, AnotherHostContinuesAfterAFailure)
 {
