--- a/tests/PlatformStoreTest.cpp
+++ b/tests/PlatformStoreTest.cpp
@@ -74,6 +74,33 @@
     loop.run([] {});
 }
 
+TEST(PlatformStore, ListsTheOrdersOfRollouts)
+{
+    std::string head;
+    RawServer server([&](const std::string &request, int) {
+        head = request;
+        return RawServer::Reply { answerWith(
+                                      R"({"items":[{"Metadata":{"Name":"huts","Revision":3},)"
+                                      R"("Spec":{"Target":"v2","DurationS":12}}],"AsOf":9})"),
+                                  false };
+    });
+    MetricRegistry metrics;
+    EventLoop loop("control");
+    auto store = std::make_unique<platform::PlatformStore>(server.url(), 2s, loop, metrics, true);
+    const std::size_t feed = store->feeds().size() - 1;
+    std::promise<std::size_t> orders;
+    loop.post([&] {
+        store->listFeed(feed, ReadConsistency::Linearizable, [&](const Reply<StoreListing> &reply) {
+            const auto *listing = std::get_if<StoreListing>(&reply);
+            orders.set_value(listing ? listing->objects_.size() : 0);
+        });
+    });
+    EXPECT_EQ(orders.get_future().get(), 1U);
+    store.reset();
+    loop.run([] {});
+    EXPECT_EQ(head.find("GET /pimentostage/objects/rollouts HTTP/1.1\r\n"), 0U) << head;
+}
+
 TEST(PlatformStore, WritesTheStatusOfARollout)
 {
     std::string head;
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -289,6 +289,22 @@
     EXPECT_FALSE(fleet_.wantsRole(0));
 }
 
+// Guards against a roll-out that begins anew with each status: the store may give the order a new
+// version when its status is written.
+TEST_F(RolloutControlTest, ANewVersionOfTheSameOrderIsNoNewOrder)
+{
+    start(kGood);
+    fleet_.run(3s);
+    fleet_.order("v2", kOrdered);
+    expectComplete();
+    fleet_.order("v2", kOrdered);
+    fleet_.run(3s);
+    const std::vector<Status> expected { { RolloutStatus::Running, "v2" },
+                                         { RolloutStatus::Complete, "v2" } };
+    EXPECT_EQ(fleet_.store().statuses_, expected);
+    EXPECT_FALSE(fleet_.wantsRole(0));
+}
+
 // Guards against an order that is taken for the former one with the same content, which was
 // withdrawn and ended.
 TEST_F(RolloutControlTest, AnOrderThatIsRepeatedAfterItsDeletionIsRunAgain)
