--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -97,6 +97,45 @@
     };
 };
 
+/// What running a route's requests does, and which way most of their bytes go.
+enum class RouteKind {
+    Safe, ///< reads; changes nothing
+    Unsafe, ///< may change something, so that running it twice may do harm
+    Upload, ///< as Unsafe, with a large request body
+    Download, ///< as Safe, with a large answer
+};
+
+template <>
+struct EnumTable<RouteKind>
+{
+    static constexpr std::array kRows {
+        EnumName<RouteKind> { RouteKind::Safe, "safe" },
+        EnumName<RouteKind> { RouteKind::Unsafe, "unsafe" },
+        EnumName<RouteKind> { RouteKind::Upload, "upload" },
+        EnumName<RouteKind> { RouteKind::Download, "download" },
+    };
+};
+
+/// @return whether running a request of @p kind twice does no harm, so that it may be repeated even
+///         if it may have run.
+constexpr bool isIdempotent(RouteKind kind)
+{
+    return kind == RouteKind::Safe || kind == RouteKind::Download;
+}
+
+/// Whether a catalogue must list teams. Where withdrawn keys have a deadline, one without the list
+/// is probably truncated, and its routes would be open to everybody.
+enum class TeamsRule { Optional, Required };
+
+template <>
+struct EnumTable<TeamsRule>
+{
+    static constexpr std::array kRows {
+        EnumName<TeamsRule> { TeamsRule::Optional, "optional" },
+        EnumName<TeamsRule> { TeamsRule::Required, "required" },
+    };
+};
+
 /// Whether the back ends of a service check a request's fencing epoch against their grant.
 enum class Fencing { Checked, Unchecked };
 
@@ -179,7 +218,7 @@
     std::uint32_t maxAttempts_ = 3; ///< maximum number of back ends that one request is sent to
     Duration target_ {}; ///< latency objective; zero if unspecified
     Access access_ = Access::Team;
-    bool idempotent_ = false;
+    RouteKind routeKind_ = RouteKind::Unsafe;
     std::string kind_; ///< request kind that contracts refer to
     double weight_ = 1; ///< tokens that one request costs its team
     Duration timeout_ {};
@@ -308,6 +347,17 @@
     }
 };
 
+/// What a caller may send, and how long it may take; unset where the catalogue does not state it.
+struct CallerLimits
+{
+    std::optional<std::uint64_t> headerBytes_; ///< maximum size of a request's headers
+    std::optional<std::uint64_t> bodyBytes_; ///< maximum size of a request's body
+    std::optional<Duration> headerTimeout_; ///< maximum time for a request's headers to arrive
+    std::optional<Duration> idleTimeout_; ///< how long a connection may be idle
+
+    auto operator<=>(const CallerLimits &) const = default;
+};
+
 /// All services, routes, contracts and keys in one object, so that they change atomically.
 struct Catalogue
 {
@@ -315,6 +365,10 @@
     std::vector<Route> routes_;
     std::vector<Contract> contracts_;
     std::vector<TeamKey> keys_;
+    /// Whether it has a list of teams, which may be empty. Without one, a route that does not state
+    /// its access is open.
+    bool listsTeams_ = true;
+    CallerLimits limits_;
 };
 
 /// A range of an ordered key space; both ends are inclusive.
--- a/src/platform/ConfigState.cpp
+++ b/src/platform/ConfigState.cpp
@@ -30,6 +30,7 @@
     configuration.contracts_.clear();
     configuration.keysByHash_.clear();
     configuration.virtualHosts_ = std::make_shared<const RoutesByHost>();
+    configuration.callerLimits_ = {};
     configuration.hasCatalogue_ = false;
     configuration.catalogueVersion_ = {};
 }
@@ -86,6 +87,7 @@
         clearCatalogue(configuration_);
         configuration_.hasCatalogue_ = true;
         configuration_.catalogueVersion_ = version_;
+        configuration_.callerLimits_ = content.limits_;
         for (Service &service : content.services_)
             configuration_.services_.insert_or_assign(service.name_, std::move(service));
         for (Contract &contract : content.contracts_)
@@ -158,6 +160,16 @@
     return {};
 }
 
+leaf::result<void> checkTeams(const ObjectRef &ref, const ParsedObject &content, TeamsRule rule)
+{
+    const auto *catalogue = std::get_if<Catalogue>(&content);
+    if (rule == TeamsRule::Optional || !catalogue || catalogue->listsTeams_)
+        return {};
+    return fail(Error { Step::ParseObject, Peer { PeerKind::Platform, ref.str() },
+                        ErrorCode::Malformed,
+                        "teams must be an array, since withdrawn keys have a deadline" });
+}
+
 /// @return whether @p object is older than @p current, another version of the same object.
 bool isOlder(const StoredObject &object, const StoredObject &current)
 {
@@ -172,8 +184,9 @@
 
 } // namespace
 
-ConfigState::ConfigState(std::set<ObjectKind> confirmedKinds)
+ConfigState::ConfigState(std::set<ObjectKind> confirmedKinds, TeamsRule teamsRule)
     : confirmedKinds_(std::move(confirmedKinds))
+    , teamsRule_(teamsRule)
     , configuration_(std::make_shared<Configuration>())
 { }
 
@@ -208,6 +221,7 @@
         reason = valueOr(
             [&]() -> leaf::result<std::string> {
                 BOOST_LEAF_ASSIGN(content, parseObject(object.ref_, object.value_));
+                BOOST_LEAF_CHECK(checkTeams(object.ref_, *content, teamsRule_));
                 return std::string();
             },
             [](const Error &failure) { return failure.describe(); });
@@ -269,7 +283,14 @@
     if (entry == rejected_.end() || entry->second.version_ > version)
         return;
     toggleDigest(ref, digestOf(ref, entry->second));
+    // What was read before includes the version in force only if that one is known to be newer than
+    // the rejected one.
+    const bool isNewer = entry->second.version_ > Version {} && entry->second.version_ < version;
     rejected_.erase(entry);
+    for (AreaState &state : areas_) {
+        if (!isNewer)
+            state.readAt_ = state.confirmedAt_;
+    }
 }
 
 bool ConfigState::isConfirmed(ObjectKind kind) const
@@ -330,10 +351,12 @@
 // A rejected entry of a back end names no back end to use, so it delays no confirmation.
 void ConfigState::confirm(TimePoint sentAt, KnowledgeArea area)
 {
-    std::optional<TimePoint> &confirmedAt = areas_.at(static_cast<std::size_t>(area)).confirmedAt_;
-    const bool isNewer = !confirmedAt || *confirmedAt < sentAt;
-    if (isNewer && (area != KnowledgeArea::Configuration || isConfirmable()))
-        confirmedAt = sentAt;
+    AreaState &state = areas_.at(static_cast<std::size_t>(area));
+    const auto advance
+        = [&](std::optional<TimePoint> &time) { time = time ? std::max(*time, sentAt) : sentAt; };
+    advance(state.readAt_);
+    if (area != KnowledgeArea::Configuration || isConfirmable())
+        advance(state.confirmedAt_);
 }
 
 void ConfigState::adoptRevision(Version revision)
@@ -357,6 +380,12 @@
     return now - *confirmedAt;
 }
 
+std::optional<Duration> ConfigState::readAge(TimePoint now, KnowledgeArea area) const
+{
+    const std::optional<TimePoint> &readAt = areas_.at(static_cast<std::size_t>(area)).readAt_;
+    return readAt ? std::optional(now - *readAt) : std::nullopt;
+}
+
 std::shared_ptr<const Configuration> ConfigState::configuration()
 {
     if (!changed_.empty())
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -1,7 +1,9 @@
 #include "pimentostage/platform/ObjectCodec.h"
 
 #include "pimentostage/platform/CoordinationCodec.h"
+#include "src/platform/CallerLimitsCodec.h"
 #include "src/platform/ObjectReader.h"
+#include "src/platform/RouteCodec.h"
 
 #include <algorithm>
 #include <charconv>
@@ -19,66 +21,12 @@
 constexpr std::uint32_t kMaxSlots = 1'000'000;
 constexpr std::uint32_t kMaxKeySegment = 16;
 constexpr double kMaxRate = 1e9;
-constexpr double kMinTimeoutMs = 1;
-constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
 constexpr double kMaxRampMs = 3'600'000;
 constexpr std::size_t kSha256HexLength = 64;
 // A roll-out needs some seconds of observation; a longer one than a day is a mistake.
 constexpr double kMinRolloutMs = 1000;
 constexpr double kMaxRolloutMs = 86'400'000;
 
-std::vector<ServiceShare> readShares(ObjectReader &reader)
-{
-    const double kMaxShareWeight = 1e6;
-    std::vector<ServiceShare> shares;
-    std::size_t index = 0;
-    for (const Json &item : reader.array("services")) {
-        ObjectReader row = reader.child(item, "services", index++);
-        ServiceShare share;
-        share.service_ = ServiceName(row.requiredText("name"));
-        share.weight_ = row.number("weight", 1, 0, kMaxShareWeight);
-        row.rejectUnknownFields();
-        shares.push_back(share);
-    }
-    return shares;
-}
-
-Route readRoute(ObjectReader reader)
-{
-    Route route;
-    route.name_ = RouteName(reader.requiredText("name"));
-    route.host_ = reader.text("host");
-    route.services_ = readShares(reader);
-    if (!route.host_.empty() && route.services_.empty())
-        reader.addError("services", "must name at least one service");
-    route.method_ = reader.text("method", route.host_.empty() ? "GET" : "");
-    const std::uint32_t kMaxAttempts = 1'000'000;
-    const std::uint32_t kDefaultAttempts = 3;
-    route.maxAttempts_ = reader.count("attempts", kDefaultAttempts, 1, kMaxAttempts);
-    const std::uint32_t kMaxPriority = 1'000'000;
-    route.priority_ = reader.count("priority", 0, 0, kMaxPriority);
-    route.target_ = reader.milliseconds("target_ms", 0, 0, kMaxTimeoutMs);
-    route.prefix_ = reader.text("prefix", "/");
-    if (route.prefix_.empty() || route.prefix_.front() != '/')
-        reader.addError("prefix", "must start with /");
-    route.access_ = reader.enumValue("access", Access::Team);
-    route.idempotent_ = reader.flag("idempotent", false);
-    route.kind_ = reader.text("kind", route.name_.str());
-    const double kMinWeight = 0.001;
-    const double kMaxWeight = 1000;
-    route.weight_ = reader.number("weight", 1, kMinWeight, kMaxWeight);
-    const double kDefaultTimeoutMs = 2000;
-    route.timeout_
-        = reader.milliseconds("timeout_ms", kDefaultTimeoutMs, kMinTimeoutMs, kMaxTimeoutMs);
-    reader.rejectUnknownFields();
-    return route;
-}
-
-double milliseconds(Duration duration)
-{
-    return static_cast<double>(toMilliseconds(duration));
-}
-
 } // namespace
 
 std::optional<Address> parseAddress(const std::string &text)
@@ -125,7 +73,7 @@
     service.fencing_ = reader.enumValue("fencing", Fencing::Checked);
     std::size_t index = 0;
     for (const Json &item : reader.array("routes"))
-        service.routes_.push_back(readRoute(reader.child(item, "routes", index++)));
+        service.routes_.push_back(readRoute(reader.child(item, "routes", index++), Access::Team));
     if (service.routes_.empty())
         reader.addError("routes", "must hold at least one route");
     reader.rejectUnknownFields();
@@ -253,20 +201,25 @@
         row.rejectUnknownFields();
         catalogue.services_.push_back(service);
     }
+    catalogue.listsTeams_ = !reader.isAbsent("teams");
+    const Access unstatedAccess = catalogue.listsTeams_ ? Access::Team : Access::Open;
     index = 0;
     for (const Json &item : reader.requiredArray("routes")) {
-        Route route = readRoute(reader.child(item, "routes", index++));
+        Route route = readRoute(reader.child(item, "routes", index++), unstatedAccess);
         if (route.host_.empty() && route.services_.empty())
             reader.addError("routes", "must name at least one service each");
         catalogue.routes_.push_back(std::move(route));
     }
     index = 0;
-    // Without the list, no key would be valid any more; a catalogue of open routes needs none.
+    // Without the list, no key would be valid, so that no request could use such a route.
     const bool needsTeams
         = std::any_of(catalogue.routes_.begin(), catalogue.routes_.end(),
                       [](const Route &route) { return route.access_ == Access::Team; });
-    for (const Json &item : needsTeams ? reader.requiredArray("teams") : reader.array("teams"))
+    if (needsTeams && !catalogue.listsTeams_)
+        reader.addError("teams", "must be an array, since a route states access team");
+    for (const Json &item : catalogue.listsTeams_ ? reader.array("teams") : Json::array())
         readTeam(reader.child(item, "teams", index++), catalogue);
+    catalogue.limits_ = readCallerLimits(reader.object("limits"));
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
     return catalogue;
@@ -355,28 +308,6 @@
 
 namespace {
 
-Json toJson(const Route &route)
-{
-    Json json { { "name", route.name_.str() },
-                { "method", route.method_ },
-                { "prefix", route.prefix_ },
-                { "access", toString(route.access_) },
-                { "idempotent", route.idempotent_ },
-                { "kind", route.kind_ },
-                { "weight", route.weight_ },
-                { "attempts", route.maxAttempts_ },
-                { "priority", route.priority_ },
-                { "target_ms", milliseconds(route.target_) },
-                { "timeout_ms", milliseconds(route.timeout_) } };
-    if (!route.host_.empty())
-        json["host"] = route.host_;
-    for (const ServiceShare &share : route.services_) {
-        json["services"].push_back(
-            { { "name", share.service_.str() }, { "weight", share.weight_ } });
-    }
-    return json;
-}
-
 /// @return the fields that are common to a service object and a service of a catalogue.
 Json serviceFields(const Service &service)
 {
@@ -429,10 +360,15 @@
     Json routes = Json::array();
     for (const Route &route : catalogue.routes_)
         routes.push_back(toJson(route));
-    Json teams = Json::array();
+    Json json { { "services", services },
+                { "routes", routes },
+                { "limits", toJson(catalogue.limits_) } };
+    if (!catalogue.listsTeams_)
+        return json.dump();
+    json["teams"] = Json::array();
     for (const Contract &contract : catalogue.contracts_)
-        teams.push_back(toJson(contract, catalogue.keys_));
-    return Json({ { "services", services }, { "routes", routes }, { "teams", teams } }).dump();
+        json["teams"].push_back(toJson(contract, catalogue.keys_));
+    return json.dump();
 }
 
 std::string formatEntryHost(const EntryHost &host)
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -15,6 +15,16 @@
 
 namespace pimentostage {
 
+inline constexpr double kMillisecondsPerSecond = 1000;
+inline constexpr double kMinTimeoutMs = 1;
+inline constexpr double kMaxTimeoutMs = 86'400'000; // a day, as in the settings
+
+/// @return @p duration as ObjectReader::milliseconds() reads it.
+inline double milliseconds(Duration duration)
+{
+    return static_cast<double>(toMilliseconds(duration));
+}
+
 /// Reads the fields of one JSON object and collects all errors.
 class ObjectReader
 {
@@ -74,6 +84,12 @@
         return value->get<double>();
     }
 
+    /// @return the number in @p field; nothing if the field is missing or invalid.
+    std::optional<double> optionalNumber(const char *field, double min, double max)
+    {
+        return find(field) ? std::optional(number(field, min, min, max)) : std::nullopt;
+    }
+
     std::uint32_t count(const char *field, std::uint32_t defaultValue, std::uint32_t min,
                         std::uint32_t max)
     {
@@ -95,7 +111,6 @@
 
     Duration milliseconds(const char *field, double defaultValue, double min, double max)
     {
-        const double kMillisecondsPerSecond = 1000;
         return fromSeconds(number(field, defaultValue, min, max) / kMillisecondsPerSecond);
     }
 
@@ -169,6 +184,16 @@
         return *value;
     }
 
+    /// @return whether @p field is stated, even as null.
+    bool has(const char *field) { return find(field) != nullptr; }
+
+    /// @return whether @p field is missing or null, for fields in which null means the same.
+    bool isAbsent(const char *field)
+    {
+        const nlohmann::json *value = find(field);
+        return !value || value->is_null();
+    }
+
     /// As array(), but a missing field is an error.
     nlohmann::json requiredArray(const char *field)
     {
@@ -182,6 +207,13 @@
         return { this, json, path_ + field + '[' + std::to_string(index) + "]." };
     }
 
+    /// @return the object in @p field; an empty one if the field is missing.
+    ObjectReader object(const char *field)
+    {
+        const nlohmann::json *value = find(field);
+        return { this, value ? *value : nlohmann::json::object(), path_ + field + '.' };
+    }
+
     void addError(const std::string &field, const std::string &what)
     {
         std::string &errors = root().errors_;
--- a/tests/ObjectFieldsTest.cpp
+++ b/tests/ObjectFieldsTest.cpp
@@ -68,6 +68,7 @@
             { "/routes/0/target_ms", "86400001" },
             { "/routes/0/prefix", "\"x\"" },
             { "/routes/0/access", "\"odd\"" },
+            { "/routes/0/route_kind", "\"safe\"" },
             { "/routes/0/weight", "0" },
             { "/routes/0/weight", "1001" },
             { "/routes/0/timeout_ms", "0" },
@@ -156,9 +157,10 @@
               "balancing":"expected-time","health_path":"/health","connections":110,"cold_ms":3000,
               "cold_rate":6.6}],"routes":[{"name":"r1","host":"a.example",
               "services":[{"name":"huts","weight":90}],"method":"GET","attempts":2,"priority":2,
-              "target_ms":500,"prefix":"/x/","access":"team","idempotent":true,"kind":"r1",
+              "target_ms":500,"prefix":"/x/","access":"team","route_kind":"download","kind":"r1",
               "weight":1,"timeout_ms":1000}],"teams":[{"name":"caxias","rate_per_second":81,
-              "burst":40,"priority":1,"key_sha256":["ab"]}]})",
+              "burst":40,"priority":1,"key_sha256":["ab"]}],"limits":{"header_bytes":16384,
+              "body_bytes":67108864,"header_timeout_ms":3000,"idle_timeout_ms":15000}})",
           { "/services", "/routes", "/teams", "/services/0/name", "/routes/0/name",
             "/routes/0/services", "/routes/0/services/0/name", "/teams/0/name" },
           { { "/services/0/name", "\"\"" },
@@ -174,10 +176,19 @@
             { "/routes/0/timeout_ms", "0" },
             { "/routes/0/prefix", "\"x\"" },
             { "/routes/0/access", "\"odd\"" },
+            { "/routes/0/route_kind", "\"odd\"" },
+            { "/routes/0/idempotent", "false" },
             { "/teams/0/name", "\"\"" },
             { "/teams/0/rate_per_second", "-1" },
             { "/teams/0/burst", "-1" },
             { "/teams/0/priority", "1000001" },
+            { "/limits/header_bytes", "0" },
+            { "/limits/header_bytes", "1e13" },
+            { "/limits/body_bytes", "-1" },
+            { "/limits/body_bytes", "1e13" },
+            { "/limits/header_timeout_ms", "0" },
+            { "/limits/idle_timeout_ms", "86400001" },
+            { "/limits/odd", "1" },
             { "/odd", "1" },
             { "/teams/0/odd", "1" } } },
         { ObjectKind::RangePlacement,
@@ -303,7 +314,10 @@
     std::map<std::string, std::vector<Route>> hosts { configuration.virtualHosts_->begin(),
                                                       configuration.virtualHosts_->end() };
     for (const auto &[host, routes] : hosts)
-        add(host, formatCatalogue(Catalogue { {}, routes, {}, {} }));
+        add(host, formatCatalogue(Catalogue { {}, routes, {}, {}, true, {} }));
+    if (configuration.callerLimits_ != CallerLimits {})
+        add("limits",
+            formatCatalogue(Catalogue { {}, {}, {}, {}, true, configuration.callerLimits_ }));
     return text;
 }
 
