--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -181,9 +181,8 @@
                                                            Filter filter,
                                                            const std::vector<BackendName> &tried,
                                                            Random &random, TimePoint now);
-    static const Candidate *pick(const ServiceRoutes &routes,
-                                 std::vector<const Candidate *> usable, Random &random,
-                                 TimePoint now);
+    static const Candidate *pick(const ServiceRoutes &routes, std::vector<const Candidate *> usable,
+                                 Random &random, TimePoint now);
     static const Candidate *selectVersion(const ServiceRoutes &routes,
                                           const std::vector<BackendName> &tried, Random &random,
                                           TimePoint now);
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -30,9 +30,9 @@
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
 
 /// The content of an object; one alternative for each ObjectKind, in its order.
-using ParsedObject = std::variant<Service, Contract, TeamKey, Zone, Backend, LostHost, RoleRecord,
-                                  Placement, Catalogue, RangePlacement, EntryHost, Rollout,
-                                  RolloutState>;
+using ParsedObject
+    = std::variant<Service, Contract, TeamKey, Zone, Backend, LostHost, RoleRecord, Placement,
+                   Catalogue, RangePlacement, EntryHost, Rollout, RolloutState>;
 
 /// Parses @p value as the value of @p ref.
 /// @return the content, or the Error of the matching parse function.
--- a/include/pimentostage/sibling/Messages.h
+++ b/include/pimentostage/sibling/Messages.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "pimentostage/backend/Grant.h"
 #include "pimentostage/backend/ExposureLease.h"
+#include "pimentostage/backend/Grant.h"
 #include "pimentostage/backend/HotKeyTracker.h"
 #include "pimentostage/backend/RolloutOutcomes.h"
 #include "pimentostage/platform/KnowledgeArea.h"
