--- a/include/pimentostage/backend/BackendStats.h
+++ b/include/pimentostage/backend/BackendStats.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/ColdStart.h"
 #include "pimentostage/backend/ConcurrencyLimit.h"
+#include "pimentostage/backend/RoomEstimate.h"
 #include "pimentostage/backend/Warmup.h"
 #include "pimentostage/base/Time.h"
 
@@ -35,6 +36,9 @@
     void onAnswer(Duration latency, TimePoint now);
     /// Records a failure attributed to the back end; consecutive failures eject it.
     void onFailure(TimePoint now);
+    /// Records that the back end closed a connection because it has no room. This counts in
+    /// failureShare() and does not eject the back end: it runs, and has room again soon.
+    void onFull(TimePoint now);
     void onLoadReport(const LoadReport &report, TimePoint now);
 
     [[nodiscard]] std::uint32_t inFlight() const
@@ -70,6 +74,10 @@
     [[nodiscard]] ConcurrencyLimit &concurrency() { return concurrency_; }
     [[nodiscard]] const ConcurrencyLimit &concurrency() const { return concurrency_; }
 
+    /// @return the estimate of the room, for services whose back ends report their load.
+    [[nodiscard]] RoomEstimate &room() { return room_; }
+    [[nodiscard]] const RoomEstimate &room() const { return room_; }
+
     /// Records the process incarnation that an answer carries.
     /// @return whether it differs from the one recorded before, if any.
     bool onIncarnation(std::uint64_t incarnation);
@@ -85,6 +93,9 @@
     [[nodiscard]] double usualPace() const;
     /// @return whether the back end has neither answered this host nor reported its load.
     [[nodiscard]] bool isUntried() const;
+    /// @return whether the back end has answered any host, or reported its load, within the last
+    ///         5 s.
+    [[nodiscard]] bool hasAnsweredLately(TimePoint now) const;
     /// @return the estimated number of requests that run or wait at the back end.
     [[nodiscard]] double load(TimePoint now) const;
     /// @return the decayed fraction of recent requests that failed, from 0 to 1.
@@ -109,6 +120,7 @@
     Warmup warmup_;
     ColdStart coldStart_;
     ConcurrencyLimit concurrency_;
+    RoomEstimate room_;
 };
 
 } // namespace pimentostage
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "pimentostage/backend/AdmissionOrder.h"
 #include "pimentostage/base/Error.h"
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/Time.h"
+#include "pimentostage/platform/Objects.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -40,6 +43,7 @@
     Duration siblingProbePeriod_ = std::chrono::milliseconds(100);
     Duration siblingProbeTimeout_ = std::chrono::milliseconds(100);
     Duration siblingSuspicionTimeout_ = std::chrono::milliseconds(200);
+    bool siblingShareRoom_ = true;
 
     Duration controlTick_ = std::chrono::milliseconds(10);
     std::int64_t controlAccountGroups_ = 4;
@@ -65,6 +69,7 @@
     bool backendHedging_ = true;
     std::int64_t backendQueueLength_ = 2000;
     Duration backendMaxQueueTime_ = std::chrono::milliseconds(500);
+    std::optional<AdmissionRule> backendAdmissionRule_; ///< chosen by the catalogue if empty
 
     double rolloutMaxShare_ = 0; ///< 0: no roll-outs
     std::int64_t rolloutMaxExtra_ = 50;
@@ -84,6 +89,8 @@
 [[nodiscard]] Duration maxZonesAgeOf(const Settings &settings);
 /// @return the age of the configuration from which requests with a team key are refused.
 [[nodiscard]] Duration maxConfigAgeOf(const Settings &settings);
+/// @return whether a catalogue must list teams: it must where withdrawn keys have a deadline.
+[[nodiscard]] TeamsRule teamsRuleOf(const Settings &settings);
 
 /// An invalid, missing or unknown setting in a settings file.
 struct SettingsError
--- a/src/backend/BackendWorker.h
+++ b/src/backend/BackendWorker.h
@@ -3,14 +3,15 @@
 #include "pimentostage/backend/AttemptBudget.h"
 #include "pimentostage/backend/HeavyHitters.h"
 #include "pimentostage/backend/LatencyQuantile.h"
+#include "pimentostage/backend/WorkEstimate.h"
 #include "src/backend/AdmissionQueue.h"
 #include "src/backend/BackendClient.h"
 
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace pimentostage {
@@ -32,10 +33,11 @@
     AttemptBudget hedges_;
 };
 
-/// Latency of one route, over all its requests on one traffic thread.
+/// Latency and work of one route, over all its requests on one traffic thread.
 struct RouteState
 {
     LatencyQuantile latency_ { kHedgeQuantile };
+    WorkEstimate work_;
 };
 
 struct BackendCounters
@@ -46,6 +48,7 @@
         , hedges_(metrics.counter("pimento_backend_hedges_total", "Attempts that were hedges."))
         , failures_(metrics.counter("pimento_backend_failures_total",
                                     "Attempts that ended without a usable answer."))
+        , failuresByKind_(failureCounters(metrics))
         , mismatches_(metrics.counter("pimento_backend_mismatches_total",
                                       "Answers that belonged to another request."))
         , givenUpAnswers_(
@@ -59,9 +62,25 @@
                                      "Time from sending an attempt to its whole answer."))
     { }
 
+    /// Indexed by AttemptFailure.
+    using FailureCounters = std::array<Counter *, kEnumCount<AttemptFailure>>;
+
+    static FailureCounters failureCounters(MetricRegistry &metrics)
+    {
+        FailureCounters counters {};
+        for (const auto &row : EnumTable<AttemptFailure>::kRows) {
+            counters.at(static_cast<std::size_t>(row.value_))
+                = &metrics.counter("pimento_backend_attempt_failures_total",
+                                   "Attempts that ended without a usable answer, by failure.",
+                                   { Label { "failure", std::string(row.name_) } });
+        }
+        return counters;
+    }
+
     Counter &attempts_;
     Counter &hedges_;
     Counter &failures_;
+    FailureCounters failuresByKind_;
     Counter &mismatches_;
     Counter &givenUpAnswers_;
     Counter &queueWaits_;
@@ -104,8 +123,8 @@
 
     static KeyLoad keyLoad(const ServiceName &service, KeyCounts &counts);
 
-    /// @return the queue named @p name, from the cache of this thread if possible.
-    std::shared_ptr<AdmissionQueue> queue(const std::string &name);
+    /// @return the queue with @p key, from the cache of this thread if possible.
+    std::shared_ptr<AdmissionQueue> queue(const AdmissionQueueKey &key);
 
     /// Polls @p queue every kQueuePollPeriod while requests wait in it.
     void startPolling(const std::shared_ptr<AdmissionQueue> &queue);
@@ -137,7 +156,7 @@
     std::map<RouteKey, std::unique_ptr<RouteState>> routeStates_;
     std::map<ServiceName, ServiceBudgets> budgets_;
     std::map<ServiceName, KeyCounts> keyCounts_;
-    std::unordered_map<std::string, std::shared_ptr<AdmissionQueue>> cachedQueues_;
+    std::map<AdmissionQueueKey, std::shared_ptr<AdmissionQueue>> cachedQueues_;
     std::set<std::shared_ptr<AdmissionQueue>> polledQueues_;
     bool isPolling_ = false;
     std::vector<std::weak_ptr<ActiveRequest>> activeRequests_; ///< finished ones are removed late
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -34,6 +34,7 @@
     Ranges,
     Registrar,
     Publisher,
+    Room,
 };
 
 std::uint64_t seedFor(std::uint64_t seed, RandomStream stream)
@@ -97,6 +98,8 @@
                  [this](const StoredObject &object) { onOwnWrite(object); })
     , members_(self_, Random(seedFor(ports.seed_, RandomStream::Members)), options.membership_,
                config_, siblings_, log, [this](const ConfigPush &push) { onConfigPush(push); })
+    , room_(self_.member_.host_, members_.membership(), siblings_, tableBuilder_,
+            Random(seedFor(ports.seed_, RandomStream::Room)), log, metrics)
     , publisher_(self_, config_, members_.membership(), siblings_,
                  Random(seedFor(ports.seed_, RandomStream::Publisher)))
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomStream::Roles)), store_, siblings_,
@@ -134,6 +137,7 @@
 {
     fleetState_.router_ = self_.member_.incarnation_;
     fleetState_.zone_ = self_.zone_;
+    fleetState_.sharesRoom_ = options_.sharesRoom_;
 }
 
 void ControlCore::start()
@@ -352,6 +356,7 @@
     }
     void operator()(const LeavingHostsPull &) const { core_.onLeavingHostsPull(host(), now_); }
     void operator()(const LeavingHosts &message) const { core_.onLeavingHosts(message, now_); }
+    void operator()(const RoomReport &message) const { core_.room_.onMessage(message, now_); }
     void operator()(const AllowanceReclaim &message) const
     {
         core_.allowance_.onMessage(host(), message, now_);
@@ -396,6 +401,7 @@
     allowance_.tick(now);
     rolloutHost_.tick(now);
     rollouts_.tick(now);
+    room_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
     if (const auto age = config_.age(now)) {
@@ -539,6 +545,7 @@
     view->configValidity_ = configValidity_;
     publishedReadiness_ = view->readiness_;
     readiness_ = view->readiness_;
+    room_.setTable(*view->routing_);
     routing_.publish(view->routing_);
     views_.publish(std::move(view));
 }
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -23,6 +23,7 @@
 #include "src/daemon/RoleControl.h"
 #include "src/daemon/RolloutControl.h"
 #include "src/daemon/RolloutHost.h"
+#include "src/daemon/RoomControl.h"
 
 #include <atomic>
 #include <memory>
@@ -155,6 +156,7 @@
     TimePoint nextGaugeUpdate_ {};
     std::uint64_t routersViewNumber_ = 0; ///< of the view last passed to placement_; 0 for none
     MemberControl members_;
+    RoomControl room_;
     ConfigPublisher publisher_;
     RoleControl roles_;
     PlacementControl placement_;
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -21,10 +21,10 @@
 namespace {
 
 /// The member that holds a setting; its type determines how the value is parsed.
-using SettingMember
-    = std::variant<std::string Settings::*, Address Settings::*, std::vector<Address> Settings::*,
-                   std::int64_t Settings::*, double Settings::*, Duration Settings::*,
-                   bool Settings::*, Severity Settings::*>;
+using SettingMember = std::variant<std::string Settings::*, Address Settings::*,
+                                   std::vector<Address> Settings::*, std::int64_t Settings::*,
+                                   double Settings::*, Duration Settings::*, bool Settings::*,
+                                   Severity Settings::*, std::optional<AdmissionRule> Settings::*>;
 
 enum class Presence { Optional, Required };
 
@@ -40,6 +40,8 @@
 };
 
 constexpr double kDayMs = 86'400'000;
+// Value of an optional setting that leaves the choice to the process.
+const std::string kAutomatic = "auto";
 
 // Time between the end of a planned stop and the kill of the process.
 constexpr Duration kStopMargin = std::chrono::milliseconds(500);
@@ -101,6 +103,8 @@
                  10, 10'000, "Timeout of a probe." },
     SettingRow { "sibling", "suspicion_ms", &Settings::siblingSuspicionTimeout_, Presence::Optional,
                  10, 10'000, "Time after which a suspected host is declared dead." },
+    SettingRow { "sibling", "share_room", &Settings::siblingShareRoom_, Presence::Optional, 0, 0,
+                 "Whether hosts tell each other which back ends have room; equal on all hosts." },
     SettingRow { "control", "tick_ms", &Settings::controlTick_, Presence::Optional, 1, 1000,
                  "Period at which the control thread runs its timers." },
     SettingRow {
@@ -122,7 +126,7 @@
     SettingRow { "control", "withdrawal_deadline_ms", &Settings::controlWithdrawalDeadline_,
                  Presence::Optional, 0, kDayMs,
                  "Time within which a withdrawn key must be refused; replaces max_config_age_ms "
-                 "unless it is 0." },
+                 "unless it is 0. Above 0, a catalogue without a list of teams is rejected." },
     SettingRow { "control", "leave_deadline_ms", &Settings::controlLeaveDeadline_,
                  Presence::Optional, 100, kDayMs,
                  "Time after which a back end that leaves must get no requests." },
@@ -172,6 +176,10 @@
                  1'000'000, "Requests that a new version may get beyond that share." },
     SettingRow { "rollout", "rollback_ms", &Settings::rolloutRollback_, Presence::Optional, 1000,
                  60'000, "Time from the 50th bad answer of a version until it gets no requests." },
+    SettingRow {
+        "backend", "admission_rule", &Settings::backendAdmissionRule_, Presence::Optional, 0, 0,
+        "Which waiting request is sent first; auto: team-shares in a catalogue with teams, "
+        "else value-per-work." },
     SettingRow { "log", "level", &Settings::logLevel_, Presence::Optional, 0, 0,
                  "Minimum severity that is logged." },
     SettingRow { "log", "capacity", &Settings::logCapacity_, Presence::Optional, 16, 1'000'000,
@@ -274,6 +282,12 @@
         return severity.has_value();
     }
 
+    bool operator()(std::optional<AdmissionRule> Settings::*member)
+    {
+        settings_.*member = fromString<AdmissionRule>(text_);
+        return text_ == kAutomatic || (settings_.*member).has_value();
+    }
+
 private:
     std::optional<double> numberInRange() const
     {
@@ -307,6 +321,13 @@
     std::string operator()(Duration Settings::*) const { return describeRange(row_) + " (ms)"; }
     std::string operator()(bool Settings::*) const { return "true or false"; }
     std::string operator()(Severity Settings::*) const { return "debug, info, warning or error"; }
+    std::string operator()(std::optional<AdmissionRule> Settings::*) const
+    {
+        std::string names = kAutomatic;
+        for (const auto &row : EnumTable<AdmissionRule>::kRows)
+            names += ", " + std::string(row.name_);
+        return names;
+    }
 };
 
 /// Formats the default of a setting, with an overload for each type of SettingMember.
@@ -337,6 +358,11 @@
     {
         return std::string(toString(defaults_.*member));
     }
+    std::string operator()(std::optional<AdmissionRule> Settings::*member) const
+    {
+        const std::optional<AdmissionRule> &rule = defaults_.*member;
+        return rule ? std::string(toString(*rule)) : kAutomatic;
+    }
 };
 
 void readRow(const CSimpleIniA &ini, const SettingRow &row, const std::string &file,
@@ -421,6 +447,12 @@
                                         : fromSeconds(toSeconds(deadline) * kMaxConfigAgeShare);
 }
 
+TeamsRule teamsRuleOf(const Settings &settings)
+{
+    return settings.controlWithdrawalDeadline_ > Duration::zero() ? TeamsRule::Required
+                                                                  : TeamsRule::Optional;
+}
+
 std::string SettingsError::describe() const
 {
     std::string text = file_;
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -98,7 +98,8 @@
              LeavingHostsPull {},
              LeavingHosts { { "permits-1" } },
              VersionOutcomeReport { grant.service_, "v2", 3s, use, { outcomes } },
-             ExposureLeases { grant.service_, "v2", 3s, exposure } };
+             ExposureLeases { grant.service_, "v2", 3s, exposure },
+             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } } };
 }
 
 // Guards against the end of the process by a frame of nested arrays: the reader recurses for each
