Roll-outs compare by the back ends of the smaller version

The holder now counts the back ends of both versions whenever the configuration changes and logs each new number.

--- a/include/pimentostage/backend/FailureComparison.h
+++ b/include/pimentostage/backend/FailureComparison.h
@@ -15,6 +15,9 @@
     /// @param backends number of back ends of the version that has fewer.
     explicit FailureComparison(std::uint32_t backends);
 
+    /// Replaces the number of back ends, for slots that are closed from now on.
+    void setBackends(std::uint32_t backends);
+
     /// Closes a time slot.
     /// @param total outcomes up to its end.
     void closeSlot(const RouteOutcomes &total);
@@ -70,7 +73,7 @@
     [[nodiscard]] Evidence::Gains likelihoodGains(const RouteOutcomes &total) const;
     [[nodiscard]] Evidence::Gains gains(const RouteOutcomes &total) const;
 
-    const double backends_;
+    double backends_;
     Evidence evidence_ { kMaxGain };
     RouteOutcomes closed_; ///< outcomes up to the end of the last closed slot
     std::uint64_t countedFailures_ = 0; ///< of the target in closed slots, for isWorseOverall()
--- a/include/pimentostage/backend/LatencyComparison.h
+++ b/include/pimentostage/backend/LatencyComparison.h
@@ -45,6 +45,9 @@
     /// @param backends number of back ends of the version that has fewer.
     explicit LatencyComparison(std::uint32_t backends);
 
+    /// Replaces the number of back ends.
+    void setBackends(std::uint32_t backends);
+
     /// Skips the outcomes up to now, such as those of a cold start.
     void skip(const RolloutOutcomes &outcomes);
 
@@ -102,7 +105,7 @@
         const RolloutOutcomes &start, const RolloutOutcomes &outcomes,
         const std::optional<RouteName> &route) const;
 
-    const double backendVariance_;
+    double backendVariance_;
     std::size_t startCount_ = 0;
     std::vector<Start> starts_;
     RolloutOutcomes skipped_;
--- a/include/pimentostage/backend/RolloutComparison.h
+++ b/include/pimentostage/backend/RolloutComparison.h
@@ -49,6 +49,9 @@
     /// Keeps the latencies of the version in force up to now as those under its full load.
     void beginSwitch(const RolloutOutcomes &outcomes) { latency_.keepBaseline(outcomes); }
 
+    /// Replaces the number of back ends, such as when further ones register.
+    void setBackends(std::uint32_t backends);
+
     /// Skips the latencies of all outcomes until @p time.
     void compareLatencyFrom(TimePoint time) { latencyFrom_ = time; }
 
@@ -80,7 +83,7 @@
     [[nodiscard]] std::optional<RolloutFinding> findOverallSlowness(const RolloutOutcomes &outcomes,
                                                                     double part) const;
 
-    const std::uint32_t backends_;
+    std::uint32_t backends_;
     TimePoint latencyFrom_;
     TimePoint slotEnd_ {};
     std::uint64_t slots_ = 0; ///< in which latencies were compared
--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -38,6 +38,9 @@
     /// @param running requests of the host that still run there.
     void onCurrentLeft(const HostName &host, std::size_t running = 0);
 
+    /// Replaces RolloutLimits::backends_: back ends register and leave while the roll-out runs.
+    void setBackends(std::uint32_t backends) { comparison_.setBackends(backends); }
+
     /// Allows or forbids the begin of Switching, such as while the store cannot record it.
     void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
 
--- a/src/backend/FailureComparison.cpp
+++ b/src/backend/FailureComparison.cpp
@@ -33,6 +33,11 @@
     : backends_(std::max(1U, backends))
 { }
 
+void FailureComparison::setBackends(std::uint32_t backends)
+{
+    backends_ = std::max(1U, backends);
+}
+
 double FailureComparison::expectedShare(const VersionOutcomes &current) const
 {
     const double measured
--- a/src/backend/LatencyComparison.cpp
+++ b/src/backend/LatencyComparison.cpp
@@ -57,6 +57,11 @@
     : backendVariance_(kBackendVariance / std::max(1U, backends))
 { }
 
+void LatencyComparison::setBackends(std::uint32_t backends)
+{
+    backendVariance_ = kBackendVariance / std::max(1U, backends);
+}
+
 void LatencyComparison::skip(const RolloutOutcomes &outcomes)
 {
     skipped_ = outcomes;
--- a/src/backend/RolloutComparison.cpp
+++ b/src/backend/RolloutComparison.cpp
@@ -29,6 +29,15 @@
 
 } // namespace
 
+void RolloutComparison::setBackends(std::uint32_t backends)
+{
+    backends_ = backends;
+    failures_.setBackends(backends);
+    latency_.setBackends(backends);
+    for (auto &[name, failures] : routeFailures_)
+        failures.setBackends(backends);
+}
+
 std::optional<RolloutFinding> RolloutComparison::check(const RolloutOutcomes &outcomes,
                                                        TimePoint now)
 {
--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -57,8 +57,11 @@
 void RolloutControl::onConfig(const std::shared_ptr<const Configuration> &configuration,
                               const ServiceVersions &versions, TimePoint now)
 {
-    if (limits_.maxShare_ > 0)
-        orders_.update(configuration, versions, now);
+    if (limits_.maxShare_ <= 0)
+        return;
+    orders_.update(configuration, versions, now);
+    for (auto &[service, running] : running_)
+        updateBackends(service, running);
 }
 
 std::set<RoleName> RolloutControl::roles() const
@@ -171,14 +174,10 @@
     RolloutLimits limits = limits_;
     const Configuration &configuration = orders_.configuration();
     const auto object = configuration.services_.find(service);
-    const auto targets = std::count_if(
-        configuration.backends_.begin(), configuration.backends_.end(), [&](const auto &entry) {
-            return entry.second.service_ == service && entry.second.version_ == order.target_;
-        });
     // Back ends of the target may register after the order.
     if (object != configuration.services_.end()) {
         limits.startPerS_
-            = object->second.coldRate_ * std::max<double>(1, static_cast<double>(targets));
+            = object->second.coldRate_ * std::max(1U, countBackends(service, order.target_));
         limits.warmup_ = object->second.coldTime_;
     }
     // A host that was started after the order knows its age from the state only.
@@ -197,6 +196,34 @@
     if (!isFirstHolder)
         running.decision_->resume(running.state_.phase_, now);
     running.allocator_->onVerdict(running.verdict_, now);
+    updateBackends(service, running);
+}
+
+std::uint32_t RolloutControl::countBackends(const ServiceName &service,
+                                            const std::string &version) const
+{
+    const auto &backends = orders_.configuration().backends_;
+    return static_cast<std::uint32_t>(
+        std::count_if(backends.begin(), backends.end(), [&](const auto &entry) {
+            return entry.second.service_ == service && entry.second.version_ == version;
+        }));
+}
+
+void RolloutControl::updateBackends(const ServiceName &service, Running &running) const
+{
+    if (!running.decision_)
+        return;
+    const std::uint32_t current = countBackends(service, running.state_.current_);
+    const std::uint32_t target = countBackends(service, running.state_.rollout_.order_.target_);
+    const std::uint32_t backends = std::max(1U, std::min(current, target));
+    if (backends == std::exchange(running.backends_, backends))
+        return;
+    running.decision_->setBackends(backends);
+    log_.write(LogLine(Severity::Info, "rollout-back-ends")
+                   .add("service", service.str())
+                   .add("current", std::uint64_t { current })
+                   .add("target", std::uint64_t { target })
+                   .add("back_ends", std::uint64_t { backends }));
 }
 
 RolloutVerdict RolloutControl::verdictFor(const ServiceName &service, Running &running,
--- a/src/daemon/RolloutControl.h
+++ b/src/daemon/RolloutControl.h
@@ -72,6 +72,7 @@
         std::unique_ptr<RolloutDecision> decision_;
         std::unique_ptr<ExposureAllocator> allocator_;
         std::unique_ptr<KeyedRollout> keyed_; ///< of a keyed service
+        std::uint32_t backends_ = 0; ///< of the version that has fewer, as told to decision_
         RolloutVerdict verdict_;
         std::map<HostName, HostRecord> hosts_;
         std::optional<RolloutStatus> reported_; ///< what the operators were told last
@@ -87,6 +88,10 @@
     void begin(const ServiceName &service, const Rollout &order, TimePoint now);
     void makeDecision(const ServiceName &service, Running &running, bool isFirstHolder,
                       TimePoint now);
+    /// Tells the decision how many back ends the version with fewer of them has.
+    void updateBackends(const ServiceName &service, Running &running) const;
+    [[nodiscard]] std::uint32_t countBackends(const ServiceName &service,
+                                              const std::string &version) const;
     [[nodiscard]] RolloutVerdict verdictFor(const ServiceName &service, Running &running,
                                             TimePoint now) const;
     void logPhase(const ServiceName &service, const Running &running) const;
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -247,6 +247,23 @@
     EXPECT_EQ(fleet_.state()->phase_, RolloutPhase::Switching);
 }
 
+// Guards against latencies that are compared as if each version had a fixed number of back ends:
+// with fewer, chance differences are larger; with more, a slow version passes.
+TEST_F(RolloutControlTest, ComparesByTheBackEndsOfTheSmallerVersion)
+{
+    fleet_.addBackends("v1", 6, kGood);
+    fleet_.addBackends("v2", 2, kGood);
+    fleet_.run(1s);
+    fleet_.order("v2", kOrdered);
+    fleet_.run(1s);
+    EXPECT_EQ(fleet_.log().count({ "rollout-back-ends", "\"back_ends\":2" }), 1U);
+    fleet_.addBackends("v2", 20, kGood);
+    fleet_.run(1s);
+    EXPECT_EQ(fleet_.log().count({ "rollout-back-ends", "\"back_ends\":6" }), 1U)
+        << "back ends that register after the order count";
+    EXPECT_EQ(fleet_.log().count({ "rollout-back-ends" }), 2U) << "one line for each change";
+}
+
 // Guards against two targets at once.
 TEST_F(RolloutControlTest, ASecondOrderRollsTheFirstBackAndThenBegins)
 {
