Durations of roll-outs are whole milliseconds

An order with a fraction of a millisecond never equalled the state that was stored for it, so it was rolled back and begun again without end.

--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -292,11 +292,12 @@
     std::string id_; ///< tells a repeated order from the former one; empty if the writer has none
 
     /// @return whether @p other is the same order: the store may give the same order a new version
-    ///         when its status is written.
+    ///         when its status is written. Durations are stored in whole milliseconds.
     [[nodiscard]] bool isSameOrder(const Rollout &other) const
     {
         return order_.service_ == other.order_.service_ && order_.target_ == other.order_.target_
-               && order_.duration_ == other.order_.duration_ && id_ == other.id_;
+               && toMilliseconds(order_.duration_) == toMilliseconds(other.order_.duration_)
+               && id_ == other.id_;
     }
 };
 
--- a/src/platform/CoordinationCodec.cpp
+++ b/src/platform/CoordinationCodec.cpp
@@ -275,7 +275,7 @@
     RolloutState state;
     state.rollout_.order_.service_ = ServiceName(name);
     state.rollout_.order_.target_ = reader.requiredText("target");
-    state.rollout_.order_.duration_ = reader.milliseconds("duration_ms", 0, 0, kMaxMs);
+    state.rollout_.order_.duration_ = reader.wholeMilliseconds("duration_ms", 0, 0, kMaxMs);
     state.rollout_.id_ = reader.text("id");
     state.orderedAt_ = Version { reader.unsignedInteger("ordered_at") };
     state.phase_ = reader.requiredEnumValue("phase", RolloutPhase::Observing);
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -245,7 +245,7 @@
     rollout.order_.service_ = ServiceName(name);
     rollout.order_.target_ = reader.requiredText("target");
     rollout.order_.duration_
-        = reader.milliseconds("duration_ms", kMinRolloutMs, kMinRolloutMs, kMaxRolloutMs);
+        = reader.wholeMilliseconds("duration_ms", kMinRolloutMs, kMinRolloutMs, kMaxRolloutMs);
     rollout.id_ = reader.text("id");
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
--- a/src/platform/ObjectReader.h
+++ b/src/platform/ObjectReader.h
@@ -114,6 +114,14 @@
         return fromSeconds(number(field, defaultValue, min, max) / kMillisecondsPerSecond);
     }
 
+    /// @return as milliseconds(), rounded to whole milliseconds, so that what is parsed equals what
+    ///         is written and parsed again.
+    Duration wholeMilliseconds(const char *field, double defaultValue, double min, double max)
+    {
+        return std::chrono::round<std::chrono::milliseconds>(
+            milliseconds(field, defaultValue, min, max));
+    }
+
     bool flag(const char *field, bool defaultValue)
     {
         const nlohmann::json *value = find(field);
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -334,4 +334,22 @@
     RC_ASSERT(!result.errors_.empty());
 }
 
+// Guards against an order that never equals the state that its own roll-out has stored, so that it
+// is rolled back and begun again without end.
+TEST(RolloutCodec, AnOrderEqualsItsStateWhateverFractionsItsDurationHas)
+{
+    for (const char *duration : { "12000.4", "12000.6", "12345", "12001.0000001", "1000.3333" }) {
+        const std::string text = R"({"target":"v2","duration_ms":)" + std::string(duration) + "}";
+        const auto isSame = [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(order, parseRollout("huts", text));
+            RolloutState state;
+            state.rollout_ = order;
+            BOOST_LEAF_AUTO(stored, parseRolloutState("huts", formatRolloutState(state)));
+            BOOST_LEAF_AUTO(again, parseRollout("huts", formatRollout(order)));
+            return stored.rollout_.isSameOrder(order) && again.isSameOrder(order);
+        };
+        EXPECT_TRUE(valueOr(isSame, [](const Error &) { return false; })) << duration;
+    }
+}
+
 } // namespace
