Steps of Switching begin when the store has recorded it

While the write was pending the steps went on, and the share jumped from max_share to 1 once it succeeded. A switch that is not recorded by the end of the duration is rolled back. RolloutDecisionTest and rollout_bench record the switch at once, as they assumed before.

--- a/bench/RolloutBench.cpp
+++ b/bench/RolloutBench.cpp
@@ -235,7 +235,11 @@
     {
         if (isEnded())
             return;
-        const RolloutVerdict verdict = decision_.decide(now_);
+        RolloutVerdict verdict = decision_.decide(now_);
+        if (verdict.phase_ == RolloutPhase::Switching) { // the store records it at once
+            decision_.onRecorded(now_);
+            verdict = decision_.decide(now_);
+        }
         if (verdict.phase_ == RolloutPhase::Observing) {
             const double over = static_cast<double>(result_.exposed_)
                                 - kMaxShare * static_cast<double>(result_.requests_);
--- a/include/pimentostage/backend/RolloutDecision.h
+++ b/include/pimentostage/backend/RolloutDecision.h
@@ -44,6 +44,11 @@
     /// Allows or forbids the begin of Switching, such as while the store cannot record it.
     void allowSwitching(bool isAllowed) { isSwitchingAllowed_ = isAllowed; }
 
+    /// Tells that the phase of the last verdict is known to be recorded. The steps of Switching
+    /// begin then: while the record is pending the share stays at RolloutLimits::maxShare_, and at
+    /// the end of the duration the roll-out is rolled back.
+    void onRecorded(TimePoint now);
+
     /// Judges the target by the health of its back ends, for a keyed service: its target gets no
     /// keys, and so no requests, before Switching. From then on its failures count too, but not its
     /// latency, since keys are slow for some seconds after a move.
@@ -125,7 +130,7 @@
     bool isSwitchingAllowed_ = true;
     std::optional<bool> isHealthy_; ///< set if the target is judged by its health
     RolloutVerdict verdict_;
-    TimePoint switchingSince_ {};
+    std::optional<TimePoint> switchingSince_; ///< when Switching was recorded; its steps begin then
     std::optional<TimePoint> earlyCheckAt_; ///< set at the kBadAnswers-th answer of the target
     bool isEarlyChecked_ = false;
     bool hasPassed_ = false; ///< at the latest moment; Switching may wait for its permission
--- a/src/backend/RolloutDecision.cpp
+++ b/src/backend/RolloutDecision.cpp
@@ -155,24 +155,34 @@
 void RolloutDecision::beginSwitching(TimePoint now)
 {
     comparison_.beginSwitch(totals_);
-    switchingSince_ = now;
     verdict_ = { RolloutPhase::Switching, limits_.maxShare_, RolloutReason::Passed };
     switchTraffic(now);
 }
 
+void RolloutDecision::onRecorded(TimePoint now)
+{
+    if (verdict_.phase_ == RolloutPhase::Switching && !switchingSince_)
+        switchingSince_ = now;
+}
+
 void RolloutDecision::switchTraffic(TimePoint now)
 {
     if (const auto finding = comparison_.check(totals_, now)) {
         rollBack(*finding);
         return;
     }
+    if (!switchingSince_) {
+        if (now >= orderedAt_ + order_.duration_)
+            rollBack({ RolloutReason::NotSwitched });
+        return;
+    }
     if (verdict_.share_ >= 1 && hasEveryHostLeft(now)) {
         if (!passesOverall(kCompletionPart))
             return;
         verdict_ = { RolloutPhase::Complete, 1, RolloutReason::Confirmed };
         return;
     }
-    const std::int64_t steps = (now - switchingSince_) / kStepPeriod + 1;
+    const std::int64_t steps = (now - *switchingSince_) / kStepPeriod + 1;
     if (steps == steps_ || verdict_.share_ >= 1)
         return;
     steps_ = steps;
--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -351,8 +351,10 @@
             running->isRecorded_ = running->state_.phase_ == written.phase_
                                    && running->state_.share_ == written.share_
                                    && running->state_.isReported_ == written.isReported_;
-            if (running->isRecorded_ && running->allocator_)
+            if (running->isRecorded_ && running->decision_) {
+                running->decision_->onRecorded(now);
                 running->allocator_->onVerdict(running->verdict_, now);
+            }
             running->retryAt_ = now;
         }
         onOwnWrite_(
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -264,6 +264,27 @@
     EXPECT_EQ(fleet_.log().count({ "rollout-back-ends" }), 2U) << "one line for each change";
 }
 
+// Guards against a share that jumps to all traffic because the time that the store took to record
+// the switch counted as steps.
+TEST_F(RolloutControlTest, StepsBeginWhenTheSwitchIsRecorded)
+{
+    start(kGood);
+    fleet_.run(8s);
+    fleet_.store().loseWrites_ = 1'000'000;
+    fleet_.run(4s);
+    ASSERT_EQ(fleet_.state()->phase_, RolloutPhase::Observing);
+    fleet_.store().loseWrites_ = 0;
+    while (!fleet_.storedAt(RolloutPhase::Switching) && fleet_.now() < orderedAt_ + kOrdered)
+        fleet_.run(10ms);
+    ASSERT_TRUE(fleet_.storedAt(RolloutPhase::Switching));
+    fleet_.run(RolloutDecision::kStepPeriod);
+    const std::uint64_t requests = fleet_.requests();
+    const std::uint64_t former = fleet_.sentTo("v1");
+    fleet_.run(300ms); // the second step of four
+    EXPECT_GT(static_cast<double>(fleet_.sentTo("v1") - former),
+              0.1 * static_cast<double>(fleet_.requests() - requests));
+}
+
 // Guards against two targets at once.
 TEST_F(RolloutControlTest, ASecondOrderRollsTheFirstBackAndThenBegins)
 {
--- a/tests/RolloutDecisionTest.cpp
+++ b/tests/RolloutDecisionTest.cpp
@@ -75,7 +75,7 @@
     RolloutVerdict run(Duration until, const Answer &target, const Answer &other,
                        const Answer &current)
     {
-        RolloutVerdict verdict = decision_.decide(now_);
+        RolloutVerdict verdict = decideAndRecord();
         while (now_ < kOrderedAt + until && verdict.phase_ != RolloutPhase::RolledBack) {
             now_ += 250ms;
             const Duration elapsed = now_ - kOrderedAt;
@@ -84,11 +84,21 @@
             add(outcomes_[0].current_, current(elapsed));
             add(outcomes_[1].current_, current(elapsed));
             decision_.onOutcomes(kHost, outcomes_, now_);
-            verdict = decision_.decide(now_);
+            verdict = decideAndRecord();
         }
         return verdict;
     }
 
+    /// Decides; unless isStoreDown_, the store records Switching at once.
+    RolloutVerdict decideAndRecord()
+    {
+        const RolloutVerdict verdict = decision_.decide(now_);
+        if (isStoreDown_ || verdict.phase_ != RolloutPhase::Switching)
+            return verdict;
+        decision_.onRecorded(now_);
+        return decision_.decide(now_);
+    }
+
     [[nodiscard]] std::uint64_t bad() const
     {
         return outcomes_[0].target_.failed_ + outcomes_[1].target_.failed_;
@@ -97,6 +107,7 @@
     RolloutDecision decision_;
     TimePoint now_ = kOrderedAt;
     std::vector<RouteOutcomes> outcomes_;
+    bool isStoreDown_ = false;
 };
 
 Answers good(Duration)
@@ -297,6 +308,30 @@
     EXPECT_EQ(observation.run(margin, &good).phase_, RolloutPhase::Complete);
 }
 
+// Guards against a share that jumps to all traffic once a slow store has recorded the switch.
+TEST(RolloutDecision, StepsBeginWhenSwitchingIsRecorded)
+{
+    Observation observation;
+    observation.isStoreDown_ = true;
+    const RolloutVerdict pending = observation.run(kLatest + 2s, &good);
+    EXPECT_EQ(pending.phase_, RolloutPhase::Switching);
+    EXPECT_EQ(pending.share_, limits().maxShare_);
+    observation.decision_.onRecorded(observation.now_);
+    const double first = limits().maxShare_ + RolloutDecision::kMaxStep;
+    EXPECT_EQ(observation.run(kLatest + 2250ms, &good).share_, first);
+}
+
+// Guards against a switch that begins after the duration of the roll-out.
+TEST(RolloutDecision, ASwitchThatIsNotRecordedInTimeIsRolledBack)
+{
+    Observation observation;
+    observation.isStoreDown_ = true;
+    EXPECT_EQ(observation.run(kDuration - 250ms, &good).phase_, RolloutPhase::Switching);
+    const RolloutVerdict verdict = observation.run(kDuration, &good);
+    EXPECT_EQ(verdict.phase_, RolloutPhase::RolledBack);
+    EXPECT_EQ(verdict.reason_, RolloutReason::NotSwitched);
+}
+
 // Guards against a phase that the store does not know.
 TEST(RolloutDecision, SwitchingWaitsForThePermission)
 {
@@ -387,6 +422,8 @@
     for (int i = 0; i < 4; ++i) {
         const TimePoint now = kOrderedAt + i * 250ms;
         RC_ASSERT(decision.decide(now) == plain.decide(now));
+        decision.onRecorded(now);
+        plain.onRecorded(now);
     }
 }
 
