--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -295,14 +295,28 @@
     // The coordinator of a keyed service reads from the state how many keys are to move.
     if (!isNewPhase && !running.keyed_)
         return;
-    if (isRollBack)
+    if (isRollBack) {
         running.reportFrom_ = now + leaseEnd(formerShare);
+        revokeLeases(service, running);
+    }
     running.state_.phase_ = verdict.phase_;
     running.state_.share_ = verdict.share_;
     running.isRecorded_ = false;
     logPhase(service, running);
 }
 
+// A lost message does no harm: the reply to the host's next report revokes its lease too.
+void RolloutControl::revokeLeases(const ServiceName &service, Running &running)
+{
+    if (!running.allocator_)
+        return;
+    const std::string &target = running.state_.rollout_.order_.target_;
+    for (const auto &[host, record] : running.hosts_) {
+        if (const auto lease = running.allocator_->revoke(host))
+            hosts_.send(host, ExposureLeases { service, target, record.reportSentAt_, *lease });
+    }
+}
+
 void RolloutControl::logPhase(const ServiceName &service, const Running &running) const
 {
     const RolloutVerdict &verdict = running.verdict_;
@@ -492,6 +506,7 @@
         return;
     record.incarnation_ = report.use_.incarnation_;
     record.seenAt_ = now;
+    record.reportSentAt_ = report.sentAt_;
     leases_.add();
     hosts_.send(from, ExposureLeases { report.service_, report.target_, report.sentAt_, *lease });
 }
--- a/src/daemon/RolloutControl.h
+++ b/src/daemon/RolloutControl.h
@@ -58,6 +58,7 @@
     {
         Incarnation incarnation_; ///< of its last report; zero before the first
         TimePoint seenAt_ {}; ///< when it last reported or was in the view
+        Duration reportSentAt_ {}; ///< of its last report that was answered, on its own clock
     };
 
     /// A roll-out that this host runs as the holder.
@@ -100,6 +101,8 @@
     void decide(const ServiceName &service, Running &running, TimePoint now);
     void applyVerdict(const ServiceName &service, Running &running, const RolloutVerdict &verdict,
                       TimePoint now);
+    /// Sends each known host a lease that takes back the earlier ones for the target.
+    void revokeLeases(const ServiceName &service, Running &running);
     void write(const ServiceName &service, Running &running, TimePoint now);
     void onWriteReply(const ServiceName &service, const RolloutState &written,
                       const Reply<WriteResult> &reply);
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -285,6 +285,29 @@
               0.1 * static_cast<double>(fleet_.requests() - requests));
 }
 
+// Guards against hosts that go on sending to a version that was rolled back until the reply to
+// their next report, up to 250 ms later.
+TEST_F(RolloutControlTest, ARollBackRevokesTheLeasesOfAllHostsAtOnce)
+{
+    fleet_.addBackends("v1", 6, kGood);
+    fleet_.addBackends("v2", 6, { 1, 50ms });
+    for (std::size_t host = 1; host < kHosts; ++host) { // hosts report at different times
+        fleet_.run(47ms);
+        fleet_.restart(host);
+    }
+    fleet_.run(1s);
+    fleet_.order("v2", kOrdered);
+    fleet_.run(500ms);
+    fleet_.store().loseWrites_ = 1'000'000; // the hosts cannot learn of it from the store
+    while (fleet_.log().count({ "rollout-phase", "rolled-back" }) == 0 && fleet_.now() < kOrdered)
+        fleet_.run(1ms);
+    ASSERT_EQ(fleet_.log().count({ "rollout-phase", "rolled-back" }), 1U);
+    fleet_.run(10ms); // a message takes 5 ms
+    const std::uint64_t sent = fleet_.sentTo("v2");
+    fleet_.run(1s);
+    EXPECT_EQ(fleet_.sentTo("v2"), sent);
+}
+
 // Guards against two targets at once.
 TEST_F(RolloutControlTest, ASecondOrderRollsTheFirstBackAndThenBegins)
 {
