Cold back ends of the target are no fallback for the version in force

A host without permission to warm up any back end of the target sent its lent requests to cold ones, although the version in force could serve them.

--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -210,8 +210,10 @@
                                            const std::vector<BackendName> &tried, Random &random,
                                            TimePoint now);
     /// @return the candidates that may be used, the preferred ones only.
+    /// @param mayUseCold whether back ends that other hosts warm up may be used if there are no
+    ///        others.
     static std::vector<const Candidate *> usableCandidates(const ServiceRoutes &routes,
-                                                           Filter filter,
+                                                           Filter filter, bool mayUseCold,
                                                            const std::vector<BackendName> &tried,
                                                            Random &random, TimePoint now);
     static const Candidate *pick(const ServiceRoutes &routes, std::vector<const Candidate *> usable,
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -320,7 +320,7 @@
                                                  const std::vector<BackendName> &tried,
                                                  Random &random, TimePoint now)
 {
-    return pick(routes, usableCandidates(routes, &isAny, tried, random, now), random, now);
+    return pick(routes, usableCandidates(routes, &isAny, true, tried, random, now), random, now);
 }
 
 // Requests of the exposure budget go to the target, so that it gets them under the load of the
@@ -333,7 +333,7 @@
     const bool mayUseCurrent = budget.mayUseCurrent(now);
     if (tried.empty() || !mayUseCurrent) {
         std::vector<const Candidate *> target
-            = usableCandidates(routes, &isOfTarget, tried, random, now);
+            = usableCandidates(routes, &isOfTarget, !mayUseCurrent, tried, random, now);
         if (!target.empty() && budget.trySend(now)) {
             if (const Candidate *candidate = pick(routes, std::move(target), random, now))
                 return candidate;
@@ -341,8 +341,8 @@
     }
     if (!mayUseCurrent)
         return nullptr;
-    const Candidate *candidate
-        = pick(routes, usableCandidates(routes, &isOfCurrent, tried, random, now), random, now);
+    const Candidate *candidate = pick(
+        routes, usableCandidates(routes, &isOfCurrent, true, tried, random, now), random, now);
     // It is counted as running by now, so a report that this host has left the version in force
     // cannot miss it.
     if (!candidate || budget.mayUseCurrent(now))
@@ -352,8 +352,8 @@
 }
 
 std::vector<const Candidate *> BackendSelector::usableCandidates(
-    const ServiceRoutes &routes, Filter filter, const std::vector<BackendName> &tried,
-    Random &random, TimePoint now)
+    const ServiceRoutes &routes, Filter filter, bool mayUseCold,
+    const std::vector<BackendName> &tried, Random &random, TimePoint now)
 {
     CandidateGroups groups = groupCandidates(routes, filter, tried, random, now);
     const auto total = static_cast<double>(groups.usable_.size() + groups.ejected_.size());
@@ -365,7 +365,7 @@
     if (usable.empty())
         usable = groups.ramping_;
     // Other hosts warm these up; they are used only if this host may use no other back end.
-    if (usable.empty() && !groups.hasPermitted_)
+    if (usable.empty() && mayUseCold && !groups.hasPermitted_)
         usable = groups.cold_;
     return usable;
 }
--- a/tests/BackendSelectorTest.cpp
+++ b/tests/BackendSelectorTest.cpp
@@ -374,4 +374,16 @@
     EXPECT_FALSE(stats(0).coldStart().isCold(now_)) << "the same entry";
 }
 
+// Guards against cold back ends of the target that get requests beyond their warm-up because this
+// host has no permission to warm any of them up, while the version in force can serve them.
+TEST_F(RolloutSelectorTest, ColdBackEndsOfTheTargetAreNoFallbackForTheVersionInForce)
+{
+    stats(2).warmup().start(false, 6, now_);
+    stats(3).warmup().start(false, 6, now_);
+    lend(100);
+    EXPECT_EQ(countTarget(20), 0);
+    lend(ExposureLease::kUnlimited, false);
+    EXPECT_EQ(countTarget(20), 20) << "this host may use no other version";
+}
+
 } // namespace
