FrameCodec.EveryMessageTypeRoundTrips: samples in the order of SiblingMessage

The merge with main put RoomReport before the messages of roll-outs, as it is on the wire of main, but left the samples in the former order, so that the test failed. It checks as much as before.

--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -97,9 +97,9 @@
              RouterGrantReply { grant.service_, reply },
              LeavingHostsPull {},
              LeavingHosts { { "permits-1" } },
+             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } },
              VersionOutcomeReport { grant.service_, "v2", 3s, use, { outcomes } },
-             ExposureLeases { grant.service_, "v2", 3s, exposure },
-             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } } };
+             ExposureLeases { grant.service_, "v2", 3s, exposure } };
 }
 
 // Guards against the end of the process by a frame of nested arrays: the reader recurses for each
