--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -403,7 +403,13 @@
             BOOST_LEAF_AUTO(state, parseRolloutState(current.ref_.name_, current.value_));
             return state.roleEpoch_ == *epoch_;
         },
-        [](const Error &) { return true; });
+        [&](const Error &error) {
+            log_.write(LogLine(Severity::Warning, "rollout-state-unreadable")
+                           .add("service", service.str())
+                           .add("version", current.version_.value_)
+                           .add("error", error.describe()));
+            return true; // it is overwritten
+        });
     // What another holder wrote is read anew before anything else is done.
     if (!isOwn)
         running_.erase(service);
