A host whose lease allows the version in force counts as its sender

After a takeover in Switching the steps are repeated, so that a host which had left the version in force gets a lease for it again; Complete waits for it from then on, also if its next report is lost. Not covered by a test of its own.

--- a/src/daemon/RolloutControl.cpp
+++ b/src/daemon/RolloutControl.cpp
@@ -510,6 +510,9 @@
     const auto lease = running.allocator_->allocate(from, report.use_, now);
     if (!lease)
         return;
+    // A new holder repeats the steps, so that a host which has left may use that version again.
+    if (lease->isCurrentAllowed_)
+        running.decision_->addSender(from);
     record.incarnation_ = report.use_.incarnation_;
     record.seenAt_ = now;
     record.reportSentAt_ = report.sentAt_;
