--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -73,6 +73,10 @@
     Duration backendMaxQueueTime_ = std::chrono::milliseconds(500);
     std::optional<AdmissionRule> backendAdmissionRule_; ///< chosen by the catalogue if empty
 
+    double rolloutMaxShare_ = 0; ///< 0: no roll-outs
+    std::int64_t rolloutMaxExtra_ = 50;
+    Duration rolloutRollback_ = std::chrono::milliseconds(5000);
+
     Severity logLevel_ = Severity::Info;
     std::int64_t logCapacity_ = 16'384;
 };
--- a/include/pimentostage/platform/Configuration.h
+++ b/include/pimentostage/platform/Configuration.h
@@ -26,6 +26,8 @@
     std::map<RoleName, RoleRecord> roles_;
     std::map<ServiceName, std::shared_ptr<const RangePlacement>> ranges_;
     std::map<HostName, EntryHost> entryHosts_;
+    std::map<ServiceName, Rollout> rollouts_;
+    std::map<ServiceName, RolloutState> rolloutStates_;
     /// Shared by the configurations of one catalogue, which may have thousands of routes.
     std::shared_ptr<const RoutesByHost> virtualHosts_ = std::make_shared<const RoutesByHost>();
     CallerLimits callerLimits_; ///< of the catalogue; the host's own settings may be stricter
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -26,6 +26,21 @@
     return std::find(names.begin(), names.end(), name) != names.end();
 }
 
+bool isAny(const Candidate &)
+{
+    return true;
+}
+
+bool isOfTarget(const Candidate &candidate)
+{
+    return candidate.isTarget_;
+}
+
+bool isOfCurrent(const Candidate &candidate)
+{
+    return !candidate.isTarget_;
+}
+
 std::uint32_t hostLimit(const Backend &backend, const Service &service, std::size_t entryHosts)
 {
     const auto hosts = static_cast<std::uint32_t>(std::max<std::size_t>(1, entryHosts));
@@ -105,6 +120,9 @@
         const auto ranges = configuration.ranges_.find(name);
         if (ranges != configuration.ranges_.end())
             routes.ranges_ = ranges->second;
+        const auto rollout = fleet.rollouts_.find(name);
+        if (rollout != fleet.rollouts_.end())
+            routes.rollout_ = rollout->second;
         const bool isOrdered = service.division_ == KeyDivision::Ordered;
         if (isOrdered || !service.keyed_ || service.fencing_ == Fencing::Checked)
             continue;
@@ -128,8 +146,11 @@
         candidate.isOwner_ = service.division_ == KeyDivision::Ordered;
         candidate.sharing_ = roomSharing(service, fleet);
         candidate.isLocal_ = backend.zone_ == fleet.zone_;
+        const RolloutTraffic *rollout = routes->second.rollout_.get();
+        candidate.isTarget_ = rollout && backend.version_ == rollout->target();
         candidate.takesNewWork_
             = configuration.isZoneIn(backend.zone_) && !fleet.leavingHosts_.contains(name.str())
+              && !fleet.withheldBackends_.contains(name.str())
               && backend.state_ == BackendState::Ready
               && !latest.replacementOf({ name, backend.incarnation_ }, backend.address_);
         // A back end that was withdrawn before this host first recorded it gets no handover time.
@@ -238,7 +259,8 @@
     if (routes.service_.keyed_)
         return selectOwner(routes, key.text_, now);
     BackendChoice choice;
-    choice.candidate_ = selectBalanced(routes, tried, random, now);
+    choice.candidate_ = routes.rollout_ ? selectVersion(routes, tried, random, now)
+                                        : selectBalanced(routes, tried, random, now);
     choice.isBusy_ = !choice.candidate_
                      && std::any_of(routes.candidates_.begin(), routes.candidates_.end(),
                                     [&](const Candidate &candidate) {
@@ -298,7 +320,42 @@
                                                  const std::vector<BackendName> &tried,
                                                  Random &random, TimePoint now)
 {
-    CandidateGroups groups = groupCandidates(routes, tried, random, now);
+    return pick(routes, usableCandidates(routes, &isAny, true, tried, random, now), random, now);
+}
+
+// Requests of the exposure budget go to the target, so that it gets them under the load of the
+// version in force. A repeated request has failed somewhere and is not risked at the target.
+const Candidate *BackendSelector::selectVersion(const ServiceRoutes &routes,
+                                                const std::vector<BackendName> &tried,
+                                                Random &random, TimePoint now)
+{
+    ExposureBudget &budget = routes.rollout_->budget();
+    const bool mayUseCurrent = budget.mayUseCurrent(now);
+    if (tried.empty() || !mayUseCurrent) {
+        std::vector<const Candidate *> target
+            = usableCandidates(routes, &isOfTarget, !mayUseCurrent, tried, random, now);
+        if (!target.empty() && budget.trySend(now)) {
+            if (const Candidate *candidate = pick(routes, std::move(target), random, now))
+                return candidate;
+        }
+    }
+    if (!mayUseCurrent)
+        return nullptr;
+    const Candidate *candidate = pick(
+        routes, usableCandidates(routes, &isOfCurrent, true, tried, random, now), random, now);
+    // It is counted as running by now, so a report that this host has left the version in force
+    // cannot miss it.
+    if (!candidate || budget.mayUseCurrent(now))
+        return candidate;
+    candidate->stats_->end();
+    return nullptr;
+}
+
+std::vector<const Candidate *> BackendSelector::usableCandidates(
+    const ServiceRoutes &routes, Filter filter, bool mayUseCold,
+    const std::vector<BackendName> &tried, Random &random, TimePoint now)
+{
+    CandidateGroups groups = groupCandidates(routes, filter, tried, random, now);
     const auto total = static_cast<double>(groups.usable_.size() + groups.ejected_.size());
     const bool areTooManyEjected
         = static_cast<double>(groups.ejected_.size()) > kMaxEjectedFraction * total;
@@ -308,8 +365,15 @@
     if (usable.empty())
         usable = groups.ramping_;
     // Other hosts warm these up; they are used only if this host may use no other back end.
-    if (usable.empty() && !groups.hasPermitted_)
+    if (usable.empty() && mayUseCold && !groups.hasPermitted_)
         usable = groups.cold_;
+    return usable;
+}
+
+const Candidate *BackendSelector::pick(const ServiceRoutes &routes,
+                                       std::vector<const Candidate *> usable, Random &random,
+                                       TimePoint now)
+{
     const BalancingStrategy &strategy = strategyFor(routes.service_.balancing_);
     while (!usable.empty()) {
         const std::size_t index = strategy.pick(usable, random, now);
@@ -321,13 +385,15 @@
 }
 
 BackendSelector::CandidateGroups BackendSelector::groupCandidates(
-    const ServiceRoutes &routes, const std::vector<BackendName> &tried, Random &random,
-    TimePoint now)
+    const ServiceRoutes &routes, Filter filter, const std::vector<BackendName> &tried,
+    Random &random, TimePoint now)
 {
     CandidateGroups groups;
     std::size_t choices = 0;
     for (const Candidate &candidate : routes.candidates_) {
-        if (!candidate.takesNewWork_ || contains(tried, candidate.backend_.name_))
+        const bool isCandidate = filter(candidate) && candidate.takesNewWork_
+                                 && !contains(tried, candidate.backend_.name_);
+        if (!isCandidate)
             continue;
         choices += candidate.stats_->room().hasKnownRoom(candidate.maxLoad(),
                                                          candidate.stats_->inFlight(), now)
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pimentostage/backend/RangeCoordinator.h"
+#include "pimentostage/backend/Rollout.h"
 #include "pimentostage/platform/Objects.h"
 #include "pimentostage/sibling/Membership.h"
 
@@ -43,6 +44,7 @@
     std::vector<Address> seeds_;
     MembershipTiming membership_;
     RangeCoordinatorOptions ranges_;
+    RolloutLimits rollout_; ///< of every roll-out; roll-outs are off if its share is 0
 };
 
 } // namespace pimentostage
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -72,6 +72,12 @@
     GrantReply reply;
     reply.result_ = GrantResult::UnknownUnits;
     reply.draining_ = { UnitName("s3") };
+    const ExposureUse use { Incarnation { 77 }, Epoch { 3 }, 4, 120, 6, true };
+    RouteOutcomes outcomes;
+    outcomes.route_ = RouteName("read");
+    outcomes.current_.record(true, 5ms);
+    outcomes.target_.record(false, 5ms);
+    const ExposureLease exposure { Incarnation { 77 }, Epoch { 3 }, 7, 12, 1s, 3s, false };
     return { Hello { self },
              Probe { HostName("a"), HostName("b"), 4, { self }, summary },
              ProbeAck { HostName("a"), HostName("b"), 4, { self, self }, {} },
@@ -91,7 +97,9 @@
              RouterGrantReply { grant.service_, reply },
              LeavingHostsPull {},
              LeavingHosts { { "permits-1" } },
-             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } } };
+             RoomReport { { { 4'000'000'000, 4, 16, 120, false, 80 } } },
+             VersionOutcomeReport { grant.service_, "v2", 3s, use, { outcomes } },
+             ExposureLeases { grant.service_, "v2", 3s, exposure } };
 }
 
 // Guards against the end of the process by a frame of nested arrays: the reader recurses for each
@@ -235,13 +243,28 @@
     contract.rate_ = 10;
     contract.burst_ = 5;
     contract.connections_ = 3;
+    const Rollout rollout { { ServiceName("x"), "v2", 12s }, "c-1" };
+    RolloutState rolloutState;
+    rolloutState.rollout_ = rollout;
+    rolloutState.current_ = "v1";
+    rolloutState.share_ = 0.25;
+    Backend backend;
+    backend.service_ = ServiceName("x");
+    backend.zone_ = ZoneName("z");
+    backend.address_ = Address { "10.0.0.1", 80 };
+    backend.slots_ = 6;
+    backend.connections_ = 110;
+    backend.version_ = "v1";
     return { formatPlacement(placement),
              formatRoleRecord(record),
              formatContract(contract),
              formatZone(Zone {}),
              formatLostHost(LostHost {}),
              formatTeamKey(TeamKey { "k", TeamName("t"), std::string(64, 'a') }),
-             R"({"routes":[{"name":"r"}]})" };
+             R"({"routes":[{"name":"r"}]})",
+             formatRollout(rollout),
+             formatRolloutState(rolloutState),
+             formatBackend(backend) };
 }
 
 TEST(ObjectCodec, AcceptsItsOwnOutput)
@@ -254,6 +277,16 @@
     EXPECT_TRUE(isAccepted({ ObjectKind::LostHost, "x" }, values[4]));
     EXPECT_TRUE(isAccepted({ ObjectKind::TeamKey, "x" }, values[5]));
     EXPECT_TRUE(isAccepted({ ObjectKind::Service, "x" }, values[6]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Rollout, "x" }, values[7]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::RolloutState, "x" }, values[8]));
+    EXPECT_TRUE(isAccepted({ ObjectKind::Backend, "x" }, values[9]));
+}
+
+// Guards against hosts of an earlier release, which reject a field that they do not know: without a
+// version, an entry is written as before.
+TEST(ObjectCodec, ABackEndWithoutAVersionHasNoFieldForIt)
+{
+    EXPECT_EQ(formatBackend(Backend {}).find("version"), std::string::npos);
 }
 
 TEST(ObjectCodec, ReportsEveryInvalidField)
@@ -301,4 +334,22 @@
     RC_ASSERT(!result.errors_.empty());
 }
 
+// Guards against an order that never equals the state that its own roll-out has stored, so that it
+// is rolled back and begun again without end.
+TEST(RolloutCodec, AnOrderEqualsItsStateWhateverFractionsItsDurationHas)
+{
+    for (const char *duration : { "12000.4", "12000.6", "12345", "12001.0000001", "1000.3333" }) {
+        const std::string text = R"({"target":"v2","duration_ms":)" + std::string(duration) + "}";
+        const auto isSame = [&]() -> leaf::result<bool> {
+            BOOST_LEAF_AUTO(order, parseRollout("huts", text));
+            RolloutState state;
+            state.rollout_ = order;
+            BOOST_LEAF_AUTO(stored, parseRolloutState("huts", formatRolloutState(state)));
+            BOOST_LEAF_AUTO(again, parseRollout("huts", formatRollout(order)));
+            return stored.rollout_.isSameOrder(order) && again.isSameOrder(order);
+        };
+        EXPECT_TRUE(valueOr(isSame, [](const Error &) { return false; })) << duration;
+    }
+}
+
 } // namespace
