--- a/src/daemon/RolloutHost.cpp
+++ b/src/daemon/RolloutHost.cpp
@@ -1,6 +1,7 @@
 #include "src/daemon/RolloutHost.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pimentostage {
 
@@ -90,6 +91,8 @@
     if (running_.empty() || now < nextReport_)
         return;
     nextReport_ = now + kReportPeriod;
+    for (auto &[service, running] : running_)
+        logExpiry(service, running, now);
     const auto role = configuration_->roles_.find(kRolloutRole);
     if (role == configuration_->roles_.end())
         return;
@@ -97,6 +100,20 @@
         hosts_.send(role->second.holder_.host_, report(service, running, role->second.epoch_, now));
 }
 
+void RolloutHost::logExpiry(const ServiceName &service, Running &running, TimePoint now)
+{
+    ExposureBudget &budget = running.traffic_->budget();
+    const bool canUseCurrent = budget.mayUseCurrent(now);
+    const bool couldUseCurrent = std::exchange(running.couldUseCurrent_, canUseCurrent);
+    // A report for epoch 0 drops no lease. It tells whether the last lease forbids the version.
+    if (canUseCurrent || !couldUseCurrent || budget.report(Epoch {}).hasLeftCurrent_)
+        return;
+    log_.write(LogLine(Severity::Warning, "rollout-lease-expired")
+                   .add("service", service.str())
+                   .add("target", running.traffic_->target())
+                   .add("host", self_.host_.str()));
+}
+
 // A traffic thread may have chosen a back end of the version in force just before the lease forbade
 // it, so that its request is not counted yet. It is by the next report.
 VersionOutcomeReport RolloutHost::report(const ServiceName &service, Running &running, Epoch holder,
--- a/src/daemon/RolloutHost.h
+++ b/src/daemon/RolloutHost.h
@@ -52,10 +52,13 @@
     {
         Rollout rollout_;
         std::shared_ptr<RolloutTraffic> traffic_;
+        bool couldUseCurrent_ = false; ///< at the last report
         bool wasIdle_ = false; ///< at the last report no request ran at the version in force
     };
 
     void logVersion(const ServiceName &service, const AllowedVersions &versions);
+    /// Logs once when the permission for the version in force has run out without a newer lease.
+    void logExpiry(const ServiceName &service, Running &running, TimePoint now);
     [[nodiscard]] VersionOutcomeReport report(const ServiceName &service, Running &running,
                                               Epoch holder, TimePoint now) const;
     [[nodiscard]] bool isIdleAtCurrent(const ServiceName &service, const std::string &target) const;
--- a/tests/RolloutControlTest.cpp
+++ b/tests/RolloutControlTest.cpp
@@ -211,6 +211,18 @@
     EXPECT_EQ(fleet_.sentTo("v1", 4), formerAtEnd);
 }
 
+// Guards against refused requests whose cause, a lease that has run out, is not in the log.
+TEST_F(RolloutControlTest, AHostOutOfTouchLogsOnceThatItsLeaseHasRunOut)
+{
+    start(kGood);
+    fleet_.run(2s);
+    EXPECT_EQ(fleet_.log().count({ "rollout-lease-expired" }), 0U);
+    fleet_.cut(4, true);
+    fleet_.run(kCurrentLease + 2s);
+    EXPECT_EQ(fleet_.log().count({ "rollout-lease-expired" }), 1U);
+    EXPECT_EQ(fleet_.log().count({ "rollout-lease-expired", "entry-4" }), 1U);
+}
+
 // Guards against a phase that the next holder would not know of: while the store is down, the
 // observation goes on and the switch is not begun.
 TEST_F(RolloutControlTest, SwitchingIsNotBegunWhileTheStoreIsDown)
