--- a/src/daemon/RoomControl.cpp
+++ b/src/daemon/RoomControl.cpp
@@ -10,9 +10,8 @@
 // Siblings to which a host sends in each period. With two, an observation reaches 88 hosts in about
 // four periods.
 constexpr std::size_t kReceivers = 2;
-// Most requests stay in a data centre, and bytes between data centres cost: with receivers from all
-// of them, a deployment of 65 hosts lost 0.03 of its score by these bytes. In one period out of
-// this many, the receivers are of any data centre.
+// Most requests stay in a data centre, and links between data centres are narrow or charged by the
+// byte. In one period out of this many, the receivers are of any data centre.
 constexpr std::uint64_t kLocalPeriods = 8;
 // In a larger fleet an observation takes more periods to spread, and each host gets news of a
 // back end from more of them; the messages are kept fewer, as each costs more than its content.
