Back ends: an answer that is reset during the upload is no answer

What callers saw: a back end answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the request was still being written. The caller got that part as a whole answer, with a Content-Length of the part's size. In the same way a write to the store counted as acknowledged.

Cause: the kernel reports a reset to the first call that asks, once. While a request is written, the event loop performs the pending write before the pending read, so the write got ECONNRESET and the read, after the bytes that had arrived, the end of the stream. onWritten() left errors to the read on the assumption that it reports them too. Without a length, the end of the stream is the end of the answer, so it was complete. With a length or chunks it was not, and after the request had been written the read got the reset itself; these cases were right before.

Fix: the connection keeps the error of its write. If the read then sees the end of the stream, that error is why the connection ended, and the transfer fails like after any reset: it may have run, and an idempotent request is repeated. The write's completion always precedes the read's, which can only see the end of the stream once the write has taken the error; both run on one thread in the order of their completion. All readers of answers use this client: requests, probes, grants and releases, both clients of the store, the command line and the load tool. Frames between hosts carry their length.

Ruled out: taking every error of the write for a reset. Taking the end of the stream during an upload for a break would lose answers that are whole too.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -240,11 +240,21 @@
     if (isClosed_)
         return;
     // An error of the write also ends the pending read, which first delivers the bytes that were
-    // received before it; so only the read reports errors.
+    // received before it; so the transfer ends in onEnd().
+    writeError_ = error;
     if (!error && transfer_)
         transfer_->state_ = AttemptState::Sent;
 }
 
+// The kernel reports the error of a broken connection to one call only. If that is the write, the
+// read sees the end of the stream, as after a regular close. A broken pipe, in contrast, means that
+// the peer had ended its stream before it reset the connection.
+error_code HttpClient::Impl::Connection::endReason(const error_code &readError) const
+{
+    const bool isBroken = writeError_ && writeError_ != asio::error::broken_pipe;
+    return readError == asio::error::eof && isBroken ? writeError_ : readError;
+}
+
 void HttpClient::Impl::Connection::read()
 {
     socket_.async_read_some(buffer_.prepare(kReadSize),
@@ -275,8 +285,9 @@
         read();
 }
 
-void HttpClient::Impl::Connection::onEnd(const error_code &error)
+void HttpClient::Impl::Connection::onEnd(const error_code &readError)
 {
+    const error_code error = endReason(readError);
     error_code parseError;
     if (error == asio::error::eof && parser_->got_some())
         parser_->put_eof(parseError);
@@ -350,7 +361,7 @@
     transfer->connection_.reset();
     // If the answer arrived before the request was completely written, the peer could take the
     // rest of the request for the next one.
-    mustClose_ = mustClose_ || isWriting_ || !parser_->keep_alive();
+    mustClose_ = mustClose_ || isWriting_ || writeError_ || !parser_->keep_alive();
     auto message = parser_->release();
     HttpAnswer answer;
     answer.status_ = static_cast<int>(message.result_int());
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -55,11 +55,16 @@
 
     void onWritten(const boost::system::error_code &error);
 
+    /// @return why the connection has ended, where the pending read failed with @p readError.
+    [[nodiscard]] boost::system::error_code endReason(
+        const boost::system::error_code &readError) const;
+
     void read();
 
     void onRead(const boost::system::error_code &error, std::size_t size);
 
-    void onEnd(const boost::system::error_code &error);
+    /// @param readError the result of the read.
+    void onEnd(const boost::system::error_code &readError);
 
     /// Parses the received bytes.
     /// @return whether the answer is incomplete and more must be read.
@@ -82,6 +87,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::shared_ptr<Transfer> transfer_; ///< nullptr while idle
     std::string outgoing_; ///< head of the request that is being written
+    boost::system::error_code writeError_; ///< if set, the request was not completely written
     TimePoint idleSince_ {};
     TimePoint lastReadAt_ {};
     Duration maxIdleTime_ = std::chrono::hours(1); // until the first answer sets it
--- a/tests/fakes/RawServer.h
+++ b/tests/fakes/RawServer.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/base/Ids.h"
 
+#include <array>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -33,7 +34,8 @@
             beforeNext_ {}; ///< sent on this connection before the reply to its next request
         std::string unrequested_ {}; ///< sent on this connection after unrequestedDelay_
         std::chrono::milliseconds unrequestedDelay_ {};
-        bool resetsConnection_ = false; ///< after the bytes
+        bool endsStream_ = false; ///< sends FIN after the bytes, and reads on
+        bool resetsConnection_ = false; ///< after the bytes, and after FIN if endsStream_ is set
     };
     /// Returns the reply to a request.
     /// @param head request line and headers.
@@ -121,6 +123,8 @@
             const Reply reply = replyTo(head);
             boost::asio::write(socket, boost::asio::buffer(before + reply.bytes_), error);
             before = reply.beforeNext_;
+            if (reply.endsStream_)
+                socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, error);
             if (reply.resetsConnection_) {
                 // The client reads the bytes first; a reset may discard them.
                 std::this_thread::sleep_for(std::chrono::milliseconds(20));
@@ -128,6 +132,8 @@
                 socket.close(error);
                 return error;
             }
+            if (reply.endsStream_)
+                return readToEnd(socket);
             if (reply.closesConnection_ || error)
                 return error;
             if (reply.unrequested_.empty())
@@ -138,6 +144,16 @@
         return error;
     }
 
+    // The requests that a client sends after the end of the stream get no reply.
+    static boost::system::error_code readToEnd(boost::asio::ip::tcp::socket &socket)
+    {
+        std::array<char, 4096> ignored {};
+        boost::system::error_code error;
+        while (!error)
+            socket.read_some(boost::asio::buffer(ignored), error);
+        return error;
+    }
+
     Reply replyTo(const std::string &head)
     {
         const std::lock_guard lock(mutex_);
