Back ends: an answer with a folded line in its head is no answer

What callers saw: a back end in trouble sent an answer in whose head the name of a field began with a blank. The caller got 200 with that line at the end of the value before it. If the line was the one that frames the body, the caller got another body than the back end's: the chunks' sizes as content, or all bytes until the end of the connection.

Cause: a line that begins with white space continues the field before it (RFC 9112, 5.2, obsolete), and Beast's parser joins the two, as the RFC permits a proxy to do. Nothing tells such a line from a field with a malformed name. The parser does the same in the trailer of a chunked body, whose fields are passed on too. Blanks and control bytes within or at the end of a name, and control bytes at its beginning, it rejects.

Fix: HttpClient checks the lines of a head before the parser gets them, and those of a trailer when the parser has the whole of it and has read none of its fields. The parser consumes whole fields and looks at the byte behind a line's end first, so what is left in the buffer always begins with a line, however the head arrives in parts. Such an answer fails like one that is not HTTP: the request may have run, an idempotent one is repeated. The RFC permits this as well, with 502. All readers of answers use this client.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <string_view>
 
 #include <boost/asio/write.hpp>
 
@@ -17,6 +18,7 @@
 using tcp = asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr std::size_t kReadSize = 8192; // bytes; most answers fit into a single read
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
 // A back end sends one or two before an answer.
@@ -45,6 +47,29 @@
     return hasBody ? "an interim answer has a body" : nullptr;
 }
 
+std::string_view textOf(const beast::flat_buffer &buffer)
+{
+    return { static_cast<const char *>(buffer.data().data()), buffer.size() };
+}
+
+/// Checks the lines of a head or trailer. The parser appends a line that begins with white space to
+/// the value before it (RFC 9112, 5.2), so that a field whose name begins with a blank, perhaps the
+/// one that frames the body, would be passed on as a part of another.
+/// @param lines from the beginning of one, at most to the empty one and what follows it.
+/// @return whether one of them begins with white space.
+bool hasFoldedLine(std::string_view lines)
+{
+    while (!lines.empty() && lines.front() != kLineEnd.front()) {
+        if (lines.front() == ' ' || lines.front() == '\t')
+            return true;
+        const std::size_t end = lines.find(kLineEnd);
+        if (end == std::string_view::npos)
+            return false;
+        lines.remove_prefix(end + kLineEnd.size());
+    }
+    return false;
+}
+
 /// @return the idle timeout in the Keep-Alive header of @p answer, or std::nullopt.
 std::optional<Duration> announcedIdleTime(const HttpAnswer &answer)
 {
@@ -186,6 +211,7 @@
     parser_->header_limit(kMaxHeaderBytes);
     parser_->body_limit(client_->options_.maxAnswerBytes_);
     parser_->skip(transfer_->request_.method_ == "HEAD");
+    parser_->on_chunk_header(checkTrailer_);
 }
 
 void HttpClient::Impl::Connection::writeRequest()
@@ -305,9 +331,26 @@
          isTruncated ? ErrorCode::Mismatch : unread, error.message());
 }
 
+void HttpClient::Impl::Connection::TrailerCheck::operator()(std::uint64_t size,
+                                                            beast::string_view extensions,
+                                                            error_code &error) const
+{
+    if (size > 0)
+        return;
+    const std::string_view received = textOf(buffer_);
+    const auto begin = static_cast<std::size_t>(extensions.end() - received.data());
+    if (hasFoldedLine(received.substr(begin + kLineEnd.size())))
+        error = http::error::bad_field;
+}
+
 bool HttpClient::Impl::Connection::parse()
 {
     while (buffer_.size() > 0) {
+        if (!parser_->is_header_done() && hasFoldedLine(textOf(buffer_))) {
+            fail(Step::CheckAnswer, ErrorCode::Malformed,
+                 "a line of the head begins with white space");
+            return false;
+        }
         error_code error;
         buffer_.consume(parser_->put(buffer_.data(), error));
         // The parser does not limit chunk extensions and trailers, of which it consumes nothing
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -2,11 +2,13 @@
 
 #include "src/base/HttpClientImpl.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -41,6 +43,18 @@
     void close();
 
 private:
+    /// Rejects folded lines in the trailer of a chunked body.
+    struct TrailerCheck
+    {
+        /// @param size of the chunk; 0 for the last one, which the trailer follows.
+        /// @param extensions those of the chunk, in buffer_.
+        /// @param error set if a line of the trailer is folded.
+        void operator()(std::uint64_t size, boost::beast::string_view extensions,
+                        boost::system::error_code &error) const;
+
+        const boost::beast::flat_buffer &buffer_; ///< contains the whole trailer
+    };
+
     /// @return whether the peer has sent bytes that were not read yet, or has closed.
     [[nodiscard]] bool hasUnreadInput();
 
@@ -84,6 +98,7 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
+    TrailerCheck checkTrailer_ { buffer_ }; ///< the parser calls it
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::shared_ptr<Transfer> transfer_; ///< nullptr while idle
     std::string outgoing_; ///< head of the request that is being written
