Siblings: a test that a part of a frame is no message

The reports of broken answers ask for each place where answers are read. Hosts send each other frames with a length; a connection that ends or is reset within one must not deliver it. No change of the product.

--- a/tests/SiblingListenerTest.cpp
+++ b/tests/SiblingListenerTest.cpp
@@ -228,3 +228,30 @@
     const std::size_t after = residentBytes();
     EXPECT_LT(after - std::min(after, before), kMaxGrowthBytes) << "bytes grown";
 }
+
+// Guards against a message that is read from a part of its frame.
+TEST_F(SiblingListenerTest, APartOfAFrameIsNotReceived)
+{
+    LeavingHosts sent;
+    sent.names_ = { "leaving" };
+    const std::vector<std::uint8_t> frame = encodeFrame(sent);
+    std::uint64_t frames = 0;
+    for (std::size_t size = 0; size < frame.size(); ++size) {
+        for (const bool isReset : { false, true }) {
+            Tcp::socket socket(context_);
+            socket.connect(endpoint_);
+            asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+            asio::write(socket, asio::buffer(frame.data(), size));
+            waitForFrames(++frames);
+            if (isReset)
+                socket.set_option(asio::socket_base::linger(true, 0));
+        }
+    }
+    EXPECT_FALSE(hasReceived_);
+    Tcp::socket socket(context_);
+    socket.connect(endpoint_);
+    asio::write(socket, asio::buffer(encodeFrame(Hello {})));
+    asio::write(socket, asio::buffer(frame));
+    waitForFrames(frames + 2);
+    EXPECT_TRUE(hasReceived_);
+}
