Tests: one long body and one probe for the tests of broken answers

Read-through of the change. Three tests sent a probe with lines of their own, two had the same long body; both are functions beside TroubledService now. The checks are the same. Two comments of HttpClientConnection say when the trailer is checked and what is not.

--- a/src/base/HttpClientConnection.cpp
+++ b/src/base/HttpClientConnection.cpp
@@ -55,7 +55,7 @@
 /// Checks the lines of a head or trailer. The parser appends a line that begins with white space to
 /// the value before it (RFC 9112, 5.2), so that a field whose name begins with a blank, perhaps the
 /// one that frames the body, would be passed on as a part of another.
-/// @param lines from the beginning of one, at most to the empty one and what follows it.
+/// @param lines begins with a line; what follows an empty line is not checked.
 /// @return whether one of them begins with white space.
 bool hasFoldedLine(std::string_view lines)
 {
--- a/src/base/HttpClientConnection.h
+++ b/src/base/HttpClientConnection.h
@@ -43,7 +43,8 @@
     void close();
 
 private:
-    /// Rejects folded lines in the trailer of a chunked body.
+    /// Rejects folded lines in the trailer of a chunked body. The parser calls it when it has the
+    /// whole trailer and before it reads the fields.
     struct TrailerCheck
     {
         /// @param size of the chunk; 0 for the last one, which the trailer follows.
@@ -98,7 +99,7 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     boost::beast::flat_buffer buffer_;
-    TrailerCheck checkTrailer_ { buffer_ }; ///< the parser calls it
+    TrailerCheck checkTrailer_ { buffer_ }; ///< must outlive parser_
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
     std::shared_ptr<Transfer> transfer_; ///< nullptr while idle
     std::string outgoing_; ///< head of the request that is being written
--- a/tests/AnswerHeadTest.cpp
+++ b/tests/AnswerHeadTest.cpp
@@ -1,11 +1,7 @@
-#include "src/backend/HttpBackendLink.h"
-#include "src/base/EventLoop.h"
 #include "src/base/HttpClient.h"
 #include "tests/fakes/RawServer.h"
 #include "tests/fakes/TroubledService.h"
 
-#include <future>
-#include <memory>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -15,9 +11,6 @@
 
 namespace {
 
-/// More than the socket buffers of both ends take.
-constexpr std::size_t kUploadBytes = std::size_t { 16 } << 20U;
-
 const std::string kStatusLine = "HTTP/1.1 200 OK\r\n";
 
 /// Has lines that would not be allowed in a head.
@@ -137,12 +130,11 @@
 
 TEST(AnswerHead, WithAMalformedLineIsAFailureDuringTheUpload)
 {
-    const SharedBody upload = sharedBody(std::string(kUploadBytes, 'x'));
     for (const char *line : { " Content-Length: 2", "X Name: 1", "X-Name\x01: 1" }) {
         for (const Framing &framing : kFramings) {
             const HttpResult result = resultOf(
                 { kStatusLine + framing.header_ + line + "\r\n\r\n" + framing.body_, true },
-                upload);
+                longBody());
             EXPECT_FALSE(result.answer_) << line;
             EXPECT_EQ(outcomeOf(result.state_), Outcome::Unknown) << line;
         }
@@ -206,16 +198,7 @@
         RawServer server([&](const std::string &, int) {
             return RawServer::Reply { kStatusLine + line + "\r\nContent-Length: 0\r\n\r\n", true };
         });
-        EventLoop loop("probes");
-        auto link = std::make_unique<HttpBackendLink>(loop);
-        std::promise<bool> isAlive;
-        loop.post([&] {
-            link->probe(Address { "127.0.0.1", portOf(server) },
-                        [&](bool answered) { isAlive.set_value(answered); });
-        });
-        EXPECT_FALSE(isAlive.get_future().get()) << line;
-        link.reset();
-        loop.run([] {}); // by then the link has closed its connections
+        EXPECT_FALSE(answersProbe(server)) << line;
     }
 }
 
--- a/tests/BrokenAnswerTest.cpp
+++ b/tests/BrokenAnswerTest.cpp
@@ -1,5 +1,4 @@
 #include "platform/BackendWire.h"
-#include "src/backend/HttpBackendLink.h"
 #include "src/backend/HttpRangeLink.h"
 #include "src/base/EventLoop.h"
 #include "src/base/HttpClient.h"
@@ -41,16 +40,6 @@
     };
 }
 
-/// More than the socket buffers of both ends take, so that the request is still being written when
-/// its answer arrives.
-constexpr std::size_t kUploadBytes = std::size_t { 16 } << 20U;
-
-SharedBody upload()
-{
-    static const SharedBody body = sharedBody(std::string(kUploadBytes, 'x'));
-    return body;
-}
-
 /// What the client's thread does while the answer arrives and the connection breaks.
 enum class ClientThread { Waits, IsBusy };
 
@@ -144,7 +133,7 @@
         parts.push_back(head + body);
     for (const std::string &sent : parts) {
         for (const ClientThread thread : { ClientThread::Waits, ClientThread::IsBusy }) {
-            const HttpResult result = resultOf(thenReset(sent), upload(), thread);
+            const HttpResult result = resultOf(thenReset(sent), longBody(), thread);
             EXPECT_FALSE(result.answer_) << "after " << sent.size() << " bytes";
             EXPECT_EQ(outcomeOf(result.state_), Outcome::Unknown);
         }
@@ -159,7 +148,7 @@
             RawServer::Reply reply { GetParam().head_ + GetParam().body_ };
             reply.endsStream_ = true;
             reply.resetsConnection_ = isReset;
-            const HttpResult result = resultOf(reply, upload(), thread);
+            const HttpResult result = resultOf(reply, longBody(), thread);
             ASSERT_TRUE(result.answer_) << result.error_->describe();
             EXPECT_EQ(result.answer_->body_, "12345678");
         }
@@ -171,7 +160,7 @@
 
 TEST(ResetAnswer, OfABackEndDoesNotReachACaller)
 {
-    for (const SharedBody &body : { SharedBody(), upload() }) {
+    for (const SharedBody &body : { SharedBody(), longBody() }) {
         SCOPED_TRACE(body ? "during the upload" : "after the request");
         expectNoReplyReachesACaller(
             [](const std::string &head, int) {
@@ -184,7 +173,7 @@
 // Guards against a write that counts as acknowledged although its reply broke off.
 TEST(ResetAnswer, OfTheStoreAcknowledgesNoWrite)
 {
-    for (const std::size_t size : { std::size_t { 10 }, kUploadBytes }) {
+    for (const std::string &value : { std::string("short"), *longBody() }) {
         RawServer server(
             [](const std::string &, int) { return resetAnswer("", R"({"version":7})"); });
         StoreClientOptions options;
@@ -194,11 +183,11 @@
         StoreClient store(
             options, [](const std::function<void()> &task) { task(); }, metrics);
         std::promise<bool> isAcknowledged;
-        store.put({ ObjectKind::Contract, "c" }, std::string(size, 'x'), Version { 6 },
+        store.put({ ObjectKind::Contract, "c" }, value, Version { 6 },
                   [&](const Reply<WriteResult> &reply) {
                       isAcknowledged.set_value(std::holds_alternative<WriteResult>(reply));
                   });
-        EXPECT_FALSE(isAcknowledged.get_future().get()) << size;
+        EXPECT_FALSE(isAcknowledged.get_future().get()) << value.size();
     }
 }
 
@@ -207,24 +196,20 @@
 TEST(ResetAnswer, OfABackEndConfirmsNothing)
 {
     RawServer server([](const std::string &, int) { return resetAnswer("", ""); });
+    EXPECT_FALSE(answersProbe(server));
     const Address address { "127.0.0.1", portOf(server) };
-    EventLoop loop("links");
-    auto probes = std::make_unique<HttpBackendLink>(loop);
-    auto orders = std::make_unique<HttpRangeLink>(loop, platform::rangeProtocol());
-    std::promise<bool> isAlive;
+    EventLoop loop("ranges");
+    auto link = std::make_unique<HttpRangeLink>(loop, platform::rangeProtocol());
     std::promise<RangeOutcome> grant;
     std::promise<RangeOutcome> release;
     loop.post([&] {
-        probes->probe(address, [&](bool answered) { isAlive.set_value(answered); });
-        orders->grant(address, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
-                      [&](const RangeReply &reply) { grant.set_value(reply.outcome_); });
-        orders->release(address, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
-                        [&](const RangeReply &reply) { release.set_value(reply.outcome_); });
+        link->grant(address, RangeGrantOrder { { 0, 9 }, Epoch { 1 }, 1s, "" }, 0,
+                    [&](const RangeReply &reply) { grant.set_value(reply.outcome_); });
+        link->release(address, RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
+                      [&](const RangeReply &reply) { release.set_value(reply.outcome_); });
     });
-    EXPECT_FALSE(isAlive.get_future().get());
     EXPECT_EQ(grant.get_future().get(), RangeOutcome::Broken);
     EXPECT_EQ(release.get_future().get(), RangeOutcome::Broken);
-    probes.reset();
-    orders.reset();
-    loop.run([] {}); // by then the links have closed their connections
+    link.reset();
+    loop.run([] {}); // by then the link has closed its connections
 }
--- a/tests/StatusLineTest.cpp
+++ b/tests/StatusLineTest.cpp
@@ -1,11 +1,7 @@
-#include "src/backend/HttpBackendLink.h"
-#include "src/base/EventLoop.h"
 #include "src/base/HttpClient.h"
 #include "tests/fakes/RawServer.h"
 #include "tests/fakes/TroubledService.h"
 
-#include <future>
-#include <memory>
 #include <string>
 
 #include <gtest/gtest.h>
@@ -117,16 +113,7 @@
         RawServer server([&](const std::string &head, int) {
             return RawServer::Reply { answerWith(row.line_, head, Framing::EndOfConnection), true };
         });
-        EventLoop loop("probes");
-        auto link = std::make_unique<HttpBackendLink>(loop);
-        std::promise<bool> isAlive;
-        loop.post([&] {
-            link->probe(Address { "127.0.0.1", portOf(server) },
-                        [&](bool answered) { isAlive.set_value(answered); });
-        });
-        EXPECT_EQ(isAlive.get_future().get(), row.expected_ == Expected::Answer) << row.line_;
-        link.reset();
-        loop.run([] {}); // by then the link has closed its connections
+        EXPECT_EQ(answersProbe(server), row.expected_ == Expected::Answer) << row.line_;
     }
 }
 
--- a/tests/fakes/TroubledService.cpp
+++ b/tests/fakes/TroubledService.cpp
@@ -1,6 +1,8 @@
 #include "tests/fakes/TroubledService.h"
 
 #include "platform/BackendWire.h"
+#include "src/backend/HttpBackendLink.h"
+#include "src/base/EventLoop.h"
 
 #include <future>
 #include <utility>
@@ -13,6 +15,7 @@
 namespace {
 
 constexpr int kOk = 200;
+constexpr std::size_t kLongBodyBytes = std::size_t { 16 } << 20U;
 
 /// @return the value of @p header in the head of a request, or "" if there is none.
 std::string valueIn(const std::string &head, const std::string &header)
@@ -51,6 +54,27 @@
     return static_cast<std::uint16_t>(std::stoi(url.substr(url.rfind(':') + 1)));
 }
 
+SharedBody longBody()
+{
+    static const SharedBody body = sharedBody(std::string(kLongBodyBytes, 'x'));
+    return body;
+}
+
+bool answersProbe(const RawServer &server)
+{
+    EventLoop loop("probes");
+    auto link = std::make_unique<HttpBackendLink>(loop);
+    std::promise<bool> isAlive;
+    loop.post([&] {
+        link->probe(Address { "127.0.0.1", portOf(server) },
+                    [&](bool answered) { isAlive.set_value(answered); });
+    });
+    const bool result = isAlive.get_future().get();
+    link.reset();
+    loop.run([] {}); // by then the link has closed its connections
+    return result;
+}
+
 TroubledService::TroubledService(RawServer::ReplyFunction troubled)
     : troubled_(std::move(troubled))
     , good_(goodReply)
--- a/tests/fakes/TroubledService.h
+++ b/tests/fakes/TroubledService.h
@@ -16,6 +16,14 @@
 /// @return the port of @p server.
 std::uint16_t portOf(const RawServer &server);
 
+/// @return a body that is larger than the socket buffers of both ends, so that a request with it is
+///         still being written when its answer arrives.
+SharedBody longBody();
+
+/// Sends a health probe to a back end.
+/// @return whether @p server counts as alive.
+bool answersProbe(const RawServer &server);
+
 /// A client of a service with two back ends, of which one is in trouble.
 class TroubledService
 {
