Back ends: a success without the back end's proof is no answer

Cause: an answer was judged by its framing, status and request id. The adapter did not read the header by which a back end proves that it made the answer, so a well-formed answer of anyone else passed.

Evidence: the spoiled answers differ from sound ones in nothing that was checked.

--- a/src/backend/RequestExecution.cpp
+++ b/src/backend/RequestExecution.cpp
@@ -20,6 +20,7 @@
         return GiveUpReason::DeadlinePassed;
     case AttemptFailure::Broken:
     case AttemptFailure::Mismatched:
+    case AttemptFailure::Unproven:
         return GiveUpReason::AnswerBroken;
     case AttemptFailure::Gone:
     case AttemptFailure::Shed:
