Data centres: back ends count as cold after a return until they have reported

Cause: a host takes a back end for warm until its entry says otherwise, and the entry is written with the back end's next report: after the return, and later after an outage of the store.

Why this works: from the return on each host keeps to its part of the cold rate (ZoneReturns, ColdStart::presume()), until the store has confirmed the entries at a time by which each back end has reported or counts as gone. If the host's knowledge of back ends passes its age limit meanwhile, reports may be held up as well and the wait begins anew.

Warm back ends get the cold rate for about 3.5 s after a return.

--- a/include/pimentostage/backend/ColdStart.h
+++ b/include/pimentostage/backend/ColdStart.h
@@ -19,6 +19,13 @@
     ///        that they do not all send their first request at the same time.
     void begin(TimePoint until, double rate, double phase, TimePoint now);
 
+    /// Counts the back end as cold until endPresumption(), because nothing tells yet whether it is.
+    /// @param rate,phase as in begin().
+    void presume(double rate, double phase, TimePoint now);
+    /// Ends presume(); a cold start that has begun meanwhile continues.
+    void endPresumption();
+
+    /// @return whether it is cold, or presumed to be.
     [[nodiscard]] bool isCold(TimePoint now) const;
     /// @return whether a request may be sent at @p now: the back end is warm or the rate allows it.
     [[nodiscard]] bool hasCapacity(TimePoint now) const;
@@ -27,10 +34,14 @@
     bool tryAcquire(TimePoint now);
 
 private:
+    [[nodiscard]] bool isLimited(TimePoint now) const { return isPresumed_ || now < until_; }
+    /// Sets the rate, and the tokens too if no limit applies yet.
+    void limit(double rate, double phase, TimePoint now);
     [[nodiscard]] double tokens(TimePoint now) const;
 
     mutable std::mutex mutex_;
     TimePoint until_ {};
+    bool isPresumed_ = false;
     double rate_ = 0;
     double tokens_ = 0;
     TimePoint updatedAt_ {};
--- a/include/pimentostage/backend/RoutingTable.h
+++ b/include/pimentostage/backend/RoutingTable.h
@@ -116,6 +116,7 @@
     /// Of the services without keys whose roll-outs run.
     std::map<ServiceName, std::shared_ptr<RolloutTraffic>> rollouts_;
     std::map<ZoneName, TimePoint> zoneReturnedAt_; ///< when data centres returned to service
+    std::set<ZoneName> presumedColdZones_; ///< whose back ends count as cold
     Incarnation router_; ///< of this entry host
     std::size_t entryHosts_ = 1; ///< number of entry hosts that share the back ends' connections
     ZoneName zone_; ///< of this entry host
--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -56,6 +56,7 @@
     Duration controlWithdrawalDeadline_ {}; ///< zero for none
     Duration controlLeaveDeadline_ = std::chrono::seconds(2);
     Duration controlEvacuationDeadline_ = std::chrono::seconds(5);
+    Duration controlBackendReportPeriod_ = std::chrono::seconds(1);
     bool controlMajorityConfirms_ = true;
 
     std::string platformUrl_;
--- a/src/backend/ColdStart.cpp
+++ b/src/backend/ColdStart.cpp
@@ -11,23 +11,40 @@
 
 } // namespace
 
-void ColdStart::begin(TimePoint until, double rate, double phase, TimePoint now)
+// A repeated announcement of the current cold start keeps its tokens.
+void ColdStart::limit(double rate, double phase, TimePoint now)
 {
-    const std::lock_guard lock(mutex_);
-    // A repeated announcement of the current cold start keeps its tokens.
-    const bool isNew = now >= until_;
-    if (isNew) {
+    if (!isLimited(now)) {
         tokens_ = phase;
         updatedAt_ = now;
     }
-    until_ = until;
     rate_ = rate;
 }
 
+void ColdStart::begin(TimePoint until, double rate, double phase, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    limit(rate, phase, now);
+    until_ = until;
+}
+
+void ColdStart::presume(double rate, double phase, TimePoint now)
+{
+    const std::lock_guard lock(mutex_);
+    limit(rate, phase, now);
+    isPresumed_ = true;
+}
+
+void ColdStart::endPresumption()
+{
+    const std::lock_guard lock(mutex_);
+    isPresumed_ = false;
+}
+
 bool ColdStart::isCold(TimePoint now) const
 {
     const std::lock_guard lock(mutex_);
-    return now < until_;
+    return isLimited(now);
 }
 
 double ColdStart::tokens(TimePoint now) const
@@ -38,13 +55,13 @@
 bool ColdStart::hasCapacity(TimePoint now) const
 {
     const std::lock_guard lock(mutex_);
-    return now >= until_ || tokens(now) >= 1;
+    return !isLimited(now) || tokens(now) >= 1;
 }
 
 bool ColdStart::tryAcquire(TimePoint now)
 {
     const std::lock_guard lock(mutex_);
-    if (now >= until_)
+    if (!isLimited(now))
         return true;
     const double left = tokens(now);
     if (left < 1)
--- a/src/backend/RoutingTable.cpp
+++ b/src/backend/RoutingTable.cpp
@@ -49,6 +49,25 @@
     return std::max(1U, maxConnections / hosts);
 }
 
+/// Limits the requests to a back end that is cold, or counts as cold, to this host's part of the
+/// rate that it supports.
+/// @param startsCold whether its entry announces a cold start.
+void limitColdStart(ColdStart &coldStart, bool startsCold, const Backend &backend,
+                    const Service &service, const FleetState &fleet, TimePoint now)
+{
+    const double rate = service.coldRate_ / static_cast<double>(fleet.entryHosts_);
+    const std::uint64_t hash
+        = hash64(backend.name_.str() + '/' + std::to_string(fleet.router_.value_));
+    const double phase = std::ldexp(static_cast<double>(hash), -64);
+    const bool hasColdRate = service.coldRate_ > 0;
+    if (hasColdRate && startsCold)
+        coldStart.begin(now + backend.coldFor_, rate, phase, now);
+    if (hasColdRate && fleet.presumedColdZones_.contains(backend.zone_))
+        coldStart.presume(rate, phase, now);
+    else
+        coldStart.endPresumption();
+}
+
 } // namespace
 
 bool Candidate::hasCapacity(TimePoint now) const
@@ -210,13 +229,7 @@
     const bool startsCold = backend.coldFor_ > Duration::zero()
                             && (isOtherProcess || record.coldFor_ != backend.coldFor_)
                             && (isLatest || !record.stats_->coldStart().isCold(now));
-    if (startsCold && service.coldRate_ > 0) {
-        const double rate = service.coldRate_ / static_cast<double>(fleet.entryHosts_);
-        const std::uint64_t hash
-            = hash64(backend.name_.str() + '/' + std::to_string(fleet.router_.value_));
-        record.stats_->coldStart().begin(now + backend.coldFor_, rate,
-                                         std::ldexp(static_cast<double>(hash), -64), now);
-    }
+    limitColdStart(record.stats_->coldStart(), startsCold, backend, service, fleet, now);
     record.incarnation_ = backend.incarnation_;
     record.latest_ = std::max(record.latest_, backend.incarnation_);
     record.coldFor_ = backend.coldFor_;
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -21,6 +21,8 @@
 // How long a confirmation by a majority remains valid: the control thread renews it with every
 // tick, so that it expires only if that thread has stalled for this long.
 constexpr Duration kMajorityConfirmationLifetime = std::chrono::milliseconds(500);
+// A back end that has sent no report for this many periods counts as gone.
+constexpr int kReportsUntilKnown = 3;
 constexpr const char *kRegistrationRole = "registrations";
 constexpr Duration kGaugePeriod = std::chrono::seconds(1);
 
@@ -83,6 +85,7 @@
     , addressing_(addressingOf(ports.store_))
     , configValidity_(std::make_shared<ConfigValidity>(options_.changeDeadline_))
     , config_(confirmedKinds(ports.store_), options_.teamsRule_)
+    , zoneReturns_(kReportsUntilKnown * options_.backendReportPeriod_, options_.maxBackendsAge_)
     , random_(seedFor(ports.seed_, RandomStream::Hosts))
     , routers_(self_.member_.host_, siblings_,
                [this](const SiblingMessage &message) {
@@ -404,6 +407,7 @@
     room_.tick(now);
     expireWarmups(now);
     reportKeyLoads(now);
+    settleReturnedZones(now);
     if (const auto age = config_.age(now)) {
         configValidity_->setValidUntil(configValidUntil(*age, now));
         configValidity_->setConfirmedAt(now - *age);
@@ -522,20 +526,42 @@
         const bool hasReturned = previous != zoneStates_.end() && previous->second == ZoneState::Out
                                  && zone.state_ == ZoneState::In;
         if (hasReturned)
-            fleetState_.zoneReturnedAt_[name] = now;
+            onZoneReturn(name, now);
         zoneStates_[name] = zone.state_;
     }
     // A data centre whose object was deleted is in again.
     for (auto &[name, state] : zoneStates_) {
         if (state == ZoneState::In || configuration.zones_.contains(name))
             continue;
-        fleetState_.zoneReturnedAt_[name] = now;
+        onZoneReturn(name, now);
         state = ZoneState::In;
     }
 }
 
+void ControlCore::onZoneReturn(const ZoneName &zone, TimePoint now)
+{
+    fleetState_.zoneReturnedAt_[zone] = now;
+    zoneReturns_.onReturn(zone, now);
+    log_.write(LogLine(Severity::Info, "zone-returned").add("zone", zone.str()));
+}
+
+void ControlCore::settleReturnedZones(TimePoint now)
+{
+    const std::vector<ZoneName> settled
+        = zoneReturns_.update(config_.age(now, KnowledgeArea::Backends), now);
+    for (const ZoneName &zone : settled) {
+        log_.write(
+            LogLine(Severity::Info, "zone-settled")
+                .add("zone", zone.str())
+                .add("after_ms", toMilliseconds(now - fleetState_.zoneReturnedAt_.at(zone))));
+    }
+    if (!settled.empty())
+        publish(now);
+}
+
 void ControlCore::publish(TimePoint now)
 {
+    fleetState_.presumedColdZones_ = zoneReturns_.awaited();
     auto view = std::make_shared<TrafficView>();
     view->configuration_ = config_.configuration();
     view->routing_ = tableBuilder_.build(*view->configuration_, fleetState_, now);
--- a/src/daemon/ControlCore.h
+++ b/src/daemon/ControlCore.h
@@ -2,6 +2,7 @@
 
 #include "pimentostage/backend/BackendLink.h"
 #include "pimentostage/backend/RangeLink.h"
+#include "pimentostage/backend/ZoneReturns.h"
 #include "pimentostage/base/Clock.h"
 #include "pimentostage/base/Log.h"
 #include "pimentostage/base/MetricRegistry.h"
@@ -108,6 +109,8 @@
     void publish(TimePoint now);
     void updateRouters();
     void trackZones(const Configuration &configuration, TimePoint now);
+    void onZoneReturn(const ZoneName &zone, TimePoint now);
+    void settleReturnedZones(TimePoint now);
     void updateGauges(TimePoint now);
     void maintainRegistrations(const Configuration &configuration, TimePoint now);
     [[nodiscard]] Readiness readinessAt(const Configuration &configuration, TimePoint now) const;
@@ -138,6 +141,7 @@
     std::set<BackendName> coldBackends_; ///< whose cold start has begun; may have ended since
     FleetState fleetState_;
     std::map<ZoneName, ZoneState> zoneStates_;
+    ZoneReturns zoneReturns_;
     LocalTokenBuckets tokenBuckets_;
     Random random_;
     std::vector<ListedHost> hosts_;
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -38,6 +38,8 @@
     Duration maxBackendsAge_ = std::chrono::milliseconds(1700);
     /// As readerSilence_, for data centres: one that is taken out gets no requests after 5 s.
     Duration maxZonesAge_ = std::chrono::milliseconds(4250);
+    /// Period at which back ends report their state to the store.
+    Duration backendReportPeriod_ = std::chrono::seconds(1);
     /// Whether hosts send each other their observations of back ends that report their load.
     bool sharesRoom_ = true;
     /// Siblings' addresses that are probed until another host is in the view.
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -44,6 +44,7 @@
     options.readerSilence_ = readerSilenceOf(settings);
     options.maxBackendsAge_ = maxBackendsAgeOf(settings);
     options.maxZonesAge_ = maxZonesAgeOf(settings);
+    options.backendReportPeriod_ = settings.controlBackendReportPeriod_;
     options.sharesRoom_ = settings.siblingShareRoom_;
     options.majorityConfirms_ = settings.controlMajorityConfirms_;
     options.membership_.probePeriod_ = settings.siblingProbePeriod_;
--- a/tests/ColdStartTest.cpp
+++ b/tests/ColdStartTest.cpp
@@ -64,4 +64,30 @@
     EXPECT_TRUE(start.tryAcquire(kNow + 1s));
 }
 
+// Guards against a cold start that is lost when the wait for its announcement ends, and against
+// tokens for each announcement.
+TEST(ColdStart, ThatWasPresumedContinuesOnceItIsAnnounced)
+{
+    ColdStart start;
+    start.presume(1, 1, kNow);
+    EXPECT_TRUE(start.tryAcquire(kNow));
+    start.presume(1, 1, kNow + 100ms);
+    start.begin(kNow + 3s, 1, 1, kNow + 200ms);
+    EXPECT_FALSE(start.tryAcquire(kNow + 200ms));
+    start.endPresumption();
+    EXPECT_TRUE(start.isCold(kNow + 300ms));
+    EXPECT_FALSE(start.hasCapacity(kNow + 300ms));
+    EXPECT_FALSE(start.isCold(kNow + 3s));
+}
+
+TEST(ColdStart, ThatWasPresumedEndsWithThePresumption)
+{
+    ColdStart start;
+    start.presume(1, 0, kNow);
+    EXPECT_TRUE(start.isCold(kNow + 1h)) << "it has no time limit of its own";
+    EXPECT_FALSE(start.hasCapacity(kNow + 900ms));
+    start.endPresumption();
+    EXPECT_TRUE(start.hasCapacity(kNow + 900ms));
+}
+
 } // namespace
--- a/tests/RejectedVersionFleetTest.cpp
+++ b/tests/RejectedVersionFleetTest.cpp
@@ -16,34 +16,6 @@
 const char *const kGoodCatalogue = R"({"services":[{"name":"huts"}],
     "routes":[{"name":"r1","host":"a.example","services":[{"name":"huts"}]}]})";
 
-std::vector<StoreFeed> platformFeeds()
-{
-    return {
-        { { ObjectKind::Catalogue }, 500ms, {}, true },
-        { { ObjectKind::Backend }, 15s, 150ms, false },
-        { { ObjectKind::Zone }, 15s, {}, false },
-        { { ObjectKind::Role, ObjectKind::RangePlacement, ObjectKind::EntryHost }, 5s, 1s, false }
-    };
-}
-
-/// @return the options that deploy/settings.ini gives to a deployment without teams.
-ControlOptions platformOptions()
-{
-    ControlOptions options;
-    options.tick_ = 40ms;
-    options.accountGroups_ = 0;
-    options.changeDeadline_ = kChangeDeadline;
-    options.majorityConfirms_ = false;
-    options.readers_ = 2;
-    options.isFirstStart_ = true;
-    options.readerSilence_ = fromSeconds(0.85 * toSeconds(kChangeDeadline));
-    options.membership_.probePeriod_ = 400ms;
-    options.membership_.directTimeout_ = 150ms;
-    options.membership_.indirectTimeout_ = 150ms;
-    options.membership_.suspicionTimeout_ = 300ms;
-    return options;
-}
-
 /// Runs @p fleet while the entry of some back end changes every 200 ms: each change ends a watch.
 void runWithChanges(FeedFleet &fleet, Duration duration)
 {
@@ -82,7 +54,7 @@
 TEST(RejectedVersionFleet, AFirstOneDoesNotMakeEachHostReadTheStore)
 {
     constexpr int kMaxCalls = 1760; // 20 for each host in 30 s
-    FeedFleet fleet(kHosts, platformFeeds(), platformOptions());
+    FeedFleet fleet(kHosts, platformFeeds(), platformOptions(kChangeDeadline));
     fleet.store().set(kCatalogue, kBadCatalogue);
     runWithChanges(fleet, 30s);
     EXPECT_LE(fleet.store().calls(), kMaxCalls) << callsOf(fleet.store());
@@ -108,7 +80,7 @@
     constexpr int kMaxCallsToReadIt
         = kHosts * 40; // a host reads and watches four feeds for seconds
     constexpr int kMaxCallsAfterwards = 1760; // as with a first one
-    FeedFleet fleet(kHosts, platformFeeds(), platformOptions());
+    FeedFleet fleet(kHosts, platformFeeds(), platformOptions(kChangeDeadline));
     fleet.store().set(kCatalogue, kGoodCatalogue);
     runWithChanges(fleet, 15s);
     EXPECT_EQ(fleet.count(&isReady), kHosts);
--- a/tests/fakes/FeedFleet.h
+++ b/tests/fakes/FeedFleet.h
@@ -13,6 +13,38 @@
 
 namespace pimentostage {
 
+/// @return the feeds of the platform's store.
+inline std::vector<StoreFeed> platformFeeds()
+{
+    using namespace std::chrono_literals;
+    return {
+        { { ObjectKind::Catalogue }, 500ms, {}, true },
+        { { ObjectKind::Backend }, 15s, 150ms, false },
+        { { ObjectKind::Zone }, 15s, {}, false },
+        { { ObjectKind::Role, ObjectKind::RangePlacement, ObjectKind::EntryHost }, 5s, 1s, false }
+    };
+}
+
+/// @return the options that deploy/settings.ini gives to a deployment without teams.
+inline ControlOptions platformOptions(Duration changeDeadline)
+{
+    using namespace std::chrono_literals;
+    constexpr double kReaderSilenceShare = 0.85;
+    ControlOptions options;
+    options.tick_ = 40ms;
+    options.accountGroups_ = 0;
+    options.changeDeadline_ = changeDeadline;
+    options.majorityConfirms_ = false;
+    options.readers_ = 2;
+    options.isFirstStart_ = true;
+    options.readerSilence_ = fromSeconds(kReaderSilenceShare * toSeconds(changeDeadline));
+    options.membership_.probePeriod_ = 400ms;
+    options.membership_.directTimeout_ = 150ms;
+    options.membership_.indirectTimeout_ = 150ms;
+    options.membership_.suspicionTimeout_ = 300ms;
+    return options;
+}
+
 /// The control state of a whole fleet that shares one store with feeds, over links that lose
 /// nothing.
 class FeedFleet
@@ -47,6 +79,15 @@
         return count;
     }
 
+    [[nodiscard]] std::size_t hostCount() const { return hosts_.size(); }
+    /// @return the table that the traffic threads of a host read.
+    [[nodiscard]] std::shared_ptr<const RoutingTable> routingOf(std::size_t host) const
+    {
+        return hosts_.at(host)->routing_.load();
+    }
+    /// @return the present time on all hosts.
+    [[nodiscard]] TimePoint now() const { return TimePoint(std::chrono::hours(1)) + events_.now(); }
+
     /// @return the number of lines with all of @p parts in the log of each host, summed.
     std::size_t logged(const std::vector<std::string> &parts) const
     {
@@ -117,7 +158,7 @@
             [this](Duration delay, std::function<void()> task) {
                 events_.after(delay, std::move(task));
             },
-            [this] { return TimePoint(std::chrono::hours(1)) + events_.now(); },
+            [this] { return now(); },
             host.self_.member_.incarnation_.value_,
         };
         host.core_ = std::make_unique<ControlCore>(host.self_, options_, ports, host.routing_,
