Data centres: one that is taken out again ends the wait for its back ends

The wait of ZoneReturns went on while the data centre was out again, and its end would have been logged (zone-settled) for one that gets no requests. Found by reading; callers saw nothing of it. A test in ZoneReturns.

--- a/include/pimentostage/backend/AnswerVerdict.h
+++ b/include/pimentostage/backend/AnswerVerdict.h
@@ -11,8 +11,7 @@
 enum class AnswerMeaning {
     Success,
     NotRun, ///< a promise that the request has not run and will not run
-    Misdirected, ///< not run: the request was meant for another process, or another owner of its
-                 ///< key
+    Misdirected, ///< not run: meant for another process, or another owner of the key
     Other, ///< a redirection or failure, after which the request may have run
 };
 
--- a/include/pimentostage/backend/ZoneReturns.h
+++ b/include/pimentostage/backend/ZoneReturns.h
@@ -27,6 +27,9 @@
     /// Records that @p zone has returned to service.
     void onReturn(const ZoneName &zone, TimePoint now);
 
+    /// Records that @p zone was taken out of service again.
+    void onOut(const ZoneName &zone) { waitsSince_.erase(zone); }
+
     /// Ends the wait for data centres whose back ends have reported.
     /// @param age of what this host knows of back ends; nothing if it was never confirmed.
     /// @return the data centres whose wait has ended.
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -527,6 +527,8 @@
                                  && zone.state_ == ZoneState::In;
         if (hasReturned)
             onZoneReturn(name, now);
+        if (zone.state_ == ZoneState::Out)
+            zoneReturns_.onOut(name);
         zoneStates_[name] = zone.state_;
     }
     // A data centre whose object was deleted is in again.
--- a/tests/ZoneReturnsTest.cpp
+++ b/tests/ZoneReturnsTest.cpp
@@ -38,6 +38,15 @@
     EXPECT_FALSE(returns.update(Duration::zero(), kNow + 20s + kReportTime).empty());
 }
 
+TEST(ZoneReturns, AreForgottenWhenTheDataCentreIsTakenOut)
+{
+    ZoneReturns returns(kReportTime, kMaxAge);
+    returns.onReturn(kZone, kNow);
+    returns.onOut(kZone);
+    EXPECT_TRUE(returns.awaited().empty());
+    EXPECT_TRUE(returns.update(Duration::zero(), kNow + kReportTime).empty());
+}
+
 TEST(ZoneReturns, WaitAnewForADataCentreThatReturnsAgain)
 {
     ZoneReturns returns(kReportTime, kMaxAge);
