Ranges: a reply to a release without the handover confirms nothing

A 200 from anyone but the back end would have counted as the end of its work on the keys, so that another back end gets them too early (OWNER).

Cause: a release was confirmed by its status alone.

Evidence: OrderReply.ToAReleaseNeedsTheHandover failed before this change.

--- a/src/backend/HttpRangeLink.cpp
+++ b/src/backend/HttpRangeLink.cpp
@@ -115,6 +115,17 @@
     return reply;
 }
 
+/// As replyOf(), for a release: whoever sent a reply without the proof, the back end may still be
+/// at work.
+RangeReply replyToRelease(const HttpResult &result, const RangeProtocol &protocol)
+{
+    RangeReply reply = replyOf(result, protocol);
+    const bool isUnproven = protocol.provesRelease_ && reply.handover_.empty();
+    if (reply.outcome_ == RangeOutcome::Accepted && isUnproven)
+        reply.outcome_ = RangeOutcome::Unanswered;
+    return reply;
+}
+
 } // namespace
 
 const RangeProtocol &nativeRangeProtocol()
@@ -159,7 +170,7 @@
 {
     releases_.start(prepare(protocol_.encodeRelease_(order), backend, kReleaseTimeout),
                     [this, done = std::move(done)](const HttpResult &result) {
-                        done(replyOf(result, protocol_));
+                        done(replyToRelease(result, protocol_));
                     });
 }
 
--- a/src/backend/HttpRangeLink.h
+++ b/src/backend/HttpRangeLink.h
@@ -19,6 +19,8 @@
     /// Whether a refused connection means that the process has ended. Must be false for back ends
     /// that also refuse connections while they are busy.
     bool refusalMeansProcessEnded_ = false;
+    /// Whether each reply to a release bears a handover token. One without it confirms nothing.
+    bool provesRelease_ = false;
 };
 
 /// @return the protocol of this project's own back ends.
--- a/tests/RepeatedAnswerTest.cpp
+++ b/tests/RepeatedAnswerTest.cpp
@@ -297,6 +297,31 @@
     loop.run([] {}); // the link closes its connections in a task
 }
 
+// Guards against two owners of a range: the reply of anyone else to a release was taken for the end
+// of the back end's work on it. Where the back end proves that with the handover, nothing else
+// does.
+TEST(OrderReply, ToAReleaseNeedsTheHandover)
+{
+    for (const bool hasHandover : { false, true }) {
+        RawServer server([hasHandover](const std::string &, int) {
+            return RawServer::Reply { answer(
+                200, hasHandover ? "Pimentostage-Handover: 5c0e7a21d94b36f8\r\n" : "") };
+        });
+        EventLoop loop("ranges");
+        auto link = std::make_unique<HttpRangeLink>(loop, wire::rangeProtocol());
+        std::promise<RangeOutcome> outcome;
+        loop.post([&] {
+            link->release({ "127.0.0.1", portOf(server) },
+                          RangeReleaseOrder { { 0, 9 }, Epoch { 1 } },
+                          [&](const RangeReply &reply) { outcome.set_value(reply.outcome_); });
+        });
+        EXPECT_EQ(outcome.get_future().get(),
+                  hasHandover ? RangeOutcome::Accepted : RangeOutcome::Unanswered);
+        link.reset();
+        loop.run([] {}); // the link closes its connections in a task
+    }
+}
+
 HttpRequest get(const RawServer &server)
 {
     HttpRequest request;
