Log: a failed attempt tells the status of its answer

An answer that counts as undeclared or unproven is whole, so the line attempt-failed had no error, and on call could not see which status the back end had sent. FalsePromise checks the line.

--- a/src/backend/ActiveRequest.cpp
+++ b/src/backend/ActiveRequest.cpp
@@ -434,6 +434,8 @@
         .add("backend", backend.str())
         .add("state", toString(attemptResult.state_))
         .add("failure", toString(*attemptResult.failure_));
+    if (result.answer_)
+        line.add("status", result.answer_->status_);
     if (result.error_)
         line.add("error", result.error_->describe());
     worker_.log_.write(line);
--- a/tests/FalsePromiseTest.cpp
+++ b/tests/FalsePromiseTest.cpp
@@ -64,6 +64,9 @@
         }
         EXPECT_GE(failed, 1);
         EXPECT_EQ(failed, service.troubled_.requestCount()) << "none was repeated";
+        // On call only has the log to tell such an answer from one that broke off.
+        EXPECT_EQ(service.log_.count({ "attempt-failed", "undeclared", "\"status\":" }),
+                  static_cast<std::size_t>(failed));
     }
 }
 
--- a/tests/fakes/TroubledService.h
+++ b/tests/fakes/TroubledService.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "src/backend/BackendClient.h"
-#include "tests/fakes/NullLog.h"
 #include "tests/fakes/RawServer.h"
+#include "tests/fakes/RecordingLog.h"
 
 #include <cstdint>
 #include <memory>
@@ -42,6 +42,7 @@
 
     RawServer troubled_;
     RawServer good_;
+    RecordingLog log_;
 
 private:
     class NullTrafficListener : public TrafficListener
@@ -55,7 +56,6 @@
     RoutingTableBuilder builder_;
     SnapshotPublisher<RoutingTable> routing_ { std::make_shared<const RoutingTable>() };
     NullTrafficListener listener_;
-    NullLog log_;
     MetricRegistry metrics_;
     std::unique_ptr<BackendClient> client_;
 };
