--- a/review/standins-3/standin.cc
+++ b/review/standins-3/standin.cc
@@ -3,6 +3,9 @@
 //   standin ports N                        prints N free ports of 127.0.0.1
 //   standin store PORT DIR                 serves the objects in DIR/KIND/NAME.json (their Spec)
 //   standin worker PORT ID LOG             runs each request that is for ID and logs it
+//   standin coder PORT ID LOG N            the same, but applies the transfer coding gzip to every
+//                                          N-th answer and closes the channel after it
+//   standin ask PORT COUNT LOG             sends safe requests one by one and logs what came
 //   standin send PORT FILE LOG MS          sends FILE as it is, then logs what comes within MS
 //
 // All of them listen on or connect to 127.0.0.1 only and end by a signal, or after two minutes.
@@ -173,7 +176,9 @@
         std::thread([fd, handler] {
             Reader reader(fd);
             while (const auto request = reader.next()) {
-                if (!sendAll(fd, handler(*request)))
+                const std::string reply = handler(*request);
+                const bool endsChannel = reply.find("\r\nTransfer-Encoding: gzip\r\n") != std::string::npos;
+                if (!sendAll(fd, reply) || endsChannel)
                     break;
             }
             close(fd);
@@ -330,11 +335,40 @@
     std::vector<Event> events_;
 };
 
+std::string bytes(std::uint32_t value, int count)
+{
+    std::string text;
+    for (int i = 0; i < count; ++i)
+        text += static_cast<char>(value >> (8 * i));
+    return text;
+}
+
+/// @return a gzip file (RFC 1952) with @p content in one block that is not compressed.
+std::string gzipOf(const std::string &content)
+{
+    std::uint32_t crc = ~0U;
+    for (const char c : content) {
+        crc ^= static_cast<unsigned char>(c);
+        for (int bit = 0; bit < 8; ++bit)
+            crc = (crc >> 1) ^ ((crc & 1U) != 0 ? 0xedb88320U : 0U);
+    }
+    const auto size = static_cast<std::uint32_t>(content.size());
+    const std::string head("\x1f\x8b\x08\0\0\0\0\0\0\xff\x01", 11);
+    return head + bytes(size, 2) + bytes(~size, 2) + content + bytes(~crc, 4) + bytes(size, 4);
+}
+
+std::string bodyFor(const std::string &requestId)
+{
+    return "done " + requestId + "\n";
+}
+
 /// A worker without keys. It runs a request that names it, or names nobody.
-void runWorker(int port, const std::string &id, const std::string &log)
+/// @param codedEvery if not 0, the answers among which one has the transfer coding gzip.
+void runWorker(int port, const std::string &id, const std::string &log, int codedEvery)
 {
     static std::mutex mutex;
-    serve(port, [id, log](const Request &request) {
+    static int answers = 0;
+    serve(port, [id, log, codedEvery](const Request &request) {
         const std::string requestId = request.header("pimentostage-request-id");
         if (request.target_ == "/health")
             return answer(200, "Pimentostage-Upstream-Instance: " + id + "\r\n", "");
@@ -343,20 +377,88 @@
             return answer(421, "Pimentostage-Upstream-Instance: " + id + "\r\n", "");
         if (requestId.empty())
             return answer(400, "Pimentostage-Not-Executed: 1\r\n", "");
-        {
-            const std::lock_guard lock(mutex);
-            std::ofstream out(log, std::ios::app);
-            out << "run " << requestId << ' ' << request.method_ << ' ' << request.target_
-                << " body " << request.body_.size() << std::endl;
-        }
-        return answer(200,
-                      "Pimentostage-Request-Id: " + requestId
-                          + "\r\nPimentostage-Upstream-Signature: " + id + "." + requestId
-                          + "\r\nPimentostage-Upstream-Load: 0,0,6\r\n",
-                      "done " + requestId + "\n");
+        std::this_thread::sleep_for(std::chrono::milliseconds(30));
+        const std::lock_guard lock(mutex);
+        std::ofstream out(log, std::ios::app);
+        out << "run " << requestId << ' ' << request.method_ << ' ' << request.target_ << " body "
+            << request.body_.size() << std::endl;
+        const std::string headers = "Pimentostage-Request-Id: " + requestId
+                                    + "\r\nPimentostage-Upstream-Signature: " + id + "." + requestId
+                                    + "\r\nPimentostage-Upstream-Load: 0,0,6\r\n";
+        if (codedEvery == 0 || ++answers % codedEvery != 0)
+            return answer(200, headers, bodyFor(requestId));
+        out << "coded " << requestId << std::endl;
+        return "HTTP/1.1 200 X\r\n" + headers + "Transfer-Encoding: gzip\r\n\r\n"
+               + gzipOf(bodyFor(requestId));
     });
 }
 
+/// @return what is received on a new channel to @p port until it is closed.
+std::string askOnce(int port, const std::string &request)
+{
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in address = loopback(port);
+    std::string received;
+    if (connect(fd, reinterpret_cast<const sockaddr *>(&address), sizeof address) == 0
+        && sendAll(fd, request)) {
+        char part[16384];
+        for (ssize_t n = 0; (n = recv(fd, part, sizeof part, 0)) > 0;)
+            received.append(part, static_cast<std::size_t>(n));
+    }
+    close(fd);
+    return received;
+}
+
+/// Eight consumers, each with one request after the other. The last line of the log is
+/// "served N wrong N other N".
+int askMany(int port, int count, const std::string &log)
+{
+    constexpr int kConsumers = 8;
+    std::ofstream out(log, std::ios::app);
+    std::mutex mutex;
+    int sent = 0;
+    int served = 0;
+    int wrong = 0;
+    const auto consume = [&] {
+        std::unique_lock lock(mutex);
+        while (sent < count) {
+            const std::string id = "safe-" + std::to_string(sent++);
+            lock.unlock();
+            const std::string received = askOnce(
+                port, "GET /puka111/" + id + " HTTP/1.1\r\nHost: jepu9.example\r\n"
+                          + "Pimentostage-Request-Id: " + id
+                          + "\r\nPimentostage-Deadline-Ms: 2000\r\nConnection: close\r\n\r\n");
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            lock.lock();
+            const std::size_t end = received.find("\r\n\r\n");
+            const bool isSuccess
+                = received.rfind("HTTP/1.1 200", 0) == 0 && end != std::string::npos;
+            const std::string body = isSuccess ? received.substr(end + 4) : "";
+            if (isSuccess && body == bodyFor(id)) {
+                ++served;
+            } else if (isSuccess) {
+                ++wrong;
+                out << id << ": a success, with these headers:\n";
+                std::istringstream head(received.substr(0, end));
+                for (std::string line; std::getline(head, line);)
+                    out << "    " << line.substr(0, line.find('\r')) << '\n';
+                out << "    body of " << body.size() << " bytes, expected " << bodyFor(id).size()
+                    << "; the first ones:" << std::hex;
+                for (std::size_t i = 0; i < std::min<std::size_t>(body.size(), 12); ++i)
+                    out << ' ' << static_cast<int>(static_cast<unsigned char>(body[i]));
+                out << std::dec << '\n';
+            }
+        }
+    };
+    std::vector<std::thread> consumers;
+    for (int i = 0; i < kConsumers; ++i)
+        consumers.emplace_back(consume);
+    for (std::thread &consumer : consumers)
+        consumer.join();
+    out << "served " << served << " wrong " << wrong << " other " << count - served - wrong << '\n';
+    return 0;
+}
+
 int sendFile(int port, const std::string &file, const std::string &log, int milliseconds)
 {
     std::ifstream in(file, std::ios::binary);
@@ -423,7 +525,11 @@
         serve(std::stoi(words[1]), [&store](const Request &request) { return store.handle(request); });
     }
     if (verb == "worker" && words.size() == 4)
-        runWorker(std::stoi(words[1]), words[2], words[3]);
+        runWorker(std::stoi(words[1]), words[2], words[3], 0);
+    if (verb == "coder" && words.size() == 5)
+        runWorker(std::stoi(words[1]), words[2], words[3], std::stoi(words[4]));
+    if (verb == "ask" && words.size() == 4)
+        return askMany(std::stoi(words[1]), std::stoi(words[2]), words[3]);
     if (verb == "send" && words.size() == 5)
         return sendFile(std::stoi(words[1]), words[2], words[3], std::stoi(words[4]));
     std::cerr << "usage: see the head of the source\n";
