--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Case 11: a machine is lost for good during a rolling restart. See claim.txt.
 set -u
-source "$(dirname "$0")/../standins-3/lib.sh"
+source "$(dirname "$0")/../lib-3.sh"
 
 mapfile -t port < <("$standin" ports 18)
 store=${port[16]} worker=${port[17]}
--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,7 +1,7 @@
 #!/bin/bash
 # Case 13: a config without Tenants, then all processes are killed. See claim.txt.
 set -u
-source "$(dirname "$0")/../standins-3/lib.sh"
+source "$(dirname "$0")/../lib-3.sh"
 
 mapfile -t port < <("$standin" ports 10)
 store=${port[8]} worker=${port[9]}
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-g++ -std=c++20 -O1 -Wall -Wextra -pthread -o target/review-3/standin review/standins-3/standin.cc
+g++ -std=c++20 -O1 -Wall -Wextra -pthread -o target/review-3/standin review/standin-3.cc
--- a/review/standins-3/lib.sh
+++ b/review/lib-3.sh
@@ -1,7 +1,7 @@
 # Functions of the third review's scripts; to be sourced by a run.sh.
 # Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 
-repo=$(cd "$(dirname "${BASH_SOURCE[0]}")/../.." && pwd)
+repo=$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)
 standin=$repo/target/review-3/standin
 entry=$repo/target/pimentostage-entry
 record=$(cd "$(dirname "$0")" && pwd)/record.txt
