Log: writes of a role's record and the waits for it name the voters

On-call saw "role-waits ... hosts edge-0" and could not tell a record whose only voter is lost from one whose majority is cut off, nor who had written it and when.

role-write: epoch, holder and members of each record that a host writes. role-waits: the holder and the members of the record that it waits for, beside the hosts that are missing.

--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -32,6 +32,14 @@
         [](const Error &) { return std::optional<RoleRecord>(); });
 }
 
+std::string namesOf(const std::vector<Member> &members)
+{
+    std::string names;
+    for (const Member &member : members)
+        names += (names.empty() ? "" : " ") + member.host_.str();
+    return names;
+}
+
 bool isReadable(const StoredObject &object)
 {
     return object.deleted_ || recordIn(object).has_value();
@@ -138,13 +146,13 @@
     if (blockers.empty() || now < nextBlockedLog_)
         return;
     nextBlockedLog_ = now + kBlockedLogPeriod;
-    std::string hosts;
-    for (const Member &member : blockers)
-        hosts += (hosts.empty() ? "" : " ") + member.host_.str();
+    const auto &record = elector.record();
     log_.write(LogLine(Severity::Warning, "role-waits")
                    .add("role", elector.role().str())
                    .add("epoch", elector.epoch().value_)
-                   .add("hosts", hosts));
+                   .add("hosts", namesOf(blockers))
+                   .add("holder", record ? record->holder_.host_.str() : "")
+                   .add("members", record ? namesOf(record->members_) : ""));
 }
 
 void RoleControl::perform(RoleElector &elector, const RoleActions &actions, TimePoint now)
@@ -173,6 +181,12 @@
 void RoleControl::perform(RoleElector &elector, const WriteRole &write, TimePoint now)
 {
     const RoleName &role = elector.role();
+    log_.write(LogLine(Severity::Info, "role-write")
+                   .add("role", role.str())
+                   .add("epoch", write.record_.epoch_.value_)
+                   .add("holder", write.record_.holder_.host_.str())
+                   .add("members", namesOf(write.record_.members_))
+                   .add("released", write.record_.released_));
     ++pendingWrites_;
     store_.put(refOf(role), formatRoleRecord(write.record_), write.expected_,
                [this, role, write, sentAt = now](const Reply<WriteResult> &reply) {
