Roles: a role whose voters are lost for good is taken over after 10 s

Cause: the holder of a role may act on promises of a majority of the voters in its record for any time without the store. So a successor waits until a majority has released or is known to have stopped. The first host back from a restart claims roles with itself as the only voter; if it is lost for good, the wait never ends. The same holds for each loss for good of a majority of voters, at once or while a successor waits for them.

Change: each record states for how long promises keep its term open (TermRule, TermRules.h; read by HolderAuthority and by Succession). A majority does so for 10 s after the last confirmation by the store. After that a term has ended, or, if its members nearly cover the fleet, is kept open only by promises of all of 3 or 4 members, or all but one of 5 or more. A host that lacks voters for a claim writes itself into the record as challenger. A holder in touch with the store writes the record again; it never takes one with a challenger for a confirmation, so 10 s after a host has seen the challenger, no holder acts on a majority's promises, and the role is claimed. Hosts of an earlier version cannot read such records: sibling.bounded_terms = false while they run.

Why it is safe: a lost holder and one that is cut off or frozen are treated alike; the holder's own clock ends its authority before the successor's (drift included) starts.

What it costs: 11 s without the role after such a loss; in an outage of the store of more than 10 s a holder that misses two of seven voters stops. Not covered: the loss at once of all but one of five or more voters, or of all of three or four.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -46,6 +46,7 @@
     Duration siblingProbeTimeout_ = std::chrono::milliseconds(100);
     Duration siblingSuspicionTimeout_ = std::chrono::milliseconds(200);
     bool siblingShareRoom_ = true;
+    bool siblingBoundedTerms_ = true;
 
     Duration controlTick_ = std::chrono::milliseconds(10);
     std::int64_t controlAccountGroups_ = 4;
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -438,12 +438,31 @@
     Incarnation upTo_; ///< this and earlier incarnations are lost
 };
 
+/// How many promises keep the term of a role holder open while the store does not confirm it; see
+/// TermRules.h.
+enum class TermRule {
+    Majority, ///< those of a majority, for any time; the rule of records that state none
+    Bounded, ///< those of a majority, for kMaxTimeOnPromises
+    Extended, ///< as Bounded; after that time those of nearly all members
+};
+
+template <>
+struct EnumTable<TermRule>
+{
+    static constexpr std::array kRows {
+        EnumName<TermRule> { TermRule::Majority, "majority" },
+        EnumName<TermRule> { TermRule::Bounded, "bounded" },
+        EnumName<TermRule> { TermRule::Extended, "extended" },
+    };
+};
+
 /// The term of a role holder. The holder may act until the term is known to have ended.
 struct RoleTerm
 {
     Epoch epoch_;
     Member holder_;
     std::vector<Member> members_; ///< the voters: members whose promises count
+    TermRule rule_ = TermRule::Majority;
 
     auto operator<=>(const RoleTerm &) const = default;
 };
@@ -455,11 +474,14 @@
     Epoch epoch_;
     Member holder_;
     std::vector<Member> members_; ///< the voters: members whose promises count
+    TermRule rule_ = TermRule::Majority;
     std::vector<RoleTerm> predecessors_; ///< terms not known to have ended when this was written
     /// The store's generation in which this is known to list all open terms.
     Generation generation_;
     std::string nonce_; ///< identifies the writer's own change after a lost reply
     bool released_ = false; ///< the holder has released the role and no longer acts
+    /// The host that does not see the holder and asks it to write the record again; empty if none.
+    HostName challenger_;
 };
 
 /// The owner of one shard or one hot key.
--- a/include/pimentostage/sibling/HolderAuthority.h
+++ b/include/pimentostage/sibling/HolderAuthority.h
@@ -2,8 +2,11 @@
 
 #include "pimentostage/base/Ids.h"
 #include "pimentostage/base/Time.h"
+#include "pimentostage/platform/Objects.h"
 
+#include <cstddef>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace pimentostage {
@@ -11,15 +14,16 @@
 /// Decides whether the holder of a role may act, based on confirmations by the store and promises.
 ///
 /// The holder may act at time t if its last request that the store confirmed was sent less than
-/// kStoreAuthorityDuration before t, or if a majority of the members named in the role's record
-/// gave promises that were requested less than kPromiseDuration before t, provided that the
-/// authority has not lapsed since the last confirmation. Only the store restores a lapsed
+/// kStoreAuthorityDuration before t, or if as many members named in the role's record as its rule
+/// requires gave promises that were requested less than kPromiseDuration before t, provided that
+/// the authority has not lapsed since the last confirmation. Only the store restores a lapsed
 /// authority.
 class HolderAuthority
 {
 public:
     /// @param members the members named in the role's record.
-    explicit HolderAuthority(std::vector<Member> members);
+    /// @param rule the rule in the role's record.
+    explicit HolderAuthority(std::vector<Member> members, TermRule rule = TermRule::Majority);
 
     /// The store confirmed the role; the confirming request was sent at @p sentAt.
     void onStoreConfirmed(TimePoint sentAt);
@@ -27,9 +31,9 @@
     /// @p voter promised; the request was sent at @p sentAt.
     void onPromise(const Member &voter, TimePoint sentAt, TimePoint now);
 
-    /// A record with @p members is about to be written. Until finishReconfiguration(), promises
-    /// are required from a majority of both sets, since either set may be in force.
-    void startReconfiguration(std::vector<Member> members);
+    /// A record with @p members and @p rule is about to be written. Until finishReconfiguration(),
+    /// the promises must satisfy both records, since either may be in force.
+    void startReconfiguration(std::vector<Member> members, TermRule rule = TermRule::Majority);
     /// The record with the new members is known to be in force.
     void finishReconfiguration();
 
@@ -40,30 +44,35 @@
     [[nodiscard]] bool holds(TimePoint now) const { return now < validUntil_; }
     /// @return when the authority ends unless it is renewed.
     [[nodiscard]] TimePoint validUntil() const { return validUntil_; }
-    [[nodiscard]] const std::vector<Member> &members() const { return members_; }
+    [[nodiscard]] const std::vector<Member> &members() const { return electorate_.members_; }
     /// @return members to request promises from: all of them, or, if the authority is valid for
-    ///         at least half of kPromiseDuration and no change of members is in progress, one more
-    ///         than a majority, the most recent voters first.
+    ///         at least half of kPromiseDuration, the store has confirmed it recently and no change
+    ///         of members is in progress, one more than a majority, the most recent voters first.
     [[nodiscard]] std::vector<Member> membersToRequestFrom(TimePoint now) const;
 
     /// @return the members of both sets.
     [[nodiscard]] std::vector<Member> allMembers() const;
 
 private:
+    /// The members of a record, and how many promises it requires of them.
+    struct Electorate
+    {
+        std::vector<Member> members_;
+        TermRule rule_ = TermRule::Majority;
+    };
+
     [[nodiscard]] TimePoint promisedUntil() const;
-    [[nodiscard]] TimePoint promisedUntil(const std::vector<Member> &members) const;
+    [[nodiscard]] TimePoint promisedUntil(const Electorate &electorate) const;
+    /// @return until when at least @p count of @p members have promised.
+    [[nodiscard]] TimePoint promisedUntil(const std::vector<Member> &members,
+                                          std::size_t count) const;
 
-    std::vector<Member> members_;
-    std::vector<Member> nextMembers_; ///< empty if no change is in progress
+    Electorate electorate_;
+    std::optional<Electorate> next_; ///< set while a change is in progress
     std::map<Member, TimePoint> promiseEnds_;
+    TimePoint confirmedAt_ {}; ///< when the last request that the store confirmed was sent
     TimePoint validUntil_ {};
     bool ended_ = false;
 };
 
-/// @return the size of a majority of @p members.
-constexpr std::size_t majorityOf(std::size_t members)
-{
-    return members / 2 + 1;
-}
-
 } // namespace pimentostage
--- a/include/pimentostage/sibling/RoleElector.h
+++ b/include/pimentostage/sibling/RoleElector.h
@@ -29,6 +29,25 @@
     };
 };
 
+/// Why a host writes the record of a role.
+enum class RoleWrite {
+    Claim, ///< to hold the role
+    Change, ///< to change the record of the role that it holds or is about to hold
+    Challenge, ///< to learn whether the holder is in touch with the store
+    Release, ///< to end its term
+};
+
+template <>
+struct EnumTable<RoleWrite>
+{
+    static constexpr std::array kRows {
+        EnumName<RoleWrite> { RoleWrite::Claim, "claim" },
+        EnumName<RoleWrite> { RoleWrite::Change, "change" },
+        EnumName<RoleWrite> { RoleWrite::Challenge, "challenge" },
+        EnumName<RoleWrite> { RoleWrite::Release, "release" },
+    };
+};
+
 /// Read the role's record from the store; report with onRecordRead() or onReadFailed().
 struct ReadRole
 { };
@@ -39,6 +58,7 @@
 {
     RoleRecord record_;
     Version expected_;
+    RoleWrite purpose_ = RoleWrite::Claim;
 };
 
 /// Request a promise for `epoch_` from `member_`; report a promise with onPromise().
@@ -86,6 +106,10 @@
     std::set<Member> stopped_; ///< processes known to have stopped
     /// The newest incarnation of each host that an operator confirmed as lost.
     std::map<HostName, Incarnation> confirmedLost_;
+    std::size_t fleetSize_ = 0; ///< number of hosts known, lost ones included
+    /// Whether this host writes records by ruleFor(). Otherwise it writes them as earlier versions
+    /// do, which cannot read others, by TermRule::Majority.
+    bool boundsTerms_ = true;
     bool othersReachStore_ = false; ///< other hosts recently got a reply from the store
     Generation storeGeneration_; ///< the newest generation of the store that is known
 };
@@ -93,6 +117,11 @@
 /// Leader election for one role: claims it when it is vacant, renews the authority to act in it,
 /// and releases it.
 ///
+/// If too few members of the record are in touch for a claim, they may be lost for good, or cut off
+/// together with a holder that acts on their promises. The host then writes its name into the
+/// record as challenger. A holder in touch with the store writes the record again; one that is not
+/// must stop after kMaxTimeOnPromises, and the host claims the role after that time.
+///
 /// Runs on the control thread. The caller performs the returned actions in order.
 class RoleElector
 {
@@ -146,10 +175,21 @@
     {
         RoleRecord record_;
         Version expected_;
+        RoleWrite purpose_;
+        TimePoint sentAt_; ///< when it was sent first
         std::optional<RoleRecord> replacedRecord_;
+        std::optional<TimePoint> challengedSince_; ///< of the replaced record
         bool mayHaveUndoneTerms_ = false; ///< see mayHaveUndoneTerms()
         bool isOutcomeUnknown_ = false; ///< the reply was an error; a read decides
     };
+    using Completion
+        = void (RoleElector::*)(const PendingWrite &written, TimePoint sentAt, TimePoint now);
+    struct CompletionRow
+    {
+        RoleWrite purpose_;
+        Completion complete_;
+    };
+    static const CompletionRow kCompletions[];
 
     RoleActions tickIdle(const RoleContext &context, TimePoint now);
     RoleActions tickSucceeding(const RoleContext &context, TimePoint now);
@@ -162,10 +202,24 @@
     [[nodiscard]] bool isOutranked(const RoleContext &context, TimePoint now);
     RoleActions releaseRole();
     [[nodiscard]] bool isOnlyHostWithoutStore(const RoleContext &context, TimePoint now) const;
-    RoleActions claim(const RoleContext &context);
-    RoleActions completeWrite(TimePoint sentAt, TimePoint now);
+    RoleActions claim(const RoleContext &context, TimePoint now);
+    RoleActions challenge(TimePoint now);
+    /// Writes this host's own record with the members and the rule that are due.
+    RoleActions changeRecord(const RoleContext &context, TimePoint now);
+    /// Writes this host's own record again, without the challenger.
+    RoleActions answerChallenge(TimePoint now);
+    RoleActions write(RoleRecord record, RoleWrite purpose, TimePoint now);
+    void completeWrite(TimePoint sentAt, TimePoint now);
+    void completeClaim(const PendingWrite &written, TimePoint sentAt, TimePoint now);
+    void completeChange(const PendingWrite &written, TimePoint sentAt, TimePoint now);
+    void completeChallenge(const PendingWrite &written, TimePoint sentAt, TimePoint now);
+    /// Sets record_, a version that was not known before.
+    void setRecord(const std::optional<RoleRecord> &record, TimePoint now);
+    /// Takes over @p record, which is this host's own with another host's change.
+    void adoptOwnRecord(const RoleRecord &record);
     RoleActions loseRole();
     void readRestoredRecord(RoleActions &actions, const RoleContext &context, TimePoint now);
+    void readChallengedRecord(RoleActions &actions, const RoleContext &context, TimePoint now);
     [[nodiscard]] bool isVacant(const RoleContext &context, TimePoint now) const;
     /// @return whether terms that began after record_ was written may have been undone when the
     ///         store was restored, and may still be open.
@@ -177,7 +231,19 @@
     [[nodiscard]] bool isPendingWrite(const std::string &nonce) const;
     [[nodiscard]] bool isOwnRecord(const std::optional<RoleRecord> &record) const;
     [[nodiscard]] std::size_t rankIn(const RoleContext &context) const;
-    [[nodiscard]] std::vector<Member> membersMissingForClaim(const RoleContext &context) const;
+    /// @param quorumOf quorumOnPromises() or quorumAfterwards().
+    /// @return the members of open terms that this host does not reach, if they are so many that
+    ///         one of these terms could stay open.
+    [[nodiscard]] std::vector<Member> membersMissingForClaim(
+        const RoleContext &context,
+        std::size_t (*quorumOf)(TermRule rule, std::size_t members)) const;
+    [[nodiscard]] bool isChallenged() const { return record_ && !record_->challenger_.isEmpty(); }
+    /// @return whether the record has had a challenger for so long that its holder, and those of
+    ///         the terms that it lists, no longer act on promises of a majority.
+    [[nodiscard]] bool isChallengeUnanswered(const RoleContext &context, TimePoint now) const;
+    /// @return the rule for a record with @p members.
+    [[nodiscard]] static TermRule chooseRule(const RoleContext &context,
+                                             const std::vector<Member> &members);
     [[nodiscard]] std::vector<Member> chooseMembers(const RoleContext &context) const;
     [[nodiscard]] std::string newNonce();
 
@@ -196,6 +262,9 @@
     /// Since when the host has been idle with a record for which mayHaveUndoneTerms().
     std::optional<TimePoint> undoneSince_;
     std::vector<Member> missingMembers_; ///< unreachable, and required for a claim
+    /// When this host first knew the record with its present challenger.
+    std::optional<TimePoint> challengedSince_;
+    TimePoint nextChallengeAt_ {};
     Member steppedDownHolder_;
     Epoch steppedDownEpoch_; ///< steppedDownHolder_ no longer acts under epochs up to it
     TimePoint lastStoreReplyAt_ {};
--- a/include/pimentostage/sibling/RoleTiming.h
+++ b/include/pimentostage/sibling/RoleTiming.h
@@ -19,6 +19,10 @@
 /// that of the last authority is added to the time in which its holder steps down.
 inline constexpr Duration kUndoneTermDuration
     = kMaxTimeWithoutStore + kStoreAuthorityDuration + std::chrono::milliseconds(400);
+/// Maximum time for which promises of a majority replace the store's confirmation, from the time
+/// when the last confirmed request was sent. A lost holder is replaced after it, and everything
+/// else must be served again within the 15 s of the platform's recovery bound.
+inline constexpr Duration kMaxTimeOnPromises = std::chrono::seconds(10);
 /// Maximum number of members whose promises count for a role.
 inline constexpr std::size_t kMaxVoters = 7;
 
--- a/include/pimentostage/sibling/Succession.h
+++ b/include/pimentostage/sibling/Succession.h
@@ -11,10 +11,11 @@
 /// Decides when the new holder of a role may act after it has replaced another record in the store.
 ///
 /// The holder of an open term, that is a term not known to have ended, may still act on a
-/// confirmation by the store that was requested before the write, or on promises of a majority of
-/// its members. The new holder waits until such a confirmation has expired, and until fewer than
-/// a majority of the members of each open term may still be bound by a promise. A record that was
-/// replaced before its own holder could act passes its inherited open terms to its successor.
+/// confirmation by the store that was requested before the write, or on promises of as many of its
+/// members as the term's rule requires. The new holder waits until such a confirmation has expired,
+/// and until fewer members of each open term than required may still be bound by a promise. A
+/// record that was replaced before its own holder could act passes its inherited open terms to its
+/// successor.
 ///
 /// The holder of a term that was undone when the store was restored from a copy notices that within
 /// kUndoneTermDuration, from the store or because only it cannot reach the store.
@@ -25,8 +26,10 @@
     /// @param mayHaveUndoneTerms whether the store was restored since @p replaced was written, so
     ///        that later terms may be open that no record lists.
     /// @param writtenAt when the reply to the write arrived.
+    /// @param challengedSince a time after which the store confirmed no open term, because the
+    ///        record had a challenger from then on until the write; nullopt if it had none.
     Succession(const std::optional<RoleRecord> &replaced, bool mayHaveUndoneTerms,
-               TimePoint writtenAt);
+               TimePoint writtenAt, std::optional<TimePoint> challengedSince = std::nullopt);
 
     /// @return the open terms after @p replaced has been replaced.
     static std::vector<RoleTerm> openTerms(const std::optional<RoleRecord> &replaced);
@@ -65,6 +68,7 @@
     const std::optional<Epoch> replacedEpoch_;
     const bool mayHaveUndoneTerms_;
     const TimePoint writtenAt_;
+    const TimePoint unconfirmedSince_; ///< the store has confirmed no open term since
     std::vector<RoleTerm> terms_; ///< the open terms
     std::map<Member, TimePoint> promisesEndAt_; ///< when a member's promises have certainly expired
 };
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -106,7 +106,7 @@
     , publisher_(self_, config_, members_.membership(), siblings_,
                  Random(seedFor(ports.seed_, RandomStream::Publisher)))
     , roles_(self_.member_, Random(seedFor(ports.seed_, RandomStream::Roles)), store_, siblings_,
-             members_, config_, *this, clock_, log,
+             members_, config_, *this, options_.boundsTerms_, clock_, log,
              [this](const StoredObject &object) { onOwnWrite(object); })
     , placement_(
           store_, ports.backends_, routers_, clock_,
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -42,6 +42,8 @@
     Duration backendReportPeriod_ = std::chrono::seconds(1);
     /// Whether hosts send each other their observations of back ends that report their load.
     bool sharesRoom_ = true;
+    /// See RoleContext::boundsTerms_; equal on all hosts.
+    bool boundsTerms_ = true;
     /// Siblings' addresses that are probed until another host is in the view.
     std::vector<Address> seeds_;
     MembershipTiming membership_;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -46,6 +46,7 @@
     options.maxZonesAge_ = maxZonesAgeOf(settings);
     options.backendReportPeriod_ = settings.controlBackendReportPeriod_;
     options.sharesRoom_ = settings.siblingShareRoom_;
+    options.boundsTerms_ = settings.siblingBoundedTerms_;
     options.majorityConfirms_ = settings.controlMajorityConfirms_;
     options.membership_.probePeriod_ = settings.siblingProbePeriod_;
     options.membership_.directTimeout_ = settings.siblingProbeTimeout_;
--- a/src/daemon/MemberControl.h
+++ b/src/daemon/MemberControl.h
@@ -48,6 +48,9 @@
     [[nodiscard]] Membership &membership() { return membership_; }
     [[nodiscard]] const Membership &membership() const { return membership_; }
 
+    /// @return the number of entry hosts in the platform's list, this one included.
+    [[nodiscard]] std::size_t listedHosts() const { return listedHosts_; }
+
     /// @return whether another host has recently reported contact with the store.
     [[nodiscard]] bool othersReachStore(TimePoint now) const;
 
--- a/src/daemon/RoleControl.cpp
+++ b/src/daemon/RoleControl.cpp
@@ -49,7 +49,8 @@
 
 RoleControl::RoleControl(const Member &self, Random random, ObjectStore &store,
                          SiblingSender &sender, MemberControl &members, const ConfigState &config,
-                         RoleListener &listener, Clock clock, LogSink &log, OnOwnWrite onOwnWrite)
+                         RoleListener &listener, bool boundsTerms, Clock clock, LogSink &log,
+                         OnOwnWrite onOwnWrite)
     : self_(self)
     , random_(random)
     , store_(store)
@@ -60,7 +61,9 @@
     , clock_(std::move(clock))
     , log_(log)
     , onOwnWrite_(std::move(onOwnWrite))
-{ }
+{
+    context_.boundsTerms_ = boundsTerms;
+}
 
 RoleElector *RoleControl::find(const RoleName &role)
 {
@@ -117,6 +120,7 @@
         context_.view_ = membership.view();
         context_.highCapacity_ = membership.highCapacityMembers();
     }
+    context_.fleetSize_ = std::max(members_.listedHosts(), context_.view_.size());
     context_.othersReachStore_ = members_.othersReachStore(now);
     context_.storeGeneration_ = generationOf(config_.revision());
     context_.confirmedLost_.clear();
@@ -152,7 +156,9 @@
                    .add("epoch", elector.epoch().value_)
                    .add("hosts", namesOf(blockers))
                    .add("holder", record ? record->holder_.host_.str() : "")
-                   .add("members", record ? namesOf(record->members_) : ""));
+                   .add("members", record ? namesOf(record->members_) : "")
+                   .add("rule", record ? toString(record->rule_) : "")
+                   .add("challenger", record ? record->challenger_.str() : ""));
 }
 
 void RoleControl::perform(RoleElector &elector, const RoleActions &actions, TimePoint now)
@@ -183,10 +189,11 @@
     const RoleName &role = elector.role();
     log_.write(LogLine(Severity::Info, "role-write")
                    .add("role", role.str())
+                   .add("purpose", toString(write.purpose_))
                    .add("epoch", write.record_.epoch_.value_)
                    .add("holder", write.record_.holder_.host_.str())
                    .add("members", namesOf(write.record_.members_))
-                   .add("released", write.record_.released_));
+                   .add("rule", toString(write.record_.rule_)));
     ++pendingWrites_;
     store_.put(refOf(role), formatRoleRecord(write.record_), write.expected_,
                [this, role, write, sentAt = now](const Reply<WriteResult> &reply) {
--- a/src/daemon/RoleControl.h
+++ b/src/daemon/RoleControl.h
@@ -36,9 +36,10 @@
     /// Called with an object that this host has written to the store.
     using OnOwnWrite = std::function<void(const StoredObject &)>;
 
+    /// @param boundsTerms see RoleContext::boundsTerms_.
     RoleControl(const Member &self, Random random, ObjectStore &store, SiblingSender &sender,
                 MemberControl &members, const ConfigState &config, RoleListener &listener,
-                Clock clock, LogSink &log, OnOwnWrite onOwnWrite);
+                bool boundsTerms, Clock clock, LogSink &log, OnOwnWrite onOwnWrite);
 
     /// Replaces the set of roles to run; a removed role that this host holds is lost.
     void setRoles(const std::set<RoleName> &roles);
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -108,6 +108,10 @@
                  10, 10'000, "Time after which a suspected host is declared dead." },
     SettingRow { "sibling", "share_room", &Settings::siblingShareRoom_, Presence::Optional, 0, 0,
                  "Whether hosts tell each other which back ends have room; equal on all hosts." },
+    SettingRow {
+        "sibling", "bounded_terms", &Settings::siblingBoundedTerms_, Presence::Optional, 0, 0,
+        "Whether a role whose voters are lost for good is taken over after 10 s; equal on all "
+        "hosts. false while hosts of an earlier version run, which cannot read such records." },
     SettingRow { "control", "tick_ms", &Settings::controlTick_, Presence::Optional, 1, 1000,
                  "Period at which the control thread runs its timers." },
     SettingRow {
--- a/src/platform/CoordinationCodec.cpp
+++ b/src/platform/CoordinationCodec.cpp
@@ -25,12 +25,21 @@
     return rows;
 }
 
+// Records of earlier versions state no rule, and those versions reject the field.
+void addRule(Json &json, TermRule rule)
+{
+    if (rule != TermRule::Majority)
+        json["rule"] = toString(rule);
+}
+
 Json toJson(const RoleTerm &term)
 {
-    return { { "epoch", term.epoch_.value_ },
-             { "holder", term.holder_.host_.str() },
-             { "incarnation", term.holder_.incarnation_.value_ },
-             { "members", toJson(term.members_) } };
+    Json json { { "epoch", term.epoch_.value_ },
+                { "holder", term.holder_.host_.str() },
+                { "incarnation", term.holder_.incarnation_.value_ },
+                { "members", toJson(term.members_) } };
+    addRule(json, term.rule_);
+    return json;
 }
 
 RoleTerm readTerm(ObjectReader reader)
@@ -40,6 +49,7 @@
     term.holder_.host_ = HostName(reader.requiredText("holder"));
     term.holder_.incarnation_ = Incarnation { reader.unsignedInteger("incarnation") };
     term.members_ = readMembers(reader, "members");
+    term.rule_ = reader.enumValue("rule", TermRule::Majority);
     reader.rejectUnknownFields();
     return term;
 }
@@ -204,12 +214,14 @@
     record.holder_.host_ = HostName(reader.requiredText("holder"));
     record.holder_.incarnation_ = Incarnation { reader.unsignedInteger("incarnation") };
     record.members_ = readMembers(reader, "members");
+    record.rule_ = reader.enumValue("rule", TermRule::Majority);
     std::size_t index = 0;
     for (const Json &item : reader.array("predecessors"))
         record.predecessors_.push_back(readTerm(reader.child(item, "predecessors", index++)));
     record.generation_ = Generation { reader.unsignedInteger("generation", 0) };
     record.nonce_ = reader.text("nonce");
     record.released_ = reader.flag("released", false);
+    record.challenger_ = HostName(reader.text("challenger"));
     reader.rejectUnknownFields();
     BOOST_LEAF_CHECK(reader.result());
     return record;
@@ -301,6 +313,9 @@
                 { "predecessors", predecessors },
                 { "nonce", record.nonce_ },
                 { "released", record.released_ } });
+    addRule(json, record.rule_);
+    if (!record.challenger_.isEmpty())
+        json["challenger"] = record.challenger_.str();
     addGeneration(json, record.generation_);
     return json.dump();
 }
--- a/src/sibling/HolderAuthority.cpp
+++ b/src/sibling/HolderAuthority.cpp
@@ -1,19 +1,29 @@
 #include "pimentostage/sibling/HolderAuthority.h"
 
 #include "pimentostage/sibling/RoleTiming.h"
+#include "pimentostage/sibling/TermRules.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace pimentostage {
 
-HolderAuthority::HolderAuthority(std::vector<Member> members)
-    : members_(std::move(members))
+namespace {
+
+// Without a confirmation for this time, all members are asked, since a majority may soon not do.
+constexpr Duration kRecentConfirmation = kMaxTimeOnPromises / 2;
+
+} // namespace
+
+HolderAuthority::HolderAuthority(std::vector<Member> members, TermRule rule)
+    : electorate_ { std::move(members), rule }
 { }
 
 void HolderAuthority::onStoreConfirmed(TimePoint sentAt)
 {
     if (ended_)
         return;
+    confirmedAt_ = std::max(confirmedAt_, sentAt);
     validUntil_ = std::max(validUntil_, sentAt + kStoreAuthorityDuration);
 }
 
@@ -26,17 +36,17 @@
         validUntil_ = std::max(validUntil_, promisedUntil());
 }
 
-void HolderAuthority::startReconfiguration(std::vector<Member> members)
+void HolderAuthority::startReconfiguration(std::vector<Member> members, TermRule rule)
 {
-    nextMembers_ = std::move(members);
+    next_ = Electorate { std::move(members), rule };
 }
 
 void HolderAuthority::finishReconfiguration()
 {
-    if (nextMembers_.empty())
+    if (!next_)
         return;
-    members_ = std::move(nextMembers_);
-    nextMembers_.clear();
+    electorate_ = std::move(*next_);
+    next_.reset();
 }
 
 void HolderAuthority::end()
@@ -48,8 +58,9 @@
 std::vector<Member> HolderAuthority::membersToRequestFrom(TimePoint now) const
 {
     std::vector<Member> members = allMembers();
-    const std::size_t majorityPlusOne = majorityOf(members_.size()) + 1;
-    const bool isRenewed = nextMembers_.empty() && validUntil_ >= now + kPromiseDuration / 2;
+    const std::size_t majorityPlusOne = majorityOf(electorate_.members_.size()) + 1;
+    const bool isRenewed = !next_ && validUntil_ >= now + kPromiseDuration / 2
+                           && now < confirmedAt_ + kRecentConfirmation;
     if (!isRenewed || members.size() <= majorityPlusOne)
         return members;
     const auto promiseEnd = [&](const Member &member) {
@@ -65,8 +76,9 @@
 
 std::vector<Member> HolderAuthority::allMembers() const
 {
-    std::vector<Member> all = members_;
-    all.insert(all.end(), nextMembers_.begin(), nextMembers_.end());
+    std::vector<Member> all = electorate_.members_;
+    if (next_)
+        all.insert(all.end(), next_->members_.begin(), next_->members_.end());
     std::sort(all.begin(), all.end());
     all.erase(std::unique(all.begin(), all.end()), all.end());
     return all;
@@ -74,21 +86,32 @@
 
 TimePoint HolderAuthority::promisedUntil() const
 {
-    const TimePoint until = promisedUntil(members_);
-    return nextMembers_.empty() ? until : std::min(until, promisedUntil(nextMembers_));
+    const TimePoint until = promisedUntil(electorate_);
+    return next_ ? std::min(until, promisedUntil(*next_)) : until;
+}
+
+TimePoint HolderAuthority::promisedUntil(const Electorate &electorate) const
+{
+    const std::vector<Member> &members = electorate.members_;
+    const TimePoint first
+        = promisedUntil(members, quorumOnPromises(electorate.rule_, members.size()));
+    const TimePoint later
+        = promisedUntil(members, quorumAfterwards(electorate.rule_, members.size()));
+    return std::max(std::min(first, confirmedAt_ + kMaxTimeOnPromises), later);
 }
 
-TimePoint HolderAuthority::promisedUntil(const std::vector<Member> &members) const
+TimePoint HolderAuthority::promisedUntil(const std::vector<Member> &members,
+                                         std::size_t count) const
 {
+    if (members.empty() || count > members.size())
+        return TimePoint {};
     std::vector<TimePoint> ends;
     for (const Member &member : members) {
         const auto found = promiseEnds_.find(member);
         ends.push_back(found == promiseEnds_.end() ? TimePoint {} : found->second);
     }
-    if (ends.empty())
-        return TimePoint {};
-    std::sort(ends.rbegin(), ends.rend());
-    return ends[majorityOf(ends.size()) - 1];
+    std::sort(ends.begin(), ends.end(), std::greater<> {});
+    return ends[count - 1];
 }
 
 } // namespace pimentostage
--- a/src/sibling/RoleElector.cpp
+++ b/src/sibling/RoleElector.cpp
@@ -3,8 +3,10 @@
 #include "pimentostage/platform/Generation.h"
 #include "pimentostage/sibling/HostRanking.h"
 #include "pimentostage/sibling/RoleTiming.h"
+#include "pimentostage/sibling/TermRules.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace pimentostage {
 
@@ -23,8 +25,12 @@
 constexpr Duration kYieldDelay = std::chrono::seconds(2);
 // After the store was restored, time for the holder of an undone term to write its record again.
 constexpr Duration kUndoneClaimDelay = std::chrono::milliseconds(1500);
-// Number of preferred hosts that look for the record in a restored store.
-constexpr std::size_t kRestoredRecordReaders = 2;
+// A host that is cut off only from the others may challenge a holder that answers. Together with
+// the wait for the next holder, this stays within the platform's recovery bound of 15 s.
+constexpr Duration kChallengePeriod = std::chrono::seconds(2);
+// Number of preferred hosts that look for the record in the store, after it was restored or while
+// the record has a challenger.
+constexpr std::size_t kRecordReaders = 2;
 
 void append(RoleActions &actions, RoleActions added)
 {
@@ -43,6 +49,13 @@
 
 } // namespace
 
+// A released record is not waited for.
+const RoleElector::CompletionRow RoleElector::kCompletions[] = {
+    { RoleWrite::Claim, &RoleElector::completeClaim },
+    { RoleWrite::Change, &RoleElector::completeChange },
+    { RoleWrite::Challenge, &RoleElector::completeChallenge },
+};
+
 RoleElector::RoleElector(RoleName role, Member self, Random random)
     : role_(std::move(role))
     , self_(std::move(self))
@@ -104,9 +117,16 @@
     const bool isDue = !pendingWrite_ && now >= *vacantSince_ + delay;
     if (!isDue)
         return actions;
-    missingMembers_ = membersMissingForClaim(context);
+    const bool isUnanswered = isChallengeUnanswered(context, now);
+    missingMembers_
+        = membersMissingForClaim(context, isUnanswered ? &quorumAfterwards : &quorumOnPromises);
+    if (!isUnanswered)
+        readChallengedRecord(actions, context, now);
     if (missingMembers_.empty())
-        append(actions, claim(context));
+        append(actions, claim(context, now));
+    else if (!isChallenged() && now >= nextChallengeAt_
+             && membersMissingForClaim(context, &quorumAfterwards).empty())
+        append(actions, challenge(now));
     return actions;
 }
 
@@ -138,7 +158,7 @@
     if (!undoneSince_)
         undoneSince_ = now;
     const bool isInStore = generationOf(version_) == storeGeneration_;
-    if (isInStore || isReading_ || now < nextReadAt_ || rankIn(context) >= kRestoredRecordReaders)
+    if (isInStore || isReading_ || now < nextReadAt_ || rankIn(context) >= kRecordReaders)
         return;
     nextReadAt_ = now + kReadPeriod;
     isReading_ = true;
@@ -169,10 +189,33 @@
     return !record || (record->epoch_ <= ownRecord_.epoch_ && record->nonce_ != ownRecord_.nonce_);
 }
 
+bool RoleElector::isChallengeUnanswered(const RoleContext &context, TimePoint now) const
+{
+    if (!challengedSince_)
+        return false;
+    const auto rank = static_cast<std::int64_t>(rankIn(context));
+    return now >= *challengedSince_ + kClockDrift.stretched(kMaxTimeOnPromises)
+                      + rank * kClaimDelayPerRank;
+}
+
+// The record may have been replaced since; a wait for the answer to a challenge that is no longer
+// in the store would be in vain.
+void RoleElector::readChallengedRecord(RoleActions &actions, const RoleContext &context,
+                                       TimePoint now)
+{
+    const bool isDue = isChallenged() && !isReading_ && now >= nextReadAt_;
+    if (!isDue || rankIn(context) >= kRecordReaders)
+        return;
+    nextReadAt_ = now + kChallengePeriod;
+    isReading_ = true;
+    actions.emplace_back(ReadRole {});
+}
+
 // A claim ends the authority of the current holder. A host that cannot reach enough voters of the
 // open terms, for instance because it is isolated from the other hosts, could not act after its
-// claim, so it leaves the record unchanged.
-std::vector<Member> RoleElector::membersMissingForClaim(const RoleContext &context) const
+// claim, so it does not make one.
+std::vector<Member> RoleElector::membersMissingForClaim(
+    const RoleContext &context, std::size_t (*quorumOf)(TermRule rule, std::size_t members)) const
 {
     const auto isReachable = [&](const Member &member) {
         const auto &view = context.view_;
@@ -189,7 +232,7 @@
         std::vector<Member> absent;
         std::remove_copy_if(term.members_.begin(), term.members_.end(), std::back_inserter(absent),
                             isReachable);
-        if (absent.size() >= majorityOf(term.members_.size()))
+        if (absent.size() >= quorumOf(term.rule_, term.members_.size()))
             missing.insert(missing.end(), absent.begin(), absent.end());
     }
     return missing;
@@ -215,12 +258,62 @@
     return members;
 }
 
+TermRule RoleElector::chooseRule(const RoleContext &context, const std::vector<Member> &members)
+{
+    return context.boundsTerms_ ? ruleFor(members.size(), context.fleetSize_) : TermRule::Majority;
+}
+
 std::string RoleElector::newNonce()
 {
     return self_.host_.str() + '-' + std::to_string(random_.engine()());
 }
 
-RoleActions RoleElector::claim(const RoleContext &context)
+void RoleElector::setRecord(const std::optional<RoleRecord> &record, TimePoint now)
+{
+    record_ = record;
+    challengedSince_ = isChallenged() ? std::optional(now) : std::nullopt;
+}
+
+RoleActions RoleElector::write(RoleRecord record, RoleWrite purpose, TimePoint now)
+{
+    record.nonce_ = newNonce();
+    pendingWrite_ = PendingWrite {
+        record, version_, purpose, now, record_, challengedSince_, mayHaveUndoneTerms(), false
+    };
+    return { WriteRole { std::move(record), version_, purpose } };
+}
+
+// The holder, if it is in touch with the store, does not take a record with a challenger for its
+// confirmation. So the last confirmation that any holder got was requested before this write.
+RoleActions RoleElector::challenge(TimePoint now)
+{
+    nextChallengeAt_ = now + kChallengePeriod;
+    RoleRecord challenged = *record_;
+    challenged.challenger_ = self_.host_;
+    return write(std::move(challenged), RoleWrite::Challenge, now);
+}
+
+RoleActions RoleElector::answerChallenge(TimePoint now)
+{
+    RoleRecord next = ownRecord_;
+    next.challenger_ = HostName();
+    return write(std::move(next), RoleWrite::Change, now);
+}
+
+RoleActions RoleElector::changeRecord(const RoleContext &context, TimePoint now)
+{
+    membersDifferSince_.reset();
+    RoleRecord next = ownRecord_;
+    next.members_ = chooseMembers(context);
+    next.rule_ = chooseRule(context, next.members_);
+    next.predecessors_.clear();
+    next.generation_ = storeGeneration_;
+    next.challenger_ = HostName();
+    authority_.startReconfiguration(next.members_, next.rule_);
+    return write(std::move(next), RoleWrite::Change, now);
+}
+
+RoleActions RoleElector::claim(const RoleContext &context, TimePoint now)
 {
     ownRecord_ = RoleRecord {};
     ownRecord_.role_ = role_;
@@ -229,12 +322,12 @@
     ownRecord_.generation_ = record_ ? record_->generation_ : Generation {};
     ownRecord_.holder_ = self_;
     ownRecord_.members_ = chooseMembers(context);
+    ownRecord_.rule_ = chooseRule(context, ownRecord_.members_);
     ownRecord_.predecessors_ = Succession::openTerms(record_);
-    ownRecord_.nonce_ = newNonce();
-    authority_ = HolderAuthority(ownRecord_.members_);
-    pendingWrite_ = PendingWrite { ownRecord_, version_, record_, mayHaveUndoneTerms(), false };
     phase_ = RolePhase::Claiming;
-    return { WriteRole { ownRecord_, version_ } };
+    RoleActions actions = write(ownRecord_, RoleWrite::Claim, now);
+    ownRecord_ = pendingWrite_->record_;
+    return actions;
 }
 
 void RoleElector::resolvePendingWrite(RoleActions &actions, TimePoint now)
@@ -258,36 +351,47 @@
     if (!isPendingWrite(nonce))
         return {};
     version_ = std::max(version_, version);
-    return completeWrite(sentAt, now);
+    completeWrite(sentAt, now);
+    return {};
 }
 
 // Called once the pending write is known to have taken effect.
-RoleActions RoleElector::completeWrite(TimePoint sentAt, TimePoint now)
+void RoleElector::completeWrite(TimePoint sentAt, TimePoint now)
 {
     const PendingWrite written = std::move(*pendingWrite_);
     pendingWrite_.reset();
-    record_ = written.record_;
-    if (phase_ == RolePhase::Holding) {
-        ownRecord_ = written.record_;
-        authority_.finishReconfiguration();
-        authority_.onStoreConfirmed(sentAt);
-        return {};
-    }
-    if (written.record_.released_)
-        return {};
+    setRecord(written.record_, now);
+    const auto row = std::find_if(
+        std::begin(kCompletions), std::end(kCompletions),
+        [&](const CompletionRow &candidate) { return candidate.purpose_ == written.purpose_; });
+    if (row != std::end(kCompletions))
+        (this->*row->complete_)(written, sentAt, now);
+}
+
+void RoleElector::completeClaim(const PendingWrite &written, TimePoint sentAt, TimePoint now)
+{
     phase_ = RolePhase::Succeeding;
     ownRecord_ = written.record_;
-    authority_ = HolderAuthority(ownRecord_.members_);
+    authority_ = HolderAuthority(ownRecord_.members_, ownRecord_.rule_);
     authority_.onStoreConfirmed(sentAt);
     lastStoreReplyAt_ = now;
-    succession_.emplace(written.replacedRecord_, written.mayHaveUndoneTerms_, now);
+    succession_.emplace(written.replacedRecord_, written.mayHaveUndoneTerms_, now,
+                        written.challengedSince_);
     succession_->onStepDown(self_, ownRecord_.epoch_);
     succession_->onStepDown(steppedDownHolder_, steppedDownEpoch_);
     nextRenewalAt_ = now;
     nextReleaseRequestsAt_ = now;
-    return {};
 }
 
+void RoleElector::completeChange(const PendingWrite &written, TimePoint sentAt, TimePoint)
+{
+    ownRecord_ = written.record_;
+    authority_.finishReconfiguration();
+    authority_.onStoreConfirmed(sentAt);
+}
+
+void RoleElector::completeChallenge(const PendingWrite &, TimePoint, TimePoint) { }
+
 RoleActions RoleElector::onConflict(const std::string &nonce,
                                     const std::optional<RoleRecord> &current, Version version,
                                     TimePoint sentAt, TimePoint now)
@@ -298,11 +402,12 @@
     const bool isOwnWrite = current && current->nonce_ == nonce;
     if (isOwnWrite) {
         version_ = std::max(version_, version);
-        return completeWrite(sentAt, now);
+        completeWrite(sentAt, now);
+        return {};
     }
     pendingWrite_.reset();
     const bool isUndone = precedesOwnRecord(current, version);
-    record_ = current;
+    setRecord(current, now);
     version_ = version;
     undoneSince_.reset();
     if (phase_ == RolePhase::Holding && isUndone)
@@ -310,9 +415,7 @@
     if (phase_ == RolePhase::Holding) {
         if (!isOwnRecord(current))
             return loseRole();
-        ownRecord_ = *current;
-        authority_.startReconfiguration(ownRecord_.members_);
-        authority_.finishReconfiguration();
+        adoptOwnRecord(*current);
         return {};
     }
     phase_ = RolePhase::Idle;
@@ -320,6 +423,13 @@
     return {};
 }
 
+void RoleElector::adoptOwnRecord(const RoleRecord &record)
+{
+    ownRecord_ = record;
+    authority_.startReconfiguration(ownRecord_.members_, ownRecord_.rule_);
+    authority_.finishReconfiguration();
+}
+
 void RoleElector::onWriteFailed(const std::string &nonce)
 {
     if (isPendingWrite(nonce))
@@ -352,11 +462,13 @@
         // the retry takes effect only if the first attempt did not, because both expect the same
         // version.
         pendingWrite_->isOutcomeUnknown_ = false;
-        actions.emplace_back(WriteRole { pendingWrite_->record_, pendingWrite_->expected_ });
+        actions.emplace_back(WriteRole { pendingWrite_->record_, pendingWrite_->expected_,
+                                         pendingWrite_->purpose_ });
         return actions;
     }
     // An older record of this host may name other voters, whom a successor would ask for releases.
-    const bool isCurrent = isOwnRecord(record) && record->nonce_ == ownRecord_.nonce_;
+    const bool isCurrent = isOwnRecord(record) && record->nonce_ == ownRecord_.nonce_
+                           && record->challenger_.isEmpty();
     const bool confirms
         = (phase_ == RolePhase::Holding || phase_ == RolePhase::Succeeding) && isCurrent;
     if (confirms)
@@ -373,20 +485,23 @@
     const bool isOwnWrite = record && isPendingWrite(record->nonce_);
     if (isOwnWrite) {
         version_ = version;
-        // When the write was sent is not recorded, so it gives no authority. When it was applied is
-        // unknown as well. The current time is later, so using it can only prolong the wait.
-        return completeWrite(now - kStoreAuthorityDuration, now);
+        // When the write was applied is unknown. The current time is later, so using it as the time
+        // of the reply can only prolong the wait.
+        completeWrite(pendingWrite_->sentAt_, now);
+        return {};
     }
     // The holder goes on, and writes its own record again.
     const bool isUndone = phase_ == RolePhase::Holding && precedesOwnRecord(record, version);
-    record_ = record;
+    setRecord(record, now);
     version_ = version;
     undoneSince_.reset();
     pendingWrite_.reset();
-    const bool keepsPhase = phase_ == RolePhase::Idle || isUndone
-                            || (phase_ != RolePhase::Claiming && isOwnRecord(record));
-    if (keepsPhase)
+    if (phase_ == RolePhase::Idle || isUndone)
         return {};
+    if (phase_ != RolePhase::Claiming && isOwnRecord(record)) {
+        adoptOwnRecord(*record);
+        return {};
+    }
     if (phase_ == RolePhase::Holding)
         return loseRole();
     phase_ = RolePhase::Idle;
@@ -427,6 +542,8 @@
 {
     RoleActions actions;
     renewAuthority(actions, now);
+    if (isChallenged() && !pendingWrite_)
+        append(actions, answerChallenge(now));
     // A holder whose process has ended no longer has any authority that could delay a successor.
     const std::vector<RoleTerm> terms = succession_->terms();
     for (const RoleTerm &term : terms) {
@@ -459,29 +576,23 @@
         return releaseRole();
     RoleActions actions;
     renewAuthority(actions, now);
-    if (pendingWrite_ || !isRecordWriteDue(context, now))
-        return actions;
-    membersDifferSince_.reset();
-    RoleRecord next = ownRecord_;
-    next.members_ = chooseMembers(context);
-    next.predecessors_.clear();
-    next.generation_ = storeGeneration_;
-    next.nonce_ = newNonce();
-    authority_.startReconfiguration(next.members_);
-    pendingWrite_ = PendingWrite { next, version_, record_, false, false };
-    actions.emplace_back(WriteRole { next, version_ });
+    if (!pendingWrite_ && isRecordWriteDue(context, now))
+        append(actions, changeRecord(context, now));
     return actions;
 }
 
 // The record is rewritten once the predecessors' terms have ended, so that a successor does not
-// wait for them, when it was undone as the store was restored, and when the set of voters has to
-// change.
+// wait for them, when it was undone as the store was restored, when another host has challenged it,
+// and when the set of voters has to change.
 bool RoleElector::isRecordWriteDue(const RoleContext &context, TimePoint now)
 {
     const bool isUndone = !record_ || record_->nonce_ != ownRecord_.nonce_;
-    if (!ownRecord_.predecessors_.empty() || ownRecord_.generation_ < storeGeneration_ || isUndone)
+    if (!ownRecord_.predecessors_.empty() || ownRecord_.generation_ < storeGeneration_ || isUndone
+        || isChallenged())
         return true;
-    if (chooseMembers(context) == ownRecord_.members_) {
+    const std::vector<Member> members = chooseMembers(context);
+    const bool isRuleInForce = chooseRule(context, members) == ownRecord_.rule_;
+    if (members == ownRecord_.members_ && isRuleInForce) {
         membersDifferSince_.reset();
         return false;
     }
@@ -559,7 +670,8 @@
     RoleRecord released = *record_;
     released.released_ = true;
     released.nonce_ = newNonce();
-    actions.emplace_back(WriteRole { released, version_ });
+    released.challenger_ = HostName();
+    actions.emplace_back(WriteRole { released, version_, RoleWrite::Release });
     return actions;
 }
 
--- a/src/sibling/Succession.cpp
+++ b/src/sibling/Succession.cpp
@@ -1,7 +1,7 @@
 #include "pimentostage/sibling/Succession.h"
 
-#include "pimentostage/sibling/HolderAuthority.h"
 #include "pimentostage/sibling/RoleTiming.h"
+#include "pimentostage/sibling/TermRules.h"
 
 #include <algorithm>
 
@@ -17,10 +17,11 @@
 } // namespace
 
 Succession::Succession(const std::optional<RoleRecord> &replaced, bool mayHaveUndoneTerms,
-                       TimePoint writtenAt)
+                       TimePoint writtenAt, std::optional<TimePoint> challengedSince)
     : replacedEpoch_(epochOf(replaced))
     , mayHaveUndoneTerms_(mayHaveUndoneTerms)
     , writtenAt_(writtenAt)
+    , unconfirmedSince_(challengedSince.value_or(writtenAt))
     , terms_(openTerms(replaced))
 { }
 
@@ -33,9 +34,11 @@
         return terms;
     // A later term of the same holder with the same members replaces the earlier one.
     std::erase_if(terms, [&](const RoleTerm &term) {
-        return term.holder_ == replaced->holder_ && term.members_ == replaced->members_;
+        return term.holder_ == replaced->holder_ && term.members_ == replaced->members_
+               && term.rule_ == replaced->rule_;
     });
-    terms.push_back(RoleTerm { replaced->epoch_, replaced->holder_, replaced->members_ });
+    terms.push_back(
+        RoleTerm { replaced->epoch_, replaced->holder_, replaced->members_, replaced->rule_ });
     return terms;
 }
 
@@ -85,7 +88,10 @@
               const auto end = promisesEndAt_.find(member);
               return end == promisesEndAt_.end() || now < end->second;
           });
-    return static_cast<std::size_t>(stillBound) < majorityOf(term.members_.size());
+    const bool isOnPromises = now < unconfirmedSince_ + kClockDrift.stretched(kMaxTimeOnPromises);
+    const std::size_t quorum = isOnPromises ? quorumOnPromises(term.rule_, term.members_.size())
+                                            : quorumAfterwards(term.rule_, term.members_.size());
+    return static_cast<std::size_t>(stillBound) < quorum;
 }
 
 std::vector<Member> Succession::unreleasedMembers() const
--- a/tests/CodecTest.cpp
+++ b/tests/CodecTest.cpp
@@ -239,6 +239,8 @@
     record.holder_ = Member { HostName("h"), Incarnation { 1 } };
     record.members_ = { record.holder_ };
     record.predecessors_ = { { Epoch { 1 }, record.holder_, { record.holder_ } } };
+    record.rule_ = TermRule::Bounded;
+    record.challenger_ = HostName("c");
     Contract contract;
     contract.rate_ = 10;
     contract.burst_ = 5;
@@ -282,6 +284,30 @@
     EXPECT_TRUE(isAccepted({ ObjectKind::Backend, "x" }, values[9]));
 }
 
+// Guards against a successor that waits for the holder by another rule than the holder's own, and
+// against records that hosts of an earlier version cannot read although they state nothing new.
+TEST(ObjectCodec, ARoleRecordKeepsItsRulesAndItsChallenger)
+{
+    RoleRecord record;
+    record.holder_ = Member { HostName("h"), Incarnation { 1 } };
+    record.members_ = { record.holder_ };
+    for (const auto &row : EnumTable<TermRule>::kRows) {
+        record.rule_ = row.value_;
+        record.predecessors_ = { { Epoch { 1 }, record.holder_, record.members_, row.value_ } };
+        record.challenger_ = HostName(row.value_ == TermRule::Majority ? "" : "c");
+        const std::string text = formatRoleRecord(record);
+        const RoleRecord parsed = parseRoleRecord("r", text).value();
+        EXPECT_EQ(parsed.rule_, record.rule_);
+        EXPECT_EQ(parsed.predecessors_, record.predecessors_);
+        EXPECT_EQ(parsed.challenger_, record.challenger_);
+        const bool hasNewFields = text.find("rule") != std::string::npos
+                                  || text.find("challenger") != std::string::npos;
+        EXPECT_EQ(hasNewFields, row.value_ != TermRule::Majority) << text;
+    }
+    EXPECT_FALSE(isAccepted({ ObjectKind::Role, "x" },
+                            R"({"epoch":1,"holder":"h","incarnation":1,"rule":"never"})"));
+}
+
 // Guards against hosts of an earlier release, which reject a field that they do not know: without a
 // version, an entry is written as before.
 TEST(ObjectCodec, ABackEndWithoutAVersionHasNoFieldForIt)
--- a/tests/fakes/RoleSimulation.h
+++ b/tests/fakes/RoleSimulation.h
@@ -3,6 +3,7 @@
 #include "pimentostage/sibling/PromiseLedger.h"
 #include "pimentostage/sibling/RoleElector.h"
 #include "pimentostage/sibling/RoleTiming.h"
+#include "pimentostage/sibling/TermRules.h"
 #include "tests/fakes/DriftingClock.h"
 #include "tests/fakes/EventQueue.h"
 #include "tests/fakes/FakeRecordStore.h"
@@ -54,6 +55,23 @@
     void pause(std::size_t host, bool paused) { hosts_[host]->isPaused_ = paused; }
     void cut(std::size_t host, bool isCut) { hosts_[host]->isCut_ = isCut; }
     void cutFromStore(std::size_t host, bool isCut) { hosts_[host]->isCutFromStore_ = isCut; }
+    /// Puts a host on one side of a partition between the hosts; all start on side 0.
+    void setSide(std::size_t host, int side) { hosts_[host]->side_ = side; }
+    /// Ends all pauses, partitions and faults of the store and the network. All hosts list the
+    /// store again, as after a lost watch.
+    void repairAll()
+    {
+        store_.faults_ = {};
+        losesMessages_ = false;
+        for (const auto &host : hosts_) {
+            host->isPaused_ = false;
+            host->isCut_ = false;
+            host->isCutFromStore_ = false;
+            host->side_ = 0;
+        }
+        scheduleWatchEvents();
+    }
+
     void confirmLost(std::size_t host)
     {
         lostHosts_[hosts_[host]->self_.host_] = hosts_[host]->self_.incarnation_;
@@ -61,7 +79,31 @@
 
     void setHighCapacityHost(std::size_t host) { highCapacity_ = { hosts_[host]->self_ }; }
 
+    /// Ends a host's process; unless the host is restarted, it is lost for good.
     void kill(std::size_t host) { hosts_[host]->isDead_ = true; }
+    [[nodiscard]] bool isDead(std::size_t host) const { return hosts_[host]->isDead_; }
+    [[nodiscard]] std::size_t hosts() const { return hosts_.size(); }
+
+    /// @return whether the hosts that are lost for good are too few to keep a term open whose
+    ///         holder may be one of them.
+    [[nodiscard]] bool canBeSucceeded() const
+    {
+        const std::vector<RoleTerm> terms = Succession::openTerms(store_.record_);
+        return std::all_of(terms.begin(), terms.end(), [&](const RoleTerm &term) {
+            const auto lost
+                = std::count_if(term.members_.begin(), term.members_.end(),
+                                [&](const Member &member) { return isLostForGood(member); });
+            return static_cast<std::size_t>(lost)
+                   < quorumAfterwards(term.rule_, term.members_.size());
+        });
+    }
+
+    /// Adds a host to the fleet.
+    void add()
+    {
+        start(hosts_.size());
+        scheduleTick(hosts_.size() - 1);
+    }
 
     void restart(std::size_t host)
     {
@@ -109,6 +151,7 @@
         bool isPaused_ = false;
         bool isCut_ = false;
         bool isCutFromStore_ = false;
+        int side_ = 0; ///< of a partition between the hosts
         bool isDead_ = false;
         bool hasLeft_ = false;
         Generation storeGeneration_; ///< the newest that a reply of the store had
@@ -157,7 +200,7 @@
         for (const auto &host : hosts_) {
             const bool isSeen = host.get() == &viewer
                                 || (!host->isDead_ && !host->isPaused_ && !host->hasLeft_
-                                    && host->isCut_ == viewer.isCut_ && !viewer.isCut_);
+                                    && !areApart(*host, viewer));
             if (isSeen)
                 context.view_.push_back(host->self_);
             if (host->hasLeft_ && !viewer.isCut_)
@@ -170,12 +213,25 @@
             if (!viewer.isCut_)
                 context.stopped_.insert(host->self_);
         }
+        context.fleetSize_ = hosts_.size();
         context.confirmedLost_ = lostHosts_;
         context.highCapacity_ = highCapacity_;
         context.storeGeneration_ = viewer.storeGeneration_;
         return context;
     }
 
+    static bool areApart(const Host &one, const Host &other)
+    {
+        return one.isCut_ || other.isCut_ || one.side_ != other.side_;
+    }
+
+    bool isLostForGood(const Member &member) const
+    {
+        return std::any_of(hosts_.begin(), hosts_.end(), [&](const auto &host) {
+            return host->self_ == member && host->isDead_;
+        });
+    }
+
     Host *findHost(const Member &member)
     {
         for (const auto &host : hosts_) {
@@ -191,7 +247,7 @@
     {
         const bool isLost = &from != &to && losesMessages_ && ++messages_ % 3 == 0;
         events_.after(std::chrono::milliseconds(1), [this, &from, &to, task, isLost] {
-            const bool isBlocked = &from != &to && (from.isCut_ || to.isCut_);
+            const bool isBlocked = &from != &to && areApart(from, to);
             if (!isLost && !isBlocked)
                 runOnHost(to, task);
         });
