Catalogue: without a list of teams it has none, where withdrawn keys have a deadline

Cause: where control.withdrawal_deadline_ms is above 0, a catalogue without the list was rejected as probably truncated. A running host kept the version before; a host that started had none. Not a matter of the restart alone: the running hosts did not apply the version either.

Change: such a catalogue is read as one with an empty list (MissingTeams::Closed): it is applied, no key is valid, routes that state that they are open are served, and no other route is opened. Where no deadline is set, nothing changes.

--- a/include/pimentostage/operator/Settings.h
+++ b/include/pimentostage/operator/Settings.h
@@ -98,8 +98,10 @@
 [[nodiscard]] Duration maxZonesAgeOf(const Settings &settings);
 /// @return the age of the configuration from which requests with a team key are refused.
 [[nodiscard]] Duration maxConfigAgeOf(const Settings &settings);
-/// @return whether a catalogue must list teams: it must where withdrawn keys have a deadline.
-[[nodiscard]] TeamsRule teamsRuleOf(const Settings &settings);
+/// @return what a catalogue without a list of teams means. Where withdrawn keys have a deadline,
+/// such
+///         a catalogue has withdrawn all keys.
+[[nodiscard]] MissingTeams missingTeamsOf(const Settings &settings);
 
 /// An invalid, missing or unknown setting in a settings file.
 struct SettingsError
--- a/include/pimentostage/platform/ConfigState.h
+++ b/include/pimentostage/platform/ConfigState.h
@@ -58,9 +58,9 @@
 {
 public:
     /// @param confirmedKinds kinds of KnowledgeArea::Configuration; empty for all.
-    /// @param teamsRule whether a catalogue without a list of teams is rejected.
+    /// @param missingTeams what a catalogue without a list of teams means.
     explicit ConfigState(std::set<ObjectKind> confirmedKinds = {},
-                         TeamsRule teamsRule = TeamsRule::Optional);
+                         MissingTeams missingTeams = MissingTeams::Open);
 
     /// Applies one version of an object that the store sent.
     /// @param error receives the reason if the result is Rejected.
@@ -159,7 +159,7 @@
     void rebuild();
 
     const std::set<ObjectKind> confirmedKinds_;
-    const TeamsRule teamsRule_;
+    const MissingTeams missingTeams_;
     std::map<ObjectRef, StoredObject> objects_;
     std::shared_ptr<const Configuration> configuration_;
     Version revision_;
--- a/include/pimentostage/platform/ObjectCodec.h
+++ b/include/pimentostage/platform/ObjectCodec.h
@@ -24,7 +24,9 @@
 leaf::result<Zone> parseZone(const std::string &name, const std::string &value);
 leaf::result<Backend> parseBackend(const std::string &name, const std::string &value);
 leaf::result<LostHost> parseLostHost(const std::string &name, const std::string &value);
-leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value);
+/// @param missingTeams what a catalogue without a list of teams means.
+leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value,
+                                       MissingTeams missingTeams = MissingTeams::Open);
 leaf::result<EntryHost> parseEntryHost(const std::string &name, const std::string &value);
 leaf::result<Rollout> parseRollout(const std::string &name, const std::string &value);
 leaf::result<std::vector<ListedHost>> parseHostList(const std::string &value);
@@ -35,8 +37,10 @@
                    Catalogue, RangePlacement, EntryHost, Rollout, RolloutState>;
 
 /// Parses @p value as the value of @p ref.
+/// @param missingTeams what a catalogue without a list of teams means.
 /// @return the content, or the Error of the matching parse function.
-leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value);
+leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value,
+                                       MissingTeams missingTeams = MissingTeams::Open);
 
 /// Checks that @p value is valid as the value of @p ref.
 /// @return nothing, or the Error of parseObject().
--- a/include/pimentostage/platform/Objects.h
+++ b/include/pimentostage/platform/Objects.h
@@ -123,16 +123,18 @@
     return kind == RouteKind::Safe || kind == RouteKind::Download;
 }
 
-/// Whether a catalogue must list teams. Where withdrawn keys have a deadline, one without the list
-/// is probably truncated, and its routes would be open to everybody.
-enum class TeamsRule { Optional, Required };
+/// What a catalogue without a list of teams means for the routes that do not state their access.
+enum class MissingTeams {
+    Open, ///< requests need no key
+    Closed, ///< as an empty list: no key is valid, and only routes that state so are open
+};
 
 template <>
-struct EnumTable<TeamsRule>
+struct EnumTable<MissingTeams>
 {
     static constexpr std::array kRows {
-        EnumName<TeamsRule> { TeamsRule::Optional, "optional" },
-        EnumName<TeamsRule> { TeamsRule::Required, "required" },
+        EnumName<MissingTeams> { MissingTeams::Open, "open" },
+        EnumName<MissingTeams> { MissingTeams::Closed, "closed" },
     };
 };
 
@@ -366,8 +368,8 @@
     std::vector<Route> routes_;
     std::vector<Contract> contracts_;
     std::vector<TeamKey> keys_;
-    /// Whether it has a list of teams, which may be empty. Without one, a route that does not state
-    /// its access is open.
+    /// Whether it has a list of teams, which may be empty, or is read as if it had an empty one
+    /// (MissingTeams::Closed). Otherwise a route that does not state its access is open.
     bool listsTeams_ = true;
     CallerLimits limits_;
 };
--- a/src/daemon/ControlCore.cpp
+++ b/src/daemon/ControlCore.cpp
@@ -84,7 +84,7 @@
     , metrics_(metrics)
     , addressing_(addressingOf(ports.store_))
     , configValidity_(std::make_shared<ConfigValidity>(options_.changeDeadline_))
-    , config_(confirmedKinds(ports.store_), options_.teamsRule_)
+    , config_(confirmedKinds(ports.store_), options_.missingTeams_)
     , zoneReturns_(kReportsUntilKnown * options_.backendReportPeriod_, options_.maxBackendsAge_)
     , random_(seedFor(ports.seed_, RandomStream::Hosts))
     , routers_(self_.member_.host_, siblings_,
--- a/src/daemon/ControlOptions.h
+++ b/src/daemon/ControlOptions.h
@@ -20,8 +20,8 @@
     /// Time within which a change must be in force on all hosts; zero for none. A host whose
     /// configuration was confirmed longer ago does not refuse requests for good.
     Duration changeDeadline_ {};
-    /// Whether a catalogue without a list of teams is rejected.
-    TeamsRule teamsRule_ = TeamsRule::Optional;
+    /// What a catalogue without a list of teams means.
+    MissingTeams missingTeams_ = MissingTeams::Open;
     /// Whether agreement with a majority of the entry hosts also confirms an older configuration.
     /// Valid only where the store is reachable either by all hosts or by none.
     bool majorityConfirms_ = true;
--- a/src/daemon/ControlPlane.cpp
+++ b/src/daemon/ControlPlane.cpp
@@ -38,7 +38,7 @@
     options.accountGroups_ = static_cast<std::uint64_t>(settings.controlAccountGroups_);
     options.maxConfigAge_ = maxConfigAgeOf(settings);
     options.changeDeadline_ = settings.controlChangeDeadline_;
-    options.teamsRule_ = teamsRuleOf(settings);
+    options.missingTeams_ = missingTeamsOf(settings);
     options.isFirstStart_ = settings.hostFirstStart_;
     options.readers_ = static_cast<std::size_t>(settings.controlReaders_);
     options.readerSilence_ = readerSilenceOf(settings);
--- a/src/operator/Settings.cpp
+++ b/src/operator/Settings.cpp
@@ -133,7 +133,8 @@
     SettingRow { "control", "withdrawal_deadline_ms", &Settings::controlWithdrawalDeadline_,
                  Presence::Optional, 0, kDayMs,
                  "Time within which a withdrawn key must be refused; replaces max_config_age_ms "
-                 "unless it is 0. Above 0, a catalogue without a list of teams is rejected." },
+                 "unless it is 0. Above 0, a catalogue without a list of teams has no teams, and "
+                 "its routes are closed unless they state otherwise." },
     SettingRow { "control", "leave_deadline_ms", &Settings::controlLeaveDeadline_,
                  Presence::Optional, 100, kDayMs,
                  "Time after which a back end that leaves must get no requests." },
@@ -481,10 +482,10 @@
                                         : fromSeconds(toSeconds(deadline) * kMaxConfigAgeShare);
 }
 
-TeamsRule teamsRuleOf(const Settings &settings)
+MissingTeams missingTeamsOf(const Settings &settings)
 {
-    return settings.controlWithdrawalDeadline_ > Duration::zero() ? TeamsRule::Required
-                                                                  : TeamsRule::Optional;
+    return settings.controlWithdrawalDeadline_ > Duration::zero() ? MissingTeams::Closed
+                                                                  : MissingTeams::Open;
 }
 
 std::string SettingsError::describe() const
--- a/src/platform/ObjectCodec.cpp
+++ b/src/platform/ObjectCodec.cpp
@@ -188,7 +188,8 @@
 
 } // namespace
 
-leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value)
+leaf::result<Catalogue> parseCatalogue(const std::string &name, const std::string &value,
+                                       MissingTeams missingTeams)
 {
     ObjectReader reader({ ObjectKind::Catalogue, name }, value);
     Catalogue catalogue;
@@ -201,7 +202,8 @@
         row.rejectUnknownFields();
         catalogue.services_.push_back(service);
     }
-    catalogue.listsTeams_ = !reader.isAbsent("teams");
+    const bool hasTeams = !reader.isAbsent("teams");
+    catalogue.listsTeams_ = hasTeams || missingTeams == MissingTeams::Closed;
     const Access unstatedAccess = catalogue.listsTeams_ ? Access::Team : Access::Open;
     index = 0;
     for (const Json &item : reader.requiredArray("routes")) {
@@ -217,7 +219,7 @@
                       [](const Route &route) { return route.access_ == Access::Team; });
     if (needsTeams && !catalogue.listsTeams_)
         reader.addError("teams", "must be an array, since a route states access team");
-    for (const Json &item : catalogue.listsTeams_ ? reader.array("teams") : Json::array())
+    for (const Json &item : hasTeams ? reader.array("teams") : Json::array())
         readTeam(reader.child(item, "teams", index++), catalogue);
     catalogue.limits_ = readCallerLimits(reader.object("limits"));
     reader.rejectUnknownFields();
@@ -275,13 +277,22 @@
 namespace {
 
 template <auto kParse>
-leaf::result<ParsedObject> parse(const std::string &name, const std::string &value)
+leaf::result<ParsedObject> parse(const std::string &name, const std::string &value, MissingTeams)
 {
     BOOST_LEAF_AUTO(content, kParse(name, value));
     return ParsedObject(std::move(content));
 }
 
-using ParseObject = leaf::result<ParsedObject> (*)(const std::string &, const std::string &);
+template <>
+leaf::result<ParsedObject> parse<&parseCatalogue>(const std::string &name, const std::string &value,
+                                                  MissingTeams missingTeams)
+{
+    BOOST_LEAF_AUTO(content, parseCatalogue(name, value, missingTeams));
+    return ParsedObject(std::move(content));
+}
+
+using ParseObject
+    = leaf::result<ParsedObject> (*)(const std::string &, const std::string &, MissingTeams);
 
 // One row for each ObjectKind, in its order.
 constexpr std::array<ParseObject, kEnumCount<ObjectKind>> kParseObject {
@@ -295,9 +306,10 @@
 
 } // namespace
 
-leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value)
+leaf::result<ParsedObject> parseObject(const ObjectRef &ref, const std::string &value,
+                                       MissingTeams missingTeams)
 {
-    return kParseObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value);
+    return kParseObject.at(static_cast<std::size_t>(ref.kind_))(ref.name_, value, missingTeams);
 }
 
 leaf::result<void> checkObject(const ObjectRef &ref, const std::string &value)
